--- /dev/null
+++ b/crates/gentianlane-daemon/src/command/dev.rs
@@ -0,0 +1,131 @@
+//! `gentianlaned dev`: a whole cell in one process, on loopback.
+
+mod sample;
+
+use clap::ArgMatches;
+use gentianlane::api::Announce;
+use gentianlane::id;
+use gentianlane::unit::Size;
+use gentianlane_client::stand;
+use miette::{IntoDiagnostic, Result};
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use crate::clock::Clock;
+use crate::process::log;
+use crate::process::node::Node;
+use crate::process::settings::{Peer, Settings};
+
+/// How many nodes the cell has.
+const NODES: u64 = 3;
+
+/// How many plain workers the cell has.
+const PLAIN_WORKERS: u32 = 4;
+
+/// How many workers with accelerators the cell has.
+const ACCELERATED_WORKERS: u32 = 2;
+
+/// Bytes in a gibibyte.
+const GIB: u64 = 1 << 30;
+
+pub(super) fn run(matches: &ArgMatches) -> Result<ExitCode> {
+    let given = matches.get_one::<PathBuf>("data").cloned();
+    let folder = given.clone().unwrap_or_else(scratch);
+    println!("data folder: {}", folder.display());
+    let peers = peers()?;
+    let log = log::to_nowhere();
+    let mut nodes = Vec::new();
+    for peer in &peers {
+        nodes.push(Node::start(&settings(peer, &peers, &folder), &log)?);
+        println!("{} takes calls at http://{}", peer.node, peer.http);
+    }
+    let entries: Vec<SocketAddr> = peers.iter().map(|peer| peer.http).collect();
+    let workers = workers(&entries);
+    let right = sample::run(&entries);
+    if !matches.get_flag("once") {
+        println!("the cell runs until it is interrupted");
+        let mut signals = Signals::new([SIGINT, SIGTERM]).into_diagnostic()?;
+        signals.forever().next();
+    }
+    workers.into_iter().for_each(stand::Worker::stop);
+    nodes.into_iter().for_each(Node::stop);
+    if given.is_none() {
+        std::fs::remove_dir_all(&folder).into_diagnostic()?;
+    }
+    Ok(match right {
+        true => ExitCode::SUCCESS,
+        false => ExitCode::from(super::EXIT_FAULT),
+    })
+}
+
+fn scratch() -> PathBuf {
+    let name = format!("gentianlane-dev-{}", std::process::id());
+    std::env::temp_dir().join(name)
+}
+
+/// The nodes, on addresses that were free a moment ago.
+fn peers() -> Result<Vec<Peer>> {
+    let count = 3 * NODES as usize;
+    let bind = |_| TcpListener::bind((Ipv4Addr::LOCALHOST, 0));
+    let held: Vec<TcpListener> = (0..count)
+        .map(bind)
+        .collect::<Result<_, _>>()
+        .into_diagnostic()?;
+    let addresses: Vec<SocketAddr> = held
+        .iter()
+        .map(TcpListener::local_addr)
+        .collect::<Result<_, _>>()
+        .into_diagnostic()?;
+    let peers = addresses
+        .chunks_exact(3)
+        .zip(1..)
+        .map(|(three, number)| Peer {
+            node: id::Node(number),
+            voter: true,
+            domain: id::Domain(format!("domain-{number}")),
+            http: three[0],
+            peer: three[1],
+            rpc: three[2],
+        });
+    Ok(peers.collect())
+}
+
+fn settings(me: &Peer, peers: &[Peer], folder: &Path) -> Settings {
+    Settings {
+        cell: id::Cell::from("dev"),
+        node: me.node,
+        data: Some(folder.join(me.node.to_string())),
+        nodes: peers.to_vec(),
+    }
+}
+
+fn workers(entries: &[SocketAddr]) -> Vec<stand::Worker> {
+    let plain = (1..=PLAIN_WORKERS).map(|number| (number, 0));
+    let last = PLAIN_WORKERS + ACCELERATED_WORKERS;
+    let accelerated = (PLAIN_WORKERS + 1..=last).map(|number| (number, 8));
+    plain
+        .chain(accelerated)
+        .map(|(number, accelerators)| {
+            let setup = stand::Setup {
+                announce: announce(number, accelerators),
+                entries: entries.to_vec(),
+            };
+            stand::Worker::start(setup, |_| {})
+        })
+        .collect()
+}
+
+fn announce(number: u32, accelerators: u32) -> Announce {
+    Announce {
+        worker: id::Worker(format!("worker-{number}")),
+        incarnation: id::Incarnation(Clock::wall().as_millis()),
+        size: Size::new(16_000, 32 * GIB, accelerators),
+        region: id::Region::from("region-1"),
+        domain: id::Domain(format!("domain-{}", number % 3 + 1)),
+        rack: id::Rack(format!("rack-{number}")),
+        address: String::new(),
+    }
+}
--- /dev/null
+++ b/crates/gentianlane-daemon/src/command/dev/sample.rs
@@ -0,0 +1,162 @@
+//! The sample jobs of `gentianlaned dev`: a service, batch work, a gang and a
+//! notice that may run only once.
+
+use std::net::SocketAddr;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use gentianlane::api::{Answer, Call, NoteText, Refusal, Reply, Submit};
+use gentianlane::id;
+use gentianlane::note::Ruling;
+use gentianlane::unit::Span;
+use gentianlane::verdict::{Reason, Verdict};
+use gentianlane_client::Client;
+
+use crate::clock::Clock;
+
+/// How long each step may take.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// The pause between two looks at the cell.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// The sample's release note.
+const NOTE: &str = include_str!("sample.json");
+
+/// One step of the sample: what it says, or what was wrong.
+type Step = fn(&mut Client) -> Result<String, String>;
+
+/// Runs the sample; false if any answer isn't right.
+pub(super) fn run(entries: &[SocketAddr]) -> bool {
+    let mut client = Client::new(entries.iter().copied());
+    let steps: [(&str, Step); 6] = [
+        ("note", note),
+        ("service", service),
+        ("batch", batch),
+        ("gang", gang),
+        ("notice", notice),
+        ("misfit", misfit),
+    ];
+    let mut right = true;
+    for (name, step) in steps {
+        match step(&mut client) {
+            Ok(said) => println!("{name}: {said}"),
+            Err(said) => {
+                println!("{name}: WRONG: {said}");
+                right = false;
+            }
+        }
+    }
+    right
+}
+
+fn note(client: &mut Client) -> Result<String, String> {
+    let call = Call::Note(NoteText {
+        text: NOTE.to_owned(),
+    });
+    until(|| match client.call(&call) {
+        Ok(Reply::Note(reply)) => match reply.ruling {
+            Ruling::Accepted(revision) => Some(Ok(format!("in force as {revision}"))),
+            other => Some(Err(format!("{other:?}"))),
+        },
+        _ => None,
+    })
+}
+
+fn service(client: &mut Client) -> Result<String, String> {
+    until(|| {
+        let Ok(Reply::Jobs(jobs)) = client.call(&Call::Jobs) else {
+            return None;
+        };
+        let listeners = jobs
+            .iter()
+            .filter(|job| job.workload.as_str() == "listener");
+        let places: Vec<String> = listeners
+            .flat_map(|job| &job.workers)
+            .map(ToString::to_string)
+            .collect();
+        (places.len() == 2).then(|| Ok(format!("stands on {}", places.join(" and "))))
+    })
+}
+
+fn batch(client: &mut Client) -> Result<String, String> {
+    let submit = submit("route-batch", "sleep=20 route 7 sorted");
+    check(client.ask(&submit, PATIENCE), &["route 7 sorted"])
+}
+
+fn gang(client: &mut Client) -> Result<String, String> {
+    let submit = submit("image-run", "sleep=20 sorted");
+    check(client.ask(&submit, PATIENCE), &["sorted"; 4])
+}
+
+fn notice(client: &mut Client) -> Result<String, String> {
+    let submit = submit("notice", "sent to flue 12");
+    let first = client.ask(&submit, PATIENCE);
+    let second = client.ask(&submit, PATIENCE);
+    if first != second {
+        return Err(format!("{first:?}, and resent {second:?}"));
+    }
+    check(second, &["sent to flue 12"])
+}
+
+fn misfit(client: &mut Client) -> Result<String, String> {
+    match client.ask(&submit("castle", "one"), PATIENCE) {
+        Ok(answer) if answer.outcome.verdict == Verdict::NotRun => Ok(said(&answer)),
+        other => Err(format!("{other:?}")),
+    }
+}
+
+fn submit(workload: &str, payload: &str) -> Submit {
+    let random: [u8; 10] = rand::random();
+    Submit {
+        key: id::Key::new(Clock::wall(), &random),
+        team: id::Team::from("town"),
+        workload: id::Workload::from(workload),
+        payload: payload.to_owned(),
+        count: None,
+        deadline: Some(Span::from_secs(20)),
+        hold: Span::ZERO,
+    }
+}
+
+fn check(answer: Result<Answer, Refusal>, outputs: &[&str]) -> Result<String, String> {
+    let answer = answer.map_err(|refusal| format!("{refusal:?}"))?;
+    let texts: Vec<&str> = answer
+        .outputs
+        .iter()
+        .map(|output| output.text.as_str())
+        .collect();
+    let whole = answer
+        .outputs
+        .iter()
+        .all(gentianlane::api::Output::is_whole);
+    let done = answer.outcome.reason == Reason::Done;
+    match done && whole && texts == outputs {
+        true => Ok(said(&answer)),
+        false => Err(format!("{answer:?}")),
+    }
+}
+
+fn said(answer: &Answer) -> String {
+    let texts: Vec<&str> = answer
+        .outputs
+        .iter()
+        .map(|output| output.text.as_str())
+        .collect();
+    let outcome = &answer.outcome;
+    format!("{}, {}: {texts:?}", outcome.verdict, outcome.reason)
+}
+
+/// Looks at the cell until it says something, or the time is over.
+fn until(
+    mut look: impl FnMut() -> Option<Result<String, String>>,
+) -> Result<String, String> {
+    let end = Instant::now() + PATIENCE;
+    while Instant::now() < end {
+        if let Some(said) = look() {
+            return said;
+        }
+        thread::sleep(PAUSE);
+    }
+    Err("not in time".to_owned())
+}
--- /dev/null
+++ b/crates/gentianlane-daemon/src/command/mod.rs
@@ -0,0 +1,66 @@
+//! The command line.
+
+mod check;
+mod dev;
+mod run;
+mod worker;
+
+use clap::{Arg, ArgAction, Command, value_parser};
+use miette::Result;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// The exit code for a command that didn't do what was asked.
+pub(crate) const EXIT_FAULT: u8 = 1;
+
+/// Reads the command line and does what it says.
+pub(crate) fn run() -> Result<ExitCode> {
+    let matches = command().get_matches();
+    match matches.subcommand() {
+        Some(("check", matches)) => check::run(matches),
+        Some(("run", matches)) => run::run(matches),
+        Some(("dev", matches)) => dev::run(matches),
+        Some(("worker", matches)) => worker::run(matches),
+        _ => Ok(ExitCode::from(EXIT_FAULT)),
+    }
+}
+
+fn command() -> Command {
+    Command::new("gentianlaned")
+        .about("The daemon of a gentianlane cell")
+        .version(env!("CARGO_PKG_VERSION"))
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(
+            Command::new("check")
+                .about("Checks a settings file")
+                .arg(path("FILE", "The settings file").required(true).index(1)),
+        )
+        .subcommand(
+            Command::new("run").about("Runs a node").arg(
+                path("settings", "The settings file").long("settings").required(true),
+            ),
+        )
+        .subcommand(
+            Command::new("dev")
+                .about("Runs a whole cell with stand-in workers on loopback")
+                .arg(
+                    Arg::new("once")
+                        .long("once")
+                        .action(ArgAction::SetTrue)
+                        .help("Run the sample jobs and exit"),
+                )
+                .arg(
+                    path("data", "Where the nodes keep their state; removed at the end if not given")
+                        .long("data"),
+                ),
+        )
+        .subcommand(worker::command())
+}
+
+fn path(name: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .value_name("FILE")
+        .help(help)
+        .value_parser(value_parser!(PathBuf))
+}
--- /dev/null
+++ b/crates/gentianlane-daemon/src/connection/peer.rs
@@ -0,0 +1,171 @@
+//! Frames between nodes over TCP: a length, then the frame.
+
+use std::collections::HashMap;
+use std::io::{self, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::Duration;
+
+use flume::{Receiver, Sender};
+use gentianlane::agree::Message;
+use gentianlane::id;
+use gentianlane::wire::{FRAME_LIMIT, Frame, VERSION};
+use miette::{IntoDiagnostic, Result};
+
+use crate::channel::{Control, Input, PEER_LIMIT};
+use crate::process::settings::Settings;
+
+/// How long a connection to a peer may take to come about.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// The pause before a failed connection is tried again.
+const RECONNECT: Duration = Duration::from_millis(100);
+
+/// How long a peer may be silent before its connection is closed.
+const READ_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// How long one write may take.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// The ways to all other nodes.
+pub(crate) struct Outbox {
+    cell: id::Cell,
+    node: id::Node,
+    incarnation: id::Incarnation,
+    peers: HashMap<id::Node, Sender<Vec<u8>>>,
+}
+
+impl Outbox {
+    /// Starts a thread for each other node; they end with the outbox.
+    pub(crate) fn start(settings: &Settings, incarnation: id::Incarnation) -> Self {
+        let mut peers = HashMap::new();
+        for peer in settings.others() {
+            let (sender, receiver) = flume::bounded(PEER_LIMIT);
+            let address = peer.peer;
+            thread::spawn(move || write_all(address, &receiver));
+            peers.insert(peer.node, sender);
+        }
+        let (cell, node) = (settings.cell.clone(), settings.node);
+        Self {
+            cell,
+            node,
+            incarnation,
+            peers,
+        }
+    }
+
+    /// Sends a message, or drops it if too many wait already.
+    pub(crate) fn send(&self, to: id::Node, message: Message) {
+        let frame = Frame {
+            version: VERSION,
+            cell: self.cell.clone(),
+            from: self.node,
+            incarnation: self.incarnation,
+            to,
+            message,
+        };
+        if let (Some(peer), Ok(bytes)) = (self.peers.get(&to), frame.encode()) {
+            let _ = peer.try_send(bytes);
+        }
+    }
+}
+
+fn write_all(address: SocketAddr, frames: &Receiver<Vec<u8>>) {
+    let mut stream = None;
+    while let Ok(frame) = frames.recv() {
+        if stream.is_none() {
+            stream = connect(address).ok();
+        }
+        let Some(open) = &mut stream else {
+            frames.drain();
+            thread::sleep(RECONNECT);
+            continue;
+        };
+        if write(open, &frame).is_err() {
+            stream = None;
+        }
+    }
+}
+
+fn connect(address: SocketAddr) -> io::Result<TcpStream> {
+    let stream = TcpStream::connect_timeout(&address, CONNECT_TIMEOUT)?;
+    stream.set_nodelay(true)?;
+    stream.set_write_timeout(Some(WRITE_TIMEOUT))?;
+    Ok(stream)
+}
+
+fn write(stream: &mut TcpStream, frame: &[u8]) -> io::Result<()> {
+    let length = u32::try_from(frame.len()).map_err(io::Error::other)?;
+    let mut bytes = Vec::with_capacity(4 + frame.len());
+    bytes.extend_from_slice(&length.to_le_bytes());
+    bytes.extend_from_slice(frame);
+    stream.write_all(&bytes)
+}
+
+/// The listener for other nodes' frames.
+pub(crate) struct Listener {
+    address: SocketAddr,
+    stop: Arc<AtomicBool>,
+}
+
+impl Listener {
+    /// Binds the address and starts a thread that accepts.
+    pub(crate) fn start(
+        address: SocketAddr,
+        settings: &Settings,
+        control: Control,
+    ) -> Result<Self> {
+        let listener = TcpListener::bind(address).into_diagnostic()?;
+        let stop = Arc::new(AtomicBool::new(false));
+        let (cell, node) = (settings.cell.clone(), settings.node);
+        let stopped = Arc::clone(&stop);
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                if stopped.load(Ordering::Relaxed) {
+                    return;
+                }
+                let (cell, control) = (cell.clone(), control.clone());
+                thread::spawn(move || read_all(stream, &cell, node, &control));
+            }
+        });
+        Ok(Self { address, stop })
+    }
+
+    /// Stops accepting; open connections end with their peers.
+    pub(crate) fn stop(self) {
+        self.stop.store(true, Ordering::Relaxed);
+        let _ = TcpStream::connect_timeout(&self.address, CONNECT_TIMEOUT);
+    }
+}
+
+fn read_all(stream: TcpStream, cell: &id::Cell, node: id::Node, control: &Control) {
+    if stream.set_read_timeout(Some(READ_TIMEOUT)).is_err() {
+        return;
+    }
+    let mut reader = BufReader::new(stream);
+    while let Ok(bytes) = read(&mut reader) {
+        let Ok(frame) = Frame::decode(&bytes, cell, node) else {
+            return;
+        };
+        if control
+            .send(Input::Message(frame.from, frame.message))
+            .is_err()
+        {
+            return;
+        }
+    }
+}
+
+fn read(reader: &mut impl Read) -> io::Result<Vec<u8>> {
+    let mut length = [0; 4];
+    reader.read_exact(&mut length)?;
+    let length = u32::from_le_bytes(length) as usize;
+    if length > FRAME_LIMIT {
+        return Err(io::ErrorKind::InvalidData.into());
+    }
+    let mut bytes = vec![0; length];
+    reader.read_exact(&mut bytes)?;
+    Ok(bytes)
+}
--- /dev/null
+++ b/crates/gentianlane-daemon/src/connection/rpc.rs
@@ -0,0 +1,146 @@
+//! Calls that one node passes on to another, over JSON-RPC.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use gentianlane::api::{Call, Reply};
+use gentianlane::id;
+use jsonrpsee::RpcModule;
+use jsonrpsee::core::client::{ClientT, Error};
+use jsonrpsee::core::params::ArrayParams;
+use jsonrpsee::server::{ServerBuilder, ServerConfig};
+use jsonrpsee::types::ErrorObjectOwned;
+use jsonrpsee::ws_client::{WsClient, WsClientBuilder};
+use miette::{IntoDiagnostic, Result};
+use tokio::runtime::Handle;
+
+use crate::channel::Control;
+use crate::clock::Clock;
+use crate::process::settings::Settings;
+use crate::request::local;
+
+/// The method by which a call is passed on.
+const METHOD: &str = "cell_call";
+
+/// How long a connection to a peer may take to come about.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// The longest wait for a reply; calls are held for less.
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(40);
+
+/// The most connections from other nodes.
+const CONNECTION_LIMIT: u32 = 128;
+
+/// The longest message, in bytes.
+const BODY_LIMIT: u32 = 4 << 20;
+
+/// The most calls that one connection has open.
+const OPEN_LIMIT: usize = 4_096;
+
+/// Binds the address and serves calls from other nodes.
+pub(crate) async fn serve(
+    address: SocketAddr,
+    control: Control,
+    clock: Clock,
+) -> Result<()> {
+    let config = ServerConfig::builder()
+        .max_connections(CONNECTION_LIMIT)
+        .max_request_body_size(BODY_LIMIT)
+        .max_response_body_size(BODY_LIMIT)
+        .build();
+    let server = ServerBuilder::with_config(config)
+        .build(address)
+        .await
+        .into_diagnostic()?;
+    let mut module = RpcModule::new((control, clock));
+    module
+        .register_async_method(METHOD, |params, context, _| async move {
+            let call: Call = params.one()?;
+            let (control, clock) = &*context;
+            let reply = local::ask_async(control, clock, call).await;
+            Ok::<Reply, ErrorObjectOwned>(reply)
+        })
+        .into_diagnostic()?;
+    tokio::spawn(server.start(module).stopped());
+    Ok(())
+}
+
+/// Why a call that was passed on has no reply.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Fault {
+    /// The node couldn't be reached; nothing was sent.
+    Unreachable,
+    /// The call was sent, and its reply was lost.
+    Lost,
+}
+
+/// The connections over which calls are passed on.
+#[derive(Clone)]
+pub(crate) struct Forward {
+    addresses: Arc<HashMap<id::Node, SocketAddr>>,
+    clients: Arc<Mutex<HashMap<id::Node, Arc<WsClient>>>>,
+    runtime: Handle,
+}
+
+impl Forward {
+    pub(crate) fn new(settings: &Settings, runtime: Handle) -> Self {
+        let addresses = settings
+            .others()
+            .map(|peer| (peer.node, peer.rpc))
+            .collect();
+        Self {
+            addresses: Arc::new(addresses),
+            clients: Arc::default(),
+            runtime,
+        }
+    }
+
+    /// Passes a call on and waits for its reply.
+    pub(crate) fn call(&self, to: id::Node, call: &Call) -> Result<Reply, Fault> {
+        self.runtime.block_on(async {
+            let client = self.client(to).await?;
+            let mut params = ArrayParams::new();
+            params.insert(call).map_err(|_| Fault::Unreachable)?;
+            let reply = client.request(METHOD, params).await;
+            reply.map_err(|error| self.failed(to, &client, &error))
+        })
+    }
+
+    async fn client(&self, to: id::Node) -> Result<Arc<WsClient>, Fault> {
+        let known = self.clients().get(&to).cloned();
+        if let Some(client) = known.filter(|client| client.is_connected()) {
+            return Ok(client);
+        }
+        let address = self.addresses.get(&to).ok_or(Fault::Unreachable)?;
+        let client = WsClientBuilder::default()
+            .connection_timeout(CONNECT_TIMEOUT)
+            .request_timeout(REQUEST_TIMEOUT)
+            .max_concurrent_requests(OPEN_LIMIT)
+            .build(format!("ws://{address}"))
+            .await
+            .map_err(|_| Fault::Unreachable)?;
+        let client = Arc::new(client);
+        self.clients().insert(to, Arc::clone(&client));
+        Ok(client)
+    }
+
+    fn failed(&self, to: id::Node, client: &Arc<WsClient>, error: &Error) -> Fault {
+        if matches!(error, Error::Call(_)) {
+            return Fault::Lost;
+        }
+        let mut clients = self.clients();
+        if clients
+            .get(&to)
+            .is_some_and(|known| Arc::ptr_eq(known, client))
+        {
+            clients.remove(&to);
+        }
+        Fault::Lost
+    }
+
+    fn clients(&self) -> std::sync::MutexGuard<'_, HashMap<id::Node, Arc<WsClient>>> {
+        self.clients.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/gentianlane-daemon/src/process/control.rs
@@ -0,0 +1,131 @@
+//! The control thread: owns the cell's core, its journal and its clock.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use flume::{RecvTimeoutError, Sender};
+use gentianlane::cell::{Node, Output, Ticket};
+use gentianlane_store::{Fault, Journal, Record};
+use slog::{Logger, info, warn};
+
+use crate::channel::{Input, Inputs, Sealed};
+use crate::clock::Clock;
+use crate::connection::peer::Outbox;
+use crate::process::view;
+
+/// How often the core looks at the time.
+const STEP: Duration = Duration::from_millis(10);
+
+/// The most inputs that are taken in before the core is flushed.
+const BATCH: usize = 1_024;
+
+/// The control thread's belongings.
+pub(crate) struct Control {
+    pub(crate) node: Node,
+    pub(crate) journal: Option<Journal>,
+    pub(crate) clock: Clock,
+    pub(crate) view: view::Shared,
+    pub(crate) outbox: Outbox,
+    pub(crate) log: Logger,
+    pub(crate) replies: HashMap<Ticket, Sender<Sealed>>,
+    pub(crate) last_ticket: u64,
+}
+
+impl Control {
+    /// Runs until it is told to stop.
+    ///
+    /// # Errors
+    ///
+    /// The journal's fault; nothing that depends on the write has left.
+    pub(crate) fn run(mut self, inputs: &Inputs) -> Result<(), Fault> {
+        loop {
+            match inputs.recv_timeout(STEP) {
+                Ok(Input::Stop) | Err(RecvTimeoutError::Disconnected) => break,
+                Ok(input) => {
+                    self.take(input);
+                    for input in inputs.try_iter().take(BATCH) {
+                        if matches!(input, Input::Stop) {
+                            return self.leave();
+                        }
+                        self.take(input);
+                    }
+                }
+                Err(RecvTimeoutError::Timeout) => {}
+            }
+            self.node.tick(self.clock.now(), Clock::wall());
+            self.flush()?;
+        }
+        self.leave()
+    }
+
+    fn take(&mut self, input: Input) {
+        match input {
+            Input::Call(call, reply) => {
+                self.last_ticket += 1;
+                let ticket = Ticket(self.last_ticket);
+                self.replies.insert(ticket, reply);
+                self.node
+                    .call(ticket, call, self.clock.now(), Clock::wall());
+            }
+            Input::Message(from, message) => {
+                self.node.receive(from, message, self.clock.now());
+            }
+            Input::Stop => {}
+        }
+    }
+
+    fn leave(&mut self) -> Result<(), Fault> {
+        self.node.hand_over();
+        self.flush()
+    }
+
+    /// Carries out what the core wants done: all that is to be durable first.
+    fn flush(&mut self) -> Result<(), Fault> {
+        let outputs = self.node.flush(self.clock.now(), Clock::wall());
+        if outputs.is_empty() {
+            return Ok(());
+        }
+        self.store(&outputs)?;
+        for output in outputs {
+            match output {
+                Output::Save(_) | Output::Store(_) => {}
+                Output::Send(to, message) => self.outbox.send(to, message),
+                Output::Reply(ticket, reply, until) => {
+                    if let Some(sender) = self.replies.remove(&ticket) {
+                        let _ = sender.try_send(Sealed { reply, until });
+                    }
+                }
+                Output::Role(role) => {
+                    let term = self.node.agree().term();
+                    info!(self.log, "role"; "role" => ?role, "term" => %term);
+                }
+            }
+        }
+        self.view.set_leader(self.node.agree().leader());
+        Ok(())
+    }
+
+    fn store(&mut self, outputs: &[Output]) -> Result<(), Fault> {
+        let Some(journal) = &mut self.journal else {
+            return Ok(());
+        };
+        let mut records = Vec::new();
+        for output in outputs {
+            match output {
+                Output::Save(ballot) => records.push(Record::Ballot(*ballot)),
+                Output::Store(entries) => {
+                    records.extend(entries.iter().cloned().map(Record::Entry));
+                }
+                Output::Send(..) | Output::Reply(..) | Output::Role(_) => {}
+            }
+        }
+        if records.is_empty() {
+            return Ok(());
+        }
+        let stored = journal.append(&records);
+        if let Err(fault) = &stored {
+            warn!(self.log, "journal"; "fault" => %fault);
+        }
+        stored
+    }
+}
--- /dev/null
+++ b/crates/gentianlane-daemon/src/process/log.rs
@@ -0,0 +1,27 @@
+//! Logs: one line of key=value pairs for each event.
+
+use slog::{Drain, Logger, o};
+use slog_logfmt::Logfmt;
+
+use crate::clock::Clock;
+
+/// How many lines may wait to be written; more are dropped and counted.
+const WAITING_LIMIT: usize = 1_024;
+
+/// A logger that writes to standard error from a thread of its own.
+pub(crate) fn to_stderr() -> Logger {
+    let drain = Logfmt::new(std::io::stderr())
+        .set_prefix(|io, _| Ok(write!(io, "at={} ", Clock::wall().as_millis())?))
+        .build()
+        .ignore_res();
+    let drain = slog_async::Async::new(drain)
+        .chan_size(WAITING_LIMIT)
+        .build()
+        .fuse();
+    Logger::root(drain, o!())
+}
+
+/// A logger that writes nothing.
+pub(crate) fn to_nowhere() -> Logger {
+    Logger::root(slog::Discard, o!())
+}
--- /dev/null
+++ b/crates/gentianlane-daemon/src/process/node.rs
@@ -0,0 +1,129 @@
+//! One node: its threads and its sockets.
+
+use std::collections::HashMap;
+use std::thread::{self, JoinHandle};
+
+use gentianlane::{agree, cell, lease, place};
+use gentianlane_store::Journal;
+use miette::{IntoDiagnostic, Result};
+use slog::{Logger, crit, info, o};
+use tokio::runtime::Runtime;
+
+use crate::channel::{CONTROL_LIMIT, Control as Sender, Input};
+use crate::clock::Clock;
+use crate::connection::{http, peer, rpc};
+use crate::process::control::Control;
+use crate::process::settings::Settings;
+use crate::process::view;
+use crate::request::entry::Entry;
+
+/// How many threads serve calls that other nodes pass on.
+const RPC_THREADS: usize = 2;
+
+/// A node that runs.
+pub(crate) struct Node {
+    control: Sender,
+    thread: JoinHandle<()>,
+    view: view::Shared,
+    http: http::Server,
+    peers: peer::Listener,
+    runtime: Runtime,
+    log: Logger,
+}
+
+impl Node {
+    /// Opens the journal and the sockets, and starts the threads.
+    pub(crate) fn start(settings: &Settings, log: &Logger) -> Result<Self> {
+        let log = log.new(o!("node" => settings.node.to_string()));
+        let clock = Clock::start();
+        let (journal, saved) = open(settings)?;
+        let me = settings.me()?.clone();
+        let (control, inputs) = flume::bounded(CONTROL_LIMIT);
+        let view = view::Shared::default();
+        let incarnation = Clock::wall().as_millis().into();
+        let outbox = peer::Outbox::start(settings, incarnation);
+        let peers = peer::Listener::start(me.peer, settings, control.clone())?;
+        let runtime = runtime()?;
+        runtime.block_on(rpc::serve(me.rpc, control.clone(), clock))?;
+        let forward = rpc::Forward::new(settings, runtime.handle().clone());
+        let entry =
+            Entry::new(settings.node, control.clone(), view.clone(), clock, forward);
+        let http = http::Server::start(me.http, entry)?;
+        let part = Control {
+            node: cell::Node::new(setup(settings), saved, clock.now()),
+            journal,
+            clock,
+            view: view.clone(),
+            outbox,
+            log: log.clone(),
+            replies: HashMap::new(),
+            last_ticket: 0,
+        };
+        let logger = log.clone();
+        let thread = thread::Builder::new()
+            .name("control".to_owned())
+            .spawn(move || {
+                if let Err(fault) = part.run(&inputs) {
+                    crit!(logger, "ends"; "fault" => %fault);
+                    std::process::exit(i32::from(crate::command::EXIT_FAULT));
+                }
+            })
+            .into_diagnostic()?;
+        info!(log, "runs"; "http" => %me.http);
+        Ok(Self {
+            control,
+            thread,
+            view,
+            http,
+            peers,
+            runtime,
+            log,
+        })
+    }
+
+    /// Stops taking in calls, hands over the lead and ends the threads.
+    pub(crate) fn stop(self) {
+        self.view.set_stopping();
+        self.http.stop();
+        let _ = self.control.send(Input::Stop);
+        let _ = self.thread.join();
+        self.peers.stop();
+        self.runtime.shutdown_background();
+        info!(self.log, "stopped");
+    }
+}
+
+fn open(settings: &Settings) -> Result<(Option<Journal>, agree::Saved)> {
+    let Some(folder) = &settings.data else {
+        return Ok((None, agree::Saved::default()));
+    };
+    let (journal, saved) = Journal::open(folder).into_diagnostic()?;
+    Ok((Some(journal), saved))
+}
+
+fn setup(settings: &Settings) -> cell::Setup {
+    let voters = settings.voters();
+    let nodes = settings.nodes.iter().map(|peer| peer.node);
+    let learners = nodes.filter(|&node| !voters.contains(node)).collect();
+    let seed = Clock::wall().as_millis() ^ settings.node.0.rotate_left(32);
+    let agree = agree::Setup {
+        node: settings.node,
+        voters,
+        learners,
+        timing: agree::Timing::default(),
+        seed,
+    };
+    cell::Setup {
+        agree,
+        lease: lease::Term::default(),
+        place: place::Setup { seed },
+    }
+}
+
+fn runtime() -> Result<Runtime> {
+    tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(RPC_THREADS)
+        .enable_all()
+        .build()
+        .into_diagnostic()
+}
--- /dev/null
+++ b/crates/gentianlane-daemon/src/request/local.rs
@@ -0,0 +1,66 @@
+//! A call to this node's own control thread.
+
+use std::time::Duration;
+
+use flume::Receiver;
+use gentianlane::api::{Call, Refusal, Reply};
+use gentianlane::unit::Span;
+use gentianlane::verdict::{Outcome, Reason};
+
+use crate::channel::{Control, Input, Sealed};
+use crate::clock::Clock;
+
+/// The longest wait for the control thread; calls are held for less.
+const PATIENCE: Duration = Duration::from_secs(40);
+
+/// When to come back while the control thread has too much to do.
+const OVERLOAD_RETRY: Span = Span::from_millis(500);
+
+/// When to ask again after a reply that came too late to be used.
+const ASK_AGAIN: Span = Span::from_millis(200);
+
+/// Asks the control thread and waits.
+pub(crate) fn ask(control: &Control, clock: &Clock, call: Call) -> Reply {
+    match send(control, call) {
+        Ok(replies) => open(replies.recv_timeout(PATIENCE).ok(), clock),
+        Err(refusal) => Reply::Refused(refusal),
+    }
+}
+
+/// Asks the control thread without holding a thread.
+pub(crate) async fn ask_async(control: &Control, clock: &Clock, call: Call) -> Reply {
+    match send(control, call) {
+        Ok(replies) => open(replies.recv_async().await.ok(), clock),
+        Err(refusal) => Reply::Refused(refusal),
+    }
+}
+
+fn send(control: &Control, call: Call) -> Result<Receiver<Sealed>, Refusal> {
+    let (sender, replies) = flume::bounded(1);
+    match control.try_send(Input::Call(call, sender)) {
+        Ok(()) => Ok(replies),
+        Err(_) => Err(
+            Refusal::not_run(Reason::Overloaded, "the control thread is busy")
+                .retry_after(OVERLOAD_RETRY),
+        ),
+    }
+}
+
+/// The reply, if the node still leads now that it is about to leave.
+fn open(sealed: Option<Sealed>, clock: &Clock) -> Reply {
+    match sealed {
+        Some(Sealed { reply, until })
+            if until.is_none_or(|until| clock.now() < until) =>
+        {
+            reply
+        }
+        _ => pending(),
+    }
+}
+
+/// What is said while the answer isn't known.
+pub(crate) fn pending() -> Reply {
+    let outcome = Outcome::may_have_run(Reason::Pending).retry_after(ASK_AGAIN);
+    let detail = "ask again under the same key".to_owned();
+    Reply::Refused(Refusal { outcome, detail })
+}
--- /dev/null
+++ b/crates/gentianlane-daemon/src/request/mod.rs
@@ -0,0 +1,4 @@
+//! What lives as long as a request.
+
+pub(crate) mod entry;
+pub(crate) mod local;
--- /dev/null
+++ b/crates/gentianlane/src/agree/mod.rs
@@ -0,0 +1,16 @@
+//! Agreement on one log of commands among the voters of a cell.
+//!
+//! [`Node`] takes messages, proposals and the time, and gives [`Output`]s that
+//! have to be carried out in order: what precedes a message has to be on disk
+//! before the message leaves.
+
+mod log;
+mod message;
+mod node;
+mod peer;
+mod quorum;
+
+pub use log::{Entry, Index, Payload, Term};
+pub use message::{Append, Body, Message, Position};
+pub use node::{Ballot, Node, NotLeader, Output, Role, Saved, Setup, Timing};
+pub use quorum::Voters;
--- /dev/null
+++ b/crates/gentianlane/src/agree/quorum.rs
@@ -0,0 +1,62 @@
+//! Who votes, and what a majority of them has confirmed.
+
+use indexmap::IndexSet;
+use serde::{Deserialize, Serialize};
+
+use crate::id;
+
+/// The nodes whose majority decides.
+#[derive(Debug, Default, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Voters(IndexSet<id::Node>);
+
+impl Voters {
+    /// Whether the node votes.
+    #[must_use]
+    pub fn contains(&self, node: id::Node) -> bool {
+        self.0.contains(&node)
+    }
+
+    /// The voters.
+    pub fn iter(&self) -> impl Iterator<Item = id::Node> {
+        self.0.iter().copied()
+    }
+
+    /// How many voters make a majority.
+    #[must_use]
+    pub fn majority(&self) -> usize {
+        self.0.len() / 2 + 1
+    }
+
+    /// Whether those for whom `agrees` holds are a majority.
+    ///
+    /// ```
+    /// use gentianlane::{agree::Voters, id::Node};
+    /// let voters: Voters = [Node(1), Node(2), Node(3)].into_iter().collect();
+    /// assert!(voters.carry(|node| node != Node(3)));
+    /// assert!(!voters.carry(|node| node == Node(1)));
+    /// ```
+    pub fn carry(&self, mut agrees: impl FnMut(id::Node) -> bool) -> bool {
+        let count = self.iter().filter(|&node| agrees(node)).count();
+        !self.0.is_empty() && count >= self.majority()
+    }
+
+    /// The largest value that a majority has reached.
+    ///
+    /// ```
+    /// use gentianlane::{agree::Voters, id::Node};
+    /// let voters: Voters = [Node(1), Node(2), Node(3)].into_iter().collect();
+    /// assert_eq!(voters.reached(|node| node.0 * 10), Some(20));
+    /// ```
+    pub fn reached<T: Ord + Copy>(&self, value: impl Fn(id::Node) -> T) -> Option<T> {
+        let mut values: Vec<T> = self.iter().map(value).collect();
+        values.sort_unstable_by(|left, right| right.cmp(left));
+        values.get(self.majority() - 1).copied()
+    }
+}
+
+impl FromIterator<id::Node> for Voters {
+    fn from_iter<I: IntoIterator<Item = id::Node>>(nodes: I) -> Self {
+        Self(nodes.into_iter().collect())
+    }
+}
--- /dev/null
+++ b/crates/gentianlane/src/cell/mod.rs
@@ -0,0 +1,18 @@
+//! What the log builds, and the leader's work upon it.
+//!
+//! [`State`] is the same on every node that has applied the same entries.
+//! [`Node`] joins it to the agreement: it takes calls, messages and the time,
+//! and gives outputs that have to be carried out in order.
+
+mod command;
+mod job;
+mod lead;
+mod node;
+mod record;
+mod state;
+
+pub use command::Command;
+pub use job::{After, Job, Phase, Slot, Spec};
+pub use node::{Node, Output, Setup, Ticket};
+pub use record::{Record, Status};
+pub use state::{Effect, Event, State};
--- /dev/null
+++ b/crates/gentianlane/src/cell/node.rs
@@ -0,0 +1,468 @@
+//! One node of a cell: the agreement, the state and, while it leads, the
+//! leader's work.
+
+use derive_more::{Display, From};
+use indexmap::IndexMap;
+
+use crate::agree::{self, Entry, Index, Message, Payload, Role};
+use crate::api::{
+    Call, Explanation, JobView, MemberView, NodeRevision, NoteStatus, Refusal, Renew,
+    Reply, WorkerView,
+};
+use crate::cell::lead::Lead;
+use crate::cell::state::pending;
+use crate::cell::{Command, Job, Phase, State, Status};
+use crate::note::Note;
+use crate::unit::{Span, Time, Wall};
+use crate::verdict::Reason;
+use crate::{id, lease, place};
+
+/// The longest that a call is held.
+const HOLD_LIMIT: Span = Span::from_secs(30);
+
+/// When to come back while the node doesn't lead.
+const NO_QUORUM_RETRY: Span = Span::from_millis(300);
+
+/// How many rounds of commit and planning one flush does.
+const ROUNDS: usize = 8;
+
+/// What a node is given when it starts.
+#[derive(Debug, Clone)]
+pub struct Setup {
+    /// The agreement's part.
+    pub agree: agree::Setup,
+    /// How long workers' leases last.
+    pub lease: lease::Term,
+    /// Placement's part.
+    pub place: place::Setup,
+}
+
+/// A call that waits for its reply; chosen by whoever makes the call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Display, From)]
+pub struct Ticket(pub u64);
+
+/// What has to be done, in order.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Output {
+    /// The agreement wants this done.
+    Save(agree::Ballot),
+    /// Drop what is stored from the first entry's index on, write these, and
+    /// sync before anything that follows.
+    Store(Vec<Entry>),
+    /// Send a message to another node.
+    Send(id::Node, Message),
+    /// Answer a call, unless the clock has passed the time given: then the
+    /// node may no longer lead, and the caller has to be told to ask again.
+    Reply(Ticket, Reply, Option<Time>),
+    /// The node's part has changed.
+    Role(Role),
+}
+
+/// One node of a cell, without I/O.
+#[derive(Debug, Clone)]
+pub struct Node {
+    agree: agree::Node,
+    setup: Setup,
+    state: State,
+    lead: Option<Lead>,
+    proposals: Vec<(Command, Option<Ticket>)>,
+    asked: IndexMap<Index, Ticket>,
+    outputs: Vec<Output>,
+}
+
+impl Node {
+    /// A node with what its disk holds.
+    #[must_use]
+    pub fn new(setup: Setup, saved: agree::Saved, now: Time) -> Self {
+        Self {
+            agree: agree::Node::new(setup.agree.clone(), saved, now),
+            setup,
+            state: State::default(),
+            lead: None,
+            proposals: Vec::new(),
+            asked: IndexMap::new(),
+            outputs: Vec::new(),
+        }
+    }
+
+    /// The agreement's part.
+    #[must_use]
+    pub fn agree(&self) -> &agree::Node {
+        &self.agree
+    }
+
+    /// The state as far as this node has applied the log.
+    #[must_use]
+    pub fn state(&self) -> &State {
+        &self.state
+    }
+
+    /// Takes a message from another node.
+    pub fn receive(&mut self, from: id::Node, message: Message, now: Time) {
+        self.agree.receive(from, message, now);
+    }
+
+    /// Takes a call; its reply comes as an [`Output::Reply`] some time later.
+    pub fn call(&mut self, ticket: Ticket, call: Call, now: Time, wall: Wall) {
+        if !self.agree.leads(now) || self.lead.is_none() {
+            return self.reply(ticket, no_quorum());
+        }
+        match call {
+            Call::Submit(submit) => {
+                let until = now.after(submit.hold.min(HOLD_LIMIT));
+                let key = submit.key;
+                self.hold(key, ticket, until);
+                self.propose(Command::Submit { at: wall, submit }, Some(ticket));
+            }
+            Call::Wait(wait) => {
+                let until = now.after(wait.hold.min(HOLD_LIMIT));
+                self.wait(wait.key, ticket, until);
+            }
+            Call::Cancel(cancel) => {
+                let until = now.after(cancel.hold.min(HOLD_LIMIT));
+                self.hold(cancel.key, ticket, until);
+                self.propose(Command::Cancel { key: cancel.key }, Some(ticket));
+            }
+            Call::Announce(announce) => {
+                self.propose(Command::Announce(announce), Some(ticket));
+            }
+            Call::Renew(renew) => self.renew(renew, ticket, now),
+            Call::Finish(finish) => self.propose(Command::Finish(finish), Some(ticket)),
+            Call::Leave(leave) => self.propose(Command::Leave(leave), Some(ticket)),
+            Call::Note(note) => match Note::read(&note.text) {
+                Ok(note) => self.propose(Command::Note(Box::new(note)), Some(ticket)),
+                Err(fault) => self.reply(ticket, State::unreadable(&note.text, &fault)),
+            },
+            Call::Drain(drain) => {
+                let command = Command::Drain {
+                    worker: drain.worker,
+                    on: drain.on,
+                };
+                self.propose(command, Some(ticket));
+            }
+            Call::NoteStatus => self.reply(ticket, self.note_status()),
+            Call::Workers => self.reply(ticket, self.workers()),
+            Call::Jobs => self.reply(ticket, self.jobs()),
+            Call::Explain(job) => self.reply(ticket, self.explain(job, now)),
+            Call::Members => self.reply(ticket, self.members()),
+        }
+    }
+
+    fn propose(&mut self, command: Command, ticket: Option<Ticket>) {
+        self.proposals.push((command, ticket));
+    }
+
+    fn reply(&mut self, ticket: Ticket, reply: Reply) {
+        let until = self.agree.leads_until();
+        self.outputs.push(Output::Reply(ticket, reply, until));
+    }
+
+    fn hold(&mut self, key: id::Key, ticket: Ticket, until: Time) {
+        if let Some(lead) = &mut self.lead {
+            lead.wait(key, ticket, until);
+        }
+    }
+
+    fn wait(&mut self, key: id::Key, ticket: Ticket, until: Time) {
+        match self.state.record(&key).map(|record| &record.status) {
+            Some(Status::Closed(answer)) => {
+                let reply = Reply::Answer(answer.clone());
+                self.reply(ticket, reply);
+            }
+            Some(Status::Open(_)) => self.hold(key, ticket, until),
+            None => {
+                let detail = "no request with this key is known";
+                let refusal = Refusal::not_run(Reason::Malformed, detail);
+                self.reply(ticket, Reply::Refused(refusal));
+            }
+        }
+    }
+
+    fn renew(&mut self, renew: Renew, ticket: Ticket, now: Time) {
+        let known = self.state.ledger().get(&renew.worker);
+        let current = known.is_some_and(|known| known.incarnation == renew.incarnation);
+        if !current {
+            let refusal = Refusal::not_run(Reason::WorkerLost, "announce first");
+            return self.reply(ticket, Reply::Refused(refusal));
+        }
+        let until = now.after(renew.hold.min(HOLD_LIMIT));
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        if let Some(old) = lead.renew(renew, ticket, until) {
+            self.reply(old, pending());
+        }
+    }
+
+    /// Does what the time asks for.
+    pub fn tick(&mut self, now: Time, wall: Wall) {
+        self.agree.tick(now);
+        if !self.agree.leads(now) {
+            return;
+        }
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        let tick = lead.tick(&self.state, now, wall);
+        for ticket in tick.expired {
+            self.reply(ticket, pending());
+        }
+        for command in tick.commands {
+            self.propose(command, None);
+        }
+    }
+
+    /// Asks another node to lead, as this one leaves.
+    pub fn hand_over(&mut self) {
+        self.agree.hand_over();
+    }
+
+    /// Proposes all that has gathered in one batch, and gives what has to be
+    /// done, in order.
+    pub fn flush(&mut self, now: Time, wall: Wall) -> Vec<Output> {
+        for _ in 0..ROUNDS {
+            self.plan(now);
+            self.propose_all(now);
+            if !self.drain(now, wall) && self.proposals.is_empty() {
+                break;
+            }
+        }
+        self.grant(now);
+        std::mem::take(&mut self.outputs)
+    }
+
+    fn plan(&mut self, now: Time) {
+        if !self.agree.leads(now) {
+            return;
+        }
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        for command in lead.plan(&self.state, now) {
+            self.propose(command, None);
+        }
+    }
+
+    fn propose_all(&mut self, now: Time) {
+        if self.proposals.is_empty() {
+            return;
+        }
+        let mut commands = Vec::new();
+        let mut tickets = Vec::new();
+        for (command, ticket) in std::mem::take(&mut self.proposals) {
+            match command.encode() {
+                Ok(bytes) => {
+                    commands.push(bytes);
+                    tickets.push(ticket);
+                }
+                Err(_) => {
+                    let garbled = Refusal::not_run(Reason::Malformed, "");
+                    if let Some(ticket) = ticket {
+                        self.reply(ticket, Reply::Refused(garbled));
+                    }
+                }
+            }
+        }
+        match self.agree.propose(commands, now) {
+            Ok(indexes) => {
+                let asked = indexes.into_iter().zip(tickets);
+                let asked = asked.filter_map(|(index, ticket)| Some((index, ticket?)));
+                self.asked.extend(asked);
+            }
+            Err(_) => {
+                for ticket in tickets.into_iter().flatten() {
+                    self.reply(ticket, no_quorum());
+                }
+            }
+        }
+    }
+
+    /// Carries out what the agreement has given; false if there was nothing.
+    fn drain(&mut self, now: Time, wall: Wall) -> bool {
+        let outputs = self.agree.take();
+        let any = !outputs.is_empty();
+        for output in outputs {
+            match output {
+                agree::Output::Save(ballot) => self.outputs.push(Output::Save(ballot)),
+                agree::Output::Store(entries) => {
+                    self.outputs.push(Output::Store(entries));
+                }
+                agree::Output::Send(to, message) => {
+                    self.outputs.push(Output::Send(to, message));
+                }
+                agree::Output::Apply(entries) => self.apply(entries, now, wall),
+                agree::Output::Role(role) => self.change_role(role),
+            }
+        }
+        if self.lead.is_none() && self.agree.leads_until().is_some() {
+            let place = &self.setup.place;
+            let lead = Lead::new(&self.state, place, self.setup.lease, (now, wall));
+            self.lead = Some(lead);
+        }
+        any
+    }
+
+    fn change_role(&mut self, role: Role) {
+        self.outputs.push(Output::Role(role));
+        if role == Role::Leader {
+            return;
+        }
+        let held = self.lead.take().map(Lead::tickets).unwrap_or_default();
+        let asked = std::mem::take(&mut self.asked).into_values();
+        let mut tickets: Vec<Ticket> = asked.chain(held).collect();
+        tickets.sort_unstable();
+        tickets.dedup();
+        for ticket in tickets {
+            self.outputs.push(Output::Reply(ticket, pending(), None));
+        }
+    }
+
+    fn apply(&mut self, entries: Vec<Entry>, now: Time, wall: Wall) {
+        for entry in entries {
+            let Payload::Command(bytes) = entry.payload else {
+                continue;
+            };
+            let Ok(command) = Command::decode(&bytes) else {
+                continue;
+            };
+            let effect = self.state.apply(command);
+            self.told(entry.index, effect.reply);
+            let Some(lead) = &mut self.lead else {
+                continue;
+            };
+            let mut answers = Vec::new();
+            let clock = (now, wall);
+            let commands =
+                lead.follow_up(&self.state, &effect.events, clock, &mut answers);
+            for (ticket, answer) in answers {
+                self.reply(ticket, Reply::Answer(answer));
+            }
+            self.proposals
+                .extend(commands.into_iter().map(|command| (command, None)));
+        }
+    }
+
+    /// Answers the call that proposed an entry, unless it waits for more.
+    fn told(&mut self, index: Index, reply: Reply) {
+        let Some(ticket) = self.asked.swap_remove(&index) else {
+            return;
+        };
+        if reply == pending() {
+            return;
+        }
+        if let Some(lead) = &mut self.lead {
+            lead.drop_waiter(ticket);
+        }
+        self.reply(ticket, reply);
+    }
+
+    fn grant(&mut self, now: Time) {
+        if !self.agree.leads(now) {
+            return;
+        }
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        for (ticket, lease) in lead.leases(&self.state, now) {
+            self.reply(ticket, Reply::Lease(lease));
+        }
+    }
+
+    fn note_status(&self) -> Reply {
+        let applied = self.agree.applied();
+        let me = NodeRevision {
+            node: self.agree.id(),
+            applied,
+            in_force: true,
+        };
+        let others = self.agree.peers().map(|(node, stored)| NodeRevision {
+            node,
+            applied: stored.min(applied),
+            in_force: stored >= applied,
+        });
+        let nodes = std::iter::once(me).chain(others).collect();
+        Reply::NoteStatus(NoteStatus {
+            revision: self.state.book().revision(),
+            nodes,
+        })
+    }
+
+    fn workers(&self) -> Reply {
+        let workers = self.state.ledger().iter().map(|(name, worker)| WorkerView {
+            worker: name.clone(),
+            incarnation: worker.incarnation,
+            domain: worker.domain.clone(),
+            rack: worker.rack.clone(),
+            size: worker.size,
+            reserved: worker.reserved(),
+            draining: worker.draining,
+            tasks: u32::try_from(self.state.tokens(name).count()).unwrap_or(u32::MAX),
+        });
+        Reply::Workers(workers.collect())
+    }
+
+    fn jobs(&self) -> Reply {
+        let jobs = self.state.jobs().map(|(id, job)| JobView {
+            job: id,
+            key: job.key,
+            team: job.spec.team.clone(),
+            workload: job.spec.workload.clone(),
+            kind: job.spec.kind,
+            attempt: job.attempt,
+            workers: job.held().map(|(_, name, _)| name.clone()).collect(),
+        });
+        Reply::Jobs(jobs.collect())
+    }
+
+    fn explain(&self, id: id::Job, now: Time) -> Reply {
+        let Some(job) = self.state.job(id) else {
+            let detail = format!("{id} is over, or never was");
+            return Reply::Refused(Refusal::not_run(Reason::Malformed, detail));
+        };
+        let workers = job.held().map(|(_, name, _)| name.clone()).collect();
+        let summary = self.summary(id, job, now);
+        Reply::Explain(Explanation {
+            job: id,
+            summary,
+            workers,
+        })
+    }
+
+    fn summary(&self, id: id::Job, job: &Job, now: Time) -> String {
+        let attempt = job.attempt;
+        match job.phase {
+            Phase::Waiting => {
+                let why = self.lead.as_ref().and_then(|lead| lead.explain(id, now));
+                why.unwrap_or_else(|| "is about to start".to_owned())
+            }
+            Phase::Running => format!("runs as attempt {attempt}"),
+            Phase::Stopping(_) => format!("attempt {attempt} is being stopped"),
+        }
+    }
+
+    fn members(&self) -> Reply {
+        let term = self.agree.term();
+        let voters = self.agree.voters();
+        let me = MemberView {
+            node: self.agree.id(),
+            voter: voters.contains(self.agree.id()),
+            leader: true,
+            term,
+            stored: self.agree.stored(),
+        };
+        let others = self.agree.peers().map(|(node, stored)| MemberView {
+            node,
+            voter: voters.contains(node),
+            leader: false,
+            term,
+            stored,
+        });
+        Reply::Members(std::iter::once(me).chain(others).collect())
+    }
+}
+
+/// What a call is told by a node that doesn't lead.
+fn no_quorum() -> Reply {
+    let refusal = Refusal::not_run(Reason::NoQuorum, "this node doesn't lead");
+    Reply::Refused(refusal.retry_after(NO_QUORUM_RETRY))
+}
--- /dev/null
+++ b/crates/gentianlane/src/unit.rs
@@ -0,0 +1,327 @@
+//! Quantities with their units.
+
+use derive_more::{Add, AddAssign, Display, From, Into, Sum};
+use serde::{Deserialize, Serialize};
+
+/// A point on a process's own monotonic clock, in milliseconds.
+///
+/// The origin is the start of the process. Two processes' points can't be
+/// compared.
+#[derive(
+    Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, From, Into, Display,
+)]
+#[display("{_0} ms")]
+pub struct Time(u64);
+
+impl Time {
+    /// The point `millis` milliseconds after the origin.
+    #[must_use]
+    pub const fn from_millis(millis: u64) -> Self {
+        Self(millis)
+    }
+
+    /// Milliseconds since the origin.
+    #[must_use]
+    pub const fn as_millis(self) -> u64 {
+        self.0
+    }
+
+    /// The span from `earlier` to this point, or zero if `earlier` is later.
+    ///
+    /// ```
+    /// use gentianlane::unit::{Span, Time};
+    /// let since = Time::from_millis(900).since(Time::from_millis(400));
+    /// assert_eq!(since, Span::from_millis(500));
+    /// ```
+    #[must_use]
+    pub const fn since(self, earlier: Self) -> Span {
+        Span(self.0.saturating_sub(earlier.0))
+    }
+
+    /// The point a span after this one.
+    #[must_use]
+    pub const fn after(self, span: Span) -> Self {
+        Self(self.0.saturating_add(span.0))
+    }
+}
+
+/// A length of time in milliseconds.
+#[derive(
+    Debug,
+    Default,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    From,
+    Into,
+    Display,
+    Add,
+    AddAssign,
+    Sum,
+    Serialize,
+    Deserialize,
+)]
+#[display("{_0} ms")]
+#[serde(transparent)]
+pub struct Span(u64);
+
+impl Span {
+    /// No time at all.
+    pub const ZERO: Self = Self(0);
+
+    /// A span of `millis` milliseconds.
+    #[must_use]
+    pub const fn from_millis(millis: u64) -> Self {
+        Self(millis)
+    }
+
+    /// A span of `secs` seconds.
+    #[must_use]
+    pub const fn from_secs(secs: u64) -> Self {
+        Self(secs.saturating_mul(1_000))
+    }
+
+    /// The length in milliseconds.
+    #[must_use]
+    pub const fn as_millis(self) -> u64 {
+        self.0
+    }
+
+    /// This span less another, or zero if the other is longer.
+    #[must_use]
+    pub const fn less(self, other: Self) -> Self {
+        Self(self.0.saturating_sub(other.0))
+    }
+
+    /// This span `count` times over.
+    #[must_use]
+    pub const fn times(self, count: u64) -> Self {
+        Self(self.0.saturating_mul(count))
+    }
+}
+
+impl From<Span> for std::time::Duration {
+    fn from(span: Span) -> Self {
+        Self::from_millis(span.0)
+    }
+}
+
+/// A point in civil time, in milliseconds since 1970-01-01 UTC.
+///
+/// Only a leader stamps commands with it; no lease depends on it.
+#[derive(
+    Debug,
+    Default,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    From,
+    Into,
+    Display,
+    Serialize,
+    Deserialize,
+)]
+#[serde(transparent)]
+pub struct Wall(u64);
+
+impl Wall {
+    /// The point `millis` milliseconds after 1970-01-01 UTC.
+    #[must_use]
+    pub const fn from_millis(millis: u64) -> Self {
+        Self(millis)
+    }
+
+    /// Milliseconds since 1970-01-01 UTC.
+    #[must_use]
+    pub const fn as_millis(self) -> u64 {
+        self.0
+    }
+
+    /// The point a span after this one.
+    #[must_use]
+    pub const fn after(self, span: Span) -> Self {
+        Self(self.0.saturating_add(span.0))
+    }
+
+    /// The span from `earlier` to this point, or zero if `earlier` is later.
+    #[must_use]
+    pub const fn since(self, earlier: Self) -> Span {
+        Span(self.0.saturating_sub(earlier.0))
+    }
+}
+
+/// Processor time a second, in thousandths of one core.
+#[derive(
+    Debug,
+    Default,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    From,
+    Into,
+    Display,
+    Add,
+    AddAssign,
+    Sum,
+    Serialize,
+    Deserialize,
+)]
+#[display("{_0}m")]
+#[serde(transparent)]
+pub struct Millicores(pub u64);
+
+/// An amount of memory, in bytes.
+#[derive(
+    Debug,
+    Default,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    From,
+    Into,
+    Display,
+    Add,
+    AddAssign,
+    Sum,
+    Serialize,
+    Deserialize,
+)]
+#[display("{_0} B")]
+#[serde(transparent)]
+pub struct Bytes(pub u64);
+
+/// A count of whole accelerators.
+#[derive(
+    Debug,
+    Default,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    From,
+    Into,
+    Display,
+    Add,
+    AddAssign,
+    Sum,
+    Serialize,
+    Deserialize,
+)]
+#[serde(transparent)]
+pub struct Accelerators(pub u32);
+
+/// What a task needs or a worker has: processors, memory and accelerators.
+#[derive(
+    Debug,
+    Default,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    Hash,
+    Display,
+    Add,
+    AddAssign,
+    Sum,
+    Serialize,
+    Deserialize,
+)]
+#[display("{cpu} {memory} {accelerators} accelerators")]
+#[serde(deny_unknown_fields)]
+pub struct Size {
+    /// Processors, in thousandths of a core.
+    pub cpu: Millicores,
+    /// Memory in bytes.
+    pub memory: Bytes,
+    /// Whole accelerators.
+    #[serde(default)]
+    pub accelerators: Accelerators,
+}
+
+impl Size {
+    /// A size from thousandths of a core, bytes and accelerators.
+    #[must_use]
+    pub const fn new(cpu: u64, memory: u64, accelerators: u32) -> Self {
+        Self {
+            cpu: Millicores(cpu),
+            memory: Bytes(memory),
+            accelerators: Accelerators(accelerators),
+        }
+    }
+
+    /// Whether this size fits into `room` in every dimension.
+    ///
+    /// ```
+    /// use gentianlane::unit::Size;
+    /// let room = Size::new(4_000, 8 << 30, 1);
+    /// assert!(Size::new(4_000, 1 << 30, 0).fits(&room));
+    /// assert!(!Size::new(1_000, 1 << 30, 2).fits(&room));
+    /// ```
+    #[must_use]
+    pub fn fits(&self, room: &Self) -> bool {
+        self.cpu <= room.cpu
+            && self.memory <= room.memory
+            && self.accelerators <= room.accelerators
+    }
+
+    /// This size less another, or `None` where the other is larger in any
+    /// dimension.
+    ///
+    /// ```
+    /// use gentianlane::unit::Size;
+    /// let room = Size::new(4_000, 100, 0);
+    /// assert_eq!(room.less(&Size::new(1_000, 40, 0)), Some(Size::new(3_000, 60, 0)));
+    /// assert_eq!(room.less(&Size::new(5_000, 40, 0)), None);
+    /// ```
+    #[must_use]
+    pub fn less(&self, other: &Self) -> Option<Self> {
+        Some(Self {
+            cpu: Millicores(self.cpu.0.checked_sub(other.cpu.0)?),
+            memory: Bytes(self.memory.0.checked_sub(other.memory.0)?),
+            accelerators: Accelerators(
+                self.accelerators.0.checked_sub(other.accelerators.0)?,
+            ),
+        })
+    }
+
+    /// This size plus another, or `None` on overflow.
+    #[must_use]
+    pub fn plus(&self, other: &Self) -> Option<Self> {
+        Some(Self {
+            cpu: Millicores(self.cpu.0.checked_add(other.cpu.0)?),
+            memory: Bytes(self.memory.0.checked_add(other.memory.0)?),
+            accelerators: Accelerators(
+                self.accelerators.0.checked_add(other.accelerators.0)?,
+            ),
+        })
+    }
+
+    /// This size `count` times over, or `None` on overflow.
+    #[must_use]
+    pub fn times(&self, count: u32) -> Option<Self> {
+        Some(Self {
+            cpu: Millicores(self.cpu.0.checked_mul(u64::from(count))?),
+            memory: Bytes(self.memory.0.checked_mul(u64::from(count))?),
+            accelerators: Accelerators(self.accelerators.0.checked_mul(count)?),
+        })
+    }
+}
