--- a/crates/gentianlane/src/cell/mod.rs
+++ b/crates/gentianlane/src/cell/mod.rs
@@ -11,7 +11,7 @@
 mod record;
 mod state;
 
-pub use command::Command;
+pub use command::{Command, Garbled};
 pub use job::{After, Job, Phase, Slot, Spec};
 pub use node::{Node, Output, Setup, Ticket};
 pub use record::{Record, Status};
