--- a/crates/gentianlane/src/agree/mod.rs
+++ b/crates/gentianlane/src/agree/mod.rs
@@ -12,5 +12,5 @@
 
 pub use log::{Entry, Index, Payload, Term};
 pub use message::{Append, Body, Message, Position};
-pub use node::{Ballot, Node, NotLeader, Output, Role, Saved, Setup, Timing};
+pub use node::{Ballot, Node, NotLeader, Output, Role, Saved, Setup, Snapshot, Timing};
 pub use quorum::Voters;
--- a/crates/gentianlane/src/agree/node.rs
+++ b/crates/gentianlane/src/agree/node.rs
@@ -69,10 +69,23 @@
 pub struct Saved {
     /// Its promise.
     pub ballot: Ballot,
-    /// Its log.
+    /// The state as it was at some entry, in place of the log up to there.
+    pub snapshot: Option<Snapshot>,
+    /// Its log, after the snapshot.
     pub entries: Vec<Entry>,
 }
 
+/// The state above as it was after some entry.
+#[derive(Debug, Default, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Snapshot {
+    /// The last entry that the state covers.
+    pub last: Position,
+    /// The voters at that entry.
+    pub voters: Voters,
+    /// The state, opaque here.
+    pub data: Vec<u8>,
+}
+
 /// What has to be done, in order.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Output {
