--- a/crates/gentianlane-daemon/src/process/node.rs
+++ b/crates/gentianlane-daemon/src/process/node.rs
@@ -4,7 +4,7 @@
 use std::thread::{self, JoinHandle};
 
 use gentianlane::{agree, cell, lease, place};
-use gentianlane_store::Journal;
+use gentianlane_store::{Journal, Owner};
 use miette::{IntoDiagnostic, Result};
 use slog::{Logger, crit, info, o};
 use tokio::runtime::Runtime;
@@ -97,7 +97,11 @@
     let Some(folder) = &settings.data else {
         return Ok((None, agree::Saved::default()));
     };
-    let (journal, saved) = Journal::open(folder).into_diagnostic()?;
+    let owner = Owner {
+        cell: settings.cell.clone(),
+        node: settings.node,
+    };
+    let (journal, saved) = Journal::open(folder, &owner).into_diagnostic()?;
     Ok((Some(journal), saved))
 }
 
--- /dev/null
+++ b/crates/gentianlane-store/src/disk.rs
@@ -0,0 +1,140 @@
+//! A folder on a real disk.
+
+use indexmap::IndexMap;
+use std::cell::RefCell;
+use std::fs::{self, File, OpenOptions, TryLockError};
+use std::io;
+use std::os::unix::fs::FileExt;
+use std::path::{Path, PathBuf};
+
+use crate::{Fault, Folder};
+
+/// The file whose lock says that a process uses the folder.
+const LOCK: &str = "lock";
+
+/// A folder on a real disk.
+#[derive(Debug)]
+pub struct Disk {
+    path: PathBuf,
+    files: RefCell<IndexMap<String, File>>,
+    writable: bool,
+    /// Held for as long as the folder is used.
+    _lock: Option<File>,
+}
+
+impl Disk {
+    /// Opens a folder for this process alone, and creates it if there is none.
+    ///
+    /// # Errors
+    ///
+    /// [`Fault::Locked`] if another process, or another part of this one, uses
+    /// the folder; [`Fault::Io`] if the system refuses.
+    pub fn open(path: impl AsRef<Path>) -> Result<Self, Fault> {
+        let path = path.as_ref();
+        let fail = |source| Fault::of(&path.display().to_string(), source);
+        fs::create_dir_all(path).map_err(fail)?;
+        let lock = OpenOptions::new()
+            .write(true)
+            .create(true)
+            .truncate(false)
+            .open(path.join(LOCK))
+            .map_err(fail)?;
+        match lock.try_lock() {
+            Ok(()) => {}
+            Err(TryLockError::WouldBlock) => return Err(Fault::Locked),
+            Err(TryLockError::Error(source)) => return Err(fail(source)),
+        }
+        Ok(Self {
+            path: path.to_owned(),
+            files: RefCell::default(),
+            writable: true,
+            _lock: Some(lock),
+        })
+    }
+
+    /// Opens a folder to look at it, without a lock and without writing.
+    #[must_use]
+    pub fn read_only(path: impl AsRef<Path>) -> Self {
+        Self {
+            path: path.as_ref().to_owned(),
+            files: RefCell::default(),
+            writable: false,
+            _lock: None,
+        }
+    }
+
+    /// Does something with a file that is kept open afterwards.
+    fn with<T>(
+        &self,
+        name: &str,
+        create: bool,
+        action: impl FnOnce(&File) -> io::Result<T>,
+    ) -> io::Result<T> {
+        let mut files = self.files.borrow_mut();
+        if let Some(file) = files.get(name) {
+            return action(file);
+        }
+        let file = OpenOptions::new()
+            .read(true)
+            .write(self.writable)
+            .create(create && self.writable)
+            .truncate(false)
+            .open(self.path.join(name))?;
+        let result = action(&file);
+        files.insert(name.to_owned(), file);
+        result
+    }
+
+    fn forget(&self, name: &str) {
+        self.files.borrow_mut().swap_remove(name);
+    }
+}
+
+impl Folder for Disk {
+    fn names(&self) -> io::Result<Vec<String>> {
+        let mut names = Vec::new();
+        for entry in fs::read_dir(&self.path)? {
+            if let Ok(name) = entry?.file_name().into_string()
+                && name != LOCK
+            {
+                names.push(name);
+            }
+        }
+        Ok(names)
+    }
+
+    fn length(&self, name: &str) -> io::Result<u64> {
+        Ok(fs::metadata(self.path.join(name))?.len())
+    }
+
+    fn read(&self, name: &str, offset: u64, buffer: &mut [u8]) -> io::Result<()> {
+        self.with(name, false, |file| file.read_exact_at(buffer, offset))
+    }
+
+    fn write(&mut self, name: &str, offset: u64, bytes: &[u8]) -> io::Result<()> {
+        self.with(name, true, |file| file.write_all_at(bytes, offset))
+    }
+
+    fn cut(&mut self, name: &str, length: u64) -> io::Result<()> {
+        self.with(name, false, |file| file.set_len(length))
+    }
+
+    fn sync(&mut self, name: &str) -> io::Result<()> {
+        self.with(name, false, File::sync_data)
+    }
+
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
+        self.forget(from);
+        self.forget(to);
+        fs::rename(self.path.join(from), self.path.join(to))
+    }
+
+    fn remove(&mut self, name: &str) -> io::Result<()> {
+        self.forget(name);
+        fs::remove_file(self.path.join(name))
+    }
+
+    fn sync_names(&mut self) -> io::Result<()> {
+        File::open(&self.path)?.sync_all()
+    }
+}
--- a/crates/gentianlane-store/src/record.rs
+++ b/crates/gentianlane-store/src/record.rs
@@ -4,12 +4,11 @@
 use serde::{Deserialize, Serialize};
 
 use crate::Fault;
+use crate::frame::BODY_LIMIT;
 
-/// The longest record, in bytes.
-const RECORD_LIMIT: usize = 16 << 20;
-
-/// Bytes before a record's body: its length and its checksum.
-pub(crate) const HEAD: usize = 8;
+/// From this many bytes on, records that were written together are synced in
+/// parts.
+const PART: usize = 4 << 20;
 
 /// One thing to remember.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -21,33 +20,34 @@
 }
 
 impl Record {
-    /// Adds the record to some bytes: length, checksum and body.
-    pub(crate) fn write(&self, bytes: &mut Vec<u8>) -> Result<(), Fault> {
-        let body = postcard::to_allocvec(self).map_err(|_| Fault::Encode)?;
-        if body.len() > RECORD_LIMIT {
-            return Err(Fault::Encode);
+    /// Records as the bodies of frames, each small enough for one.
+    pub(crate) fn write(records: &[Self]) -> Result<Vec<Vec<u8>>, Fault> {
+        let mut bodies = Vec::new();
+        let mut body = Vec::new();
+        for record in records {
+            let start = body.len();
+            body = postcard::to_extend(record, body).map_err(|_| Fault::Encode)?;
+            if body.len() - start > BODY_LIMIT - PART {
+                return Err(Fault::Encode);
+            }
+            if body.len() >= PART {
+                bodies.push(std::mem::take(&mut body));
+            }
+        }
+        if !body.is_empty() {
+            bodies.push(body);
         }
-        let length = u32::try_from(body.len()).map_err(|_| Fault::Encode)?;
-        bytes.extend_from_slice(&length.to_le_bytes());
-        bytes.extend_from_slice(&crc32fast::hash(&body).to_le_bytes());
-        bytes.extend_from_slice(&body);
-        Ok(())
+        Ok(bodies)
     }
 
-    /// Reads the record at the start of some bytes, and how long it is.
-    ///
-    /// `None` if the bytes end within it or don't agree with its checksum.
-    pub(crate) fn read(bytes: &[u8]) -> Option<(Self, usize)> {
-        let length = u32::from_le_bytes(bytes.get(..4)?.try_into().ok()?) as usize;
-        let checksum = u32::from_le_bytes(bytes.get(4..HEAD)?.try_into().ok()?);
-        if length > RECORD_LIMIT {
-            return None;
-        }
-        let body = bytes.get(HEAD..HEAD + length)?;
-        if crc32fast::hash(body) != checksum {
-            return None;
+    /// The records in a frame's body; `None` if it isn't one.
+    pub(crate) fn read(mut body: &[u8]) -> Option<Vec<Self>> {
+        let mut records = Vec::new();
+        while !body.is_empty() {
+            let (record, rest) = postcard::take_from_bytes(body).ok()?;
+            records.push(record);
+            body = rest;
         }
-        let record = postcard::from_bytes(body).ok()?;
-        Some((record, HEAD + length))
+        Some(records)
     }
 }
