--- a/crates/gentianlane-daemon/src/process/control.rs
+++ b/crates/gentianlane-daemon/src/process/control.rs
@@ -88,7 +88,7 @@
         self.store(&outputs)?;
         for output in outputs {
             match output {
-                Output::Save(_) | Output::Store(_) => {}
+                Output::Save(_) | Output::Store(_) | Output::Snapshot(_) => {}
                 Output::Send(to, message) => self.outbox.send(to, message),
                 Output::Reply(ticket, reply, until) => {
                     if let Some(sender) = self.replies.remove(&ticket) {
@@ -116,7 +116,11 @@
                 Output::Store(entries) => {
                     records.extend(entries.iter().cloned().map(Record::Entry));
                 }
-                Output::Send(..) | Output::Reply(..) | Output::Role(_) => {}
+                // The journal keeps the whole log as yet.
+                Output::Snapshot(_)
+                | Output::Send(..)
+                | Output::Reply(..)
+                | Output::Role(_) => {}
             }
         }
         if records.is_empty() {
--- a/crates/gentianlane/src/agree/log.rs
+++ b/crates/gentianlane/src/agree/log.rs
@@ -94,15 +94,35 @@
 }
 
 /// The entries after a base that is known by its position alone.
-#[derive(Debug, Default, Clone)]
+#[derive(Debug, Clone)]
 pub(crate) struct Log {
     base: Position,
     entries: Vec<Entry>,
+    /// The voters from each index on; the first are those at the base.
+    voters: Vec<(Index, Voters)>,
 }
 
 impl Log {
-    pub(crate) fn new(base: Position, entries: Vec<Entry>) -> Self {
-        Self { base, entries }
+    /// A log that begins after `base`, with those of the entries that follow on
+    /// it in order.
+    pub(crate) fn new(base: Position, voters: Voters, entries: Vec<Entry>) -> Self {
+        let mut log = Self {
+            base,
+            entries: Vec::new(),
+            voters: vec![(base.index, voters)],
+        };
+        for entry in entries {
+            let last = log.last();
+            if entry.index == last.index.next() && entry.term >= last.term {
+                log.push(entry);
+            }
+        }
+        log
+    }
+
+    /// The entry before the first one that is kept.
+    pub(crate) fn base(&self) -> Position {
+        self.base
     }
 
     pub(crate) fn last(&self) -> Position {
@@ -120,21 +140,22 @@
         if index == self.base.index {
             return Some(self.base.term);
         }
-        self.get(index).map(|entry| entry.term)
+        let entry = self.entries.get(self.offset(index)?)?;
+        Some(entry.term)
     }
 
-    pub(crate) fn get(&self, index: Index) -> Option<&Entry> {
+    /// How many entries are kept before the one at `index`.
+    fn offset(&self, index: Index) -> Option<usize> {
         let offset = index.0.checked_sub(self.base.index.0 + 1)?;
-        self.entries.get(usize::try_from(offset).ok()?)
+        usize::try_from(offset).ok()
     }
 
     /// The entries from `from` on, up to about `limit` bytes, at least one.
     pub(crate) fn from(&self, from: Index, limit: usize) -> &[Entry] {
-        let Some(offset) = from.0.checked_sub(self.base.index.0 + 1) else {
-            return &[];
-        };
-        let start = usize::try_from(offset).unwrap_or(usize::MAX);
-        let Some(rest) = self.entries.get(start..) else {
+        let rest = self
+            .offset(from)
+            .and_then(|start| self.entries.get(start..));
+        let Some(rest) = rest else {
             return &[];
         };
         let mut weight = 0;
@@ -147,28 +168,71 @@
     }
 
     /// The entries from `from` to `to`, both included.
-    pub(crate) fn between(&self, from: Index, to: Index) -> Vec<Entry> {
-        let inside = |entry: &&Entry| entry.index >= from && entry.index <= to;
-        self.entries.iter().filter(inside).cloned().collect()
+    pub(crate) fn between(&self, from: Index, to: Index) -> &[Entry] {
+        let start = self.offset(from);
+        let end = self.offset(to.next());
+        let range = start
+            .zip(end)
+            .and_then(|(start, end)| self.entries.get(start..end));
+        range.unwrap_or_default()
     }
 
     pub(crate) fn push(&mut self, entry: Entry) {
+        if let Payload::Voters(voters) = &entry.payload {
+            self.voters.push((entry.index, voters.clone()));
+        }
         self.entries.push(entry);
     }
 
     /// Drops the entry at `index` and all after it.
     pub(crate) fn cut(&mut self, index: Index) {
-        self.entries.retain(|entry| entry.index < index);
-    }
-
-    /// The newest voters that the log names.
-    pub(crate) fn voters(&self) -> Option<&Voters> {
-        self.entries
-            .iter()
-            .rev()
-            .find_map(|entry| match &entry.payload {
-                Payload::Voters(voters) => Some(voters),
-                Payload::Empty | Payload::Command(_) => None,
-            })
+        let Some(offset) = self.offset(index) else {
+            return;
+        };
+        self.entries.truncate(offset);
+        while self.voters.len() > 1 && self.voters_since() >= index {
+            self.voters.pop();
+        }
+    }
+
+    /// Forgets the entries up to `index`.
+    pub(crate) fn forget(&mut self, index: Index) {
+        let Some(term) = self.term(index) else {
+            return;
+        };
+        let Some(end) = self.offset(index.next()) else {
+            return;
+        };
+        let voters = self.voters_at(index).clone();
+        self.voters.retain(|(since, _)| *since > index);
+        self.voters.insert(0, (index, voters));
+        self.entries.drain(..end);
+        self.base = Position { index, term };
+    }
+
+    /// The first index of the run of one term that ends at `index`.
+    pub(crate) fn run(&self, index: Index) -> Index {
+        let term = self.term(index);
+        let mut first = index;
+        while first > self.base.index && self.term(first.prev()) == term {
+            first = first.prev();
+        }
+        first
+    }
+
+    /// The newest voters.
+    pub(crate) fn voters(&self) -> &Voters {
+        self.voters_at(Index(u64::MAX))
+    }
+
+    /// Since which entry the newest voters decide.
+    pub(crate) fn voters_since(&self) -> Index {
+        self.voters.last().map_or(Index(0), |(since, _)| *since)
+    }
+
+    /// The voters after the entry at `index`.
+    pub(crate) fn voters_at(&self, index: Index) -> &Voters {
+        let upto = self.voters.partition_point(|(since, _)| *since <= index);
+        &self.voters[upto.saturating_sub(1)].1
     }
 }
--- a/crates/gentianlane/src/agree/message.rs
+++ b/crates/gentianlane/src/agree/message.rs
@@ -2,7 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::agree::{Entry, Index, Term};
+use crate::agree::{Entry, Index, Term, Voters};
+use crate::id;
 
 /// A message between two nodes of one cell.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -61,18 +62,53 @@
     Appended {
         /// The newest index that is stored as the leader has it.
         stored: Index,
-        /// [`Append::sent`], unchanged.
-        sent: u64,
+        /// [`Append::seq`], unchanged.
+        seq: u64,
     },
     /// The entries don't follow on what is stored.
     Gap {
         /// Where the leader should go on from.
         next: Index,
-        /// [`Append::sent`], unchanged.
-        sent: u64,
+        /// [`Append::seq`], unchanged.
+        seq: u64,
+    },
+    /// A part of a snapshot.
+    Chunk(Chunk),
+    /// The answer to [`Body::Chunk`] while more is wanted.
+    Received {
+        /// The last index that the snapshot covers.
+        last: Index,
+        /// How many of its bytes are there without a gap.
+        offset: u64,
+        /// [`Chunk::seq`], unchanged.
+        seq: u64,
     },
     /// Stand for election now: the leader is leaving.
     Handover,
+    /// Where the sender stands, so that a leader can count on it.
+    Announce(Site),
+    /// Announce yourself to this node, which leads.
+    Redirect {
+        /// The leader.
+        leader: id::Node,
+    },
+    /// The sender's disk holds nothing, though it may have held a vote.
+    Blank {
+        /// Drawn anew at each start, so that no answer outlives its question.
+        life: u64,
+    },
+    /// The receiver has no vote to lose and may store the log.
+    Welcome {
+        /// [`Body::Blank`]'s, unchanged.
+        life: u64,
+    },
+    /// The receiver's disk has lost what it had promised: its identity is void.
+    Refused {
+        /// [`Body::Blank`]'s, unchanged, if this answers one.
+        life: Option<u64>,
+    },
+    /// The receiver's term is over.
+    Stale,
 }
 
 /// A leader's entries for a follower.
@@ -84,6 +120,42 @@
     pub entries: Vec<Entry>,
     /// The newest index that the leader knows to be committed.
     pub commit: Index,
-    /// When this was sent, in milliseconds on the leader's own clock.
-    pub sent: u64,
+    /// Counts the leader's messages of this term, so that it knows from the
+    /// answer when it had asked.
+    pub seq: u64,
+}
+
+/// A part of a snapshot's data.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Chunk {
+    /// The last entry that the snapshot covers.
+    pub last: Position,
+    /// The voters at that entry.
+    pub voters: Voters,
+    /// How many bytes the whole data has.
+    pub total: u64,
+    /// Where this part begins in the data, in bytes.
+    pub offset: u64,
+    /// This part.
+    pub data: Vec<u8>,
+    /// Counts the leader's messages of this term.
+    pub seq: u64,
+}
+
+/// Where a node stands, and what it can do.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Site {
+    /// Whether the node has a disk, and so may get a vote.
+    pub disk: bool,
+    /// Its failure domain.
+    pub domain: id::Domain,
+}
+
+impl Default for Site {
+    fn default() -> Self {
+        Self {
+            disk: true,
+            domain: id::Domain::default(),
+        }
+    }
 }
--- a/crates/gentianlane/src/agree/mod.rs
+++ b/crates/gentianlane/src/agree/mod.rs
@@ -9,8 +9,13 @@
 mod node;
 mod peer;
 mod quorum;
+mod setup;
 
 pub use log::{Entry, Index, Payload, Term};
-pub use message::{Append, Body, Message, Position};
-pub use node::{Ballot, Node, NotLeader, Output, Role, Saved, Setup, Snapshot, Timing};
+pub use message::{Append, Body, Chunk, Message, Position, Site};
+pub use node::Node;
 pub use quorum::Voters;
+pub use setup::{
+    Ballot, Change, Denied, NotLeader, Output, Role, Saved, Setup, Snapshot, Standing,
+    Timing,
+};
--- /dev/null
+++ b/crates/gentianlane/src/agree/node/election.rs
@@ -0,0 +1,273 @@
+//! Elections: who may ask, who may vote, and what a new leader begins with.
+
+use rand::RngExt;
+
+use crate::agree::node::Node;
+use crate::agree::peer::Peer;
+use crate::agree::{
+    Ballot, Body, Message, Output, Payload, Position, Role, Standing, Term,
+};
+use crate::id;
+use crate::unit::{Span, Time};
+
+impl Node {
+    /// Compares terms; false if the message is to be dropped.
+    ///
+    /// A node that is new announces itself before it can know the term.
+    pub(super) fn meet(
+        &mut self,
+        from: id::Node,
+        term: Term,
+        body: &Body,
+        now: Time,
+    ) -> bool {
+        if term < self.ballot.term {
+            if matches!(body, Body::Append(_) | Body::Chunk(_)) {
+                self.send(from, Body::Stale);
+            }
+            return matches!(body, Body::Announce(_));
+        }
+        if term > self.ballot.term {
+            let asks = matches!(
+                body,
+                Body::AskVote {
+                    handover: false,
+                    ..
+                }
+            );
+            if asks && self.hears_leader(now) {
+                return false;
+            }
+            self.adopt(term, now);
+        }
+        true
+    }
+
+    fn adopt(&mut self, term: Term, now: Time) {
+        self.ballot = Ballot { term, vote: None };
+        self.save();
+        self.become_follower(None, now);
+    }
+
+    /// Has the promise written; a blank disk stays blank, as it makes none.
+    pub(super) fn save(&mut self) {
+        if self.standing != Standing::Blank {
+            self.outputs.push(Output::Save(self.ballot));
+        }
+    }
+
+    /// Whether the node's votes last and were never lost.
+    fn may_vote(&self) -> bool {
+        self.site.disk && self.standing == Standing::Member
+    }
+
+    /// Whether a leader may count on this node not to help another one.
+    fn hears_leader(&self, now: Time) -> bool {
+        match self.role {
+            Role::Leader => self.leads(now),
+            _ => now.since(self.heard) < self.setup.timing.election,
+        }
+    }
+
+    pub(super) fn answer_pre_vote(
+        &mut self,
+        to: id::Node,
+        term: Term,
+        last: &Position,
+        now: Time,
+    ) {
+        let granted = term > self.ballot.term
+            && self.may_vote()
+            && !self.hears_leader(now)
+            && last.covers(&self.log.last());
+        let term = if granted { term } else { self.ballot.term };
+        let message = Message {
+            term,
+            body: Body::PreVote { granted },
+        };
+        self.outputs.push(Output::Send(to, message));
+        if self.hears_leader(now) {
+            self.guide(to, now);
+        }
+    }
+
+    pub(super) fn count_pre_vote(
+        &mut self,
+        from: id::Node,
+        term: Term,
+        granted: bool,
+        now: Time,
+    ) {
+        if self.role != Role::PreCandidate {
+            return;
+        }
+        if !granted {
+            if term > self.ballot.term {
+                self.adopt(term, now);
+            }
+            return;
+        }
+        if term.0 != self.ballot.term.0 + 1 {
+            return;
+        }
+        self.granted.insert(from);
+        if self.has_won() {
+            self.stand(false, now);
+        }
+    }
+
+    pub(super) fn answer_vote(
+        &mut self,
+        to: id::Node,
+        last: &Position,
+        handover: bool,
+        now: Time,
+    ) {
+        let free = self.ballot.vote.is_none_or(|vote| vote == to);
+        let quiet = handover || !self.hears_leader(now);
+        let granted = self.may_vote() && free && quiet && last.covers(&self.log.last());
+        if granted && self.ballot.vote.is_none() {
+            self.ballot.vote = Some(to);
+            self.save();
+            self.rest(now);
+        }
+        self.send(to, Body::Vote { granted });
+    }
+
+    pub(super) fn count_vote(&mut self, from: id::Node, granted: bool, now: Time) {
+        if self.role != Role::Candidate || !granted {
+            return;
+        }
+        self.granted.insert(from);
+        if self.has_won() {
+            self.lead(now);
+        }
+    }
+
+    fn has_won(&self) -> bool {
+        self.voters().carry(|node| self.granted.contains(&node))
+    }
+
+    /// Puts the next election off by a random time.
+    pub(super) fn rest(&mut self, now: Time) {
+        let shortest = self.setup.timing.election.as_millis();
+        let silence = self.random.random_range(shortest..=2 * shortest);
+        self.due = now.after(Span::from_millis(silence));
+    }
+
+    /// Follows a leader, or waits for one.
+    ///
+    /// A leader that gives up votes for nobody for as long as its replies that
+    /// have yet to leave may count on its lease.
+    pub(super) fn become_follower(&mut self, leader: Option<id::Node>, now: Time) {
+        if self.role == Role::Leader {
+            self.heard = now;
+        }
+        self.change_role(Role::Follower(leader));
+        self.peers.clear();
+        self.granted.clear();
+        self.announced = None;
+        self.rest(now);
+    }
+
+    /// No leader was heard for long enough.
+    pub(super) fn miss_leader(&mut self, now: Time) {
+        if self.may_vote() && self.voters().contains(self.setup.node) {
+            return self.ask_pre_votes(now);
+        }
+        self.change_role(Role::Follower(None));
+        self.rest(now);
+        for node in self.known() {
+            self.send(node, Body::Announce(self.site.clone()));
+        }
+    }
+
+    fn ask_pre_votes(&mut self, now: Time) {
+        self.rest(now);
+        self.change_role(Role::PreCandidate);
+        self.granted.clear();
+        self.granted.insert(self.setup.node);
+        if self.has_won() {
+            return self.stand(false, now);
+        }
+        let term = Term(self.ballot.term.0 + 1);
+        let last = self.log.last();
+        for node in self.others() {
+            let body = Body::AskPreVote { last };
+            self.outputs
+                .push(Output::Send(node, Message { term, body }));
+        }
+    }
+
+    pub(super) fn stand(&mut self, handover: bool, now: Time) {
+        let votes = self.may_vote() && self.voters().contains(self.setup.node);
+        if !votes || self.role == Role::Leader {
+            return;
+        }
+        let term = Term(self.ballot.term.0 + 1);
+        self.ballot = Ballot {
+            term,
+            vote: Some(self.setup.node),
+        };
+        self.save();
+        self.change_role(Role::Candidate);
+        self.granted.clear();
+        self.granted.insert(self.setup.node);
+        self.rest(now);
+        if self.has_won() {
+            return self.lead(now);
+        }
+        let last = self.log.last();
+        for node in self.others() {
+            self.send(node, Body::AskVote { last, handover });
+        }
+    }
+
+    fn lead(&mut self, now: Time) {
+        let next = self.log.last().index.next();
+        let nodes = self.known();
+        self.change_role(Role::Leader);
+        self.first = next;
+        self.seq = 0;
+        self.incoming = None;
+        let peer = |node| (node, Peer::new(next, now));
+        self.peers = nodes.into_iter().map(peer).collect();
+        self.due = now.after(self.setup.timing.heartbeat);
+        self.push([Payload::Empty]);
+        self.send_to_all(now);
+        self.advance(now);
+    }
+
+    pub(super) fn change_role(&mut self, role: Role) {
+        if self.role != role {
+            self.role = role;
+            self.outputs.push(Output::Role(role));
+        }
+    }
+
+    fn others(&self) -> Vec<id::Node> {
+        let me = self.setup.node;
+        self.voters().iter().filter(|&node| node != me).collect()
+    }
+
+    /// Asks the follower with the longest log to stand, as this leader leaves.
+    ///
+    /// The one that is asked may stand at any time from now on and be voted for
+    /// by nodes that still hear this leader, so this leader stops leading for
+    /// good.
+    pub fn hand_over(&mut self) {
+        if self.role != Role::Leader {
+            return;
+        }
+        let able = self
+            .peers
+            .iter()
+            .filter(|(node, peer)| self.voters().contains(**node) && !peer.lost);
+        let best = able.max_by_key(|(_, peer)| (peer.stored, peer.confirmed));
+        let Some((&node, _)) = best else {
+            return;
+        };
+        self.send(node, Body::Handover);
+        self.become_follower(None, self.seen);
+    }
+}
--- /dev/null
+++ b/crates/gentianlane/src/agree/node/follow.rs
@@ -0,0 +1,177 @@
+//! A follower's side of replication.
+
+use crate::agree::log::Log;
+use crate::agree::node::Node;
+use crate::agree::{
+    Append, Body, Chunk, Entry, Index, Output, Position, Role, Snapshot, Standing,
+};
+use crate::id;
+use crate::unit::Time;
+
+/// The largest snapshot that a node takes in, in bytes.
+const SNAPSHOT_LIMIT: u64 = 256 << 20;
+
+/// A snapshot of which some bytes have arrived.
+#[derive(Debug, Clone)]
+pub(crate) struct Incoming {
+    last: Position,
+    data: Vec<u8>,
+}
+
+impl Node {
+    /// Takes note that a leader spoke; false if nothing of it may be stored.
+    fn hear(&mut self, from: id::Node, now: Time) -> bool {
+        if self.role == Role::Leader {
+            return false;
+        }
+        if self.role != Role::Follower(Some(from)) {
+            self.become_follower(Some(from), now);
+        }
+        self.heard = now;
+        self.rest(now);
+        let election = self.setup.timing.election;
+        let due = |at: Time| now.since(at) >= election;
+        if self.announced.is_none_or(due) {
+            self.announced = Some(now);
+            self.send(from, Body::Announce(self.site.clone()));
+        }
+        if self.standing == Standing::Blank {
+            self.send(from, Body::Blank { life: self.life });
+            return false;
+        }
+        true
+    }
+
+    pub(super) fn follow(&mut self, from: id::Node, append: Append, now: Time) {
+        if !self.hear(from, now) {
+            return;
+        }
+        let Append {
+            prev,
+            entries,
+            commit,
+            seq,
+        } = append;
+        if !in_order(prev, &entries) {
+            return;
+        }
+        if let Some(next) = self.lacks(prev) {
+            return self.send(from, Body::Gap { next, seq });
+        }
+        let newest = Index(prev.index.0 + entries.len() as u64);
+        if !self.store(entries) {
+            return;
+        }
+        self.commit = self.commit.max(commit.min(newest));
+        self.apply();
+        let stored = newest.max(self.commit);
+        self.send(from, Body::Appended { stored, seq });
+    }
+
+    /// Where the leader has to go on from, if entries after `prev` don't
+    /// follow on what is stored.
+    fn lacks(&self, prev: Position) -> Option<Index> {
+        if prev.index <= self.commit {
+            return None;
+        }
+        match self.log.term(prev.index) {
+            Some(term) if term == prev.term => None,
+            Some(_) => Some(self.log.run(prev.index).max(self.commit.next())),
+            None => Some(self.log.last().index.next()),
+        }
+    }
+
+    /// Stores what is new; false if it contradicts what is committed.
+    fn store(&mut self, entries: Vec<Entry>) -> bool {
+        let known = |entry: &Entry| {
+            entry.index <= self.log.base().index
+                || self.log.term(entry.index) == Some(entry.term)
+        };
+        let skip = entries.iter().take_while(|entry| known(entry)).count();
+        let fresh: Vec<Entry> = entries.into_iter().skip(skip).collect();
+        let Some(first) = fresh.first() else {
+            return true;
+        };
+        if first.index <= self.commit {
+            return false;
+        }
+        self.log.cut(first.index);
+        for entry in &fresh {
+            self.log.push(entry.clone());
+        }
+        self.outputs.push(Output::Store(fresh));
+        true
+    }
+
+    pub(super) fn take_chunk(&mut self, from: id::Node, chunk: Chunk, now: Time) {
+        if !self.hear(from, now) || chunk.total > SNAPSHOT_LIMIT {
+            return;
+        }
+        let seq = chunk.seq;
+        if chunk.last.index <= self.commit {
+            self.incoming = None;
+            let stored = self.commit;
+            return self.send(from, Body::Appended { stored, seq });
+        }
+        let last = chunk.last.index;
+        let offset = self.gather(&chunk);
+        if offset < chunk.total {
+            return self.send(from, Body::Received { last, offset, seq });
+        }
+        self.install(chunk);
+        self.send(from, Body::Appended { stored: last, seq });
+    }
+
+    /// Adds a part to those that have arrived; gives how many bytes there are.
+    fn gather(&mut self, chunk: &Chunk) -> u64 {
+        let begun = self.incoming.take();
+        let begun = begun.filter(|incoming| incoming.last == chunk.last);
+        let mut incoming = begun.unwrap_or(Incoming {
+            last: chunk.last,
+            data: Vec::new(),
+        });
+        let fits = incoming.data.len() as u64 == chunk.offset;
+        if fits && chunk.offset + chunk.data.len() as u64 <= chunk.total {
+            incoming.data.extend_from_slice(&chunk.data);
+        }
+        let offset = incoming.data.len() as u64;
+        self.incoming = Some(incoming);
+        offset
+    }
+
+    /// Puts a whole snapshot in place of the log up to its end.
+    fn install(&mut self, chunk: Chunk) {
+        let Some(incoming) = self.incoming.take() else {
+            return;
+        };
+        let last = chunk.last;
+        let snapshot = Snapshot {
+            last,
+            voters: chunk.voters,
+            data: incoming.data,
+        };
+        if self.log.term(last.index) == Some(last.term) {
+            self.log.forget(last.index);
+        } else {
+            self.log = Log::new(last, snapshot.voters.clone(), Vec::new());
+        }
+        self.commit = last.index;
+        self.applied = last.index;
+        self.outputs.push(Output::Snapshot(snapshot.clone()));
+        self.outputs.push(Output::Restore(snapshot.data.clone()));
+        self.snapshot = Some(snapshot);
+    }
+}
+
+/// Whether entries follow on `prev` without a gap, their terms never falling.
+fn in_order(prev: Position, entries: &[Entry]) -> bool {
+    let mut last = prev;
+    entries.iter().all(|entry| {
+        let follows = entry.index == last.index.next() && entry.term >= last.term;
+        last = Position {
+            index: entry.index,
+            term: entry.term,
+        };
+        follows
+    })
+}
--- /dev/null
+++ b/crates/gentianlane/src/agree/node/member.rs
@@ -0,0 +1,175 @@
+//! Membership: who may vote, one change at a time through the log.
+
+use indexmap::IndexMap;
+
+use crate::agree::node::Node;
+use crate::agree::peer::Peer;
+use crate::agree::{Body, Change, Denied, Index, Payload, Role, Site, Voters};
+use crate::id;
+use crate::unit::Time;
+
+/// How many nodes a leader keeps in mind.
+const PEER_LIMIT: usize = 64;
+
+/// How many entries a node may lag behind when it gets a vote.
+const LAG: u64 = 64;
+
+impl Node {
+    /// A node says where it stands; one that is new becomes a learner.
+    ///
+    /// A new node may know the founding members alone, so they name the leader.
+    pub(super) fn announced(&mut self, from: id::Node, site: Site, now: Time) {
+        self.guide(from, now);
+        if let Some(peer) = self.peers.get_mut(&from) {
+            peer.site = Some(site);
+            peer.heard = now;
+        }
+    }
+
+    /// Brings a node that looks for a leader and the leader together.
+    pub(super) fn guide(&mut self, node: id::Node, now: Time) {
+        if let Role::Follower(Some(leader)) = self.role {
+            return self.send(node, Body::Redirect { leader });
+        }
+        let room = self.peers.len() < PEER_LIMIT;
+        let new = !self.peers.contains_key(&node);
+        if self.role == Role::Leader && room && new {
+            let next = self.log.last().index.next();
+            self.peers.insert(node, Peer::new(next, now));
+        }
+    }
+
+    /// Changes the voters by one, through the log.
+    ///
+    /// # Errors
+    ///
+    /// [`Denied`] with the reason; nothing was changed.
+    pub fn change(&mut self, change: Change, now: Time) -> Result<Index, Denied> {
+        if self.role != Role::Leader {
+            return Err(Denied::NotLeader);
+        }
+        if self.applied < self.first || self.log.voters_since() > self.commit {
+            return Err(Denied::Pending);
+        }
+        let voters = self.changed(change).ok_or(Denied::Unfit)?;
+        self.push([Payload::Voters(voters)]);
+        let index = self.log.last().index;
+        self.send_to_all(now);
+        self.advance(now);
+        Ok(index)
+    }
+
+    /// The voters after a change, if it can be made.
+    fn changed(&self, change: Change) -> Option<Voters> {
+        let voters = self.voters();
+        match change {
+            Change::Add(node) => {
+                let fit = !voters.contains(node) && self.is_fit(node);
+                let all = voters.iter().chain([node]);
+                fit.then(|| all.collect())
+            }
+            Change::Remove(node) => {
+                let fit = voters.contains(node) && voters.len() > 1;
+                let rest = voters.iter().filter(|&voter| voter != node);
+                fit.then(|| rest.collect())
+            }
+        }
+    }
+
+    /// Whether a node has a disk and nearly all that is committed.
+    ///
+    /// It has to have stored an entry of this term, so that its disk is neither
+    /// blank nor as it was long ago.
+    fn is_fit(&self, node: id::Node) -> bool {
+        let fit = |peer: &Peer| {
+            let near = peer.stored.0 + LAG >= self.commit.0;
+            peer.can_vote() && near && peer.stored >= self.first
+        };
+        self.peers.get(&node).is_some_and(fit)
+    }
+
+    /// Makes the next change that the voters need, if any.
+    pub(super) fn repair(&mut self, now: Time) {
+        if let Some(change) = self.wanted(now) {
+            // Refused while an earlier change is on its way: it is wanted
+            // again at the next heartbeat.
+            let _ = self.change(change, now);
+        }
+    }
+
+    fn wanted(&self, now: Time) -> Option<Change> {
+        let voters = self.voters();
+        let target = self.setup.voters.len();
+        if voters.len() > target {
+            return self.worst(now).map(Change::Remove);
+        }
+        let spare = self.spare(now)?;
+        if voters.len() < target {
+            return Some(Change::Add(spare));
+        }
+        if let Some(node) = voters.iter().find(|&node| self.is_gone(node, now)) {
+            return Some(Change::Remove(node));
+        }
+        let crowded = voters.iter().any(|node| self.neighbours(node) > 0);
+        let settled = self
+            .peers
+            .get(&spare)
+            .is_some_and(|peer| now.since(peer.since) >= self.setup.timing.repair);
+        let better = crowded && settled && self.neighbours(spare) == 0;
+        (better && self.sites().len() > voters.len()).then_some(Change::Add(spare))
+    }
+
+    /// Whether a voter has been silent for so long that it is replaced, or has
+    /// lost its disk.
+    fn is_gone(&self, node: id::Node, now: Time) -> bool {
+        let Some(peer) = self.peers.get(&node) else {
+            return false;
+        };
+        peer.lost || now.since(peer.heard) >= self.setup.timing.repair
+    }
+
+    /// The domains of this node and of the peers that have said theirs.
+    fn sites(&self) -> IndexMap<id::Node, &id::Domain> {
+        let peers = self.peers.iter();
+        let told = peers.filter_map(|(&node, peer)| {
+            let site = peer.site.as_ref()?;
+            Some((node, &site.domain))
+        });
+        told.chain([(self.setup.node, &self.site.domain)]).collect()
+    }
+
+    /// How many other voters that aren't lost share a node's domain.
+    fn neighbours(&self, node: id::Node) -> usize {
+        let sites = self.sites();
+        let Some(domain) = sites.get(&node) else {
+            return 0;
+        };
+        let voters = self.voters().iter().filter(|&other| other != node);
+        let lost = |other: &id::Node| self.peers.get(other).is_some_and(|peer| peer.lost);
+        voters
+            .filter(|other| !lost(other))
+            .filter(|other| sites.get(other) == Some(domain))
+            .count()
+    }
+
+    /// The learner that would make the best voter.
+    fn spare(&self, now: Time) -> Option<id::Node> {
+        let voters = self.voters();
+        let quiet = self.setup.timing.election;
+        let able = self.peers.iter().filter(|(node, peer)| {
+            let heard = now.since(peer.heard) < quiet.times(2);
+            !voters.contains(**node) && heard && self.is_fit(**node)
+        });
+        let best = able.min_by_key(|(node, _)| (self.neighbours(**node), **node));
+        best.map(|(&node, _)| node)
+    }
+
+    /// The voter that can best be done without.
+    fn worst(&self, now: Time) -> Option<id::Node> {
+        let me = self.setup.node;
+        self.voters().iter().max_by_key(|&node| {
+            let gone = self.is_gone(node, now);
+            (gone, self.neighbours(node), node != me, node)
+        })
+    }
+}
--- /dev/null
+++ b/crates/gentianlane/src/agree/node/replicate.rs
@@ -0,0 +1,260 @@
+//! A leader's side of replication.
+
+use crate::agree::node::Node;
+use crate::agree::peer::Peer;
+use crate::agree::{
+    Append, Body, Entry, Index, Output, Payload, Position, Role, Standing,
+};
+use crate::id;
+use crate::unit::Time;
+
+/// About how many bytes of entries one message carries.
+const APPEND_LIMIT: usize = 256 << 10;
+
+/// After how many heartbeats without a message a learner gets one.
+const LEARNER_BEATS: u64 = 2;
+
+impl Node {
+    pub(super) fn push(
+        &mut self,
+        payloads: impl IntoIterator<Item = Payload>,
+    ) -> Vec<Index> {
+        let mut index = self.log.last().index;
+        let mut entries = Vec::new();
+        for payload in payloads {
+            index = index.next();
+            let entry = Entry {
+                index,
+                term: self.ballot.term,
+                payload,
+            };
+            self.log.push(entry.clone());
+            entries.push(entry);
+        }
+        let indexes = entries.iter().map(|entry| entry.index).collect();
+        if !entries.is_empty() {
+            self.outputs.push(Output::Store(entries));
+        }
+        indexes
+    }
+
+    /// Sends every peer the entries that it lacks.
+    pub(super) fn send_to_all(&mut self, now: Time) {
+        for node in self.nodes() {
+            self.send_entries(node, now);
+        }
+    }
+
+    fn nodes(&self) -> Vec<id::Node> {
+        self.peers.keys().copied().collect()
+    }
+
+    /// Speaks to every voter, and to learners less often.
+    pub(super) fn beat(&mut self, now: Time) {
+        let timing = self.setup.timing;
+        for node in self.nodes() {
+            let votes = self.voters().contains(node);
+            let Some(peer) = self.peers.get_mut(&node) else {
+                continue;
+            };
+            peer.expire(now, timing.election);
+            let pace = timing.heartbeat.times(LEARNER_BEATS);
+            let quiet = now.since(peer.sent) >= pace;
+            let sent = self.send_entries(node, now);
+            if !sent && (votes || quiet) {
+                self.send_beat(node, now);
+            }
+        }
+    }
+
+    /// Sends what a peer lacks as far as there is room; false if nothing was
+    /// sent.
+    pub(super) fn send_entries(&mut self, to: id::Node, now: Time) -> bool {
+        let mut sent = false;
+        loop {
+            let Some(peer) = self.peers.get(&to) else {
+                return sent;
+            };
+            if self.log.term(peer.next.prev()).is_none() {
+                return self.send_chunk(to, now) || sent;
+            }
+            if peer.lost || peer.next > self.log.last().index || !peer.has_room() {
+                return sent;
+            }
+            let entries = self.log.from(peer.next, APPEND_LIMIT).to_vec();
+            self.send_append(to, entries, now);
+            sent = true;
+        }
+    }
+
+    /// Sends a peer no entries, so that it goes on following.
+    fn send_beat(&mut self, to: id::Node, now: Time) {
+        let lost = self.peers.get(&to).is_some_and(|peer| peer.lost);
+        if lost {
+            return self.send(to, Body::Refused { life: None });
+        }
+        self.send_append(to, Vec::new(), now);
+    }
+
+    /// Sends entries from the peer's next on, and counts on their arrival.
+    fn send_append(&mut self, to: id::Node, entries: Vec<Entry>, now: Time) {
+        let Some(peer) = self.peers.get_mut(&to) else {
+            return;
+        };
+        let first = peer.next;
+        let Some(term) = self.log.term(first.prev()) else {
+            return;
+        };
+        self.seq += 1;
+        let bytes = entries.iter().map(|entry| entry.payload.weight()).sum();
+        peer.depart(self.seq, first, bytes, now);
+        if let Some(last) = entries.last() {
+            peer.next = last.index.next();
+        }
+        let append = Append {
+            prev: Position {
+                index: first.prev(),
+                term,
+            },
+            entries,
+            commit: self.commit,
+            seq: self.seq,
+        };
+        self.send(to, Body::Append(append));
+    }
+
+    pub(super) fn appended(
+        &mut self,
+        from: id::Node,
+        stored: Index,
+        seq: u64,
+        now: Time,
+    ) {
+        let newest = self.seq;
+        let last = self.log.last().index;
+        let Some(peer) = self.answered(from, seq, now) else {
+            return;
+        };
+        if stored > last {
+            return;
+        }
+        peer.transfer = None;
+        peer.hold(stored, newest);
+        self.advance(now);
+        self.send_entries(from, now);
+    }
+
+    pub(super) fn gap(&mut self, from: id::Node, next: Index, seq: u64, now: Time) {
+        let newest = self.seq;
+        let last = self.log.last().index;
+        let votes = self.voters().contains(from);
+        let Some(peer) = self.answered(from, seq, now) else {
+            return;
+        };
+        if next <= peer.stored {
+            if !peer.contradicts(seq) {
+                return;
+            }
+            if votes {
+                peer.lost = true;
+                return self.send(from, Body::Refused { life: None });
+            }
+            peer.stored = next.prev();
+        }
+        let next = next.max(Index(1)).min(last.next());
+        if peer.rewind(next, seq, newest) {
+            self.send_entries(from, now);
+        }
+    }
+
+    /// Takes note of an answer; `None` if it isn't for a leader, or from a
+    /// node that doesn't count.
+    pub(super) fn answered(
+        &mut self,
+        from: id::Node,
+        seq: u64,
+        now: Time,
+    ) -> Option<&mut Peer> {
+        if self.role != Role::Leader || seq > self.seq {
+            return None;
+        }
+        let peer = self.peers.get_mut(&from)?;
+        if peer.lost {
+            return None;
+        }
+        peer.answer(seq, now);
+        Some(peer)
+    }
+
+    /// Commits what a majority has stored, if it is of the own term.
+    pub(super) fn advance(&mut self, now: Time) {
+        if self.role != Role::Leader {
+            return;
+        }
+        let last = self.log.last().index;
+        let me = self.setup.node;
+        let stored = self.voters().reached(|node| match self.peers.get(&node) {
+            _ if node == me => last,
+            Some(peer) if !peer.lost => peer.stored,
+            Some(_) | None => Index(0),
+        });
+        let Some(stored) = stored else {
+            return;
+        };
+        if stored <= self.commit || self.log.term(stored) != Some(self.ballot.term) {
+            return;
+        }
+        let since = self.log.voters_since();
+        let changed = self.commit < since && since <= stored;
+        self.commit = stored;
+        self.apply();
+        if !self.voters().contains(me) {
+            return self.hand_over();
+        }
+        if changed {
+            self.repair(now);
+        }
+    }
+
+    pub(super) fn apply(&mut self) {
+        if self.commit <= self.applied {
+            return;
+        }
+        let entries = self.log.between(self.applied.next(), self.commit);
+        self.outputs.push(Output::Apply(entries.to_vec()));
+        self.applied = self.commit;
+    }
+
+    /// A node says that its disk holds nothing.
+    ///
+    /// Only a leader that no other can have followed, whose voters are
+    /// committed, knows that a node has no vote.
+    pub(super) fn meet_blank(&mut self, from: id::Node, life: u64, now: Time) {
+        if !self.leads(now) || self.log.voters_since() > self.commit {
+            return;
+        }
+        if !self.voters().contains(from) && !self.setup.voters.contains(from) {
+            return self.send(from, Body::Welcome { life });
+        }
+        if let Some(peer) = self.peers.get_mut(&from) {
+            peer.lost = true;
+        }
+        self.send(from, Body::Refused { life: Some(life) });
+    }
+
+    pub(super) fn welcomed(&mut self, life: u64) {
+        if self.standing == Standing::Blank && life == self.life {
+            self.standing = Standing::Member;
+            self.save();
+        }
+    }
+
+    pub(super) fn refused(&mut self, life: Option<u64>) {
+        let late = self.standing != Standing::Blank || life != Some(self.life);
+        if life.is_some() && late {
+            return;
+        }
+        self.standing = Standing::Refused;
+        self.change_role(Role::Follower(None));
+    }
+}
--- a/crates/gentianlane/src/agree/quorum.rs
+++ b/crates/gentianlane/src/agree/quorum.rs
@@ -22,6 +22,18 @@
         self.0.iter().copied()
     }
 
+    /// How many nodes vote.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    /// Whether nobody votes.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
     /// How many voters make a majority.
     #[must_use]
     pub fn majority(&self) -> usize {
--- a/crates/gentianlane/src/cell/node.rs
+++ b/crates/gentianlane/src/cell/node.rs
@@ -23,6 +23,9 @@
 /// When to come back while the node doesn't lead.
 const NO_QUORUM_RETRY: Span = Span::from_millis(300);
 
+/// How many bytes of applied commands a snapshot takes the place of.
+const SNAPSHOT_BYTES: usize = 4 << 20;
+
 /// How many rounds of commit and planning one flush does.
 const ROUNDS: usize = 8;
 
@@ -49,6 +52,8 @@
     /// Drop what is stored from the first entry's index on, write these, and
     /// sync before anything that follows.
     Store(Vec<Entry>),
+    /// Write the snapshot and sync; then the entries up to its last may go.
+    Snapshot(agree::Snapshot),
     /// Send a message to another node.
     Send(id::Node, Message),
     /// Answer a call, unless the clock has passed the time given: then the
@@ -67,17 +72,29 @@
     lead: Option<Lead>,
     proposals: Vec<(Command, Option<Ticket>)>,
     asked: IndexMap<Index, Ticket>,
+    /// How many bytes of commands were applied since the last snapshot.
+    unsaved: usize,
+    /// Whether a snapshot couldn't be read.
+    broken: bool,
     outputs: Vec<Output>,
 }
 
 impl Node {
     /// A node with what its disk holds.
+    ///
+    /// If its snapshot can't be read, [`Node::is_broken`] says so.
     #[must_use]
     pub fn new(setup: Setup, saved: agree::Saved, now: Time) -> Self {
+        let state = match &saved.snapshot {
+            Some(snapshot) => postcard::from_bytes(&snapshot.data).ok(),
+            None => Some(State::default()),
+        };
         Self {
             agree: agree::Node::new(setup.agree.clone(), saved, now),
             setup,
-            state: State::default(),
+            broken: state.is_none(),
+            state: state.unwrap_or_default(),
+            unsaved: 0,
             lead: None,
             proposals: Vec::new(),
             asked: IndexMap::new(),
@@ -85,6 +102,50 @@
         }
     }
 
+    /// Says where the node stands; see [`agree::Node::located`].
+    #[must_use]
+    pub fn located(mut self, site: agree::Site) -> Self {
+        self.agree = self.agree.located(site);
+        self
+    }
+
+    /// Says that the cell isn't new; see [`agree::Node::returning`].
+    #[must_use]
+    pub fn returning(mut self) -> Self {
+        self.agree = self.agree.returning();
+        self
+    }
+
+    /// Whether a snapshot couldn't be read; the node then takes no messages
+    /// and should end.
+    #[must_use]
+    pub fn is_broken(&self) -> bool {
+        self.broken
+    }
+
+    /// Lets the state stand in place of the log up to here.
+    ///
+    /// The node does so itself when many bytes of commands were applied. False
+    /// if there is nothing to do, or while an earlier snapshot is being sent.
+    pub fn compact(&mut self) -> bool {
+        let Ok(data) = postcard::to_allocvec(&self.state) else {
+            return false;
+        };
+        let done = self.agree.compact(self.agree.applied(), data);
+        if done {
+            self.unsaved = 0;
+        }
+        done
+    }
+
+    fn restore(&mut self, data: &[u8]) {
+        match postcard::from_bytes(data) {
+            Ok(state) => self.state = state,
+            Err(_) => self.broken = true,
+        }
+        self.unsaved = 0;
+    }
+
     /// The agreement's part.
     #[must_use]
     pub fn agree(&self) -> &agree::Node {
@@ -99,7 +160,9 @@
 
     /// Takes a message from another node.
     pub fn receive(&mut self, from: id::Node, message: Message, now: Time) {
-        self.agree.receive(from, message, now);
+        if !self.broken {
+            self.agree.receive(from, message, now);
+        }
     }
 
     /// Takes a call; its reply comes as an [`Output::Reply`] some time later.
@@ -196,6 +259,9 @@
 
     /// Does what the time asks for.
     pub fn tick(&mut self, now: Time, wall: Wall) {
+        if self.broken {
+            return;
+        }
         self.agree.tick(now);
         if !self.agree.leads(now) {
             return;
@@ -227,6 +293,9 @@
                 break;
             }
         }
+        if self.unsaved >= SNAPSHOT_BYTES && self.compact() {
+            self.drain(now, wall);
+        }
         self.grant(now);
         std::mem::take(&mut self.outputs)
     }
@@ -287,6 +356,10 @@
                 agree::Output::Store(entries) => {
                     self.outputs.push(Output::Store(entries));
                 }
+                agree::Output::Snapshot(snapshot) => {
+                    self.outputs.push(Output::Snapshot(snapshot));
+                }
+                agree::Output::Restore(data) => self.restore(&data),
                 agree::Output::Send(to, message) => {
                     self.outputs.push(Output::Send(to, message));
                 }
@@ -322,6 +395,7 @@
             let Payload::Command(bytes) = entry.payload else {
                 continue;
             };
+            self.unsaved += bytes.len();
             let Ok(command) = Command::decode(&bytes) else {
                 continue;
             };
--- /dev/null
+++ b/crates/gentianlane/tests/agree/election.rs
@@ -0,0 +1,188 @@
+//! Elections, leases and hand-over.
+
+use gentianlane::agree::{Body, Message, Position, Role, Term};
+use gentianlane::id;
+
+use crate::net::Net;
+
+/// The seed of every test here.
+const SEED: u64 = 11;
+
+fn settled(voters: u64) -> (Net, usize) {
+    let mut net = Net::new(voters, 0, SEED);
+    let leader = net.settle();
+    net.run(1_000);
+    (net, leader)
+}
+
+#[test]
+fn one_of_three_leads_and_all_apply_what_it_proposes() {
+    let (mut net, leader) = settled(3);
+    assert_eq!(net.leader(), Some(leader));
+    assert!(net.propose([b"one".to_vec(), b"two".to_vec()]));
+    net.run(1_000);
+    net.assert_whole(0..3);
+    assert_eq!(net.machines[0].app.count, 2);
+}
+
+#[test]
+fn a_leader_that_is_cut_off_stops_leading_before_another_begins() {
+    let (mut net, old) = settled(3);
+    net.isolate(old);
+    // Each step checks that at most one node leads.
+    net.run(180_000);
+    assert_ne!(net.leader(), Some(old));
+    assert!(net.leader().is_some());
+    assert_eq!(net.node(old).role(), Role::Leader);
+    let stale = net.with(old, |node, now| {
+        let _ = node.propose([b"lost".to_vec()], now);
+        node.leads(now)
+    });
+    assert!(!stale);
+    net.cut.clear();
+    net.run(1_000);
+    assert_ne!(net.node(old).role(), Role::Leader);
+    assert!(net.propose([b"kept".to_vec()]));
+    net.run(1_000);
+    net.assert_whole(0..3);
+    assert_eq!(
+        net.machines[old].app.count, 1,
+        "the old leader's entry is gone"
+    );
+}
+
+#[test]
+fn a_node_that_comes_back_does_not_unseat_the_leader() {
+    let (mut net, leader) = settled(3);
+    let term = net.node(leader).term();
+    let away = (leader + 1) % 3;
+    net.isolate(away);
+    net.run(20_000);
+    net.cut.clear();
+    net.run(5_000);
+    assert_eq!(net.leader(), Some(leader));
+    assert_eq!(net.node(leader).term(), term);
+}
+
+#[test]
+fn a_leader_woken_after_its_lease_says_so_before_any_output() {
+    let (mut net, old) = settled(3);
+    net.machines[old].paused = true;
+    net.run(60_000);
+    let new = net.leader().expect("another leads");
+    assert_ne!(new, old);
+    let now = net.machines[old].clock(net.now);
+    assert!(!net.node(old).leads(now));
+    net.machines[old].paused = false;
+    net.check();
+    net.run(5_000);
+    assert_eq!(net.node(old).leader(), Some(net.machines[new].id));
+}
+
+#[test]
+fn a_leader_that_hands_over_never_leads_beside_the_next() {
+    let (mut net, old) = settled(3);
+    let begun = net.now;
+    net.with(old, |node, _| node.hand_over());
+    net.check();
+    assert_eq!(net.leader(), None, "it stops before the other stands");
+    let new = net.settle();
+    assert_ne!(new, old);
+    assert!(
+        net.now - begun < 1_000,
+        "no election timeout was waited for"
+    );
+    net.run(5_000);
+    assert_eq!(net.leader(), Some(new));
+}
+
+#[test]
+fn a_hand_over_that_arrives_late_unseats_nobody_twice() {
+    let (mut net, old) = settled(3);
+    net.noise.delay = 0;
+    let next = (old + 1) % 3;
+    let term = net.node(old).term();
+    net.with(old, |node, _| node.hand_over());
+    let new = net.settle();
+    let now_term = net.node(new).term();
+    let message = Message {
+        term,
+        body: Body::Handover,
+    };
+    let from = net.machines[old].id;
+    net.with(next, |node, now| node.receive(from, message, now));
+    net.run(5_000);
+    assert_eq!(net.leader(), Some(new));
+    assert_eq!(net.node(new).term(), now_term);
+}
+
+#[test]
+fn a_leader_that_is_heard_but_does_not_hear_gives_way() {
+    let (mut net, old) = settled(3);
+    for other in 0..3 {
+        net.cut.insert((other, old));
+    }
+    net.run(10_000);
+    assert_ne!(net.leader(), Some(old), "it can't confirm its lease");
+    net.cut.clear();
+    net.settle();
+    net.run(5_000);
+    assert!(net.propose([b"after".to_vec()]));
+    net.run(1_000);
+    net.assert_whole(0..3);
+}
+
+#[test]
+fn flapping_links_never_make_two_leaders_and_keep_one_term_long() {
+    let (mut net, leader) = settled(5);
+    let term = net.node(leader).term();
+    let flapping = (leader + 1) % 5;
+    for round in 0..100 {
+        net.cut.insert((leader, flapping));
+        net.run(300 + round % 7 * 100);
+        net.cut.clear();
+        net.run(200 + round % 5 * 100);
+        net.propose([vec![round as u8]]);
+    }
+    net.run(2_000);
+    assert_eq!(net.node(leader).term(), term, "the others still hear it");
+    net.assert_whole(0..5);
+}
+
+#[test]
+fn a_node_with_a_newer_term_gets_back_into_the_cell() {
+    let (mut net, leader) = settled(3);
+    let ahead = (leader + 1) % 3;
+    let term = Term(net.node(leader).term().0 + 5);
+    net.crash(ahead);
+    net.machines[ahead].disk.ballot.term = term;
+    net.machines[ahead].disk.ballot.vote = Some(net.machines[ahead].id);
+    net.start(ahead, true);
+    net.run(10_000);
+    net.settle();
+    assert!(net.propose([b"x".to_vec()]));
+    net.run(1_000);
+    net.assert_whole(0..3);
+}
+
+#[test]
+fn a_restarted_voter_votes_for_nobody_while_a_lease_may_run() {
+    let (mut net, leader) = settled(3);
+    let other = (leader + 1) % 3;
+    net.crash(other);
+    net.start(other, true);
+    let last = Position {
+        index: net.node(leader).stored(),
+        term: net.node(leader).term(),
+    };
+    let term = Term(last.term.0 + 1);
+    let body = Body::AskVote {
+        last,
+        handover: false,
+    };
+    let from = id::Node(((leader + 2) % 3) as u64 + 1);
+    let asked = Message { term, body };
+    net.with(other, |node, now| node.receive(from, asked, now));
+    assert!(net.node(other).term() < term);
+    assert!(net.machines[leader].leads(net.now));
+}
--- /dev/null
+++ b/crates/gentianlane/tests/agree/fuzz.rs
@@ -0,0 +1,169 @@
+//! Random histories of faults against an oracle.
+//!
+//! `GENTIANLANE_FUZZ_SEED` sets the seed and `GENTIANLANE_FUZZ_TESTS` the
+//! number of histories, for a longer run. A failing history is shrunk and
+//! printed.
+
+use gentianlane::agree::Standing;
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+
+use crate::net::{Net, Noise};
+
+/// The seed where none is set.
+const SEED: u64 = 20_260;
+
+/// How many histories are run where nothing is set.
+const TESTS: u64 = 200;
+
+/// How many events a history has at most.
+const SIZE: usize = 80;
+
+/// One event; machines are counted modulo their number.
+#[derive(Debug, Clone, Copy)]
+enum Event {
+    Propose(u8),
+    Run(u8),
+    Crash(usize),
+    CrashAfter(usize, u8),
+    Start(usize),
+    Wipe(usize),
+    Replace(usize),
+    Cut(usize, usize),
+    Isolate(usize),
+    Mend,
+    Pause(usize),
+    Wake(usize),
+    Compact(usize),
+    HandOver,
+    Noise(u8, u8, u8),
+}
+
+impl Arbitrary for Event {
+    fn arbitrary(random: &mut Gen) -> Self {
+        let at = usize::from(u8::arbitrary(random));
+        let other = usize::from(u8::arbitrary(random));
+        let small = u8::arbitrary(random);
+        match u8::arbitrary(random) % 32 {
+            0..=6 => Self::Propose(small % 8),
+            7..=14 => Self::Run(small),
+            15 => Self::Crash(at),
+            16 => Self::CrashAfter(at, small % 6),
+            17..=18 => Self::Start(at),
+            19 => Self::Wipe(at),
+            20 => Self::Replace(at),
+            21..=22 => Self::Cut(at, other),
+            23 => Self::Isolate(at),
+            24 => Self::Mend,
+            25 => Self::Pause(at),
+            26..=27 => Self::Wake(at),
+            28..=29 => Self::Compact(at),
+            30 => Self::HandOver,
+            _ => Self::Noise(small % 100, other as u8 % 100, at as u8),
+        }
+    }
+}
+
+fn step(net: &mut Net, event: Event, count: &mut u64) {
+    let number = net.machines.len();
+    let runs = |net: &Net, at: usize| net.machines[at].node.is_some();
+    match event {
+        Event::Propose(size) => {
+            let commands = (0..=u64::from(size)).map(|at| (*count + at).to_le_bytes());
+            let commands: Vec<_> = commands.map(|bytes| bytes.to_vec()).collect();
+            *count += commands.len() as u64;
+            net.propose(commands);
+        }
+        Event::Run(steps) => net.run(u64::from(steps) * 10),
+        Event::Crash(at) => net.crash(at % number),
+        Event::CrashAfter(at, outputs) => {
+            net.machines[at % number].fuse = Some(usize::from(outputs));
+        }
+        Event::Start(at) if !runs(net, at % number) => net.start(at % number, true),
+        Event::Wipe(at) => net.wipe(at % number),
+        Event::Replace(at) => {
+            let refused = |at: usize| {
+                let node = net.machines[at].node.as_ref();
+                node.is_some_and(|node| node.standing() == Standing::Refused)
+            };
+            if refused(at % number) && number < 9 {
+                net.crash(at % number);
+                let new = net.add(gentianlane::agree::Site::default());
+                net.start(new, true);
+            }
+        }
+        Event::Cut(from, to) => {
+            net.cut.insert((from % number, to % number));
+        }
+        Event::Isolate(at) => net.isolate(at % number),
+        Event::Mend => net.cut.clear(),
+        Event::Pause(at) => net.machines[at % number].paused = runs(net, at % number),
+        Event::Wake(at) => {
+            net.machines[at % number].paused = false;
+            net.check();
+        }
+        Event::Compact(at) if runs(net, at % number) => {
+            net.compact(at % number);
+        }
+        Event::HandOver => {
+            if let Some(at) = net.leader() {
+                net.with(at, |node, _| node.hand_over());
+            }
+        }
+        Event::Noise(drop, double, delay) => {
+            net.noise = Noise {
+                drop: u32::from(drop) * 3,
+                double: u32::from(double) * 2,
+                delay: u64::from(delay),
+            };
+        }
+        Event::Start(_) | Event::Compact(_) => {}
+    }
+    net.check();
+}
+
+/// Runs a history; panics where the oracle is contradicted.
+fn holds(seed: u64, events: Vec<Event>) -> bool {
+    let mut net = Net::new(3, 2, seed);
+    for at in 0..net.machines.len() {
+        net.machines[at].rate = 980 + (seed >> (8 * at)) % 41;
+    }
+    net.data = 16 + (seed % 200_000) as usize;
+    net.run(3_000);
+    let mut count = 0;
+    let wiped = |event: &Event| matches!(event, Event::Wipe(_));
+    let intact = !events.iter().any(wiped);
+    for event in events {
+        step(&mut net, event, &mut count);
+    }
+    net.heal();
+    net.run(10_000);
+    let Some(leader) = net.leader() else {
+        assert!(!intact, "a healed cell with all its disks has a leader");
+        return true;
+    };
+    assert!(net.propose([b"last".to_vec()]));
+    net.run(5_000);
+    if intact {
+        net.assert_whole(0..net.machines.len());
+    } else {
+        net.assert_whole(net.leader().or(Some(leader)));
+    }
+    true
+}
+
+fn number(name: &str, default: u64) -> u64 {
+    let value = std::env::var(name).ok();
+    value.map_or(default, |text| text.parse().expect("a number"))
+}
+
+#[test]
+fn random_faults_lose_nothing_and_never_make_two_leaders() {
+    let seed = number("GENTIANLANE_FUZZ_SEED", SEED);
+    let tests = number("GENTIANLANE_FUZZ_TESTS", TESTS);
+    println!("GENTIANLANE_FUZZ_SEED={seed} GENTIANLANE_FUZZ_TESTS={tests}");
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(SIZE, seed))
+        .tests(tests)
+        .max_tests(tests)
+        .quickcheck(holds as fn(u64, Vec<Event>) -> bool);
+}
--- /dev/null
+++ b/crates/gentianlane/tests/agree/net.rs
@@ -0,0 +1,407 @@
+//! Nodes with disks, clocks and links that can fail, and an oracle.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use gentianlane::agree::{
+    Entry, Index, Message, Node, Output, Payload, Role, Saved, Setup, Site, Snapshot,
+    Term, Timing, Voters,
+};
+use gentianlane::id;
+use gentianlane::unit::{Span, Time};
+use rand::{Rng, RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// How far the time moves in one step, in milliseconds.
+pub const STEP: u64 = 10;
+
+/// What a snapshot's data is filled up to, so that it takes several messages.
+const DATA: usize = 150 << 10;
+
+/// The state that the log builds here: how many commands, and their digest.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct App {
+    pub count: u64,
+    pub digest: u64,
+}
+
+impl App {
+    fn apply(&mut self, bytes: &[u8]) {
+        self.count += 1;
+        for &byte in bytes {
+            self.digest = (self.digest ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+        }
+        self.digest = self.digest.rotate_left(7).wrapping_add(self.count);
+    }
+
+    fn encode(&self, length: usize) -> Vec<u8> {
+        let mut data = [self.count.to_le_bytes(), self.digest.to_le_bytes()].concat();
+        data.resize(length.max(16), 0);
+        data
+    }
+
+    fn decode(data: &[u8]) -> Self {
+        let number = |at: usize| u64::from_le_bytes(data[at..at + 8].try_into().unwrap());
+        Self {
+            count: number(0),
+            digest: number(8),
+        }
+    }
+}
+
+/// One machine: a node, if it runs, and its disk.
+pub struct Machine {
+    pub id: id::Node,
+    pub node: Option<Node>,
+    pub disk: Saved,
+    pub app: App,
+    pub applied: Index,
+    pub paused: bool,
+    pub site: Site,
+    /// How many outputs are carried out before the process dies.
+    pub fuse: Option<usize>,
+    /// How fast its clock runs, in thousandths.
+    pub rate: u64,
+    started: u64,
+}
+
+impl Machine {
+    pub fn clock(&self, now: u64) -> Time {
+        Time::from_millis((now - self.started) * self.rate / 1_000)
+    }
+
+    pub fn leads(&self, now: u64) -> bool {
+        let node = self.node.as_ref().filter(|_| !self.paused);
+        node.is_some_and(|node| node.leads(self.clock(now)))
+    }
+
+    fn store(&mut self, entries: &[Entry]) {
+        let first = entries[0].index;
+        self.disk.entries.retain(|entry| entry.index < first);
+        self.disk.entries.extend_from_slice(entries);
+    }
+
+    fn snapshot(&mut self, snapshot: Snapshot) {
+        let last = snapshot.last.index;
+        self.disk.entries.retain(|entry| entry.index > last);
+        self.disk.snapshot = Some(snapshot);
+    }
+}
+
+/// What may happen to a message, in thousandths and milliseconds.
+#[derive(Debug, Default, Clone, Copy)]
+pub struct Noise {
+    pub drop: u32,
+    pub double: u32,
+    pub delay: u64,
+}
+
+/// What was seen of all nodes together.
+#[derive(Default)]
+pub struct Oracle {
+    pub committed: BTreeMap<Index, Entry>,
+    leaders: BTreeMap<Term, id::Node>,
+    apps: BTreeMap<Index, App>,
+}
+
+/// Machines, the messages between them, and the true time in milliseconds.
+pub struct Net {
+    pub machines: Vec<Machine>,
+    pub now: u64,
+    pub noise: Noise,
+    pub cut: BTreeSet<(usize, usize)>,
+    pub oracle: Oracle,
+    pub timing: Timing,
+    pub data: usize,
+    /// How many messages and bytes of them were sent.
+    pub messages: u64,
+    pub bytes: u64,
+    founders: Voters,
+    queue: BTreeMap<(u64, u64), (usize, usize, Message)>,
+    random: ChaCha8Rng,
+    sent: u64,
+}
+
+impl Net {
+    /// A cell of `voters` founding members and `spares` learners with disks.
+    pub fn new(voters: u64, spares: u64, seed: u64) -> Self {
+        let timing = Timing {
+            repair: Span::from_secs(3),
+            ..Timing::default()
+        };
+        let mut net = Self {
+            machines: Vec::new(),
+            now: 0,
+            noise: Noise::default(),
+            cut: BTreeSet::new(),
+            oracle: Oracle::default(),
+            timing,
+            data: DATA,
+            messages: 0,
+            bytes: 0,
+            founders: (1..=voters).map(id::Node).collect(),
+            queue: BTreeMap::new(),
+            random: ChaCha8Rng::seed_from_u64(seed),
+            sent: 0,
+        };
+        for number in 1..=voters + spares {
+            net.add(Site::default());
+            net.start(number as usize - 1, number > voters);
+        }
+        net
+    }
+
+    /// Adds a machine with an empty disk; gives its place.
+    pub fn add(&mut self, site: Site) -> usize {
+        let at = self.machines.len();
+        self.machines.push(Machine {
+            id: id::Node(at as u64 + 1),
+            node: None,
+            disk: Saved::default(),
+            app: App::default(),
+            applied: Index(0),
+            paused: false,
+            site,
+            fuse: None,
+            rate: 1_000,
+            started: 0,
+        });
+        at
+    }
+
+    /// Starts a machine's process from its disk.
+    pub fn start(&mut self, at: usize, returning: bool) {
+        let seed = self.random.next_u64();
+        let machine = &mut self.machines[at];
+        if !machine.site.disk {
+            machine.disk = Saved::default();
+        }
+        machine.started = self.now;
+        machine.paused = false;
+        machine.fuse = None;
+        let snapshot = machine.disk.snapshot.as_ref();
+        let data = snapshot.map(|snapshot| App::decode(&snapshot.data));
+        machine.app = data.unwrap_or_default();
+        machine.applied = snapshot.map_or(Index(0), |snapshot| snapshot.last.index);
+        let setup = Setup {
+            node: machine.id,
+            voters: self.founders.clone(),
+            learners: Vec::new(),
+            timing: self.timing,
+            seed,
+        };
+        let node = Node::new(setup, machine.disk.clone(), machine.clock(self.now));
+        let node = node.located(machine.site.clone());
+        machine.node = Some(if returning { node.returning() } else { node });
+    }
+
+    pub fn crash(&mut self, at: usize) {
+        self.machines[at].node = None;
+        self.machines[at].paused = false;
+    }
+
+    pub fn wipe(&mut self, at: usize) {
+        self.crash(at);
+        self.machines[at].disk = Saved::default();
+    }
+
+    /// Cuts a machine off from all others, in both directions.
+    pub fn isolate(&mut self, at: usize) {
+        for other in 0..self.machines.len() {
+            self.cut.insert((at, other));
+            self.cut.insert((other, at));
+        }
+    }
+
+    pub fn node(&self, at: usize) -> &Node {
+        self.machines[at].node.as_ref().expect("the node runs")
+    }
+
+    /// The machine that leads now.
+    pub fn leader(&self) -> Option<usize> {
+        let mut all = 0..self.machines.len();
+        all.find(|&at| self.machines[at].leads(self.now))
+    }
+
+    /// Runs until some node leads, for a minute at most.
+    pub fn settle(&mut self) -> usize {
+        for _ in 0..60_000 / STEP {
+            if let Some(at) = self.leader() {
+                return at;
+            }
+            self.run(STEP);
+        }
+        panic!("nobody leads after a minute");
+    }
+
+    /// Proposes at whoever leads; false if nobody does.
+    pub fn propose(&mut self, commands: impl IntoIterator<Item = Vec<u8>>) -> bool {
+        let Some(at) = self.leader() else {
+            return false;
+        };
+        self.with(at, |node, now| node.propose(commands, now).is_ok())
+    }
+
+    /// Calls a node and carries out what it wants done.
+    pub fn with<T>(&mut self, at: usize, call: impl FnOnce(&mut Node, Time) -> T) -> T {
+        let now = self.machines[at].clock(self.now);
+        let node = self.machines[at].node.as_mut().expect("the node runs");
+        let value = call(node, now);
+        self.carry_out(at);
+        value
+    }
+
+    pub fn compact(&mut self, at: usize) -> bool {
+        let (app, applied) = (self.machines[at].app, self.machines[at].applied);
+        let data = app.encode(self.data);
+        self.with(at, |node, _| node.compact(applied, data))
+    }
+
+    /// Lets the time go on.
+    pub fn run(&mut self, millis: u64) {
+        let end = self.now + millis;
+        while self.now < end {
+            self.now += STEP;
+            for at in 0..self.machines.len() {
+                if self.machines[at].node.is_some() && !self.machines[at].paused {
+                    self.with(at, Node::tick);
+                }
+            }
+            self.deliver();
+            self.check();
+        }
+    }
+
+    fn deliver(&mut self) {
+        let mut held = Vec::new();
+        while let Some(first) = self.queue.first_entry() {
+            if first.key().0 > self.now {
+                break;
+            }
+            let (key, (from, to, message)) = first.remove_entry();
+            if self.cut.contains(&(from, to)) || self.machines[to].node.is_none() {
+                continue;
+            }
+            if self.machines[to].paused {
+                held.push((key, (from, to, message)));
+                continue;
+            }
+            let sender = self.machines[from].id;
+            self.with(to, |node, now| node.receive(sender, message, now));
+        }
+        self.queue.extend(held);
+    }
+
+    fn carry_out(&mut self, at: usize) {
+        let Some(node) = self.machines[at].node.as_mut() else {
+            return;
+        };
+        for output in node.take() {
+            if let Some(fuse) = &mut self.machines[at].fuse {
+                if *fuse == 0 {
+                    return self.crash(at);
+                }
+                *fuse -= 1;
+            }
+            self.act(at, output);
+        }
+    }
+
+    fn act(&mut self, at: usize, output: Output) {
+        let machine = &mut self.machines[at];
+        match output {
+            Output::Save(ballot) => machine.disk.ballot = ballot,
+            Output::Store(entries) => machine.store(&entries),
+            Output::Snapshot(snapshot) => machine.snapshot(snapshot),
+            Output::Restore(data) => {
+                machine.app = App::decode(&data);
+                let node = machine.node.as_ref().expect("the node runs");
+                machine.applied = node.base().index.max(machine.applied);
+                let last = machine.disk.snapshot.as_ref().map(|saved| saved.last.index);
+                machine.applied = last.expect("a snapshot precedes");
+                self.oracle.restored(machine.applied, machine.app);
+            }
+            Output::Send(to, message) => self.post(at, to, message),
+            Output::Apply(entries) => {
+                for entry in entries {
+                    assert_eq!(entry.index, machine.applied.next(), "applied in order");
+                    machine.applied = entry.index;
+                    if let Payload::Command(bytes) = &entry.payload {
+                        machine.app.apply(bytes);
+                    }
+                    self.oracle.applied(entry, machine.app);
+                }
+            }
+            Output::Role(Role::Leader) => {
+                let term = machine.disk.ballot.term;
+                let id = machine.id;
+                let known = *self.oracle.leaders.entry(term).or_insert(id);
+                assert_eq!(known, id, "one leader in {term}");
+            }
+            Output::Role(_) => {}
+        }
+    }
+
+    fn post(&mut self, from: usize, to: id::Node, message: Message) {
+        let to = to.0 as usize - 1;
+        self.messages += 1;
+        self.bytes += postcard::to_allocvec(&message).unwrap().len() as u64;
+        let copies = match self.random.random_range(0..1_000) {
+            chance if chance < self.noise.drop => 0,
+            chance if chance < self.noise.drop + self.noise.double => 2,
+            _ => 1,
+        };
+        for _ in 0..copies {
+            self.sent += 1;
+            let delay = self.random.random_range(0..=self.noise.delay);
+            let key = (self.now + delay, self.sent);
+            self.queue.insert(key, (from, to, message.clone()));
+        }
+    }
+
+    /// At most one node leads at any true time.
+    pub fn check(&self) {
+        let leaders = self
+            .machines
+            .iter()
+            .filter(|machine| machine.leads(self.now));
+        let leaders: Vec<id::Node> = leaders.map(|machine| machine.id).collect();
+        assert!(leaders.len() <= 1, "{leaders:?} lead at {} ms", self.now);
+    }
+
+    /// Mends links and clocks and starts what is down.
+    pub fn heal(&mut self) {
+        self.noise = Noise::default();
+        self.cut.clear();
+        for at in 0..self.machines.len() {
+            self.machines[at].paused = false;
+            self.machines[at].fuse = None;
+            if self.machines[at].node.is_none() {
+                self.start(at, true);
+            }
+        }
+    }
+
+    /// Every running member has applied all that was ever committed.
+    pub fn assert_whole(&self, members: impl IntoIterator<Item = usize>) {
+        let (&last, _) = self.oracle.committed.last_key_value().expect("commits");
+        for at in members {
+            let machine = &self.machines[at];
+            assert_eq!(machine.applied, last, "{} has applied all", machine.id);
+            assert_eq!(machine.app, self.oracle.apps[&last], "{}", machine.id);
+        }
+    }
+}
+
+impl Oracle {
+    fn applied(&mut self, entry: Entry, app: App) {
+        let index = entry.index;
+        let known = self.apps.entry(index).or_insert(app);
+        assert_eq!(*known, app, "the state after {index}");
+        let known = self.committed.entry(index).or_insert_with(|| entry.clone());
+        assert_eq!(*known, entry, "the entry at {index}");
+    }
+
+    fn restored(&self, index: Index, app: App) {
+        assert_eq!(self.apps.get(&index), Some(&app), "the snapshot at {index}");
+    }
+}
