--- a/crates/gentianlane/src/cell/lead.rs
+++ b/crates/gentianlane/src/cell/lead.rs
@@ -94,7 +94,7 @@
         for (rank, name, _) in job.held() {
             workers[rank] = Some(name.clone());
         }
-        self.planner.resume(view, workers);
+        self.planner.resume(view, &workers);
         Vec::new()
     }
 
@@ -303,7 +303,13 @@
                     self.proposed.insert(job);
                     commands.push(command);
                 }
-                Decision::Preempt { job } => commands.push(Command::Preempt { job }),
+                Decision::Preempt { job } | Decision::Evict { job } => {
+                    commands.push(Command::Preempt { job });
+                }
+                Decision::Refuse { job, .. } => commands.push(Command::Close {
+                    job,
+                    reason: Reason::NeverFits,
+                }),
             }
         }
         commands
--- /dev/null
+++ b/crates/gentianlane/src/place/claim.rs
@@ -0,0 +1,156 @@
+//! Room that is set aside for a job that waits for it.
+//!
+//! A claim is made for a whole job at once or not at all, and claims on one
+//! worker never add up to more than the worker can come to have free. So no two
+//! jobs ever hold parts of what the other one needs.
+
+use indexmap::IndexMap;
+
+use crate::id;
+use crate::place::fleet::{Fleet, Hold, Post};
+use crate::place::room::{Seat, rest};
+use crate::place::{Job, Kind};
+use crate::unit::{Size, Span, Time};
+
+/// Room that is set aside.
+#[derive(Debug, Clone)]
+pub(crate) struct Claim {
+    pub(crate) job: Job,
+    /// A worker for each task.
+    pub(crate) seats: Vec<Seat>,
+    /// When the room is expected to be free; for urgent work, none may fill it
+    /// meanwhile.
+    pub(crate) at: Option<Time>,
+}
+
+/// How many tasks of a claim go to each worker.
+pub(crate) fn per_seat(seats: &[Seat]) -> IndexMap<Seat, u32> {
+    let mut counts = IndexMap::new();
+    for &seat in seats {
+        *counts.entry(seat).or_default() += 1;
+    }
+    counts
+}
+
+/// Workers on which a job could start the soonest as running tasks end, and
+/// when. Services don't end, and tasks that run longer than expected are taken
+/// to run as long again.
+pub(crate) fn soonest(fleet: &Fleet, job: &Job, now: Time) -> Option<(Vec<Seat>, Time)> {
+    let mut slots: Vec<(usize, Time, Seat)> = Vec::new();
+    for (seat, post) in fleet.iter() {
+        let useful = job.size.accelerators.0 > 0 || post.size.accelerators.0 == 0;
+        if !useful || !job.size.fits(&post.size) {
+            continue;
+        }
+        for at in openings(fleet, seat, post, job, now) {
+            slots.push((post.domain, at, seat));
+        }
+    }
+    slots.sort_unstable_by_key(|&(_, at, seat)| (at, seat));
+    let count = job.count as usize;
+    if job.kind == Kind::Gang {
+        let domains = 0..fleet.domains.len();
+        let ways = domains.filter_map(|domain| {
+            let inside = slots.iter().filter(|slot| slot.0 == domain);
+            first(inside, count)
+        });
+        if let Some(way) = ways.min_by_key(|(_, at)| *at) {
+            return Some(way);
+        }
+    }
+    first(slots.iter(), count)
+}
+
+fn first<'a>(
+    slots: impl Iterator<Item = &'a (usize, Time, Seat)>,
+    count: usize,
+) -> Option<(Vec<Seat>, Time)> {
+    let taken: Vec<_> = slots.take(count).collect();
+    let (_, at, _) = taken.last()?;
+    let seats = taken.iter().map(|(.., seat)| *seat).collect();
+    (taken.len() == count).then_some((seats, *at))
+}
+
+/// When a worker can hold the first, second and further tasks of a job.
+fn openings(fleet: &Fleet, seat: Seat, post: &Post, job: &Job, now: Time) -> Vec<Time> {
+    let Some(mut free) = fleet.free(seat) else {
+        return Vec::new();
+    };
+    let mut ends: Vec<(Time, Size)> = post
+        .holds
+        .values()
+        .filter_map(|hold| Some((expected(hold, now)?, hold.size)))
+        .collect();
+    ends.sort_unstable_by_key(|(end, _)| *end);
+    let mut openings = Vec::new();
+    let mut need = post.claimed;
+    let mut at = now;
+    let mut ends = ends.into_iter();
+    while openings.len() < job.count as usize {
+        let Some(more) = need.plus(&job.size) else {
+            break;
+        };
+        if more.fits(&free) {
+            need = more;
+            openings.push(at);
+            continue;
+        }
+        let Some((end, size)) = ends.next() else {
+            break;
+        };
+        at = end;
+        free = free.plus(&size).unwrap_or(free);
+    }
+    openings
+}
+
+fn expected(hold: &Hold, now: Time) -> Option<Time> {
+    let end = hold.end?;
+    let again = now.since(hold.begun).max(Span::from_secs(1));
+    Some(if end > now { end } else { now.after(again) })
+}
+
+/// The tasks to stop on a worker so that `need` comes free beside what others
+/// have claimed: none that may not yield, and the youngest first, as they lose
+/// the least. `None` if that isn't enough.
+pub(crate) fn victims(
+    fleet: &Fleet,
+    seat: Seat,
+    need: &Size,
+    stops: impl Fn(id::Job) -> bool,
+) -> Option<Vec<id::Job>> {
+    let post = fleet.post(seat);
+    let need = need.plus(&post.claimed)?;
+    let mut free = fleet.free(seat)?;
+    let mut yields: Vec<(&id::Task, &Hold)> = Vec::new();
+    for (task, hold) in &post.holds {
+        if stops(task.job) {
+            free = free.plus(&hold.size)?;
+        } else if hold.yields {
+            yields.push((task, hold));
+        }
+    }
+    yields.sort_unstable_by_key(|(task, hold)| (std::cmp::Reverse(hold.begun), **task));
+    let mut chosen: Vec<(&id::Task, &Hold)> = Vec::new();
+    for (task, hold) in yields {
+        if need.fits(&free) {
+            break;
+        }
+        let useful = rest(&need, &free);
+        if rest(&useful, &hold.size) != useful {
+            free = free.plus(&hold.size)?;
+            chosen.push((task, hold));
+        }
+    }
+    if !need.fits(&free) {
+        return None;
+    }
+    chosen.retain(|(_, hold)| match free.less(&hold.size) {
+        Some(less) if need.fits(&less) => {
+            free = less;
+            false
+        }
+        _ => true,
+    });
+    Some(chosen.into_iter().map(|(task, _)| task.job).collect())
+}
--- /dev/null
+++ b/crates/gentianlane/src/place/explain.rs
@@ -0,0 +1,75 @@
+//! Why a job waits.
+
+use crate::id;
+use crate::place::claim::Claim;
+use crate::place::queue::Shape;
+use crate::place::{Job, Kind, Planner};
+use crate::unit::Time;
+
+impl Planner {
+    /// Why a job waits, in one sentence; `None` if it doesn't wait here.
+    #[must_use]
+    pub fn explain(&self, job: id::Job, now: Time) -> Option<String> {
+        if let Some(claim) = self.claims.get(&job) {
+            return Some(self.claimed(claim, now));
+        }
+        let job = self.queue.get(job)?;
+        let waited = now.since(job.since);
+        Some(format!("waits since {waited} {}", self.obstacle(job)))
+    }
+
+    fn claimed(&self, claim: &Claim, now: Time) -> String {
+        let waited = now.since(claim.job.since);
+        let names: indexmap::IndexSet<&id::Worker> = claim
+            .seats
+            .iter()
+            .map(|&seat| &self.fleet.post(seat).name)
+            .collect();
+        let names: Vec<String> = names.iter().map(ToString::to_string).collect();
+        let names = names.join(", ");
+        match claim.at {
+            Some(at) => format!(
+                "waits since {waited} for tasks to end on {names}, where room is set \
+                 aside for it, in about {}",
+                at.since(now)
+            ),
+            None => format!(
+                "waits since {waited} for tasks to stop on {names}, which make room \
+                 for it"
+            ),
+        }
+    }
+
+    fn obstacle(&self, job: &Job) -> String {
+        let (count, size) = (job.count, job.size);
+        if self.fleet.len() == 0 {
+            return "for a worker to announce itself; none is known".to_owned();
+        }
+        if let Some(misfit) = self.known.misfit(&Shape::of(job)) {
+            return format!("for a larger worker to announce itself: {misfit}");
+        }
+        let able = self.fleet.iter().filter(|(seat, post)| {
+            self.fleet.free(*seat).is_some() && size.fits(&post.size)
+        });
+        if able.count() == 0 {
+            return format!(
+                "for a worker that can hold {size} to come back into use; those that \
+                 could are lost, draining or in quarantine"
+            );
+        }
+        if job.kind == Kind::Service && !self.pace.has_replica() {
+            return "as replicas are placed at a bounded rate".to_owned();
+        }
+        let mut rooms = self.fleet.all.iter();
+        if rooms.any(|room| room.holds(&size)) && count == 1 {
+            let before = self.queue.before(job.job);
+            return format!("for its turn; {before} jobs are before it");
+        }
+        let more = size.times(count).unwrap_or(size);
+        let borrows = match self.shares.is_entitled(&job.team, &more) {
+            true => String::new(),
+            false => format!("; team {} has used up its quota", job.team),
+        };
+        format!("for room for {count} times {size}{borrows}")
+    }
+}
--- a/crates/gentianlane/src/place/ledger.rs
+++ b/crates/gentianlane/src/place/ledger.rs
@@ -178,10 +178,18 @@
     }
 
     /// Gives back what was reserved once.
-    pub fn release(&mut self, name: &id::Worker, size: &Size) {
-        if let Some(worker) = self.workers.get_mut(name) {
-            worker.reserved = worker.reserved.less(size).unwrap_or_default();
-        }
+    ///
+    /// False, and nothing is given back, if the worker isn't known or has less
+    /// than that reserved: what was never reserved can't become free.
+    pub fn release(&mut self, name: &id::Worker, size: &Size) -> bool {
+        let Some(worker) = self.workers.get_mut(name) else {
+            return false;
+        };
+        let Some(left) = worker.reserved.less(size) else {
+            return false;
+        };
+        worker.reserved = left;
+        true
     }
 
     /// Reserves what is known to run already, whatever the worker has left.
--- a/crates/gentianlane/src/place/planner.rs
+++ b/crates/gentianlane/src/place/planner.rs
@@ -1,74 +1,83 @@
-//! The queue, and the decisions upon it.
+//! What the planner knows, and how it learns of changes.
 
-use derive_more::Display;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use crate::id;
 use crate::note::{Quota, Settings};
-use crate::place::{Job, Kind, Ledger, Worker};
+use crate::place::blame::{Blame, Ruling};
+use crate::place::choose::Peers;
+use crate::place::claim::{Claim, per_seat};
+use crate::place::fleet::{Fleet, Hold};
+use crate::place::learn::Learner;
+use crate::place::misfit::Known;
+use crate::place::pace::Pace;
+use crate::place::queue::{Queue, Scale, Shape};
+use crate::place::room::Seat;
+use crate::place::share::Shares;
+use crate::place::{Ended, Job, Kind, Ledger, Misfit, Setup, Worker};
 use crate::unit::{Size, Span, Time};
 
-/// What a planner is given at first.
-#[derive(Debug, Clone, Default)]
-pub struct Setup {
-    /// The seed of its random choices.
-    pub seed: u64,
-}
-
-/// What the planner wants done.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Decision {
-    /// Start a job: the task of rank `i` on the `i`th worker.
-    ///
-    /// The planner holds the room until it hears [`Planner::started`] or
-    /// [`Planner::refused`].
-    Start {
-        /// The job.
-        job: id::Job,
-        /// A worker for each task.
-        workers: Vec<id::Worker>,
-    },
-    /// Have a running job write a checkpoint and stop, to make room.
-    ///
-    /// The planner hears of its end by [`Planner::released`], and gets it back
-    /// by [`Planner::admit`].
-    Preempt {
-        /// The job.
-        job: id::Job,
-    },
-}
-
-/// How a task's end looks to placement.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Ended {
-    /// By itself, after running this long.
-    Done(Span),
-    /// With a failure, after running this long.
-    Failed(Span),
-    /// By an order, or with its worker: says nothing about either.
-    Stopped,
-}
+/// For how long a planner that has just begun refuses nothing, as workers may
+/// still come back.
+pub(crate) const SETTLING: Span = Span::from_secs(10);
 
-/// Why a job can never start.
-#[derive(Debug, Clone, PartialEq, Eq, Display)]
-#[display("no worker of {known} can hold {size}; the nearest is {nearest}, {lack}")]
-pub struct Misfit {
-    /// How many workers were looked at.
-    pub known: usize,
-    /// What one task needs.
-    pub size: Size,
-    /// The worker that comes closest.
-    pub nearest: id::Worker,
-    /// What it lacks.
-    pub lack: String,
+/// A job that holds workers.
+#[derive(Debug, Clone)]
+pub(crate) struct Held {
+    pub(crate) job: Job,
+    /// Where each task is; `None` once it is gone.
+    pub(crate) seats: Vec<Option<Seat>>,
+    /// Whether it was asked to stop.
+    pub(crate) stops: bool,
 }
 
 /// The queue, the workers as placement sees them, and what was learned.
+///
+/// A planner decides; a decision becomes true when the log has taken it up. It
+/// is told of every change, and the work for each is bounded.
+///
+/// ```
+/// use gentianlane::place::{Decision, Job, Kind, Planner, Setup, Worker};
+/// use gentianlane::unit::{Size, Time};
+/// use gentianlane::id;
+///
+/// let mut planner = Planner::new(&Setup::default());
+/// let place = ("r".into(), "d".into(), "k".into());
+/// let worker = Worker::new(id::Incarnation(1), place, Size::new(2_000, 8 << 30, 0));
+/// planner.put_worker(&"w".into(), &worker);
+/// let job = Job {
+///     job: id::Job(1),
+///     team: "reminders".into(),
+///     workload: "route".into(),
+///     kind: Kind::Batch,
+///     size: Size::new(1_000, 1 << 30, 0),
+///     count: 1,
+///     urgent: false,
+///     idempotent: true,
+///     since: Time::default(),
+///     deadline: None,
+///     expected: None,
+/// };
+/// assert!(planner.admit(job).is_ok());
+/// let decisions = planner.plan(Time::default(), 10);
+/// let workers = vec!["w".into()];
+/// assert_eq!(decisions, [Decision::Start { job: id::Job(1), workers }]);
+/// ```
 #[derive(Debug, Clone)]
 pub struct Planner {
-    ledger: Ledger,
-    waiting: IndexMap<id::Job, Job>,
-    held: IndexMap<id::Job, (Job, Vec<Option<id::Worker>>)>,
+    pub(crate) packing: u8,
+    pub(crate) fleet: Fleet,
+    pub(crate) queue: Queue,
+    pub(crate) held: IndexMap<id::Job, Held>,
+    pub(crate) claims: IndexMap<id::Job, Claim>,
+    pub(crate) shares: Shares,
+    pub(crate) learner: Learner,
+    pub(crate) blame: Blame,
+    pub(crate) known: Known,
+    pub(crate) peers: IndexMap<id::Workload, Peers>,
+    /// Jobs taken in while too little was known to refuse them.
+    pub(crate) doubtful: IndexSet<id::Job>,
+    pub(crate) pace: Pace,
 }
 
 impl Planner {
@@ -76,175 +85,277 @@
     #[must_use]
     pub fn new(_setup: &Setup) -> Self {
         Self {
-            ledger: Ledger::default(),
-            waiting: IndexMap::new(),
+            packing: Settings::default().packing,
+            fleet: Fleet::default(),
+            queue: Queue::default(),
             held: IndexMap::new(),
+            claims: IndexMap::new(),
+            shares: Shares::default(),
+            learner: Learner::default(),
+            blame: Blame::default(),
+            known: Known::default(),
+            peers: IndexMap::new(),
+            doubtful: IndexSet::new(),
+            pace: Pace::default(),
         }
     }
 
-    /// Takes over the settings and quotas in force.
+    /// Takes over the settings and quotas in force. Jobs that wait keep the
+    /// rank that they were given.
     pub fn configure<'a>(
         &mut self,
-        _settings: &Settings,
-        _teams: impl Iterator<Item = (&'a id::Team, &'a Quota)>,
+        settings: &Settings,
+        teams: impl Iterator<Item = (&'a id::Team, &'a Quota)>,
     ) {
+        self.packing = settings.packing.min(100);
+        self.shares.configure(teams);
+        self.queue.wake(|_| true);
     }
 
-    /// Takes in a worker, or what has changed of it.
+    /// Takes in a worker, or what has changed of it. What it says of
+    /// reservations is left aside: tasks that run come by [`Planner::resume`].
     pub fn put_worker(&mut self, name: &id::Worker, worker: &Worker) {
-        self.ledger.put(name, worker.clone());
+        self.known.insert(name, &worker.size);
+        self.fleet.put(name, worker);
     }
 
-    /// Takes a worker out of use; what it still holds is released one by one.
+    /// Takes a worker out of use; what it still holds is released one by one,
+    /// and room that was set aside on it is given up in the next round.
     pub fn drop_worker(&mut self, name: &id::Worker) {
-        self.ledger.drain(name, true);
+        let Some(seat) = self.fleet.seat(name) else {
+            return;
+        };
+        self.blame.forget(name);
+        self.fleet.bar(seat, false);
+        self.fleet.remove(name);
     }
 
     /// Takes a job into the queue.
     ///
     /// # Errors
     ///
-    /// [`Misfit`] if no worker that the planner knows, however empty, could
-    /// hold one of its tasks; it isn't taken in.
+    /// [`Misfit`] if no worker that the planner has ever known, however empty,
+    /// could hold one of its tasks, or all together couldn't hold them at once;
+    /// it isn't taken in. A planner that has just begun, or that knows no
+    /// worker, takes it in and may refuse it later.
     pub fn admit(&mut self, job: Job) -> Result<(), Misfit> {
-        if let Some(misfit) = self.misfit(&job.size) {
-            return Err(misfit);
+        if let Some(misfit) = self.known.misfit(&Shape::of(&job)) {
+            if self.pace.is_settled(SETTLING) {
+                return Err(misfit);
+            }
+            self.doubtful.insert(job.job);
+        } else if self.known.is_empty() {
+            self.doubtful.insert(job.job);
         }
-        self.waiting.insert(job.job, job);
+        self.unclaim(job.job);
+        self.enqueue(job);
         Ok(())
     }
 
+    pub(crate) fn enqueue(&mut self, job: Job) {
+        let scale = Scale {
+            packing: self.packing,
+            run: self.learner.middle(&job.workload, job.expected),
+            part: self.known.part(&job.size),
+        };
+        self.queue.insert(job, &scale);
+    }
+
     /// Takes a job out of the queue; false if it doesn't wait there.
     pub fn withdraw(&mut self, job: id::Job) -> bool {
-        self.waiting.shift_remove(&job).is_some()
+        self.doubtful.swap_remove(&job);
+        self.unclaim(job);
+        self.queue.remove(job).is_some()
+    }
+
+    /// Gives up what is set aside for a job, which goes back into the queue.
+    pub(crate) fn unclaim(&mut self, job: id::Job) {
+        let Some(claim) = self.claims.shift_remove(&job) else {
+            return;
+        };
+        for &seat in &claim.seats {
+            self.fleet.unclaim(seat, &claim.job.size);
+        }
+        self.enqueue(claim.job);
     }
 
     /// Takes in a job that already holds workers, when a leader begins.
-    pub fn resume(&mut self, job: Job, workers: Vec<Option<id::Worker>>) {
-        for name in workers.iter().flatten() {
-            self.ledger.assume(name, &job.size);
+    pub fn resume(&mut self, job: Job, workers: &[Option<id::Worker>]) {
+        let hold = self.hold(&job, job.since);
+        let mut seats = Vec::with_capacity(workers.len());
+        for (rank, name) in workers.iter().enumerate() {
+            let seat = name.as_ref().and_then(|name| self.fleet.seat(name));
+            if let Some(seat) = seat {
+                self.fleet.resume(job.job, rank, seat, hold);
+                self.shares.take(&job.team, &job.size);
+                self.stand(&job, seat);
+            }
+            seats.push(seat);
+        }
+        let stops = false;
+        self.held.insert(job.job, Held { job, seats, stops });
+    }
+
+    pub(crate) fn hold(&self, job: &Job, now: Time) -> Hold {
+        let run = self.learner.most(&job.workload);
+        let run = run.or(job.expected);
+        let run = run.unwrap_or_else(|| self.learner.middle(&job.workload, None));
+        Hold {
+            size: job.size,
+            begun: now,
+            end: (job.kind != Kind::Service).then(|| now.after(run)),
+            yields: job.idempotent && !job.urgent,
+        }
+    }
+
+    /// Counts a service's replica where it stands.
+    pub(crate) fn stand(&mut self, job: &Job, seat: Seat) {
+        if job.kind == Kind::Service {
+            let peers = self.peers.entry(job.workload.clone()).or_default();
+            *peers.entry(seat).or_default() += 1;
+        }
+    }
+
+    fn unstand(&mut self, job: &Job, seat: Seat) {
+        let Some(peers) = self.peers.get_mut(&job.workload) else {
+            return;
+        };
+        if let Some(count) = peers.get_mut(&seat) {
+            *count -= 1;
+            if *count == 0 {
+                peers.swap_remove(&seat);
+            }
+        }
+        if peers.is_empty() {
+            self.peers.swap_remove(&job.workload);
         }
-        self.held.insert(job.job, (job, workers));
     }
 
     /// The log has taken up a decision to start.
-    pub fn started(&mut self, _job: id::Job, _now: Time) {}
+    pub fn started(&mut self, job: id::Job, now: Time) {
+        let Some(held) = self.held.get(&job) else {
+            return;
+        };
+        for (rank, seat) in (0..).zip(&held.seats) {
+            if let Some(seat) = *seat {
+                self.fleet.time(id::Task { job, rank }, seat, now);
+            }
+        }
+    }
 
     /// A decision to start didn't hold: the job waits again.
     pub fn refused(&mut self, job: id::Job) {
-        let Some((job, workers)) = self.held.swap_remove(&job) else {
+        let Some(held) = self.held.swap_remove(&job) else {
             return;
         };
-        for name in workers.iter().flatten() {
-            self.ledger.release(name, &job.size);
+        for (rank, seat) in (0..).zip(&held.seats) {
+            if let Some(seat) = *seat {
+                let name = &self.fleet.post(seat).name;
+                self.blame.silent(name, job, Time::default());
+                self.vacate(&held.job, rank, seat);
+            }
         }
-        self.waiting.insert(job.job, job);
+        self.enqueue(held.job);
     }
 
     /// A task is known to be gone from its worker.
-    pub fn released(&mut self, task: id::Task, _ended: Ended, _now: Time) {
-        let Some((job, workers)) = self.held.get_mut(&task.job) else {
+    pub fn released(&mut self, task: id::Task, ended: Ended, now: Time) {
+        let Some(held) = self.held.get_mut(&task.job) else {
             return;
         };
-        let slot = workers.get_mut(task.rank as usize);
-        if let Some(name) = slot.and_then(Option::take) {
-            self.ledger.release(&name, &job.size);
-        }
-        if workers.iter().all(Option::is_none) {
+        let slot = held.seats.get_mut(task.rank as usize);
+        let Some(seat) = slot.and_then(Option::take) else {
+            return;
+        };
+        let job = held.job.clone();
+        if held.seats.iter().all(Option::is_none) {
             self.held.swap_remove(&task.job);
         }
+        let name = self.fleet.post(seat).name.clone();
+        self.judge(&job, &name, seat, ended, now);
+        self.vacate(&job, task.rank, seat);
+    }
+
+    fn vacate(&mut self, job: &Job, rank: u32, seat: Seat) {
+        let task = id::Task { job: job.job, rank };
+        if self.fleet.release(task, seat).is_some() {
+            self.shares.give(&job.team, &job.size);
+            self.unstand(job, seat);
+        }
     }
 
-    /// Decides what can start now, at most `limit` decisions.
-    pub fn plan(&mut self, _now: Time, limit: usize) -> Vec<Decision> {
-        let mut decisions = Vec::new();
-        let jobs: Vec<id::Job> = self.waiting.keys().copied().collect();
-        for id in jobs {
-            if decisions.len() >= limit {
-                break;
+    /// Learns from how a task ended.
+    fn judge(
+        &mut self,
+        job: &Job,
+        name: &id::Worker,
+        seat: Seat,
+        ended: Ended,
+        now: Time,
+    ) {
+        let ruling = match ended {
+            Ended::Done(span) => {
+                self.learner.ran(&job.workload, span);
+                self.blame.done(name, &job.workload)
             }
-            let Some(workers) = self.waiting.get(&id).and_then(|job| self.fit(job))
-            else {
-                continue;
-            };
-            let Some(job) = self.waiting.shift_remove(&id) else {
-                continue;
-            };
-            if self.ledger.reserve(&workers, &job.size).is_err() {
-                self.waiting.insert(id, job);
-                continue;
+            Ended::Failed(_) => {
+                let known = self.fleet.len();
+                self.blame.failed(name, &job.workload, known, now)
             }
-            let held = workers.iter().cloned().map(Some).collect();
-            self.held.insert(id, (job, held));
-            decisions.push(Decision::Start { job: id, workers });
-        }
-        decisions
-    }
-
-    /// The first workers with room for all tasks of a job.
-    fn fit(&self, job: &Job) -> Option<Vec<id::Worker>> {
-        let mut workers = Vec::new();
-        for (name, worker) in self.ledger.iter().filter(|(_, worker)| !worker.draining) {
-            let mut free = worker.free();
-            while workers.len() < job.count as usize {
-                let Some(rest) = free.less(&job.size) else {
-                    break;
-                };
-                free = rest;
-                workers.push(name.clone());
-                if job.kind == Kind::Service {
-                    break;
-                }
+            Ended::Stopped => {
+                self.blame.silent(name, job.job, now);
+                Ruling::Same
             }
+        };
+        match ruling {
+            Ruling::Same => {}
+            Ruling::Bar => self.fleet.bar(seat, true),
+            Ruling::Clear => self.fleet.bar(seat, false),
         }
-        (workers.len() == job.count as usize).then_some(workers)
-    }
-
-    /// Why no worker could ever hold a task of this size.
-    fn misfit(&self, size: &Size) -> Option<Misfit> {
-        let (nearest, _) = self.ledger.iter().max_by_key(|(_, worker)| {
-            let Size {
-                cpu,
-                memory,
-                accelerators,
-            } = worker.size;
-            (
-                accelerators >= size.accelerators,
-                memory >= size.memory,
-                cpu >= size.cpu,
-            )
-        })?;
-        if self
-            .ledger
-            .iter()
-            .any(|(_, worker)| size.fits(&worker.size))
-        {
-            return None;
-        }
-        let known = self.ledger.iter().count();
-        let lack = "which is smaller".to_owned();
-        Some(Misfit {
-            known,
-            size: *size,
-            nearest: nearest.clone(),
-            lack,
-        })
+    }
+
+    /// Takes in the most that a task of a workload was seen to use.
+    pub fn used(&mut self, workload: &id::Workload, peak: &Size) {
+        self.learner.used(workload, peak);
+    }
+
+    /// The peak use of nine of ten tasks of a workload; `None` if too few were
+    /// seen. It never makes a worker hold more than its tasks declare.
+    #[must_use]
+    pub fn peak(&self, workload: &id::Workload) -> Option<Size> {
+        self.learner.peak(workload)
     }
 
     /// How many jobs wait.
     #[must_use]
     pub fn waiting(&self) -> usize {
-        self.waiting.len()
+        self.queue.len() + self.claims.len()
     }
 
-    /// Why a job waits, in one sentence; `None` if it doesn't wait here.
+    /// What is reserved on each worker, also by decisions in flight.
     #[must_use]
-    pub fn explain(&self, job: id::Job, now: Time) -> Option<String> {
-        let job = self.waiting.get(&job)?;
-        let waited = now.since(job.since);
-        let (count, size) = (job.count, job.size);
-        Some(format!(
-            "waits since {waited} for room for {count} times {size}"
-        ))
+    pub fn ledger(&self) -> &Ledger {
+        self.fleet.ledger()
+    }
+
+    /// The workers in quarantine.
+    pub fn quarantined(&self) -> impl Iterator<Item = &id::Worker> {
+        self.blame.barred()
+    }
+
+    /// Whether the claims on a worker leave room for a job to run on it until
+    /// the first of them expects to start.
+    pub(crate) fn spans(&self, claim: &Claim, run: Span, now: Time) -> bool {
+        claim.at.is_some_and(|at| now.after(run) <= at)
+    }
+
+    /// Sets room aside for a job that has left the queue.
+    pub(crate) fn claim(&mut self, claim: Claim) {
+        for (seat, count) in per_seat(&claim.seats) {
+            if let Some(size) = claim.job.size.times(count) {
+                self.fleet.claim(seat, &size);
+            }
+        }
+        self.claims.insert(claim.job.job, claim);
     }
 }
--- /dev/null
+++ b/crates/gentianlane/src/place/round.rs
@@ -0,0 +1,363 @@
+//! One round of decisions.
+//!
+//! A round first stops what no longer fits on workers that have shrunk, then
+//! starts jobs for which room was set aside, then goes through the lanes in
+//! order of rank. The number of searches in a round is bounded; what isn't
+//! reached is tried in the next.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+use indexmap::IndexSet;
+
+use crate::id;
+use crate::place::choose::Search;
+use crate::place::claim::{Claim, per_seat, soonest};
+use crate::place::planner::{Held, SETTLING};
+use crate::place::queue::{Shape, Track};
+use crate::place::room::{Seat, times};
+use crate::place::{Decision, Job, Kind, Planner};
+use crate::unit::{Span, Time};
+
+/// How many searches a round makes for each decision that it may take.
+const SEARCHES: usize = 4;
+
+/// How many workers are looked at for one that urgent work could take.
+const LOOKS: usize = 24;
+
+/// Up to how many workers on which more has come open are told apart.
+const GROWN: usize = 32;
+
+/// How many workers there are to each job for which room is set aside.
+const WORKERS_PER_CLAIM: usize = 32;
+
+/// The part of the largest worker from which on a single task gets room set
+/// aside; smaller ones find it as tasks end.
+const LARGE: f64 = 0.25;
+
+/// How long a job waits at least before room is set aside for it.
+const PATIENCE: Span = Span::from_secs(1);
+
+/// How much longer it waits for each percent by which packing weighs.
+const PATIENCE_STEP: Span = Span::from_millis(300);
+
+/// What a round has done so far.
+pub(crate) struct Round {
+    now: Time,
+    limit: usize,
+    /// How many searches are left.
+    pub(crate) searches: usize,
+    pub(crate) decisions: Vec<Decision>,
+    /// What was found not to fit in this round.
+    futile: IndexSet<Shape>,
+    /// What urgent work was found unable to take in this round.
+    pub(crate) stuck: IndexSet<Shape>,
+}
+
+impl Round {
+    fn is_over(&self) -> bool {
+        self.decisions.len() >= self.limit || self.searches == 0
+    }
+}
+
+impl Planner {
+    /// Decides what can start now, at most `limit` decisions, and a bounded
+    /// amount of work.
+    pub fn plan(&mut self, now: Time, limit: usize) -> Vec<Decision> {
+        let mut round = Round {
+            now,
+            limit,
+            searches: limit.saturating_mul(SEARCHES),
+            decisions: Vec::new(),
+            futile: IndexSet::new(),
+            stuck: IndexSet::new(),
+        };
+        self.pace.tick(now);
+        self.settle_doubts(&mut round);
+        self.evict(&mut round);
+        self.honour(&mut round);
+        self.wake(now);
+        self.serve(&mut round);
+        round.decisions
+    }
+
+    /// Refuses what was taken in while too little was known.
+    fn settle_doubts(&mut self, round: &mut Round) {
+        let settled = self.pace.is_settled(SETTLING);
+        if !settled || self.known.is_empty() {
+            return;
+        }
+        while round.decisions.len() < round.limit {
+            let Some(id) = self.doubtful.pop() else {
+                return;
+            };
+            let Some(job) = self.queue.get(id) else {
+                continue;
+            };
+            if let Some(misfit) = self.known.misfit(&Shape::of(job)) {
+                self.queue.remove(id);
+                round.decisions.push(Decision::Refuse { job: id, misfit });
+            }
+        }
+    }
+
+    /// Stops what is too much on workers that have become smaller.
+    fn evict(&mut self, round: &mut Round) {
+        while round.decisions.len() < round.limit {
+            let Some(seat) = self.fleet.shrunk.pop() else {
+                return;
+            };
+            for job in self.surplus(seat) {
+                if let Some(held) = self.held.get_mut(&job) {
+                    held.stops = true;
+                    round.decisions.push(Decision::Evict { job });
+                }
+            }
+        }
+    }
+
+    /// The jobs to stop so that a worker holds no more than it has: those that
+    /// yield first, then the idempotent, and of each the youngest first.
+    fn surplus(&self, seat: Seat) -> Vec<id::Job> {
+        let post = self.fleet.post(seat);
+        let Some(worker) = self.fleet.ledger().get(&post.name) else {
+            return Vec::new();
+        };
+        let mut left = worker.reserved();
+        let mut holds: Vec<_> = post.holds.iter().collect();
+        let rank = |job: id::Job, yields: bool| {
+            let held = self.held.get(&job);
+            let stops = held.is_some_and(|held| held.stops);
+            let again = held.is_some_and(|held| held.job.idempotent);
+            (!stops, !yields, !again)
+        };
+        holds.sort_by_key(|(task, hold)| {
+            (rank(task.job, hold.yields), Reverse(hold.begun), **task)
+        });
+        let mut jobs = IndexSet::new();
+        for (task, hold) in holds {
+            if left.fits(&worker.size) {
+                break;
+            }
+            left = left.less(&hold.size).unwrap_or_default();
+            let stops = self.held.get(&task.job).is_some_and(|held| held.stops);
+            if !stops {
+                jobs.insert(task.job);
+            }
+        }
+        jobs.into_iter().collect()
+    }
+
+    /// Starts jobs for which room was set aside and has come free.
+    fn honour(&mut self, round: &mut Round) {
+        let jobs: Vec<id::Job> = self.claims.keys().copied().collect();
+        for id in jobs {
+            if round.decisions.len() >= round.limit {
+                return;
+            }
+            let Some(claim) = self.claims.get(&id) else {
+                continue;
+            };
+            let size = claim.job.size;
+            let counts = per_seat(&claim.seats);
+            let free = |seat| self.fleet.free(seat).unwrap_or_default();
+            if counts
+                .iter()
+                .all(|(&seat, &count)| times(&size, &free(seat)) >= count)
+            {
+                let seats = claim.seats.clone();
+                self.unclaim(id);
+                self.start(id, &seats, round);
+                continue;
+            }
+            let usable = |&seat: &Seat| self.fleet.free(seat).is_some();
+            let fits = |(&seat, &count): (&Seat, &u32)| {
+                times(&size, &self.fleet.post(seat).size) >= count
+            };
+            if !claim.seats.iter().all(usable) || !counts.iter().all(fits) {
+                self.unclaim(id);
+            }
+        }
+    }
+
+    /// Has lanes tried again for which something has come open.
+    fn wake(&mut self, now: Time) {
+        let grown = self.fleet.take_grown();
+        if self.pace.sweeps(now) || grown.len() > GROWN {
+            self.queue.wake(|_| true);
+            return;
+        }
+        let fleet = &self.fleet;
+        let open = grown.iter().filter_map(|&seat| fleet.open(seat));
+        let open: Vec<_> = open.collect();
+        self.queue
+            .wake(|shape| open.iter().any(|open| shape.size.fits(open)));
+    }
+
+    /// Goes through the lanes in order.
+    fn serve(&mut self, round: &mut Round) {
+        let ready: Vec<Track> = self.queue.ready().collect();
+        let mut order: BinaryHeap<_> = ready
+            .into_iter()
+            .filter_map(|track| Some(Reverse((self.turn(track)?, track))))
+            .collect();
+        while let Some(Reverse((turn, track))) = order.pop() {
+            if round.is_over() {
+                return;
+            }
+            let Some(now) = self.turn(track) else {
+                continue;
+            };
+            let next = order.peek().map(|Reverse((next, _))| *next);
+            if now > turn && next.is_some_and(|next| next < now) {
+                order.push(Reverse((now, track)));
+                continue;
+            }
+            if !self.attempt(track, round) {
+                self.queue.block(track);
+            } else if let Some(turn) = self.turn(track) {
+                order.push(Reverse((turn, track)));
+            }
+        }
+    }
+
+    /// When a lane's first job has its turn: urgent work of teams within their
+    /// quotas first, then by rank and by what the team uses already.
+    fn turn(&self, track: Track) -> Option<(bool, u64)> {
+        let (rank, job) = self.queue.lane(track).head()?;
+        let more = job.size.times(job.count).unwrap_or(job.size);
+        if job.urgent && self.shares.is_entitled(&job.team, &more) {
+            return Some((false, rank));
+        }
+        let total = self.fleet.total();
+        let penalty = self.shares.penalty(&job.team, &more, &total);
+        Some((true, rank.saturating_add(penalty.as_millis())))
+    }
+
+    /// Tries a lane's first job; false if the lane has to wait.
+    fn attempt(&mut self, track: Track, round: &mut Round) -> bool {
+        let Some((_, job)) = self.queue.lane(track).head() else {
+            return false;
+        };
+        let shape = Shape::of(job);
+        let service = job.kind == Kind::Service;
+        if service && !self.pace.has_replica() {
+            return false;
+        }
+        if let Some(seat) = self.probe(job, round.now) {
+            let id = job.job;
+            let name = self.fleet.post(seat).name.clone();
+            self.blame.probe(&name, id);
+            return self.start(id, &[seat], round);
+        }
+        if !round.futile.contains(&shape) {
+            round.searches = round.searches.saturating_sub(1);
+            let search = Search {
+                fleet: &self.fleet,
+                job,
+                packing: self.packing,
+            };
+            if let Some(seats) = search.find(self.peers.get(&job.workload)) {
+                let id = job.job;
+                if service {
+                    self.pace.take_replica();
+                }
+                return self.start(id, &seats, round);
+            }
+            round.futile.insert(shape);
+        }
+        let job = job.clone();
+        self.backfill(&job, round)
+            || self.take_over(&job, round)
+            || self.reserve(&job, round)
+    }
+
+    /// A worker in quarantine to try with this job.
+    fn probe(&self, job: &Job, now: Time) -> Option<Seat> {
+        let harmless = job.kind == Kind::Batch && job.idempotent && job.count == 1;
+        if !harmless || job.urgent {
+            return None;
+        }
+        let seat = self.fleet.seat(self.blame.due(now)?)?;
+        let post = self.fleet.post(seat);
+        let worker = self.fleet.ledger().get(&post.name)?;
+        let fits = !worker.draining && job.size.fits(&worker.free());
+        let plain = job.size.accelerators.0 > 0 || post.size.accelerators.0 == 0;
+        (fits && (plain || post.holds.is_empty())).then_some(seat)
+    }
+
+    /// Starts a short job in room that is set aside for later.
+    fn backfill(&mut self, job: &Job, round: &mut Round) -> bool {
+        if job.kind != Kind::Batch || job.count != 1 {
+            return false;
+        }
+        let run = self.learner.most(&job.workload);
+        let run = run
+            .unwrap_or_else(|| self.learner.middle(&job.workload, job.expected).times(2));
+        let later = self.claims.values();
+        let later = later.filter(|claim| self.spans(claim, run, round.now));
+        let seats = later.flat_map(|claim| claim.seats.iter().copied());
+        let free = |seat| self.fleet.free(seat).unwrap_or_default();
+        let mut seats = seats.take(LOOKS);
+        let Some(seat) = seats.find(|&seat| job.size.fits(&free(seat))) else {
+            return false;
+        };
+        let plain = self.fleet.post(seat).size.accelerators.0 == 0;
+        if job.size.accelerators.0 == 0 && !plain {
+            return false;
+        }
+        self.start(job.job, &[seat], round)
+    }
+
+    /// Sets room aside for a job that smaller ones would starve.
+    fn reserve(&mut self, job: &Job, round: &mut Round) -> bool {
+        let patience = PATIENCE + PATIENCE_STEP.times(self.packing.into());
+        let waited = round.now.since(job.since) >= patience;
+        let large = job.count > 1 || self.known.part(&job.size) >= LARGE;
+        let most = 1 + self.fleet.len() / WORKERS_PER_CLAIM;
+        if !waited || !large || self.claims.len() >= most {
+            return false;
+        }
+        if !self.pace.reserves(round.now) {
+            return false;
+        }
+        let Some((seats, at)) = soonest(&self.fleet, job, round.now) else {
+            return false;
+        };
+        let Some(job) = self.queue.remove(job.job) else {
+            return false;
+        };
+        self.claim(Claim {
+            job,
+            seats,
+            at: Some(at),
+        });
+        true
+    }
+
+    /// Reserves room for a job that waits and decides to start it.
+    fn start(&mut self, id: id::Job, seats: &[Seat], round: &mut Round) -> bool {
+        let Some(job) = self.queue.get(id) else {
+            return false;
+        };
+        let hold = self.hold(job, round.now);
+        if !self.fleet.reserve(id, seats, hold) {
+            return false;
+        }
+        let Some(job) = self.queue.remove(id) else {
+            return false;
+        };
+        self.doubtful.swap_remove(&id);
+        for &seat in seats {
+            self.shares.take(&job.team, &job.size);
+            self.stand(&job, seat);
+        }
+        let name = |&seat: &Seat| self.fleet.post(seat).name.clone();
+        let workers = seats.iter().map(name).collect();
+        let seats = seats.iter().copied().map(Some).collect();
+        let stops = false;
+        self.held.insert(id, Held { job, seats, stops });
+        round.decisions.push(Decision::Start { job: id, workers });
+        true
+    }
+}
