Bound what each caller may take up, and stop in an orderly manner

Cause: tiny_http has no read timeout, so a slow or half-open caller held a thread for ever; a stop ended with the process before the lead was handed over; settings stopped at the first fault without its place; a voter whose disk was wiped voted on under its old number.

Weighed for the listener: rouille's own server behind a relay on loopback (two sockets and three threads for each request, and a second port that bypasses the limits); socket options on its listening socket (a sender of one byte a second passes); a small accepting front that reads heads with httparse and hands whole requests to rouille's types. The last was taken.

Weighed for the wiped disk: a voter can't tell a first start from a lost disk, so the first start has a command of its own, `gentianlaned init`.

Seen before: a_wiped_node_does_not_vote_away_what_was_acknowledged failed, as the wiped node and one that was behind elected a leader without the record.

--- a/crates/gentianlane-daemon/src/command/check.rs
+++ b/crates/gentianlane-daemon/src/command/check.rs
@@ -1,23 +1,29 @@
 //! `gentianlaned check`: reads a settings file and says what is wrong with it.
 
 use clap::ArgMatches;
-use miette::{IntoDiagnostic, Result};
-use std::path::PathBuf;
+use miette::Result;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
-use crate::process::settings::Settings;
+use crate::process::settings::{Fault, Settings};
 
 pub(super) fn run(matches: &ArgMatches) -> Result<ExitCode> {
-    let path = matches.get_one::<PathBuf>("FILE").into_iter();
-    for path in path {
-        let text = std::fs::read_to_string(path).into_diagnostic()?;
-        let settings = Settings::read(&path.display().to_string(), &text)?;
-        println!(
-            "{}: node {} of cell {}",
-            path.display(),
-            settings.node,
-            settings.cell
-        );
+    let path = matches.get_one::<PathBuf>("FILE").ok_or(Fault::NoFile)?;
+    let settings = read(path)?;
+    let (node, cell) = (settings.node, &settings.cell);
+    println!("{}: node {node} of cell {cell}", path.display());
+    for warning in settings.warnings() {
+        println!("warning: {warning}");
     }
     Ok(ExitCode::SUCCESS)
 }
+
+/// Reads a settings file whole.
+pub(super) fn read(path: &Path) -> Result<Settings, Fault> {
+    let file = |error| Fault::File {
+        path: path.to_owned(),
+        error,
+    };
+    let text = std::fs::read_to_string(path).map_err(file)?;
+    Settings::read(&path.display().to_string(), &text)
+}
--- a/crates/gentianlane-daemon/src/command/dev.rs
+++ b/crates/gentianlane-daemon/src/command/dev.rs
@@ -5,7 +5,7 @@
 use clap::ArgMatches;
 use gentianlane::api::Announce;
 use gentianlane::id;
-use gentianlane::unit::Size;
+use gentianlane::unit::{Size, Span};
 use gentianlane_client::stand;
 use miette::{IntoDiagnostic, Result};
 use signal_hook::consts::{SIGINT, SIGTERM};
@@ -85,6 +85,7 @@
         .map(|(three, number)| Peer {
             node: id::Node(number),
             voter: true,
+            region: id::Region::from("region-1"),
             domain: id::Domain(format!("domain-{number}")),
             http: three[0],
             peer: three[1],
@@ -94,12 +95,11 @@
 }
 
 fn settings(me: &Peer, peers: &[Peer], folder: &Path) -> Settings {
-    Settings {
-        cell: id::Cell::from("dev"),
-        node: me.node,
-        data: Some(folder.join(me.node.to_string())),
-        nodes: peers.to_vec(),
-    }
+    let data = folder.join(me.node.to_string());
+    let cell = id::Cell::from("dev");
+    let mut settings = Settings::new(cell, me.node, Some(data), peers.to_vec());
+    settings.stop.notice = Span::ZERO;
+    settings
 }
 
 fn workers(entries: &[SocketAddr]) -> Vec<stand::Worker> {
--- a/crates/gentianlane-daemon/src/command/mod.rs
+++ b/crates/gentianlane-daemon/src/command/mod.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod dev;
+mod init;
 mod run;
 mod worker;
 
@@ -13,11 +14,15 @@
 /// The exit code for a command that didn't do what was asked.
 pub(crate) const EXIT_FAULT: u8 = 1;
 
+/// The exit code for settings that are refused.
+pub(crate) const EXIT_SETTINGS: u8 = 3;
+
 /// Reads the command line and does what it says.
 pub(crate) fn run() -> Result<ExitCode> {
     let matches = command().get_matches();
     match matches.subcommand() {
         Some(("check", matches)) => check::run(matches),
+        Some(("init", matches)) => init::run(matches),
         Some(("run", matches)) => run::run(matches),
         Some(("dev", matches)) => dev::run(matches),
         Some(("worker", matches)) => worker::run(matches),
@@ -36,6 +41,11 @@
                 .about("Checks a settings file")
                 .arg(path("FILE", "The settings file").required(true).index(1)),
         )
+        .subcommand(
+            Command::new("init")
+                .about("Makes the data folder of a node that never ran")
+                .arg(path("settings", "The settings file").long("settings").required(true)),
+        )
         .subcommand(
             Command::new("run").about("Runs a node").arg(
                 path("settings", "The settings file").long("settings").required(true),
--- a/crates/gentianlane-daemon/src/command/worker.rs
+++ b/crates/gentianlane-daemon/src/command/worker.rs
@@ -47,7 +47,8 @@
 pub(super) fn run(matches: &ArgMatches) -> Result<ExitCode> {
     let mut signals = Signals::new([SIGINT, SIGTERM]).into_diagnostic()?;
     let worker = stand::Worker::start(setup(matches), |run| {
-        println!("event=began token={} workload={}", run.token, run.workload);
+        let (token, workload, payload) = (run.token, &run.workload, &run.payload);
+        println!("event=began token={token} workload={workload} payload={payload:?}");
     });
     signals.forever().next();
     worker.stop();
--- /dev/null
+++ b/crates/gentianlane-daemon/src/connection/http/gate.rs
@@ -0,0 +1,125 @@
+//! How many connections and requests are open, and which may still come in.
+
+use std::collections::HashMap;
+use std::net::IpAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
+
+use crate::process::settings::Limits;
+
+/// The counts that all connections share.
+pub(super) struct Gate {
+    limits: Limits,
+    closing: AtomicBool,
+    counts: Mutex<Counts>,
+    changed: Condvar,
+}
+
+#[derive(Default)]
+struct Counts {
+    connections: usize,
+    addresses: HashMap<IpAddr, usize>,
+    requests: usize,
+}
+
+impl Gate {
+    pub(super) fn new(limits: Limits) -> Self {
+        Self {
+            limits,
+            closing: AtomicBool::new(false),
+            counts: Mutex::default(),
+            changed: Condvar::new(),
+        }
+    }
+
+    pub(super) fn limits(&self) -> &Limits {
+        &self.limits
+    }
+
+    /// No connection stays open beyond its present request.
+    pub(super) fn close(&self) {
+        self.closing.store(true, Ordering::Relaxed);
+    }
+
+    pub(super) fn is_closing(&self) -> bool {
+        self.closing.load(Ordering::Relaxed)
+    }
+
+    /// A place for one connection, unless all or its address's are taken.
+    pub(super) fn admit(gate: &Arc<Self>, from: IpAddr) -> Option<Place> {
+        let mut counts = gate.counts();
+        let own = counts.addresses.get(&from).copied().unwrap_or_default();
+        let full = counts.connections >= gate.limits.connections;
+        if full || own >= gate.limits.connections_per_address {
+            return None;
+        }
+        counts.connections += 1;
+        counts.addresses.insert(from, own + 1);
+        drop(counts);
+        Some(Place {
+            gate: Arc::clone(gate),
+            from,
+        })
+    }
+
+    /// Waits until no connection is open; gives how many still are at the end.
+    pub(super) fn wait_until_empty(&self, end: Instant) -> usize {
+        let counts = self.counts();
+        let left = end.saturating_duration_since(Instant::now());
+        let (counts, _) = self
+            .changed
+            .wait_timeout_while(counts, left, |counts| counts.connections > 0)
+            .unwrap_or_else(PoisonError::into_inner);
+        counts.connections
+    }
+
+    fn counts(&self) -> MutexGuard<'_, Counts> {
+        self.counts.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// One connection's place; given back when dropped.
+pub(super) struct Place {
+    gate: Arc<Gate>,
+    from: IpAddr,
+}
+
+impl Place {
+    pub(super) fn gate(&self) -> &Gate {
+        &self.gate
+    }
+
+    /// A place for one request, unless all are taken.
+    pub(super) fn begin(&self) -> Option<Open<'_>> {
+        let mut counts = self.gate.counts();
+        if counts.requests >= self.gate.limits.open_requests {
+            return None;
+        }
+        counts.requests += 1;
+        Some(Open(&self.gate))
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let mut counts = self.gate.counts();
+        counts.connections -= 1;
+        if let Some(own) = counts.addresses.get_mut(&self.from) {
+            *own -= 1;
+            if *own == 0 {
+                counts.addresses.remove(&self.from);
+            }
+        }
+        self.gate.changed.notify_all();
+    }
+}
+
+/// One request's place; given back when dropped.
+pub(super) struct Open<'a>(&'a Gate);
+
+impl Drop for Open<'_> {
+    fn drop(&mut self) {
+        self.0.counts().requests -= 1;
+    }
+}
--- a/crates/gentianlane-daemon/src/connection/http.rs
+++ b/crates/gentianlane-daemon/src/connection/http/route.rs
@@ -1,75 +1,22 @@
-//! HTTP towards callers, workers and operators.
+//! What each path does.
 
 use std::io::Read;
-use std::net::SocketAddr;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::thread::{self, JoinHandle};
-use std::time::Duration;
 
-use gentianlane::api::{Call, NoteText, Refusal, Reply, TEXT_LIMIT};
+use gentianlane::api::{Call, NoteText, Refusal, Reply};
 use gentianlane::id;
 use gentianlane::unit::Span;
 use gentianlane::verdict::Reason;
-use miette::{Result, miette};
 use rouille::{Request, Response};
 use serde::de::DeserializeOwned;
 
+use crate::connection::http::head::Fault;
 use crate::request::entry::Entry;
 
-/// The longest body, in bytes: a text and what surrounds it.
-const BODY_LIMIT: usize = 4 * TEXT_LIMIT;
-
-/// How many requests one node works on at a time.
-const OPEN_LIMIT: usize = 1_024;
-
 /// When to come back while too many requests are open.
 const OVERLOAD_RETRY: Span = Span::from_millis(500);
 
-/// How often the listener looks whether it shall stop.
-const STEP: Duration = Duration::from_millis(20);
-
-/// The listener and the requests that it has open.
-pub(crate) struct Server {
-    stop: Arc<AtomicBool>,
-    thread: JoinHandle<()>,
-}
-
-impl Server {
-    /// Binds the address and starts to serve.
-    pub(crate) fn start(address: SocketAddr, entry: Entry) -> Result<Self> {
-        let open = Arc::new(AtomicUsize::new(0));
-        let busy = Arc::clone(&open);
-        let server = rouille::Server::new(address, move |request| {
-            let before = open.fetch_add(1, Ordering::Relaxed);
-            let response = if before < OPEN_LIMIT {
-                serve(&entry, request)
-            } else {
-                respond(&overloaded())
-            };
-            open.fetch_sub(1, Ordering::Relaxed);
-            response
-        })
-        .map_err(|error| miette!("{address}: {error}"))?;
-        let stop = Arc::new(AtomicBool::new(false));
-        let stopped = Arc::clone(&stop);
-        let thread = thread::spawn(move || {
-            let idle = || busy.load(Ordering::Relaxed) == 0;
-            while !(stopped.load(Ordering::Relaxed) && idle()) {
-                server.poll_timeout(STEP);
-            }
-        });
-        Ok(Self { stop, thread })
-    }
-
-    /// Finishes what is open, then ends.
-    pub(crate) fn stop(self) {
-        self.stop.store(true, Ordering::Relaxed);
-        let _ = self.thread.join();
-    }
-}
-
-fn serve(entry: &Entry, request: &Request) -> Response {
+/// Does what a request asks for.
+pub(super) fn serve(entry: &Entry, request: &Request) -> Response {
     match (request.method(), request.url().as_str()) {
         ("GET", "/health") => health(entry),
         ("GET", "/ready") => ready(entry),
@@ -80,6 +27,18 @@
     }
 }
 
+/// What a caller is told whose request couldn't be read.
+pub(super) fn refused(fault: Fault) -> Response {
+    let refusal = Refusal::not_run(Reason::Malformed, fault.to_string());
+    respond(&Reply::Refused(refusal)).with_status_code(fault.status())
+}
+
+/// What a caller is told while too many requests are open.
+pub(super) fn overloaded() -> Response {
+    let refusal = Refusal::not_run(Reason::Overloaded, "too many open requests");
+    respond(&Reply::Refused(refusal.retry_after(OVERLOAD_RETRY)))
+}
+
 fn health(entry: &Entry) -> Response {
     match entry.is_stopping() {
         true => Response::text("stopping\n").with_status_code(503),
@@ -128,27 +87,16 @@
 }
 
 fn body<T: DeserializeOwned>(request: &Request) -> Result<T, Refusal> {
-    let Some(data) = request.data() else {
+    let Some(mut data) = request.data() else {
         return Err(Refusal::not_run(Reason::Malformed, "the body is missing"));
     };
     let mut bytes = Vec::new();
-    let limit = BODY_LIMIT as u64 + 1;
-    if let Err(error) = data.take(limit).read_to_end(&mut bytes) {
-        return Err(Refusal::not_run(Reason::Malformed, error.to_string()));
-    }
-    if bytes.len() > BODY_LIMIT {
-        let detail = format!("the body is longer than {BODY_LIMIT} bytes");
-        return Err(Refusal::not_run(Reason::Malformed, detail));
-    }
+    data.read_to_end(&mut bytes)
+        .map_err(|error| Refusal::not_run(Reason::Malformed, error.to_string()))?;
     serde_json::from_slice(&bytes)
         .map_err(|error| Refusal::not_run(Reason::Malformed, error.to_string()))
 }
 
-fn overloaded() -> Reply {
-    let refusal = Refusal::not_run(Reason::Overloaded, "too many open requests");
-    Reply::Refused(refusal.retry_after(OVERLOAD_RETRY))
-}
-
 fn respond(reply: &Reply) -> Response {
     let Reply::Refused(refusal) = reply else {
         return Response::json(reply);
--- /dev/null
+++ b/crates/gentianlane-daemon/src/connection/http/turn_away.rs
@@ -0,0 +1,49 @@
+//! Connections for which there is no room: each gets a short response.
+
+use std::io::{Read, Write};
+use std::net::{Shutdown, TcpStream};
+use std::thread;
+use std::time::Duration;
+
+use flume::{Receiver, Sender};
+
+/// How many connections may wait for their refusal; more are closed at once.
+const WAITING_LIMIT: usize = 64;
+
+/// How long one refusal may take.
+const PATIENCE: Duration = Duration::from_millis(100);
+
+/// What a connection is told for which there is no room.
+const RESPONSE: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\n\
+Content-Type: application/json\r\nRetry-After: 1\r\nConnection: close\r\n\
+Content-Length: 147\r\n\r\n\
+{\"reply\":\"refused\",\"with\":{\"outcome\":{\"verdict\":\"not_run\",\
+\"reason\":\"overloaded\",\"retry_after\":1000},\"detail\":\
+\"too many connections are open here\"}}";
+
+/// The thread that refuses connections, so that the accepting one never waits.
+pub(super) struct Refuser(Sender<TcpStream>);
+
+impl Refuser {
+    pub(super) fn start() -> Self {
+        let (sender, waiting) = flume::bounded(WAITING_LIMIT);
+        thread::spawn(move || refuse_all(&waiting));
+        Self(sender)
+    }
+
+    /// Refuses a connection some time soon.
+    pub(super) fn refuse(&self, stream: TcpStream) {
+        let _ = self.0.try_send(stream);
+    }
+}
+
+fn refuse_all(waiting: &Receiver<TcpStream>) {
+    for mut stream in waiting {
+        let timed = stream.set_write_timeout(Some(PATIENCE)).is_ok()
+            && stream.set_read_timeout(Some(PATIENCE)).is_ok();
+        let told = timed && stream.write_all(RESPONSE).is_ok();
+        if told && stream.shutdown(Shutdown::Write).is_ok() {
+            let _ = stream.read(&mut [0; 1 << 10]);
+        }
+    }
+}
--- a/crates/gentianlane-daemon/src/lib.rs
+++ b/crates/gentianlane-daemon/src/lib.rs
@@ -19,7 +19,10 @@
         Ok(code) => code,
         Err(report) => {
             eprintln!("{report:?}");
-            ExitCode::from(command::EXIT_FAULT)
+            match report.downcast_ref::<process::settings::Fault>() {
+                Some(_) => ExitCode::from(command::EXIT_SETTINGS),
+                None => ExitCode::from(command::EXIT_FAULT),
+            }
         }
     }
 }
--- a/crates/gentianlane-daemon/src/process/control.rs
+++ b/crates/gentianlane-daemon/src/process/control.rs
@@ -5,6 +5,7 @@
 
 use flume::{RecvTimeoutError, Sender};
 use gentianlane::cell::{Node, Output, Ticket};
+use gentianlane::unit::Span;
 use gentianlane_store::{Fault, Journal, Record};
 use slog::{Logger, info, warn};
 
@@ -16,6 +17,9 @@
 /// How often the core looks at the time.
 const STEP: Duration = Duration::from_millis(10);
 
+/// The longest wait for another node to take the lead.
+const HAND_OVER_LIMIT: Span = Span::from_secs(2);
+
 /// The most inputs that are taken in before the core is flushed.
 const BATCH: usize = 1_024;
 
@@ -45,7 +49,7 @@
                     self.take(input);
                     for input in inputs.try_iter().take(BATCH) {
                         if matches!(input, Input::Stop) {
-                            return self.leave();
+                            return self.leave(inputs);
                         }
                         self.take(input);
                     }
@@ -55,7 +59,7 @@
             self.node.tick(self.clock.now(), Clock::wall());
             self.flush()?;
         }
-        self.leave()
+        self.leave(inputs)
     }
 
     fn take(&mut self, input: Input) {
@@ -74,9 +78,21 @@
         }
     }
 
-    fn leave(&mut self) -> Result<(), Fault> {
+    /// Hands the lead over, and works on until another node has taken it.
+    fn leave(&mut self, inputs: &Inputs) -> Result<(), Fault> {
         self.node.hand_over();
-        self.flush()
+        let end = self.clock.now().after(HAND_OVER_LIMIT);
+        loop {
+            self.flush()?;
+            let leads = self.node.agree().leader() == Some(self.node.agree().id());
+            if !leads || self.clock.now() >= end {
+                return Ok(());
+            }
+            if let Ok(input) = inputs.recv_timeout(STEP) {
+                self.take(input);
+            }
+            self.node.tick(self.clock.now(), Clock::wall());
+        }
     }
 
     /// Carries out what the core wants done: all that is to be durable first.
--- a/crates/gentianlane-daemon/src/process/log.rs
+++ b/crates/gentianlane-daemon/src/process/log.rs
@@ -11,7 +11,10 @@
 /// A logger that writes to standard error from a thread of its own.
 pub(crate) fn to_stderr() -> Logger {
     let drain = Logfmt::new(std::io::stderr())
-        .set_prefix(|io, _| Ok(write!(io, "at={} ", Clock::wall().as_millis())?))
+        .set_prefix(|io, record| {
+            let (at, level) = (Clock::wall().as_millis(), record.level().as_str());
+            Ok(write!(io, "at={at} level={level} event={} ", record.msg())?)
+        })
         .build()
         .ignore_res();
     let drain = slog_async::Async::new(drain)
--- a/crates/gentianlane-daemon/src/process/mod.rs
+++ b/crates/gentianlane-daemon/src/process/mod.rs
@@ -1,6 +1,7 @@
 //! What lives as long as the process.
 
 pub(crate) mod control;
+pub(crate) mod data;
 pub(crate) mod log;
 pub(crate) mod node;
 pub(crate) mod settings;
--- a/crates/gentianlane-daemon/src/process/node.rs
+++ b/crates/gentianlane-daemon/src/process/node.rs
@@ -3,8 +3,7 @@
 use std::collections::HashMap;
 use std::thread::{self, JoinHandle};
 
-use gentianlane::{agree, cell, lease, place};
-use gentianlane_store::{Journal, Owner};
+use gentianlane::{agree, cell, place};
 use miette::{IntoDiagnostic, Result};
 use slog::{Logger, crit, info, o};
 use tokio::runtime::Runtime;
@@ -13,7 +12,8 @@
 use crate::clock::Clock;
 use crate::connection::{http, peer, rpc};
 use crate::process::control::Control;
-use crate::process::settings::Settings;
+use crate::process::data;
+use crate::process::settings::{Settings, Stop};
 use crate::process::view;
 use crate::request::entry::Entry;
 
@@ -28,6 +28,7 @@
     http: http::Server,
     peers: peer::Listener,
     runtime: Runtime,
+    stop: Stop,
     log: Logger,
 }
 
@@ -36,7 +37,7 @@
     pub(crate) fn start(settings: &Settings, log: &Logger) -> Result<Self> {
         let log = log.new(o!("node" => settings.node.to_string()));
         let clock = Clock::start();
-        let (journal, saved) = open(settings)?;
+        let (journal, saved) = data::open(settings)?;
         let me = settings.me()?.clone();
         let (control, inputs) = flume::bounded(CONTROL_LIMIT);
         let view = view::Shared::default();
@@ -48,7 +49,7 @@
         let forward = rpc::Forward::new(settings, runtime.handle().clone());
         let entry =
             Entry::new(settings.node, control.clone(), view.clone(), clock, forward);
-        let http = http::Server::start(me.http, entry)?;
+        let http = http::Server::start(me.http, settings.limits, entry, &log)?;
         let part = Control {
             node: cell::Node::new(setup(settings), saved, clock.now()),
             journal,
@@ -77,14 +78,16 @@
             http,
             peers,
             runtime,
+            stop: settings.stop,
             log,
         })
     }
 
     /// Stops taking in calls, hands over the lead and ends the threads.
     pub(crate) fn stop(self) {
+        info!(self.log, "stops"; "notice" => %self.stop.notice);
         self.view.set_stopping();
-        self.http.stop();
+        self.http.stop(self.stop);
         let _ = self.control.send(Input::Stop);
         let _ = self.thread.join();
         self.peers.stop();
@@ -93,18 +96,6 @@
     }
 }
 
-fn open(settings: &Settings) -> Result<(Option<Journal>, agree::Saved)> {
-    let Some(folder) = &settings.data else {
-        return Ok((None, agree::Saved::default()));
-    };
-    let owner = Owner {
-        cell: settings.cell.clone(),
-        node: settings.node,
-    };
-    let (journal, saved) = Journal::open(folder, &owner).into_diagnostic()?;
-    Ok((Some(journal), saved))
-}
-
 fn setup(settings: &Settings) -> cell::Setup {
     let voters = settings.voters();
     let nodes = settings.nodes.iter().map(|peer| peer.node);
@@ -114,12 +105,12 @@
         node: settings.node,
         voters,
         learners,
-        timing: agree::Timing::default(),
+        timing: settings.timing,
         seed,
     };
     cell::Setup {
         agree,
-        lease: lease::Term::default(),
+        lease: settings.lease,
         place: place::Setup { seed },
     }
 }
--- /dev/null
+++ b/crates/gentianlane-daemon/src/process/settings/check.rs
@@ -0,0 +1,80 @@
+//! What settings may not contradict, and what they had better not say.
+
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+
+use gentianlane::id;
+
+use crate::process::settings::read::{Located, Reader};
+use crate::process::settings::{Peer, Settings};
+
+/// Checks the nodes against one another.
+pub(super) fn nodes(reader: &mut Reader<'_>, nodes: &[Located<Peer>]) {
+    let mut known = HashSet::new();
+    let mut addresses = HashMap::new();
+    for Located { value: peer, at } in nodes {
+        if !known.insert(peer.node) {
+            reader.fault(*at, format!("{} is named twice", peer.node));
+        }
+        if peer.domain.as_str().is_empty() {
+            reader.fault(*at, format!("{} has no failure domain", peer.node));
+        }
+        for address in [peer.http, peer.peer, peer.rpc] {
+            if let Some(fault) = unusable(address) {
+                reader.fault(*at, fault);
+            }
+            if let Some(other) = addresses.insert(address, peer.node) {
+                reader.fault(*at, format!("{address} is given to {other} already"));
+            }
+        }
+    }
+}
+
+fn unusable(address: SocketAddr) -> Option<String> {
+    let no_host = address.ip().is_unspecified();
+    let unusable = no_host || address.port() == 0;
+    unusable.then(|| format!("{address} can't be reached by other nodes"))
+}
+
+/// Checks this node's own part.
+pub(super) fn me(
+    reader: &mut Reader<'_>,
+    node: &Located<id::Node>,
+    has_data: bool,
+    nodes: &[Located<Peer>],
+) {
+    let me = nodes.iter().find(|peer| peer.value.node == node.value);
+    match me {
+        None => reader.fault(node.at, format!("{} isn't among the nodes", node.value)),
+        Some(me) if me.value.voter && !has_data => {
+            let text = format!("{} votes and so needs a `data` folder", node.value);
+            reader.fault(me.at, text);
+        }
+        Some(_) => {}
+    }
+    if !nodes.iter().any(|peer| peer.value.voter) {
+        reader.fault(node.at, "no node votes");
+    }
+}
+
+/// What an operator should know of settings that are in order.
+pub(super) fn warnings(settings: &Settings) -> Vec<String> {
+    let voters: Vec<&Peer> = settings.nodes.iter().filter(|peer| peer.voter).collect();
+    let place = |peer: &Peer| (peer.region.clone(), peer.domain.clone());
+    let all: HashSet<_> = settings.nodes.iter().map(place).collect();
+    let domains: HashSet<_> = voters.iter().map(|peer| place(peer)).collect();
+    let mut warnings = Vec::new();
+    if voters.len().is_multiple_of(2) {
+        let count = voters.len();
+        let text = format!("{count} voters bear no more losses than {}", count - 1);
+        warnings.push(text);
+    }
+    if voters.len() > 1 && domains.len() == 1 && all.len() > 1 {
+        warnings.push("all voters are in one failure domain of several".to_owned());
+    }
+    if domains.len() < voters.len() && domains.len() < all.len() && domains.len() > 1 {
+        let text = "voters share a failure domain while another has none";
+        warnings.push(text.to_owned());
+    }
+    warnings
+}
--- /dev/null
+++ b/crates/gentianlane-daemon/src/process/settings/read.rs
@@ -0,0 +1,312 @@
+//! Reads settings and keeps the place of everything that it reads.
+
+use std::fmt;
+use std::ops::RangeInclusive;
+
+use gentianlane::id;
+use gentianlane::unit::Span;
+use json_comments::StripComments;
+use miette::{LabeledSpan, NamedSource, SourceSpan};
+use serde::de::{DeserializeOwned, MapAccess, Visitor};
+use serde::{Deserialize, Deserializer};
+use serde_json::value::RawValue;
+use std::io::Read;
+
+use crate::process::settings::{Fault, Peer, Settings, check, quantity, section};
+
+/// A value and its place in the text.
+pub(super) struct Located<T> {
+    pub(super) value: T,
+    pub(super) at: SourceSpan,
+}
+
+/// The fields of one JSON object, in order and with duplicates.
+#[derive(Default)]
+pub(super) struct Object<'a> {
+    fields: Vec<(String, &'a RawValue)>,
+    taken: Vec<&'static str>,
+}
+
+impl<T> Located<T> {
+    /// The later place of two; a value that was not given has the first.
+    pub(super) fn later<U>(&self, other: &Located<U>) -> SourceSpan {
+        match self.at.offset() >= other.at.offset() {
+            true => self.at,
+            false => other.at,
+        }
+    }
+}
+
+impl<'a> Object<'a> {
+    fn take(&mut self, name: &'static str) -> Option<&'a RawValue> {
+        self.taken.push(name);
+        let index = self.fields.iter().position(|(field, _)| field == name)?;
+        Some(self.fields.remove(index).1)
+    }
+}
+
+impl<'de: 'a, 'a> Deserialize<'de> for Object<'a> {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        deserializer.deserialize_map(Fields)
+    }
+}
+
+/// Gathers the fields of an object.
+struct Fields;
+
+impl<'de> Visitor<'de> for Fields {
+    type Value = Object<'de>;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("an object")
+    }
+
+    fn visit_map<M: MapAccess<'de>>(self, mut map: M) -> Result<Object<'de>, M::Error> {
+        let mut object = Object::default();
+        while let Some(field) = map.next_entry()? {
+            object.fields.push(field);
+        }
+        Ok(object)
+    }
+}
+
+/// Reads one text and gathers its faults.
+pub(super) struct Reader<'a> {
+    text: &'a str,
+    faults: Vec<LabeledSpan>,
+}
+
+impl<'a> Reader<'a> {
+    /// Notes a fault at a place.
+    pub(super) fn fault(&mut self, at: SourceSpan, message: impl Into<String>) {
+        let label = Some(message.into());
+        self.faults.push(LabeledSpan::new_with_span(label, at));
+    }
+
+    /// The place of a value: its first line.
+    fn place(&self, raw: &RawValue) -> SourceSpan {
+        let offset = raw.get().as_ptr().addr() - self.text.as_ptr().addr();
+        let length = raw.get().lines().next().map_or(0, str::len);
+        SourceSpan::from((offset, length))
+    }
+
+    fn value<T: Deserialize<'a>>(&mut self, raw: &'a RawValue) -> Option<T> {
+        match serde_json::from_str(raw.get()) {
+            Ok(value) => Some(value),
+            Err(error) => {
+                let text = error.to_string();
+                let message = text.split(" at line ").next().unwrap_or_default();
+                self.fault(self.place(raw), message);
+                None
+            }
+        }
+    }
+
+    /// A field that may be missing.
+    pub(super) fn optional<T: DeserializeOwned>(
+        &mut self,
+        object: &mut Object<'a>,
+        name: &'static str,
+    ) -> Option<Located<T>> {
+        let raw = object.take(name)?;
+        let (value, at) = (self.value(raw)?, self.place(raw));
+        Some(Located { value, at })
+    }
+
+    /// A field that has to be there; `at` is the place of its object.
+    fn required<T: DeserializeOwned>(
+        &mut self,
+        object: &mut Object<'a>,
+        name: &'static str,
+        at: SourceSpan,
+    ) -> Option<Located<T>> {
+        if !object.fields.iter().any(|(field, _)| field == name) {
+            self.fault(at, format!("`{name}` is missing"));
+            object.taken.push(name);
+            return None;
+        }
+        self.optional(object, name)
+    }
+
+    /// A time in a range, or its default.
+    pub(super) fn span(
+        &mut self,
+        object: &mut Object<'a>,
+        name: &'static str,
+        range: RangeInclusive<Span>,
+        default: Span,
+    ) -> Located<Span> {
+        let text = self.optional::<String>(object, name);
+        self.within(text, name, |text| quantity::span(text), range, default)
+    }
+
+    /// A size in bytes in a range, or its default.
+    pub(super) fn size(
+        &mut self,
+        object: &mut Object<'a>,
+        name: &'static str,
+        range: RangeInclusive<usize>,
+        default: usize,
+    ) -> Located<usize> {
+        let text = self.optional::<String>(object, name);
+        self.within(text, name, |text| quantity::size(text), range, default)
+    }
+
+    /// A count in a range, or its default.
+    pub(super) fn count(
+        &mut self,
+        object: &mut Object<'a>,
+        name: &'static str,
+        range: RangeInclusive<usize>,
+        default: usize,
+    ) -> Located<usize> {
+        let count = self.optional::<usize>(object, name);
+        self.within(count, name, |count| Ok(*count), range, default)
+    }
+
+    fn within<F, T>(
+        &mut self,
+        given: Option<Located<F>>,
+        name: &str,
+        read: impl Fn(&F) -> Result<T, String>,
+        range: RangeInclusive<T>,
+        default: T,
+    ) -> Located<T>
+    where
+        T: PartialOrd + fmt::Display,
+    {
+        let Some(Located { value, at }) = given else {
+            let at = SourceSpan::from(0);
+            return Located { value: default, at };
+        };
+        match read(&value) {
+            Ok(value) if range.contains(&value) => return Located { value, at },
+            Ok(value) => {
+                let (low, high) = (range.start(), range.end());
+                self.fault(at, format!("`{name}`: {value} isn't in {low} to {high}"));
+            }
+            Err(message) => self.fault(at, message),
+        }
+        Located { value: default, at }
+    }
+
+    /// A section of its own, empty if it is missing.
+    pub(super) fn object(
+        &mut self,
+        object: &mut Object<'a>,
+        name: &'static str,
+    ) -> Object<'a> {
+        let raw = object.take(name);
+        raw.and_then(|raw| self.value(raw)).unwrap_or_default()
+    }
+
+    /// Refuses what no one has taken from an object.
+    pub(super) fn close(&mut self, object: Object<'a>) {
+        for (name, raw) in object.fields {
+            let twice = object.taken.contains(&name.as_str());
+            let at = self.place(raw);
+            match twice {
+                true => self.fault(at, format!("`{name}` is given twice")),
+                false => self.fault(at, format!("unknown field `{name}`")),
+            }
+        }
+    }
+
+    fn peers(&mut self, root: &mut Object<'a>, at: SourceSpan) -> Vec<Located<Peer>> {
+        let Some(raw) = root.take("nodes") else {
+            self.fault(at, "`nodes` is missing");
+            return Vec::new();
+        };
+        let raws: Vec<&RawValue> = self.value(raw).unwrap_or_default();
+        raws.into_iter().filter_map(|raw| self.peer(raw)).collect()
+    }
+
+    fn peer(&mut self, raw: &'a RawValue) -> Option<Located<Peer>> {
+        let at = self.place(raw);
+        let mut object: Object<'a> = self.value(raw)?;
+        let node = self.required(&mut object, "node", at);
+        let voter = self.required(&mut object, "voter", at);
+        let region = self.optional(&mut object, "region");
+        let domain = self.required::<id::Domain>(&mut object, "domain", at);
+        let http = self.required(&mut object, "http", at);
+        let peer = self.required(&mut object, "peer", at);
+        let rpc = self.required(&mut object, "rpc", at);
+        self.close(object);
+        let value = Peer {
+            node: node?.value,
+            voter: voter?.value,
+            region: region.map(|region| region.value).unwrap_or_default(),
+            domain: domain?.value,
+            http: http?.value,
+            peer: peer?.value,
+            rpc: rpc?.value,
+        };
+        Some(Located { value, at })
+    }
+
+    fn root(&mut self, root: &'a RawValue) -> Option<Settings> {
+        let at = self.place(root);
+        let mut object: Object<'a> = self.value(root)?;
+        let cell = self.required(&mut object, "cell", at);
+        let node = self.required(&mut object, "node", at);
+        let data = self.optional(&mut object, "data");
+        let nodes = self.peers(&mut object, at);
+        let timing = section::timing(self, &mut object);
+        let lease = section::lease(self, &mut object);
+        let limits = section::limits(self, &mut object);
+        let stop = section::stop(self, &mut object);
+        let telemetry = section::telemetry(self, &mut object);
+        self.close(object);
+        check::nodes(self, &nodes);
+        let node = node?;
+        check::me(self, &node, data.is_some(), &nodes);
+        Some(Settings {
+            cell: cell?.value,
+            node: node.value,
+            data: data.map(|data| data.value),
+            nodes: nodes.into_iter().map(|peer| peer.value).collect(),
+            timing,
+            lease,
+            limits,
+            stop,
+            telemetry,
+        })
+    }
+}
+
+/// Reads a whole file.
+pub(super) fn settings(name: &str, text: &str) -> Result<Settings, Fault> {
+    let mut plain = String::new();
+    let stripped = StripComments::new(text.as_bytes()).read_to_string(&mut plain);
+    let mut reader = Reader {
+        text: &plain,
+        faults: Vec::new(),
+    };
+    let settings = match (stripped, serde_json::from_str::<&RawValue>(&plain)) {
+        (Err(error), _) => {
+            reader.fault(SourceSpan::from(0), error.to_string());
+            None
+        }
+        (_, Err(error)) => {
+            let at = offset(&plain, error.line(), error.column());
+            reader.fault(SourceSpan::from(at), error.to_string());
+            None
+        }
+        (_, Ok(root)) => reader.root(root),
+    };
+    match settings {
+        Some(settings) if reader.faults.is_empty() => Ok(settings),
+        _ => Err(Fault::Text {
+            name: name.to_owned(),
+            source_code: NamedSource::new(name, text.to_owned()),
+            labels: reader.faults,
+        }),
+    }
+}
+
+/// The byte at a line and column, both counted from one.
+fn offset(text: &str, line: usize, column: usize) -> usize {
+    let before = text.split_inclusive('\n').take(line.saturating_sub(1));
+    let start: usize = before.map(str::len).sum();
+    (start + column.saturating_sub(1)).min(text.len())
+}
--- /dev/null
+++ b/crates/gentianlane-daemon/src/process/settings/section.rs
@@ -0,0 +1,189 @@
+//! The sections of settings that have defaults, with their ranges.
+
+use std::net::SocketAddr;
+
+use gentianlane::agree::Timing;
+use gentianlane::lease;
+use gentianlane::unit::Span;
+
+use crate::process::settings::read::{Object, Reader};
+
+/// How many heartbeats fit into the shortest silence before an election.
+const HEARTBEATS: u64 = 3;
+
+/// What callers together, and one address alone, may take up.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Limits {
+    /// Open connections.
+    pub(crate) connections: usize,
+    /// Open connections from one address.
+    pub(crate) connections_per_address: usize,
+    /// Requests that are worked on at a time.
+    pub(crate) open_requests: usize,
+    /// A request's line and headers, in bytes.
+    pub(crate) head: usize,
+    /// A request's body, in bytes.
+    pub(crate) body: usize,
+    /// The time for a request's line and headers.
+    pub(crate) head_time: Span,
+    /// The time for a request's body.
+    pub(crate) body_time: Span,
+    /// The time for a caller to take a whole reply.
+    pub(crate) reply_time: Span,
+    /// How long a connection may be silent between two requests.
+    pub(crate) idle_time: Span,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            connections: 1_024,
+            connections_per_address: 768,
+            open_requests: 1_024,
+            head: 16 << 10,
+            body: 256 << 10,
+            head_time: Span::from_secs(5),
+            body_time: Span::from_secs(10),
+            reply_time: Span::from_secs(10),
+            idle_time: Span::from_secs(15),
+        }
+    }
+}
+
+/// How the process goes away.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Stop {
+    /// How long the health check fails before the listener closes.
+    pub(crate) notice: Span,
+    /// The longest wait for requests that are open when it has closed.
+    pub(crate) limit: Span,
+}
+
+impl Default for Stop {
+    fn default() -> Self {
+        Self {
+            notice: Span::from_secs(5),
+            limit: Span::from_secs(35),
+        }
+    }
+}
+
+/// Where metrics and traces go; nowhere if not given.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Telemetry {
+    /// Metrics, as StatsD over UDP.
+    pub(crate) metrics: Option<SocketAddr>,
+    /// Traces, as OTLP over HTTP.
+    pub(crate) traces: Option<SocketAddr>,
+}
+
+pub(super) fn timing<'a>(reader: &mut Reader<'a>, root: &mut Object<'a>) -> Timing {
+    let mut object = reader.object(root, "timing");
+    let plain = Timing::default();
+    let (ms, s) = (Span::from_millis, Span::from_secs);
+    let range = ms(10)..=s(5);
+    let heartbeat = reader.span(&mut object, "heartbeat", range, plain.heartbeat);
+    let election = reader.span(&mut object, "election", ms(100)..=s(60), plain.election);
+    let drift = reader.span(&mut object, "drift", ms(1)..=s(5), plain.drift);
+    reader.close(object);
+    if heartbeat.value.times(HEARTBEATS) > election.value {
+        let text =
+            format!("`heartbeat` fits fewer than {HEARTBEATS} times into `election`");
+        reader.fault(heartbeat.later(&election), text);
+    }
+    if drift.value.times(2) > election.value {
+        reader.fault(
+            drift.later(&election),
+            "`drift` is more than half of `election`",
+        );
+    }
+    Timing {
+        heartbeat: heartbeat.value,
+        election: election.value,
+        drift: drift.value,
+    }
+}
+
+pub(super) fn lease<'a>(reader: &mut Reader<'a>, root: &mut Object<'a>) -> lease::Term {
+    let mut object = reader.object(root, "lease");
+    let plain = lease::Term::default();
+    let (ms, s) = (Span::from_millis, Span::from_secs);
+    let span = reader.span(&mut object, "span", s(1)..=s(600), plain.span);
+    let drift = reader.span(&mut object, "drift", ms(10)..=s(60), plain.drift);
+    reader.close(object);
+    if drift.value >= span.value {
+        reader.fault(
+            drift.later(&span),
+            "`drift` isn't shorter than the lease's `span`",
+        );
+    }
+    lease::Term {
+        span: span.value,
+        drift: drift.value,
+    }
+}
+
+pub(super) fn limits<'a>(reader: &mut Reader<'a>, root: &mut Object<'a>) -> Limits {
+    let mut object = reader.object(root, "limits");
+    let plain = Limits::default();
+    let (ms, s) = (Span::from_millis, Span::from_secs);
+    let mut count = |name, default| reader.count(&mut object, name, 1..=16_384, default);
+    let connections = count("connections", plain.connections);
+    let default = plain.connections_per_address.min(connections.value);
+    let per_address = count("connections_per_address", default);
+    let open = count("open_requests", plain.open_requests.min(connections.value));
+    let head = reader.size(&mut object, "head", 1 << 10..=64 << 10, plain.head);
+    let body = reader.size(&mut object, "body", 4 << 10..=4 << 20, plain.body);
+    let mut time = |name, default| {
+        reader
+            .span(&mut object, name, ms(100)..=s(60), default)
+            .value
+    };
+    let limits = Limits {
+        connections: connections.value,
+        connections_per_address: per_address.value,
+        open_requests: open.value,
+        head: head.value,
+        body: body.value,
+        head_time: time("head_time", plain.head_time),
+        body_time: time("body_time", plain.body_time),
+        reply_time: time("reply_time", plain.reply_time),
+        idle_time: time("idle_time", plain.idle_time),
+    };
+    reader.close(object);
+    if limits.connections_per_address > limits.connections {
+        reader.fault(
+            per_address.later(&connections),
+            "`connections_per_address` is more than all `connections`",
+        );
+    }
+    if limits.open_requests > limits.connections {
+        let text = "`open_requests` is more than all `connections`, which carry one each";
+        reader.fault(open.later(&connections), text);
+    }
+    limits
+}
+
+pub(super) fn stop<'a>(reader: &mut Reader<'a>, root: &mut Object<'a>) -> Stop {
+    let mut object = reader.object(root, "stop");
+    let plain = Stop::default();
+    let s = Span::from_secs;
+    let notice = reader.span(&mut object, "notice", Span::ZERO..=s(600), plain.notice);
+    let limit = reader.span(&mut object, "limit", s(1)..=s(600), plain.limit);
+    reader.close(object);
+    Stop {
+        notice: notice.value,
+        limit: limit.value,
+    }
+}
+
+pub(super) fn telemetry<'a>(reader: &mut Reader<'a>, root: &mut Object<'a>) -> Telemetry {
+    let mut object = reader.object(root, "telemetry");
+    let metrics = reader.optional(&mut object, "metrics");
+    let traces = reader.optional(&mut object, "traces");
+    reader.close(object);
+    Telemetry {
+        metrics: metrics.map(|metrics| metrics.value),
+        traces: traces.map(|traces| traces.value),
+    }
+}
