Read the repair delay from the settings

Cause: the agreement got a repair delay while the settings' timing section was written, and the two didn't compile together.

--- a/crates/gentianlane-daemon/src/process/settings/section.rs
+++ b/crates/gentianlane-daemon/src/process/settings/section.rs
@@ -85,6 +85,7 @@
     let heartbeat = reader.span(&mut object, "heartbeat", range, plain.heartbeat);
     let election = reader.span(&mut object, "election", ms(100)..=s(60), plain.election);
     let drift = reader.span(&mut object, "drift", ms(1)..=s(5), plain.drift);
+    let repair = reader.span(&mut object, "repair", s(10)..=s(86_400), plain.repair);
     reader.close(object);
     if heartbeat.value.times(HEARTBEATS) > election.value {
         let text =
@@ -101,6 +102,7 @@
         heartbeat: heartbeat.value,
         election: election.value,
         drift: drift.value,
+        repair: repair.value,
     }
 }
 
