--- a/crates/gentianlane/tests/agree/net.rs
+++ b/crates/gentianlane/tests/agree/net.rs
@@ -12,16 +12,16 @@
 use rand_chacha::ChaCha8Rng;
 
 /// How far the time moves in one step, in milliseconds.
-pub const STEP: u64 = 10;
+pub(crate) const STEP: u64 = 10;
 
 /// What a snapshot's data is filled up to, so that it takes several messages.
 const DATA: usize = 150 << 10;
 
 /// The state that the log builds here: how many commands, and their digest.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
-pub struct App {
-    pub count: u64,
-    pub digest: u64,
+pub(crate) struct App {
+    pub(crate) count: u64,
+    pub(crate) digest: u64,
 }
 
 impl App {
@@ -49,27 +49,27 @@
 }
 
 /// One machine: a node, if it runs, and its disk.
-pub struct Machine {
-    pub id: id::Node,
-    pub node: Option<Node>,
-    pub disk: Saved,
-    pub app: App,
-    pub applied: Index,
-    pub paused: bool,
-    pub site: Site,
+pub(crate) struct Machine {
+    pub(crate) id: id::Node,
+    pub(crate) node: Option<Node>,
+    pub(crate) disk: Saved,
+    pub(crate) app: App,
+    pub(crate) applied: Index,
+    pub(crate) paused: bool,
+    pub(crate) site: Site,
     /// How many outputs are carried out before the process dies.
-    pub fuse: Option<usize>,
+    pub(crate) fuse: Option<usize>,
     /// How fast its clock runs, in thousandths.
-    pub rate: u64,
+    pub(crate) rate: u64,
     started: u64,
 }
 
 impl Machine {
-    pub fn clock(&self, now: u64) -> Time {
+    pub(crate) fn clock(&self, now: u64) -> Time {
         Time::from_millis((now - self.started) * self.rate / 1_000)
     }
 
-    pub fn leads(&self, now: u64) -> bool {
+    pub(crate) fn leads(&self, now: u64) -> bool {
         let node = self.node.as_ref().filter(|_| !self.paused);
         node.is_some_and(|node| node.leads(self.clock(now)))
     }
@@ -89,32 +89,32 @@
 
 /// What may happen to a message, in thousandths and milliseconds.
 #[derive(Debug, Default, Clone, Copy)]
-pub struct Noise {
-    pub drop: u32,
-    pub double: u32,
-    pub delay: u64,
+pub(crate) struct Noise {
+    pub(crate) drop: u32,
+    pub(crate) double: u32,
+    pub(crate) delay: u64,
 }
 
 /// What was seen of all nodes together.
 #[derive(Default)]
-pub struct Oracle {
-    pub committed: BTreeMap<Index, Entry>,
+pub(crate) struct Oracle {
+    pub(crate) committed: BTreeMap<Index, Entry>,
     leaders: BTreeMap<Term, id::Node>,
     apps: BTreeMap<Index, App>,
 }
 
 /// Machines, the messages between them, and the true time in milliseconds.
-pub struct Net {
-    pub machines: Vec<Machine>,
-    pub now: u64,
-    pub noise: Noise,
-    pub cut: BTreeSet<(usize, usize)>,
-    pub oracle: Oracle,
-    pub timing: Timing,
-    pub data: usize,
+pub(crate) struct Net {
+    pub(crate) machines: Vec<Machine>,
+    pub(crate) now: u64,
+    pub(crate) noise: Noise,
+    pub(crate) cut: BTreeSet<(usize, usize)>,
+    pub(crate) oracle: Oracle,
+    pub(crate) timing: Timing,
+    pub(crate) data: usize,
     /// How many messages and bytes of them were sent.
-    pub messages: u64,
-    pub bytes: u64,
+    pub(crate) messages: u64,
+    pub(crate) bytes: u64,
     founders: Voters,
     queue: BTreeMap<(u64, u64), (usize, usize, Message)>,
     random: ChaCha8Rng,
@@ -123,7 +123,7 @@
 
 impl Net {
     /// A cell of `voters` founding members and `spares` learners with disks.
-    pub fn new(voters: u64, spares: u64, seed: u64) -> Self {
+    pub(crate) fn new(voters: u64, spares: u64, seed: u64) -> Self {
         let timing = Timing {
             repair: Span::from_secs(3),
             ..Timing::default()
@@ -151,7 +151,7 @@
     }
 
     /// Adds a machine with an empty disk; gives its place.
-    pub fn add(&mut self, site: Site) -> usize {
+    pub(crate) fn add(&mut self, site: Site) -> usize {
         let at = self.machines.len();
         self.machines.push(Machine {
             id: id::Node(at as u64 + 1),
@@ -169,7 +169,7 @@
     }
 
     /// Starts a machine's process from its disk.
-    pub fn start(&mut self, at: usize, returning: bool) {
+    pub(crate) fn start(&mut self, at: usize, returning: bool) {
         let seed = self.random.next_u64();
         let machine = &mut self.machines[at];
         if !machine.site.disk {
@@ -194,36 +194,36 @@
         machine.node = Some(if returning { node.returning() } else { node });
     }
 
-    pub fn crash(&mut self, at: usize) {
+    pub(crate) fn crash(&mut self, at: usize) {
         self.machines[at].node = None;
         self.machines[at].paused = false;
     }
 
-    pub fn wipe(&mut self, at: usize) {
+    pub(crate) fn wipe(&mut self, at: usize) {
         self.crash(at);
         self.machines[at].disk = Saved::default();
     }
 
     /// Cuts a machine off from all others, in both directions.
-    pub fn isolate(&mut self, at: usize) {
+    pub(crate) fn isolate(&mut self, at: usize) {
         for other in 0..self.machines.len() {
             self.cut.insert((at, other));
             self.cut.insert((other, at));
         }
     }
 
-    pub fn node(&self, at: usize) -> &Node {
+    pub(crate) fn node(&self, at: usize) -> &Node {
         self.machines[at].node.as_ref().expect("the node runs")
     }
 
     /// The machine that leads now.
-    pub fn leader(&self) -> Option<usize> {
+    pub(crate) fn leader(&self) -> Option<usize> {
         let mut all = 0..self.machines.len();
         all.find(|&at| self.machines[at].leads(self.now))
     }
 
     /// Runs until some node leads, for a minute at most.
-    pub fn settle(&mut self) -> usize {
+    pub(crate) fn settle(&mut self) -> usize {
         for _ in 0..60_000 / STEP {
             if let Some(at) = self.leader() {
                 return at;
@@ -234,7 +234,10 @@
     }
 
     /// Proposes at whoever leads; false if nobody does.
-    pub fn propose(&mut self, commands: impl IntoIterator<Item = Vec<u8>>) -> bool {
+    pub(crate) fn propose(
+        &mut self,
+        commands: impl IntoIterator<Item = Vec<u8>>,
+    ) -> bool {
         let Some(at) = self.leader() else {
             return false;
         };
@@ -242,7 +245,11 @@
     }
 
     /// Calls a node and carries out what it wants done.
-    pub fn with<T>(&mut self, at: usize, call: impl FnOnce(&mut Node, Time) -> T) -> T {
+    pub(crate) fn with<T>(
+        &mut self,
+        at: usize,
+        call: impl FnOnce(&mut Node, Time) -> T,
+    ) -> T {
         let now = self.machines[at].clock(self.now);
         let node = self.machines[at].node.as_mut().expect("the node runs");
         let value = call(node, now);
@@ -250,14 +257,14 @@
         value
     }
 
-    pub fn compact(&mut self, at: usize) -> bool {
+    pub(crate) fn compact(&mut self, at: usize) -> bool {
         let (app, applied) = (self.machines[at].app, self.machines[at].applied);
         let data = app.encode(self.data);
         self.with(at, |node, _| node.compact(applied, data))
     }
 
     /// Lets the time go on.
-    pub fn run(&mut self, millis: u64) {
+    pub(crate) fn run(&mut self, millis: u64) {
         let end = self.now + millis;
         while self.now < end {
             self.now += STEP;
@@ -320,7 +327,7 @@
                 machine.applied = last.expect("a snapshot precedes");
                 self.oracle.restored(machine.applied, machine.app);
             }
-            Output::Send(to, message) => self.post(at, to, message),
+            Output::Send(to, message) => self.post(at, to, &message),
             Output::Apply(entries) => {
                 for entry in entries {
                     assert_eq!(entry.index, machine.applied.next(), "applied in order");
@@ -328,7 +335,7 @@
                     if let Payload::Command(bytes) = &entry.payload {
                         machine.app.apply(bytes);
                     }
-                    self.oracle.applied(entry, machine.app);
+                    self.oracle.applied(&entry, machine.app);
                 }
             }
             Output::Role(Role::Leader) => {
@@ -341,7 +348,7 @@
         }
     }
 
-    fn post(&mut self, from: usize, to: id::Node, message: Message) {
+    fn post(&mut self, from: usize, to: id::Node, message: &Message) {
         let to = to.0 as usize - 1;
         self.messages += 1;
         self.bytes += postcard::to_allocvec(&message).unwrap().len() as u64;
@@ -359,7 +366,7 @@
     }
 
     /// At most one node leads at any true time.
-    pub fn check(&self) {
+    pub(crate) fn check(&self) {
         let leaders = self
             .machines
             .iter()
@@ -369,7 +376,7 @@
     }
 
     /// Mends links and clocks and starts what is down.
-    pub fn heal(&mut self) {
+    pub(crate) fn heal(&mut self) {
         self.noise = Noise::default();
         self.cut.clear();
         for at in 0..self.machines.len() {
@@ -382,7 +389,7 @@
     }
 
     /// Every running member has applied all that was ever committed.
-    pub fn assert_whole(&self, members: impl IntoIterator<Item = usize>) {
+    pub(crate) fn assert_whole(&self, members: impl IntoIterator<Item = usize>) {
         let (&last, _) = self.oracle.committed.last_key_value().expect("commits");
         for at in members {
             let machine = &self.machines[at];
@@ -393,12 +400,12 @@
 }
 
 impl Oracle {
-    fn applied(&mut self, entry: Entry, app: App) {
+    fn applied(&mut self, entry: &Entry, app: App) {
         let index = entry.index;
         let known = self.apps.entry(index).or_insert(app);
         assert_eq!(*known, app, "the state after {index}");
         let known = self.committed.entry(index).or_insert_with(|| entry.clone());
-        assert_eq!(*known, entry, "the entry at {index}");
+        assert_eq!(known, entry, "the entry at {index}");
     }
 
     fn restored(&self, index: Index, app: App) {
