Look where most is free when the fullest workers keep their rest

Cause: work without accelerators leaves processors beside free accelerators. A search goes to the fullest workers first and ends after 24 that turn out unsuitable; once 24 workers had only kept room left, nothing more of that work started anywhere, for ever.

Test: plain_work_goes_past_many_workers_whose_rest_is_kept_for_accelerators failed before the change.

Conclusion: a second search from the other end when the first finds nothing.

--- a/crates/gentianlane/src/place/choose.rs
+++ b/crates/gentianlane/src/place/choose.rs
@@ -67,6 +67,14 @@
 
     /// Workers for all tasks out of some rooms, whichever come first.
     fn gather(&self, rooms: &Rooms, order: Order) -> Option<Vec<Seat>> {
+        match self.gather_in(rooms, order) {
+            // Workers with the least free may all keep it for accelerators.
+            None if order == Order::Tight => self.gather_in(rooms, Order::Loose),
+            found => found,
+        }
+    }
+
+    fn gather_in(&self, rooms: &Rooms, order: Order) -> Option<Vec<Seat>> {
         let count = self.job.count as usize;
         let mut seats = Vec::with_capacity(count.min(1_024));
         for &side in self.sides() {
