--- a/crates/gentianlane-daemon/src/process/control.rs
+++ b/crates/gentianlane-daemon/src/process/control.rs
@@ -4,10 +4,11 @@
 use std::time::Duration;
 
 use flume::{RecvTimeoutError, Sender};
+use gentianlane::agree::{Role, Standing};
 use gentianlane::cell::{Node, Output, Ticket};
 use gentianlane::unit::Span;
 use gentianlane_store::{Fault, Journal, Record};
-use slog::{Logger, info, warn};
+use slog::{Logger, crit, info, warn};
 
 use crate::channel::{Input, Inputs, Sealed};
 use crate::clock::Clock;
@@ -80,12 +81,15 @@
 
     /// Hands the lead over, and works on until another node has taken it.
     fn leave(&mut self, inputs: &Inputs) -> Result<(), Fault> {
+        let led = self.node.agree().role() == Role::Leader;
         self.node.hand_over();
         let end = self.clock.now().after(HAND_OVER_LIMIT);
         loop {
             self.flush()?;
-            let leads = self.node.agree().leader() == Some(self.node.agree().id());
-            if !leads || self.clock.now() >= end {
+            let me = self.node.agree().id();
+            let leader = self.node.agree().leader();
+            let taken = leader.is_some_and(|leader| leader != me);
+            if !led || taken || self.clock.now() >= end {
                 return Ok(());
             }
             if let Ok(input) = inputs.recv_timeout(STEP) {
@@ -118,6 +122,20 @@
             }
         }
         self.view.set_leader(self.node.agree().leader());
+        self.check()
+    }
+
+    /// Ends a node that may not go on with what it holds.
+    fn check(&self) -> Result<(), Fault> {
+        if self.node.is_broken() {
+            crit!(self.log, "broken"; "reason" => "the snapshot isn't a state");
+            return Err(Fault::Broken);
+        }
+        if self.node.agree().standing() == Standing::Refused {
+            let reason = "the disk has lost promises; come back under another number";
+            crit!(self.log, "refused"; "reason" => reason);
+            return Err(Fault::Broken);
+        }
         Ok(())
     }
 
@@ -125,27 +143,38 @@
         let Some(journal) = &mut self.journal else {
             return Ok(());
         };
-        let mut records = Vec::new();
-        for output in outputs {
-            match output {
-                Output::Save(ballot) => records.push(Record::Ballot(*ballot)),
-                Output::Store(entries) => {
-                    records.extend(entries.iter().cloned().map(Record::Entry));
-                }
-                // The journal keeps the whole log as yet.
-                Output::Snapshot(_)
-                | Output::Send(..)
-                | Output::Reply(..)
-                | Output::Role(_) => {}
-            }
-        }
-        if records.is_empty() {
-            return Ok(());
-        }
-        let stored = journal.append(&records);
+        let stored = write(journal, outputs);
         if let Err(fault) = &stored {
             warn!(self.log, "journal"; "fault" => %fault);
         }
         stored
     }
 }
+
+/// Writes what is to be durable, in order, with one sync for all records up to
+/// a snapshot.
+fn write(journal: &mut Journal, outputs: &[Output]) -> Result<(), Fault> {
+    let mut records = Vec::new();
+    for output in outputs {
+        match output {
+            Output::Save(ballot) => records.push(Record::Ballot(*ballot)),
+            Output::Store(entries) => {
+                records.extend(entries.iter().cloned().map(Record::Entry));
+            }
+            Output::Snapshot(snapshot) => {
+                append(journal, &records)?;
+                records.clear();
+                journal.snapshot(snapshot)?;
+            }
+            Output::Send(..) | Output::Reply(..) | Output::Role(_) => {}
+        }
+    }
+    append(journal, &records)
+}
+
+fn append(journal: &mut Journal, records: &[Record]) -> Result<(), Fault> {
+    match records.is_empty() {
+        true => Ok(()),
+        false => journal.append(records),
+    }
+}
--- a/crates/gentianlane-daemon/src/process/node.rs
+++ b/crates/gentianlane-daemon/src/process/node.rs
@@ -3,8 +3,9 @@
 use std::collections::HashMap;
 use std::thread::{self, JoinHandle};
 
+use gentianlane::unit::Time;
 use gentianlane::{agree, cell, place};
-use miette::{IntoDiagnostic, Result};
+use miette::{IntoDiagnostic, Result, miette};
 use slog::{Logger, crit, info, o};
 use tokio::runtime::Runtime;
 
@@ -13,7 +14,7 @@
 use crate::connection::{http, peer, rpc};
 use crate::process::control::Control;
 use crate::process::data;
-use crate::process::settings::{Settings, Stop};
+use crate::process::settings::{Peer, Settings, Stop};
 use crate::process::view;
 use crate::request::entry::Entry;
 
@@ -39,6 +40,10 @@
         let clock = Clock::start();
         let (journal, saved) = data::open(settings)?;
         let me = settings.me()?.clone();
+        let core = core(settings, &me, saved, clock.now());
+        if core.is_broken() {
+            return Err(miette!("the snapshot in the data folder isn't a state"));
+        }
         let (control, inputs) = flume::bounded(CONTROL_LIMIT);
         let view = view::Shared::default();
         let incarnation = Clock::wall().as_millis().into();
@@ -51,7 +56,7 @@
             Entry::new(settings.node, control.clone(), view.clone(), clock, forward);
         let http = http::Server::start(me.http, settings.limits, entry, &log)?;
         let part = Control {
-            node: cell::Node::new(setup(settings), saved, clock.now()),
+            node: core,
             journal,
             clock,
             view: view.clone(),
@@ -96,6 +101,22 @@
     }
 }
 
+/// The cell's part of the node.
+///
+/// An empty folder of a founding voter was made by the operator's `init`; any
+/// other node with one has to be told by a leader that it holds no vote.
+fn core(settings: &Settings, me: &Peer, saved: agree::Saved, now: Time) -> cell::Node {
+    let site = agree::Site {
+        disk: settings.data.is_some(),
+        domain: me.domain.clone(),
+    };
+    let node = cell::Node::new(setup(settings), saved, now).located(site);
+    match me.voter {
+        true => node,
+        false => node.returning(),
+    }
+}
+
 fn setup(settings: &Settings) -> cell::Setup {
     let voters = settings.voters();
     let nodes = settings.nodes.iter().map(|peer| peer.node);
