--- a/crates/gentianlane/tests/script/mod.rs
+++ b/crates/gentianlane/tests/script/mod.rs
@@ -145,6 +145,24 @@
         }
     });
     let s = Rc::clone(stage);
+    engine.register_fn("wipe", move |one: i64| {
+        let mut stage = s.borrow_mut();
+        let now = stage.world.now;
+        if let Some(host) = stage.world.hosts.get_mut(&node(one)) {
+            host.wipe(now);
+        }
+    });
+    let s = Rc::clone(stage);
+    engine.register_fn("compact", move |one: i64| {
+        if let Some(host) = s.borrow_mut().world.hosts.get_mut(&node(one)) {
+            host.compact();
+        }
+    });
+    let s = Rc::clone(stage);
+    engine.register_fn("learner", move |one: i64| {
+        s.borrow_mut().world.learner(node(one), SEED);
+    });
+    let s = Rc::clone(stage);
     engine.register_fn("pause", move |one: i64| {
         if let Some(host) = s.borrow_mut().world.hosts.get_mut(&node(one)) {
             host.pause();
@@ -335,6 +353,16 @@
         Ok(host.state().book().revision().0.cast_signed())
     });
     let s = Rc::clone(stage);
+    engine.register_fn("is_voter", move |one: i64| -> bool {
+        let stage = s.borrow();
+        let host = stage
+            .world
+            .leader()
+            .and_then(|leader| stage.world.hosts.get(&leader));
+        let node_of = host.and_then(|host| host.node());
+        node_of.is_some_and(|leader| leader.agree().voters().contains(node(one)))
+    });
+    let s = Rc::clone(stage);
     engine.register_fn("running", move |workload: &str| -> i64 {
         let stage = s.borrow();
         let host = stage
--- a/crates/gentianlane/tests/world/host.rs
+++ b/crates/gentianlane/tests/world/host.rs
@@ -74,6 +74,40 @@
         self.node.as_ref()?.agree().leader()
     }
 
+    /// A node that isn't among the first voters, with an empty disk.
+    pub(crate) fn learner(
+        id: id::Node,
+        voters: &[id::Node],
+        seed: u64,
+        now: Time,
+    ) -> Self {
+        let mut host = Self::new(id, voters, seed, now);
+        host.start(now);
+        host
+    }
+
+    /// Begins the process with what the disk holds, in a cell that isn't new.
+    fn start(&mut self, now: Time) {
+        let domain = id::Domain(format!("domain-{}", self.id));
+        let site = agree::Site { disk: true, domain };
+        let node = Node::new(self.setup.clone(), self.saved.clone(), now);
+        self.node = Some(node.located(site).returning());
+    }
+
+    /// The disk is lost with the process; the node comes back without either.
+    pub(crate) fn wipe(&mut self, now: Time) {
+        self.kill();
+        self.saved = Saved::default();
+        self.start(now);
+    }
+
+    /// Puts a snapshot in place of the log.
+    pub(crate) fn compact(&mut self) {
+        if let Some(node) = &mut self.node {
+            node.compact();
+        }
+    }
+
     pub(crate) fn kill(&mut self) {
         self.node = None;
         self.paused = false;
@@ -82,7 +116,7 @@
 
     pub(crate) fn restart(&mut self, now: Time) {
         self.kill();
-        self.node = Some(Node::new(self.setup.clone(), self.saved.clone(), now));
+        self.start(now);
     }
 
     pub(crate) fn pause(&mut self) {
@@ -152,7 +186,12 @@
                     self.saved.entries.retain(|entry| before(entry.index));
                     self.saved.entries.extend(entries.iter().cloned());
                 }
-                _ => {}
+                Output::Snapshot(snapshot) => {
+                    let last = snapshot.last.index;
+                    self.saved.entries.retain(|entry| entry.index > last);
+                    self.saved.snapshot = Some(snapshot.clone());
+                }
+                Output::Send(..) | Output::Reply(..) | Output::Role(_) => {}
             }
         }
         outputs
--- a/crates/gentianlane/tests/world/mod.rs
+++ b/crates/gentianlane/tests/world/mod.rs
@@ -77,6 +77,13 @@
         }
     }
 
+    /// Adds a node that isn't among the first voters.
+    pub(crate) fn learner(&mut self, id: id::Node, seed: u64) {
+        let voters: Vec<id::Node> = self.hosts.keys().copied().collect();
+        self.hosts
+            .insert(id, Host::learner(id, &voters, seed, self.now));
+    }
+
     pub(crate) fn wall(&self) -> Wall {
         Wall::from_millis(EPOCH + self.now.as_millis())
     }
