--- a/crates/gentianlane/tests/agree/main.rs
+++ b/crates/gentianlane/tests/agree/main.rs
@@ -8,4 +8,7 @@
 
 mod election;
 mod fuzz;
+mod member;
 mod net;
+mod replicate;
+mod snapshot;
--- /dev/null
+++ b/crates/gentianlane/tests/agree/member.rs
@@ -0,0 +1,219 @@
+//! Changes of the voters: repair, removal, lost disks, failure domains.
+
+use gentianlane::agree::{Change, Denied, Role, Site, Standing};
+use gentianlane::id;
+
+use crate::net::Net;
+
+/// The seed of every test here.
+const SEED: u64 = 23;
+
+fn voters(net: &Net, at: usize) -> Vec<usize> {
+    let voters = net.node(at).voters().iter();
+    let mut places: Vec<usize> = voters.map(|node| node.0 as usize - 1).collect();
+    places.sort_unstable();
+    places
+}
+
+fn propose(net: &mut Net, count: u8) {
+    for number in 0..count {
+        assert!(net.propose([vec![number]]));
+        net.run(50);
+    }
+}
+
+/// A cell that leads and has committed a few commands.
+fn settled(founders: u64, spares: u64) -> (Net, usize) {
+    let mut net = Net::new(founders, spares, SEED);
+    let leader = net.settle();
+    net.run(2_000);
+    propose(&mut net, 5);
+    (net, leader)
+}
+
+fn other(net: &Net, than: &[usize]) -> usize {
+    let leader = net.leader().expect("a leader");
+    let all = voters(net, leader);
+    let found = all.into_iter().find(|at| !than.contains(at));
+    found.expect("another voter")
+}
+
+#[test]
+fn a_second_loss_right_after_a_repair_loses_nothing() {
+    let (mut net, leader) = settled(3, 1);
+    let lost = other(&net, &[leader]);
+    net.crash(lost);
+    let spare = 3;
+    while !voters(&net, leader).contains(&spare) || voters(&net, leader).len() != 3 {
+        net.run(10);
+        assert!(net.now < 60_000, "the repair takes place");
+    }
+    propose(&mut net, 3);
+    net.crash(leader);
+    let new = net.settle();
+    propose(&mut net, 3);
+    net.run(1_000);
+    assert_eq!(net.machines[new].app.count, 11);
+    net.assert_whole([new, spare]);
+}
+
+#[test]
+fn a_voter_that_restarts_within_the_delay_keeps_its_vote() {
+    let (mut net, leader) = settled(3, 1);
+    let before = voters(&net, leader);
+    let away = other(&net, &[leader]);
+    net.crash(away);
+    net.run(2_500);
+    net.start(away, true);
+    net.run(20_000);
+    assert_eq!(voters(&net, leader), before);
+    net.assert_whole(0..4);
+}
+
+#[test]
+fn wipe_one_and_kill_another_elects_nobody_who_lacks_an_entry() {
+    let (mut net, leader) = settled(3, 0);
+    let wiped = other(&net, &[leader]);
+    let behind = other(&net, &[leader, wiped]);
+    net.isolate(behind);
+    propose(&mut net, 3);
+    // Only the leader and the wiped node held the last three commands.
+    net.crash(leader);
+    net.wipe(wiped);
+    net.cut.clear();
+    net.start(wiped, true);
+    net.run(60_000);
+    assert_eq!(net.leader(), None, "two blank or old disks are no majority");
+    assert_eq!(net.node(wiped).standing(), Standing::Blank);
+    net.start(leader, true);
+    let new = net.settle();
+    net.run(5_000);
+    assert_eq!(net.machines[new].app.count, 8);
+    assert_eq!(net.node(wiped).standing(), Standing::Refused);
+}
+
+#[test]
+fn a_wiped_voter_comes_back_as_a_new_member_and_is_replaced() {
+    let (mut net, leader) = settled(3, 0);
+    let wiped = other(&net, &[leader]);
+    net.wipe(wiped);
+    net.start(wiped, true);
+    net.run(2_000);
+    assert_eq!(net.node(wiped).standing(), Standing::Refused);
+    assert!(net.machines[wiped].disk.is_blank(), "it stored nothing");
+    net.crash(wiped);
+    let new = net.add(Site::default());
+    net.start(new, true);
+    net.run(10_000);
+    assert_eq!(net.node(new).standing(), Standing::Member);
+    let voters = voters(&net, leader);
+    assert!(
+        voters.contains(&new) && !voters.contains(&wiped),
+        "{voters:?}"
+    );
+    net.assert_whole([leader, new]);
+}
+
+#[test]
+fn a_disk_that_was_rolled_back_is_refused() {
+    let (mut net, leader) = settled(3, 1);
+    let old = other(&net, &[leader]);
+    let copy = net.machines[old].disk.clone();
+    propose(&mut net, 5);
+    net.crash(old);
+    net.machines[old].disk = copy;
+    net.start(old, true);
+    net.run(10_000);
+    assert_eq!(net.node(old).standing(), Standing::Refused);
+    let voters = voters(&net, leader);
+    assert!(!voters.contains(&old), "{voters:?}");
+}
+
+#[test]
+fn a_leader_that_removes_itself_leads_until_that_is_committed() {
+    let (mut net, leader) = settled(3, 1);
+    let me = net.machines[leader].id;
+    let change = net.with(leader, |node, now| node.change(Change::Remove(me), now));
+    assert!(change.is_ok());
+    assert_eq!(net.node(leader).role(), Role::Leader);
+    net.run(2_000);
+    let new = net.settle();
+    assert_ne!(new, leader);
+    propose(&mut net, 2);
+    net.run(3_000);
+    let members = voters(&net, new);
+    assert_eq!(members.len(), 3, "the learner has its place: {members:?}");
+    net.assert_whole(0..4);
+}
+
+#[test]
+fn a_second_change_waits_for_the_first() {
+    let (mut net, leader) = settled(5, 0);
+    let first = net.machines[other(&net, &[leader])].id;
+    net.isolate(leader);
+    let changes = net.with(leader, |node, now| {
+        let one = node.change(Change::Remove(first), now);
+        (one, node.change(Change::Add(first), now))
+    });
+    assert!(changes.0.is_ok());
+    assert_eq!(changes.1, Err(Denied::Pending));
+    // The cut-off leader's change is undone by the next leader's log.
+    net.run(10_000);
+    net.cut.clear();
+    net.run(2_000);
+    assert_eq!(voters(&net, leader).len(), 5);
+}
+
+#[test]
+fn a_node_without_a_disk_never_gets_a_vote() {
+    let mut net = Net::new(3, 0, SEED);
+    let site = Site {
+        disk: false,
+        ..Site::default()
+    };
+    let learner = net.add(site);
+    net.start(learner, true);
+    let leader = net.settle();
+    net.run(3_000);
+    net.crash(other(&net, &[leader]));
+    net.run(20_000);
+    assert!(!voters(&net, leader).contains(&learner));
+    let node = net.machines[learner].id;
+    let denied = net.with(leader, |node_, now| node_.change(Change::Add(node), now));
+    assert_eq!(denied, Err(Denied::Unfit));
+    // Without a disk its log is gone with each restart, and is sent again.
+    net.crash(learner);
+    net.start(learner, true);
+    net.run(5_000);
+    net.assert_whole([leader, learner]);
+}
+
+#[test]
+fn voters_end_up_in_different_domains() {
+    let mut net = Net::new(3, 3, SEED);
+    for (at, domain) in ["a", "a", "b", "a", "b", "c"].into_iter().enumerate() {
+        net.machines[at].site.domain = id::Domain::from(domain);
+        net.crash(at);
+        net.start(at, at >= 3);
+    }
+    net.settle();
+    net.run(30_000);
+    let leader = net.settle();
+    let members = voters(&net, leader);
+    let mut domains: Vec<_> = members
+        .iter()
+        .map(|&at| net.machines[at].site.domain.to_string())
+        .collect();
+    domains.sort();
+    assert_eq!(domains, ["a", "b", "c"]);
+    // Domain c's only node goes: its place is taken, and given back later.
+    net.crash(5);
+    net.run(30_000);
+    let leader = net.settle();
+    assert!(!voters(&net, leader).contains(&5));
+    net.start(5, true);
+    net.run(30_000);
+    let leader = net.settle();
+    assert!(voters(&net, leader).contains(&5));
+    assert_eq!(voters(&net, leader).len(), 3);
+}
--- /dev/null
+++ b/crates/gentianlane/tests/agree/replicate.rs
@@ -0,0 +1,90 @@
+//! Replication over links that lose, repeat and reorder, and its limits.
+
+use gentianlane::agree::{Body, Output};
+
+use crate::net::{Net, Noise};
+
+/// The seed of every test here.
+const SEED: u64 = 41;
+
+#[test]
+fn lost_repeated_and_reordered_messages_change_nothing() {
+    let mut net = Net::new(5, 1, SEED);
+    net.settle();
+    net.noise = Noise {
+        drop: 100,
+        double: 100,
+        delay: 80,
+    };
+    let mut taken = 0;
+    for number in 0..500_u32 {
+        taken += u64::from(net.propose([number.to_le_bytes().to_vec()]));
+        net.run(20);
+    }
+    net.noise = Noise::default();
+    net.run(5_000);
+    net.settle();
+    assert!(taken > 400, "{taken} were taken up");
+    net.propose([b"end".to_vec()]);
+    net.run(3_000);
+    net.assert_whole(0..6);
+}
+
+/// Counts entries and their bytes in what a node wants sent to `to`.
+fn sent(outputs: &[Output], to: u64) -> (usize, usize) {
+    let mut total = (0, 0);
+    for output in outputs {
+        let Output::Send(node, message) = output else {
+            continue;
+        };
+        if let (Body::Append(append), true) = (&message.body, node.0 == to) {
+            total.0 += append.entries.len();
+            let weights = append.entries.iter().map(|entry| entry.payload.weight());
+            total.1 += weights.sum::<usize>();
+        }
+    }
+    total
+}
+
+#[test]
+fn what_is_unanswered_is_limited_and_sent_once() {
+    let mut net = Net::new(3, 0, SEED);
+    let leader = net.settle();
+    net.run(1_000);
+    let follower = net.machines[(leader + 1) % 3].id.0;
+    let now = net.machines[leader].clock(net.now);
+    let mut node = net.node(leader).clone();
+    let mut total = (0, 0);
+    for _ in 0..200 {
+        node.propose([vec![7; 60 << 10]], now).unwrap();
+        let (count, bytes) = sent(&node.take(), follower);
+        total = (total.0 + count, total.1 + bytes);
+    }
+    assert!(total.1 > 900 << 10 && total.1 < 1_400 << 10, "{total:?}");
+    // The heartbeat repeats no entry that may yet be answered.
+    node.tick(node.due());
+    assert_eq!(sent(&node.take(), follower).0, 0);
+}
+
+#[test]
+fn a_peer_that_was_silent_for_long_is_sent_a_bounded_amount() {
+    let mut net = Net::new(3, 0, SEED);
+    let leader = net.settle();
+    net.run(1_000);
+    let away = (leader + 1) % 3;
+    net.isolate(away);
+    for number in 0..60_u8 {
+        assert!(net.propose((0..4).map(|_| vec![number; 20 << 10])));
+        net.run(100);
+    }
+    let before = net.bytes;
+    net.run(60_000);
+    let wasted = net.bytes - before;
+    assert!(
+        wasted < 80 << 20,
+        "{wasted} bytes to a silent peer in a minute"
+    );
+    net.cut.clear();
+    net.run(5_000);
+    net.assert_whole(0..3);
+}
--- /dev/null
+++ b/crates/gentianlane/tests/agree/snapshot.rs
@@ -0,0 +1,139 @@
+//! Snapshots in place of the log's beginning.
+
+use gentianlane::agree::{Body, Index, Message};
+
+use crate::net::{Net, Noise};
+
+/// The seed of every test here.
+const SEED: u64 = 37;
+
+fn fill(net: &mut Net, batches: u64) {
+    for batch in 0..batches {
+        let commands = (0..20_u64).map(|at| (batch * 20 + at).to_le_bytes().to_vec());
+        assert!(net.propose(commands));
+        net.run(50);
+    }
+}
+
+/// A cell of which one voter is down while 4,000 commands are committed and
+/// the others compact their logs.
+fn one_behind() -> (Net, usize, usize) {
+    let mut net = Net::new(3, 0, SEED);
+    let leader = net.settle();
+    net.timing.repair = gentianlane::unit::Span::from_secs(3_600);
+    let behind = (leader + 1) % 3;
+    net.crash(behind);
+    fill(&mut net, 200);
+    net.run(500);
+    for at in 0..3 {
+        if at != behind {
+            assert!(net.compact(at));
+        }
+    }
+    (net, leader, behind)
+}
+
+#[test]
+fn a_follower_behind_the_logs_beginning_gets_a_snapshot() {
+    let (mut net, leader, behind) = one_behind();
+    let base = net.node(leader).base().index;
+    assert!(base > Index(2_000), "{base}");
+    net.start(behind, true);
+    net.run(5_000);
+    net.assert_whole(0..3);
+    let saved = net.machines[behind].disk.snapshot.as_ref();
+    assert!(saved.is_some(), "the snapshot is on its disk");
+    net.crash(behind);
+    net.start(behind, true);
+    net.run(3_000);
+    net.assert_whole(0..3);
+}
+
+#[test]
+fn a_snapshot_arrives_over_a_bad_link() {
+    let (mut net, _, behind) = one_behind();
+    net.noise = Noise {
+        drop: 200,
+        double: 200,
+        delay: 60,
+    };
+    net.start(behind, true);
+    net.run(60_000);
+    net.noise = Noise::default();
+    net.run(3_000);
+    net.assert_whole(0..3);
+}
+
+#[test]
+fn a_crash_while_a_snapshot_is_stored_loses_nothing() {
+    for outputs in 0..8 {
+        let (mut net, _, behind) = one_behind();
+        net.start(behind, true);
+        net.machines[behind].fuse = Some(outputs);
+        net.run(5_000);
+        net.crash(behind);
+        net.start(behind, true);
+        net.run(5_000);
+        net.assert_whole(0..3);
+    }
+}
+
+#[test]
+fn a_node_leads_from_a_snapshot_after_a_restart_of_all() {
+    let (mut net, ..) = one_behind();
+    for at in 0..3 {
+        net.crash(at);
+    }
+    for at in 0..3 {
+        net.start(at, true);
+    }
+    net.settle();
+    fill(&mut net, 3);
+    net.run(5_000);
+    net.assert_whole(0..3);
+}
+
+#[test]
+fn only_what_was_applied_is_compacted_and_only_once() {
+    let mut net = Net::new(3, 0, SEED);
+    let leader = net.settle();
+    fill(&mut net, 2);
+    let applied = net.node(leader).applied();
+    let early = net.with(leader, |node, _| node.compact(applied.next(), vec![0; 16]));
+    assert!(!early);
+    assert!(net.compact(leader));
+    assert!(!net.compact(leader));
+}
+
+#[test]
+fn entries_older_than_the_commit_never_cut_what_is_committed() {
+    let mut net = Net::new(3, 0, SEED);
+    let leader = net.settle();
+    fill(&mut net, 3);
+    net.run(1_000);
+    let follower = (leader + 1) % 3;
+    let before = net.machines[follower].disk.entries.clone();
+    let from = net.machines[leader].id;
+    let first = before[1].clone();
+    let mut forged = first.clone();
+    forged.term = before[0].term;
+    forged.payload = gentianlane::agree::Payload::Empty;
+    for entry in [first, forged] {
+        let append = gentianlane::agree::Append {
+            prev: gentianlane::agree::Position {
+                index: before[0].index,
+                term: before[0].term,
+            },
+            entries: vec![entry],
+            commit: Index(0),
+            seq: 1,
+        };
+        let message = Message {
+            term: net.node(leader).term(),
+            body: Body::Append(append),
+        };
+        net.with(follower, |node, now| node.receive(from, message, now));
+    }
+    assert_eq!(net.machines[follower].disk.entries, before);
+    assert_eq!(net.node(follower).stored().0, before.len() as u64);
+}
