Send metrics by StatsD and a span for each hop by OTLP

Metrics go over UDP from a bounded queue; spans of the hops entry, forward and control go as OTLP in JSON over HTTP from a thread of its own, at most 256 at a time. A full queue or a silent collector drops spans and counts them. Both are off unless the settings give an address. A caller's traceparent is taken over; the hop to the worker has no span yet, since no trace goes through the log.

Ruled out: spans through the control thread (it would do formatting), and a client library for traces (it brings a runtime and a generator).

--- a/crates/gentianlane-daemon/src/connection/http/exchange.rs
+++ b/crates/gentianlane-daemon/src/connection/http/exchange.rs
@@ -10,8 +10,7 @@
 
 use crate::connection::http::gate::Place;
 use crate::connection::http::head::{Fault, Head};
-use crate::connection::http::route;
-use crate::request::entry::Entry;
+use crate::connection::http::route::{self, Service};
 
 /// How many bytes are read at once.
 const CHUNK: usize = 4 << 10;
@@ -53,13 +52,17 @@
     }
 
     /// Serves requests until the connection ends.
-    pub(super) fn run(&mut self, entry: &Entry) {
+    pub(super) fn run(&mut self, service: &Service) {
         while self.wait() {
             let (response, keep) = match self.request() {
-                Ok((request, keep)) => (self.serve(entry, &request), keep),
-                Err(fault) => (route::refused(fault), false),
+                Ok((request, keep)) => (self.serve(service, &request), keep),
+                Err(fault) => {
+                    service.telemetry.metrics.unreadable();
+                    (route::refused(fault), false)
+                }
             };
-            let keep = keep && !entry.is_stopping() && !self.place.gate().is_closing();
+            let keep =
+                keep && !service.entry.is_stopping() && !self.place.gate().is_closing();
             if self.reply(response, keep).is_err() {
                 return;
             }
@@ -69,9 +72,9 @@
         }
     }
 
-    fn serve(&self, entry: &Entry, request: &Request) -> Response {
+    fn serve(&self, service: &Service, request: &Request) -> Response {
         match self.place.begin() {
-            Some(_open) => route::serve(entry, request),
+            Some(_open) => route::serve(service, request),
             None => route::overloaded(),
         }
     }
--- a/crates/gentianlane-daemon/src/connection/http/mod.rs
+++ b/crates/gentianlane-daemon/src/connection/http/mod.rs
@@ -22,9 +22,9 @@
 
 use crate::connection::http::exchange::Exchange;
 use crate::connection::http::gate::{Gate, Place};
+pub(crate) use crate::connection::http::route::Service;
 use crate::connection::http::turn_away::Refuser;
 use crate::process::settings::{Limits, Stop};
-use crate::request::entry::Entry;
 
 /// The stack of a connection's thread, in bytes.
 const STACK: usize = 512 << 10;
@@ -45,7 +45,7 @@
     pub(crate) fn start(
         address: SocketAddr,
         limits: Limits,
-        entry: Entry,
+        service: Service,
         log: &Logger,
     ) -> Result<Self> {
         let listener = TcpListener::bind(address)
@@ -55,7 +55,7 @@
             listener,
             gate: Arc::clone(&gate),
             refuser: Refuser::start(),
-            entry,
+            service,
             log: log.clone(),
         };
         let thread = thread::spawn(move || acceptor.run());
@@ -88,7 +88,7 @@
     listener: TcpListener,
     gate: Arc<Gate>,
     refuser: Refuser,
-    entry: Entry,
+    service: Service,
     log: Logger,
 }
 
@@ -124,11 +124,11 @@
     }
 
     fn spawn(&self, stream: TcpStream, from: SocketAddr, place: Place) {
-        let entry = self.entry.clone();
+        let service = self.service.clone();
         let thread = thread::Builder::new().stack_size(STACK);
         let spawned = thread.spawn(move || {
             if let Ok(mut exchange) = Exchange::new(stream, from, &place) {
-                exchange.run(&entry);
+                exchange.run(&service);
             }
         });
         if let Err(error) = spawned {
--- a/crates/gentianlane-daemon/src/connection/http/route.rs
+++ b/crates/gentianlane-daemon/src/connection/http/route.rs
@@ -1,6 +1,7 @@
 //! What each path does.
 
 use std::io::Read;
+use std::time::Instant;
 
 use gentianlane::api::{Call, NoteText, Refusal, Reply};
 use gentianlane::id;
@@ -10,23 +11,46 @@
 use serde::de::DeserializeOwned;
 
 use crate::connection::http::head::Fault;
+use crate::process::telemetry::trace;
+use crate::process::telemetry::{self, Telemetry};
 use crate::request::entry::Entry;
 
 /// When to come back while too many requests are open.
 const OVERLOAD_RETRY: Span = Span::from_millis(500);
 
+/// What every request needs.
+#[derive(Clone)]
+pub(crate) struct Service {
+    pub(crate) entry: Entry,
+    pub(crate) telemetry: Telemetry,
+}
+
 /// Does what a request asks for.
-pub(super) fn serve(entry: &Entry, request: &Request) -> Response {
+pub(super) fn serve(service: &Service, request: &Request) -> Response {
+    let entry = &service.entry;
     match (request.method(), request.url().as_str()) {
         ("GET", "/health") => health(entry),
         ("GET", "/ready") => ready(entry),
         (method, path) => match read(method, path, request) {
-            Ok(call) => respond(&entry.ask(&call)),
+            Ok(call) => respond(&ask(service, &call, request)),
             Err(refusal) => respond(&Reply::Refused(refusal)),
         },
     }
 }
 
+/// Passes a call on, counts it and traces it.
+fn ask(service: &Service, call: &Call, request: &Request) -> Reply {
+    let Telemetry { metrics, tracer } = &service.telemetry;
+    let name = telemetry::name(call);
+    let parent = request.header("traceparent");
+    let parent = parent.and_then(|parent| parent.parse().ok());
+    let span = tracer.begin("entry", name, parent);
+    let began = Instant::now();
+    let reply = trace::Span::within(span.as_ref(), || service.entry.ask(call));
+    metrics.call(name, &reply, began.elapsed());
+    reply
+}
+
 /// What a caller is told whose request couldn't be read.
 pub(super) fn refused(fault: Fault) -> Response {
     let refusal = Refusal::not_run(Reason::Malformed, fault.to_string());
--- a/crates/gentianlane-daemon/src/connection/peer.rs
+++ b/crates/gentianlane-daemon/src/connection/peer.rs
@@ -16,6 +16,7 @@
 
 use crate::channel::{Control, Input, PEER_LIMIT};
 use crate::process::settings::Settings;
+use crate::process::telemetry::metrics::Metrics;
 
 /// How long a connection to a peer may take to come about.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -116,18 +117,21 @@
         address: SocketAddr,
         settings: &Settings,
         control: Control,
+        metrics: &Metrics,
     ) -> Result<Self> {
         let listener = TcpListener::bind(address).into_diagnostic()?;
         let stop = Arc::new(AtomicBool::new(false));
         let (cell, node) = (settings.cell.clone(), settings.node);
         let stopped = Arc::clone(&stop);
+        let metrics = metrics.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 if stopped.load(Ordering::Relaxed) {
                     return;
                 }
                 let (cell, control) = (cell.clone(), control.clone());
-                thread::spawn(move || read_all(stream, &cell, node, &control));
+                let metrics = metrics.clone();
+                thread::spawn(move || read_all(stream, &cell, node, &control, &metrics));
             }
         });
         Ok(Self { address, stop })
@@ -140,13 +144,20 @@
     }
 }
 
-fn read_all(stream: TcpStream, cell: &id::Cell, node: id::Node, control: &Control) {
+fn read_all(
+    stream: TcpStream,
+    cell: &id::Cell,
+    node: id::Node,
+    control: &Control,
+    metrics: &Metrics,
+) {
     if stream.set_read_timeout(Some(READ_TIMEOUT)).is_err() {
         return;
     }
     let mut reader = BufReader::new(stream);
     while let Ok(bytes) = read(&mut reader) {
         let Ok(frame) = Frame::decode(&bytes, cell, node) else {
+            metrics.refused_frame();
             return;
         };
         if control
--- a/crates/gentianlane-daemon/src/connection/rpc.rs
+++ b/crates/gentianlane-daemon/src/connection/rpc.rs
@@ -19,6 +19,8 @@
 use crate::channel::Control;
 use crate::clock::Clock;
 use crate::process::settings::Settings;
+use crate::process::telemetry::trace::{Span, Tracer};
+use crate::process::telemetry::{self};
 use crate::request::local;
 
 /// The method by which a call is passed on.
@@ -44,6 +46,7 @@
     address: SocketAddr,
     control: Control,
     clock: Clock,
+    tracer: Tracer,
 ) -> Result<()> {
     let config = ServerConfig::builder()
         .max_connections(CONNECTION_LIMIT)
@@ -54,11 +57,15 @@
         .build(address)
         .await
         .into_diagnostic()?;
-    let mut module = RpcModule::new((control, clock));
+    let mut module = RpcModule::new((control, clock, tracer));
     module
         .register_async_method(METHOD, |params, context, _| async move {
-            let call: Call = params.one()?;
-            let (control, clock) = &*context;
+            let mut params = params.sequence();
+            let call: Call = params.next()?;
+            let parent: Option<String> = params.optional_next()?;
+            let (control, clock, tracer) = &*context;
+            let parent = parent.and_then(|parent| parent.parse().ok());
+            let _span = tracer.begin("control", telemetry::name(&call), parent);
             let reply = local::ask_async(control, clock, call).await;
             Ok::<Reply, ErrorObjectOwned>(reply)
         })
@@ -82,10 +89,11 @@
     addresses: Arc<HashMap<id::Node, SocketAddr>>,
     clients: Arc<Mutex<HashMap<id::Node, Arc<WsClient>>>>,
     runtime: Handle,
+    tracer: Tracer,
 }
 
 impl Forward {
-    pub(crate) fn new(settings: &Settings, runtime: Handle) -> Self {
+    pub(crate) fn new(settings: &Settings, runtime: Handle, tracer: Tracer) -> Self {
         let addresses = settings
             .others()
             .map(|peer| (peer.node, peer.rpc))
@@ -94,15 +102,25 @@
             addresses: Arc::new(addresses),
             clients: Arc::default(),
             runtime,
+            tracer,
         }
     }
 
+    /// The span of a hop inside the one in which this thread works.
+    pub(crate) fn hop(&self, hop: &'static str, call: &Call) -> Option<Span> {
+        self.tracer
+            .begin(hop, telemetry::name(call), Span::current())
+    }
+
     /// Passes a call on and waits for its reply.
     pub(crate) fn call(&self, to: id::Node, call: &Call) -> Result<Reply, Fault> {
+        let span = self.hop("forward", call);
+        let parent = span.as_ref().map(|span| span.context().to_string());
         self.runtime.block_on(async {
             let client = self.client(to).await?;
             let mut params = ArrayParams::new();
             params.insert(call).map_err(|_| Fault::Unreachable)?;
+            params.insert(parent).map_err(|_| Fault::Unreachable)?;
             let reply = client.request(METHOD, params).await;
             reply.map_err(|error| self.failed(to, &client, &error))
         })
--- a/crates/gentianlane-daemon/src/process/control.rs
+++ b/crates/gentianlane-daemon/src/process/control.rs
@@ -6,13 +6,14 @@
 use flume::{RecvTimeoutError, Sender};
 use gentianlane::agree::{Role, Standing};
 use gentianlane::cell::{Node, Output, Ticket};
-use gentianlane::unit::Span;
+use gentianlane::unit::{Span, Time};
 use gentianlane_store::{Fault, Journal, Record};
 use slog::{Logger, crit, info, warn};
 
 use crate::channel::{Input, Inputs, Sealed};
 use crate::clock::Clock;
 use crate::connection::peer::Outbox;
+use crate::process::telemetry::metrics::Metrics;
 use crate::process::view;
 
 /// How often the core looks at the time.
@@ -21,6 +22,9 @@
 /// The longest wait for another node to take the lead.
 const HAND_OVER_LIMIT: Span = Span::from_secs(2);
 
+/// How often it is told how many inputs wait.
+const GAUGE_STEP: Span = Span::from_secs(1);
+
 /// The most inputs that are taken in before the core is flushed.
 const BATCH: usize = 1_024;
 
@@ -31,6 +35,8 @@
     pub(crate) clock: Clock,
     pub(crate) view: view::Shared,
     pub(crate) outbox: Outbox,
+    pub(crate) metrics: Metrics,
+    pub(crate) next_gauge: Time,
     pub(crate) log: Logger,
     pub(crate) replies: HashMap<Ticket, Sender<Sealed>>,
     pub(crate) last_ticket: u64,
@@ -59,10 +65,20 @@
             }
             self.node.tick(self.clock.now(), Clock::wall());
             self.flush()?;
+            self.gauge(inputs.len());
         }
         self.leave(inputs)
     }
 
+    /// Tells now and then how many inputs wait.
+    fn gauge(&mut self, waiting: usize) {
+        let now = self.clock.now();
+        if now >= self.next_gauge {
+            self.next_gauge = now.after(GAUGE_STEP);
+            self.metrics.waiting(waiting);
+        }
+    }
+
     fn take(&mut self, input: Input) {
         match input {
             Input::Call(call, reply) => {
@@ -117,6 +133,7 @@
                 }
                 Output::Role(role) => {
                     let term = self.node.agree().term();
+                    self.metrics.role(role);
                     info!(self.log, "role"; "role" => ?role, "term" => %term);
                 }
             }
@@ -143,7 +160,12 @@
         let Some(journal) = &mut self.journal else {
             return Ok(());
         };
+        if !outputs.iter().any(is_stored) {
+            return Ok(());
+        }
+        let began = self.clock.now();
         let stored = write(journal, outputs);
+        self.metrics.stored(self.clock.now().since(began).into());
         if let Err(fault) = &stored {
             warn!(self.log, "journal"; "fault" => %fault);
         }
@@ -153,6 +175,13 @@
 
 /// Writes what is to be durable, in order, with one sync for all records up to
 /// a snapshot.
+fn is_stored(output: &Output) -> bool {
+    matches!(
+        output,
+        Output::Save(_) | Output::Store(_) | Output::Snapshot(_)
+    )
+}
+
 fn write(journal: &mut Journal, outputs: &[Output]) -> Result<(), Fault> {
     let mut records = Vec::new();
     for output in outputs {
--- a/crates/gentianlane-daemon/src/process/mod.rs
+++ b/crates/gentianlane-daemon/src/process/mod.rs
@@ -5,4 +5,5 @@
 pub(crate) mod log;
 pub(crate) mod node;
 pub(crate) mod settings;
+pub(crate) mod telemetry;
 pub(crate) mod view;
--- a/crates/gentianlane-daemon/src/process/node.rs
+++ b/crates/gentianlane-daemon/src/process/node.rs
@@ -15,6 +15,7 @@
 use crate::process::control::Control;
 use crate::process::data;
 use crate::process::settings::{Peer, Settings, Stop};
+use crate::process::telemetry::Telemetry;
 use crate::process::view;
 use crate::request::entry::Entry;
 
@@ -44,23 +45,28 @@
         if core.is_broken() {
             return Err(miette!("the snapshot in the data folder isn't a state"));
         }
+        let telemetry = Telemetry::start(settings)?;
+        let Telemetry { metrics, tracer } = telemetry.clone();
         let (control, inputs) = flume::bounded(CONTROL_LIMIT);
         let view = view::Shared::default();
         let incarnation = Clock::wall().as_millis().into();
         let outbox = peer::Outbox::start(settings, incarnation);
-        let peers = peer::Listener::start(me.peer, settings, control.clone())?;
+        let peers = peer::Listener::start(me.peer, settings, control.clone(), &metrics)?;
         let runtime = runtime()?;
-        runtime.block_on(rpc::serve(me.rpc, control.clone(), clock))?;
-        let forward = rpc::Forward::new(settings, runtime.handle().clone());
+        runtime.block_on(rpc::serve(me.rpc, control.clone(), clock, tracer.clone()))?;
+        let forward = rpc::Forward::new(settings, runtime.handle().clone(), tracer);
         let entry =
             Entry::new(settings.node, control.clone(), view.clone(), clock, forward);
-        let http = http::Server::start(me.http, settings.limits, entry, &log)?;
+        let service = http::Service { entry, telemetry };
+        let http = http::Server::start(me.http, settings.limits, service, &log)?;
         let part = Control {
             node: core,
             journal,
             clock,
             view: view.clone(),
             outbox,
+            metrics,
+            next_gauge: clock.now(),
             log: log.clone(),
             replies: HashMap::new(),
             last_ticket: 0,
--- a/crates/gentianlane-daemon/src/process/settings/mod.rs
+++ b/crates/gentianlane-daemon/src/process/settings/mod.rs
@@ -37,7 +37,6 @@
     /// How the process goes away.
     pub(crate) stop: Stop,
     /// Where metrics and traces go.
-    #[expect(dead_code, reason = "read once telemetry is sent")]
     pub(crate) telemetry: Telemetry,
 }
 
--- /dev/null
+++ b/crates/gentianlane-daemon/src/process/telemetry/export.rs
@@ -0,0 +1,185 @@
+//! Traces, as OTLP in JSON over HTTP, from a thread of their own.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread;
+use std::time::Duration;
+
+use flume::Receiver;
+use gentianlane::unit::Wall;
+use serde::Serialize;
+
+use crate::process::telemetry::metrics::Metrics;
+use crate::process::telemetry::trace::{Done, Queue, Tracer};
+
+/// How many spans may wait; more are dropped and counted.
+const WAITING_LIMIT: usize = 2_048;
+
+/// How many spans go out at once.
+const BATCH: usize = 256;
+
+/// How long one export may take.
+const TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Where a collector takes traces.
+const PATH: &str = "/v1/traces";
+
+/// The code of a span that serves a request.
+const KIND_SERVER: u8 = 2;
+
+/// Starts the exporter; it ends with the last tracer.
+pub(crate) fn start(to: Option<SocketAddr>, node: String, metrics: Metrics) -> Tracer {
+    let Some(to) = to else {
+        return Tracer::default();
+    };
+    let (spans, waiting) = flume::bounded(WAITING_LIMIT);
+    let dropped = Arc::new(AtomicUsize::new(0));
+    let exporter = Exporter {
+        url: format!("http://{to}{PATH}"),
+        node,
+        waiting,
+        dropped: Arc::clone(&dropped),
+        metrics,
+    };
+    thread::spawn(move || exporter.run());
+    Tracer(Some(Queue { spans, dropped }))
+}
+
+/// The exporting thread's belongings.
+struct Exporter {
+    url: String,
+    node: String,
+    waiting: Receiver<Done>,
+    dropped: Arc<AtomicUsize>,
+    metrics: Metrics,
+}
+
+impl Exporter {
+    fn run(self) {
+        while let Ok(first) = self.waiting.recv() {
+            let more = self.waiting.try_iter().take(BATCH - 1);
+            let spans: Vec<Done> = std::iter::once(first).chain(more).collect();
+            let mut lost = self.dropped.swap(0, Ordering::Relaxed);
+            if !self.send(&spans) {
+                lost += spans.len();
+            }
+            if lost > 0 {
+                self.metrics.dropped_spans(lost);
+            }
+        }
+    }
+
+    fn send(&self, spans: &[Done]) -> bool {
+        let request = attohttpc::post(&self.url)
+            .connect_timeout(TIMEOUT)
+            .timeout(TIMEOUT)
+            .json(&Export::new(&self.node, spans));
+        let response = request.and_then(attohttpc::RequestBuilder::send);
+        response.is_ok_and(|response| response.is_success())
+    }
+}
+
+/// The body of one export, as the OpenTelemetry protocol names its parts.
+#[derive(Serialize)]
+#[serde(rename_all = "camelCase")]
+struct Export {
+    resource_spans: [ResourceSpans; 1],
+}
+
+#[derive(Serialize)]
+#[serde(rename_all = "camelCase")]
+struct ResourceSpans {
+    resource: Resource,
+    scope_spans: [ScopeSpans; 1],
+}
+
+#[derive(Serialize)]
+struct Resource {
+    attributes: Vec<Attribute>,
+}
+
+#[derive(Serialize)]
+struct ScopeSpans {
+    scope: Scope,
+    spans: Vec<Span>,
+}
+
+#[derive(Serialize)]
+struct Scope {
+    name: &'static str,
+}
+
+#[derive(Serialize)]
+#[serde(rename_all = "camelCase")]
+struct Span {
+    trace_id: String,
+    span_id: String,
+    parent_span_id: String,
+    name: &'static str,
+    kind: u8,
+    start_time_unix_nano: String,
+    end_time_unix_nano: String,
+    attributes: Vec<Attribute>,
+}
+
+#[derive(Serialize)]
+struct Attribute {
+    key: &'static str,
+    value: Value,
+}
+
+#[derive(Serialize)]
+#[serde(rename_all = "camelCase")]
+struct Value {
+    string_value: String,
+}
+
+impl Attribute {
+    fn new(key: &'static str, text: &str) -> Self {
+        let string_value = text.to_owned();
+        Self {
+            key,
+            value: Value { string_value },
+        }
+    }
+}
+
+impl Export {
+    fn new(node: &str, spans: &[Done]) -> Self {
+        let attributes = vec![
+            Attribute::new("service.name", "gentianlaned"),
+            Attribute::new("service.instance.id", node),
+        ];
+        let scope = Scope {
+            name: "gentianlane",
+        };
+        let spans = spans.iter().map(Span::new).collect();
+        Self {
+            resource_spans: [ResourceSpans {
+                resource: Resource { attributes },
+                scope_spans: [ScopeSpans { scope, spans }],
+            }],
+        }
+    }
+}
+
+impl Span {
+    fn new(done: &Done) -> Self {
+        let parent = done.parent.map(|parent| format!("{parent:016x}"));
+        Self {
+            trace_id: format!("{:032x}", done.context.trace),
+            span_id: format!("{:016x}", done.context.span),
+            parent_span_id: parent.unwrap_or_default(),
+            name: done.hop,
+            kind: KIND_SERVER,
+            start_time_unix_nano: nanos(done.start),
+            end_time_unix_nano: nanos(done.end),
+            attributes: vec![Attribute::new("gentianlane.call", done.call)],
+        }
+    }
+}
+
+fn nanos(at: Wall) -> String {
+    format!("{}000000", at.as_millis())
+}
--- /dev/null
+++ b/crates/gentianlane-daemon/src/process/telemetry/metrics.rs
@@ -0,0 +1,89 @@
+//! Metrics, as StatsD over UDP.
+
+use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
+use std::sync::Arc;
+use std::time::Duration;
+
+use cadence::prelude::{Counted, Gauged, Timed};
+use cadence::{NopMetricSink, QueuingMetricSink, StatsdClient, UdpMetricSink};
+use gentianlane::agree::Role;
+use gentianlane::api::Reply;
+use miette::{IntoDiagnostic, Result};
+
+/// The prefix of every metric's name.
+const PREFIX: &str = "gentianlane";
+
+/// How many metrics may wait to be sent; more are dropped.
+const WAITING_LIMIT: usize = 4_096;
+
+/// Where metrics go; cheap to clone.
+#[derive(Clone)]
+pub(crate) struct Metrics(Arc<StatsdClient>);
+
+impl Metrics {
+    /// Sends metrics to an address, or nowhere.
+    pub(crate) fn start(to: Option<SocketAddr>, node: &str) -> Result<Self> {
+        let builder = match to {
+            None => StatsdClient::builder(PREFIX, NopMetricSink),
+            Some(to) => {
+                let socket = UdpSocket::bind((Ipv4Addr::UNSPECIFIED, 0));
+                let socket = socket.into_diagnostic()?;
+                socket.set_nonblocking(true).into_diagnostic()?;
+                let sink = UdpMetricSink::from(to, socket).into_diagnostic()?;
+                let sink = QueuingMetricSink::with_capacity(sink, WAITING_LIMIT);
+                StatsdClient::builder(PREFIX, sink)
+            }
+        };
+        Ok(Self(Arc::new(builder.with_tag("node", node).build())))
+    }
+
+    /// A call from outside was answered.
+    pub(crate) fn call(&self, name: &str, reply: &Reply, took: Duration) {
+        let verdict = match reply.verdict() {
+            Some(verdict) => verdict.to_string().replace(' ', "_"),
+            None => "none".to_owned(),
+        };
+        let count = self.0.count_with_tags("calls", 1);
+        count
+            .with_tag("call", name)
+            .with_tag("verdict", &verdict)
+            .send();
+        let time = self.0.time_with_tags("calls.time", took);
+        time.with_tag("call", name).send();
+    }
+
+    /// A request was refused before it was read whole.
+    pub(crate) fn unreadable(&self) {
+        let _ = self.0.count("requests.unreadable", 1);
+    }
+
+    /// A frame from another node was refused.
+    pub(crate) fn refused_frame(&self) {
+        let _ = self.0.count("frames.refused", 1);
+    }
+
+    /// How many inputs waited for the control thread.
+    pub(crate) fn waiting(&self, inputs: usize) {
+        let inputs = u64::try_from(inputs).unwrap_or(u64::MAX);
+        let _ = self.0.gauge("control.waiting", inputs);
+    }
+
+    /// Records were written and synced.
+    pub(crate) fn stored(&self, took: Duration) {
+        let _ = self.0.time("journal.sync", took);
+    }
+
+    /// The node's part changed.
+    pub(crate) fn role(&self, role: Role) {
+        let text = format!("{role:?}").to_lowercase();
+        let name = text.split('(').next().unwrap_or_default();
+        let count = self.0.count_with_tags("roles", 1);
+        count.with_tag("role", name).send();
+    }
+
+    /// Spans that weren't exported.
+    pub(crate) fn dropped_spans(&self, spans: usize) {
+        let spans = i64::try_from(spans).unwrap_or(i64::MAX);
+        let _ = self.0.count("spans.dropped", spans);
+    }
+}
--- /dev/null
+++ b/crates/gentianlane-daemon/src/process/telemetry/mod.rs
@@ -0,0 +1,49 @@
+//! What the process tells of itself: metrics over UDP and traces over HTTP.
+
+pub(crate) mod export;
+pub(crate) mod metrics;
+pub(crate) mod trace;
+
+use gentianlane::api::Call;
+use miette::Result;
+
+use crate::process::settings::Settings;
+use metrics::Metrics;
+use trace::Tracer;
+
+/// Where metrics and traces go; cheap to clone.
+#[derive(Clone)]
+pub(crate) struct Telemetry {
+    pub(crate) metrics: Metrics,
+    pub(crate) tracer: Tracer,
+}
+
+impl Telemetry {
+    /// Starts what the settings ask for.
+    pub(crate) fn start(settings: &Settings) -> Result<Self> {
+        let node = settings.node.to_string();
+        let metrics = Metrics::start(settings.telemetry.metrics, &node)?;
+        let tracer = export::start(settings.telemetry.traces, node, metrics.clone());
+        Ok(Self { metrics, tracer })
+    }
+}
+
+/// The name under which a call is counted.
+pub(crate) fn name(call: &Call) -> &'static str {
+    match call {
+        Call::Submit(_) => "submit",
+        Call::Wait(_) => "wait",
+        Call::Cancel(_) => "cancel",
+        Call::Announce(_) => "announce",
+        Call::Renew(_) => "renew",
+        Call::Finish(_) => "finish",
+        Call::Leave(_) => "leave",
+        Call::Note(_) => "note",
+        Call::NoteStatus => "note_status",
+        Call::Workers => "workers",
+        Call::Jobs => "jobs",
+        Call::Explain(_) => "explain",
+        Call::Drain(_) => "drain",
+        Call::Members => "members",
+    }
+}
--- /dev/null
+++ b/crates/gentianlane-daemon/src/process/telemetry/trace.rs
@@ -0,0 +1,147 @@
+//! Spans of one trace, and the W3C `traceparent` that carries it on.
+
+use std::cell::Cell;
+use std::fmt;
+use std::str::FromStr;
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use flume::Sender;
+use gentianlane::unit::Wall;
+
+use crate::clock::Clock;
+
+thread_local! {
+    /// The span in which this thread works.
+    static CURRENT: Cell<Option<Context>> = const { Cell::new(None) };
+}
+
+/// Which trace, and which span of it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Context {
+    pub(crate) trace: u128,
+    pub(crate) span: u64,
+}
+
+impl fmt::Display for Context {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "00-{:032x}-{:016x}-01", self.trace, self.span)
+    }
+}
+
+impl FromStr for Context {
+    type Err = ();
+
+    fn from_str(text: &str) -> Result<Self, ()> {
+        let mut parts = text.split('-');
+        let (version, trace) = (parts.next().ok_or(())?, parts.next().ok_or(())?);
+        let (span, flags) = (parts.next().ok_or(())?, parts.next().ok_or(())?);
+        let lengths = [version, trace, span, flags].map(str::len);
+        let plain = text
+            .bytes()
+            .all(|byte| matches!(byte, b'0'..=b'9' | b'a'..=b'f' | b'-'));
+        if lengths != [2, 32, 16, 2] || !plain || version == "ff" {
+            return Err(());
+        }
+        let trace = u128::from_str_radix(trace, 16).map_err(|_| ())?;
+        let span = u64::from_str_radix(span, 16).map_err(|_| ())?;
+        match (trace, span) {
+            (0, _) | (_, 0) => Err(()),
+            _ => Ok(Self { trace, span }),
+        }
+    }
+}
+
+/// One hop's work that is over.
+#[derive(Debug, Clone)]
+pub(crate) struct Done {
+    pub(crate) context: Context,
+    pub(crate) parent: Option<u64>,
+    pub(crate) hop: &'static str,
+    pub(crate) call: &'static str,
+    pub(crate) start: Wall,
+    pub(crate) end: Wall,
+}
+
+/// Where spans go; nowhere unless traces are exported.
+#[derive(Clone, Default)]
+pub(crate) struct Tracer(pub(crate) Option<Queue>);
+
+/// The way to the exporter.
+#[derive(Clone)]
+pub(crate) struct Queue {
+    pub(crate) spans: Sender<Done>,
+    /// How many spans found no room, since the exporter last looked.
+    pub(crate) dropped: Arc<AtomicUsize>,
+}
+
+impl Tracer {
+    /// Begins a hop under a parent, or a trace of its own without one.
+    pub(crate) fn begin(
+        &self,
+        hop: &'static str,
+        call: &'static str,
+        parent: Option<Context>,
+    ) -> Option<Span> {
+        let queue = self.0.clone()?;
+        let trace = parent.map_or_else(rand::random, |parent| parent.trace);
+        let context = Context {
+            trace,
+            span: rand::random(),
+        };
+        Some(Span {
+            queue,
+            context,
+            parent: parent.map(|parent| parent.span),
+            hop,
+            call,
+            start: Clock::wall(),
+        })
+    }
+}
+
+/// One hop's work; exported when dropped.
+pub(crate) struct Span {
+    queue: Queue,
+    context: Context,
+    parent: Option<u64>,
+    hop: &'static str,
+    call: &'static str,
+    start: Wall,
+}
+
+impl Span {
+    pub(crate) fn context(&self) -> Context {
+        self.context
+    }
+
+    /// Works inside this span; what the work begins has it as its parent.
+    pub(crate) fn within<T>(span: Option<&Self>, work: impl FnOnce() -> T) -> T {
+        let before = CURRENT.replace(span.map(Self::context));
+        let done = work();
+        CURRENT.set(before);
+        done
+    }
+
+    /// The span in which this thread works.
+    pub(crate) fn current() -> Option<Context> {
+        CURRENT.get()
+    }
+}
+
+impl Drop for Span {
+    fn drop(&mut self) {
+        let done = Done {
+            context: self.context,
+            parent: self.parent,
+            hop: self.hop,
+            call: self.call,
+            start: self.start,
+            end: Clock::wall(),
+        };
+        if self.queue.spans.try_send(done).is_err() {
+            self.queue.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
--- a/crates/gentianlane-daemon/src/request/entry.rs
+++ b/crates/gentianlane-daemon/src/request/entry.rs
@@ -85,6 +85,7 @@
     fn ask_once(&self, call: &Call) -> Result<Reply, Fault> {
         match self.view.get().leader {
             Some(leader) if leader == self.node => {
+                let _span = self.forward.hop("control", call);
                 Ok(local::ask(&self.control, &self.clock, call.clone()))
             }
             Some(leader) => self.forward.call(leader, call),
