--- a/crates/gentianlane-client/src/stand/desk.rs
+++ b/crates/gentianlane-client/src/stand/desk.rs
@@ -1,11 +1,12 @@
 //! What a worker has accepted, without I/O: the worker's side of the rules.
 
-use std::time::Instant;
-
-use gentianlane::api::{Ending, Finish, Order, Output};
+use gentianlane::api::{Ending, Finish, Lease, Order, Output};
 use gentianlane::id;
 use gentianlane::id::{Attempt, Incarnation, Task, Token};
+use gentianlane::lease::Holder;
+use gentianlane::unit::{Span, Time};
 use indexmap::{IndexMap, IndexSet};
+use std::collections::VecDeque;
 
 use crate::stand::Script;
 
@@ -19,7 +20,7 @@
     /// The task's input.
     pub payload: String,
     /// When it ends by itself; `None` until it is stopped.
-    pub ends: Option<Instant>,
+    pub ends: Option<Time>,
     /// What it does.
     pub script: Script,
 }
@@ -27,7 +28,8 @@
 /// What a worker has accepted.
 ///
 /// A token is started at most once, and none is started below the highest
-/// attempt that was seen of its task.
+/// attempt that was seen of its task. Nothing runs without a lease, and an
+/// order counts only until the lease that came with it has ended.
 #[derive(Debug, Clone)]
 pub struct Desk {
     worker: id::Worker,
@@ -35,6 +37,11 @@
     seen: IndexMap<Task, Attempt>,
     runs: IndexMap<Token, Run>,
     results: IndexMap<Token, Finish>,
+    holder: Holder,
+    /// The longest lease that was granted.
+    span: Span,
+    /// Tasks whose results are durable, and since when.
+    settled: VecDeque<(Time, Token)>,
 }
 
 impl Desk {
@@ -47,6 +54,9 @@
             seen: IndexMap::new(),
             runs: IndexMap::new(),
             results: IndexMap::new(),
+            holder: Holder::default(),
+            span: Span::ZERO,
+            settled: VecDeque::new(),
         }
     }
 
@@ -71,8 +81,35 @@
         self.runs.values()
     }
 
+    /// Takes in the answer to a renewal that was *sent* at a time, and carries
+    /// out its orders; gives the runs that it began.
+    pub fn lease(&mut self, lease: Lease, sent: Time, now: Time) -> Vec<Run> {
+        if now >= sent.after(lease.span) {
+            return Vec::new();
+        }
+        if !self.holder.holds(now) {
+            self.stop_all();
+        }
+        self.holder.granted(sent, lease.span);
+        self.span = self.span.max(lease.span);
+        let orders = lease.orders.into_iter();
+        orders.filter_map(|order| self.order(order, now)).collect()
+    }
+
+    /// Whether the worker may run tasks.
+    #[must_use]
+    pub fn holds(&self, now: Time) -> bool {
+        self.holder.holds(now)
+    }
+
+    /// How many tasks are remembered so that none begins twice.
+    #[must_use]
+    pub fn remembered(&self) -> usize {
+        self.seen.len()
+    }
+
     /// Carries out an order; gives the run that it began, if it began one.
-    pub fn order(&mut self, order: Order, now: Instant) -> Option<Run> {
+    fn order(&mut self, order: Order, now: Time) -> Option<Run> {
         match order {
             Order::Start {
                 token,
@@ -97,7 +134,7 @@
         token: Token,
         workload: id::Workload,
         payload: String,
-        now: Instant,
+        now: Time,
     ) -> Option<Run> {
         let seen = self.seen.get(&token.task);
         if seen.is_some_and(|seen| *seen >= token.attempt) {
@@ -105,7 +142,7 @@
         }
         self.seen.insert(token.task, token.attempt);
         let script = Script::read(&payload);
-        let ends = script.runs.map(|runs| now + runs);
+        let ends = script.runs.map(|runs| now.after(runs));
         let run = Run {
             token,
             workload,
@@ -129,8 +166,12 @@
         }
     }
 
-    /// Ends the runs whose time has come.
-    pub fn tick(&mut self, now: Instant) {
+    /// Ends the runs whose time has come, and all of them if there is no lease.
+    pub fn tick(&mut self, now: Time) {
+        if !self.holder.holds(now) {
+            self.stop_all();
+        }
+        self.forget(now);
         let due = |run: &&Run| run.ends.is_some_and(|ends| ends <= now);
         let due: Vec<Run> = self.runs.values().filter(due).cloned().collect();
         for run in due {
@@ -148,8 +189,24 @@
     }
 
     /// A result is durable in the cell.
-    pub fn acknowledged(&mut self, token: &Token) {
-        self.results.swap_remove(token);
+    pub fn acknowledged(&mut self, token: &Token, now: Time) {
+        if self.results.swap_remove(token).is_some() {
+            self.settled.push_back((now, *token));
+        }
+    }
+
+    /// Forgets the tasks for which no order can count any more: it would have
+    /// been given before the result was durable, with a lease that has ended.
+    fn forget(&mut self, now: Time) {
+        while let Some(&(since, token)) = self.settled.front() {
+            if now.since(since) <= self.span {
+                return;
+            }
+            self.settled.pop_front();
+            if self.seen.get(&token.task) == Some(&token.attempt) {
+                self.seen.swap_remove(&token.task);
+            }
+        }
     }
 
     fn report(&mut self, token: Token, ending: Ending, output: String) {
--- a/crates/gentianlane-client/src/stand/script.rs
+++ b/crates/gentianlane-client/src/stand/script.rs
@@ -1,7 +1,7 @@
 //! What a pretended task does, as its payload says.
 
 use gentianlane::api::Ending;
-use std::time::Duration;
+use gentianlane::unit::Span;
 
 /// What a pretended task does: `sleep=MILLIS`, `fail` and `forever`, apart by
 /// spaces; every other word is written as output.
@@ -14,7 +14,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Script {
     /// How long it runs; `None` until it is stopped.
-    pub runs: Option<Duration>,
+    pub runs: Option<Span>,
     /// How it ends.
     pub ending: Ending,
     /// What it writes.
@@ -26,7 +26,7 @@
     #[must_use]
     pub fn read(payload: &str) -> Self {
         let mut script = Self {
-            runs: Some(Duration::ZERO),
+            runs: Some(Span::ZERO),
             ending: Ending::Done,
             output: String::new(),
         };
@@ -35,7 +35,7 @@
             let millis = word.strip_prefix("sleep=").map(str::parse);
             match (word, millis) {
                 (_, Some(Ok(millis))) => {
-                    script.runs = Some(Duration::from_millis(millis));
+                    script.runs = Some(Span::from_millis(millis));
                 }
                 ("forever", _) => script.runs = None,
                 ("fail", _) => script.ending = Ending::Failed,
--- a/crates/gentianlane-client/src/stand/worker.rs
+++ b/crates/gentianlane-client/src/stand/worker.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use gentianlane::api::{Announce, Call, Lease, Leave, Renew, Reply};
-use gentianlane::unit::{Size, Span};
+use gentianlane::unit::{Size, Span, Time};
 use gentianlane::verdict::Reason;
 
 use crate::Client;
@@ -22,6 +22,9 @@
 /// The pause after a call that failed.
 const PAUSE: Duration = Duration::from_millis(50);
 
+/// How long a worker that leaves goes on reporting results.
+const LEAVE_PATIENCE: Duration = Duration::from_secs(5);
+
 /// What a stand-in worker is.
 #[derive(Debug, Clone)]
 pub struct Setup {
@@ -42,8 +45,8 @@
 struct Shared {
     setup: Setup,
     desk: Mutex<Desk>,
-    /// When the lease ends, counted from when its renewal was sent.
-    lease: Mutex<Instant>,
+    /// The origin of the worker's clock.
+    origin: Instant,
     stop: Arc<AtomicBool>,
     began: Box<dyn Fn(&Run) + Send + Sync>,
 }
@@ -57,7 +60,7 @@
         let shared = Arc::new(Shared {
             setup,
             desk: Mutex::new(desk),
-            lease: Mutex::new(Instant::now()),
+            origin: Instant::now(),
             stop: Arc::clone(&stop),
             began: Box::new(began),
         });
@@ -90,8 +93,9 @@
         self.stop.load(Ordering::Relaxed)
     }
 
-    fn lease(&self) -> MutexGuard<'_, Instant> {
-        self.lease.lock().unwrap_or_else(PoisonError::into_inner)
+    fn now(&self) -> Time {
+        let millis = self.origin.elapsed().as_millis();
+        Time::from_millis(u64::try_from(millis).unwrap_or(u64::MAX))
     }
 
     fn client(&self) -> Client {
@@ -116,6 +120,10 @@
     }
     let announce = &shared.setup.announce;
     shared.desk().stop_all();
+    let end = Instant::now() + LEAVE_PATIENCE;
+    while !shared.desk().results().is_empty() && Instant::now() < end {
+        report_once(shared, &mut client);
+    }
     let (worker, incarnation) = (announce.worker.clone(), announce.incarnation);
     let _ = client.call(&Call::Leave(Leave {
         worker,
@@ -125,7 +133,7 @@
 
 /// Renews once; false if the cell doesn't know the worker.
 fn renew_once(shared: &Shared, client: &mut Client) -> bool {
-    let sent = Instant::now();
+    let sent = shared.now();
     let announce = &shared.setup.announce;
     let renew = Renew {
         worker: announce.worker.clone(),
@@ -145,29 +153,21 @@
     true
 }
 
-fn carry_out(shared: &Shared, lease: Lease, sent: Instant) {
-    let end = sent + Duration::from(lease.span);
-    *shared.lease() = end;
-    for order in lease.orders {
-        let now = Instant::now();
-        if now >= end {
-            return;
-        }
-        let begun = shared.desk().order(order, now);
-        if let Some(run) = begun {
-            (shared.began)(&run);
-        }
+fn carry_out(shared: &Shared, lease: Lease, sent: Time) {
+    let mut desk = shared.desk();
+    let begun = desk.lease(lease, sent, shared.now());
+    drop(desk);
+    for run in begun {
+        (shared.began)(&run);
     }
 }
 
 /// Ends runs whose time has come, and all of them when the lease is over.
 fn run(shared: &Shared) {
     while !shared.is_stopping() {
-        let now = Instant::now();
-        if now >= *shared.lease() {
-            shared.desk().stop_all();
-        }
-        shared.desk().tick(now);
+        let mut desk = shared.desk();
+        desk.tick(shared.now());
+        drop(desk);
         thread::sleep(STEP);
     }
 }
@@ -176,14 +176,18 @@
 fn report(shared: &Shared) {
     let mut client = shared.client();
     while !shared.is_stopping() {
-        let results = shared.desk().results();
-        for finish in results {
-            let token = finish.token;
-            match client.call(&Call::Finish(finish)) {
-                Ok(Reply::Done) => shared.desk().acknowledged(&token),
-                Ok(_) | Err(_) => thread::sleep(PAUSE),
-            }
-        }
+        report_once(shared, &mut client);
         thread::sleep(STEP);
     }
 }
+
+fn report_once(shared: &Shared, client: &mut Client) {
+    let results = shared.desk().results();
+    for finish in results {
+        let token = finish.token;
+        match client.call(&Call::Finish(finish)) {
+            Ok(Reply::Done) => shared.desk().acknowledged(&token, shared.now()),
+            Ok(_) | Err(_) => thread::sleep(PAUSE),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gentianlane-client/tests/cell/main.rs
@@ -0,0 +1,5 @@
+//! The whole core with fake workers and callers, on virtual time.
+
+mod fuzz;
+mod lease;
+mod world;
--- a/crates/gentianlane/src/api.rs
+++ b/crates/gentianlane/src/api.rs
@@ -13,9 +13,13 @@
 use crate::unit::{Size, Span};
 use crate::verdict::{Outcome, Reason, Verdict};
 
-/// The longest payload or output that the cell carries, in bytes.
+/// The longest payload that the cell carries, and the longest outputs of one
+/// answer taken together, in bytes.
 pub const TEXT_LIMIT: usize = 64 << 10;
 
+/// The most tasks that one request may ask for.
+pub const TASK_LIMIT: u32 = 1_024;
+
 /// One request to the cell, from outside or passed on by another node.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(tag = "call", content = "with", rename_all = "snake_case")]
@@ -178,6 +182,16 @@
         }
     }
 
+    /// The same output if its text has at most `limit` bytes; else the length
+    /// and digest alone, so that a reader sees that the text isn't whole.
+    #[must_use]
+    pub fn capped(mut self, limit: usize) -> Self {
+        if self.text.len() > limit {
+            self.text = String::new();
+        }
+        self
+    }
+
     /// Whether the text is what its length and digest say.
     ///
     /// ```
@@ -194,8 +208,11 @@
     }
 }
 
-/// A call that wasn't carried out: nothing that it asked for has begun, unless
-/// the outcome says otherwise.
+/// A call that wasn't carried out.
+///
+/// The outcome speaks of all that was ever sent under the request's key. With
+/// a time to come back, it says what holds up to now; without one, it holds for
+/// good.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Refusal {
     /// Whether the work may have run, why, and when to come back.
@@ -215,6 +232,15 @@
         }
     }
 
+    /// A refusal whose key is too old to know whether its work has run.
+    #[must_use]
+    pub fn key_expired() -> Self {
+        Self {
+            outcome: Outcome::may_have_run(Reason::KeyExpired),
+            detail: "records of keys that old are no longer kept".to_owned(),
+        }
+    }
+
     /// The same refusal, with a time to come back after.
     #[must_use]
     pub fn retry_after(mut self, span: Span) -> Self {
--- a/crates/gentianlane/src/cell/command.rs
+++ b/crates/gentianlane/src/cell/command.rs
@@ -43,6 +43,8 @@
     },
     /// Withdraw a request, also one that hasn't come yet.
     Cancel {
+        /// The leader's civil time.
+        at: Wall,
         /// The request's key.
         key: id::Key,
     },
--- a/crates/gentianlane/src/cell/job.rs
+++ b/crates/gentianlane/src/cell/job.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::api::{Ending, Output};
+use crate::api::{Answer, Ending, Output, TEXT_LIMIT};
 use crate::id;
 use crate::note::Workload;
 use crate::place::Kind;
@@ -64,6 +64,13 @@
     pub deadline: Option<Wall>,
     /// The newest attempt; zero before the first.
     pub attempt: id::Attempt,
+    /// Whether a task of an attempt that is over may have begun.
+    pub begun: bool,
+    /// How many attempts have been used up; one that never began or that had
+    /// to make room for other work doesn't count.
+    pub tries: u32,
+    /// How many of the newest attempts in a row have failed.
+    pub failures: u32,
     /// Whether it waits, runs or is being stopped.
     pub phase: Phase,
     /// Where each task of the newest attempt is, by rank; empty while waiting.
@@ -86,6 +93,8 @@
 pub enum After {
     /// It waits again, if it may run again.
     Requeue,
+    /// It waits again, having made room for other work.
+    Preempt,
     /// It is given up.
     Close(Reason),
 }
@@ -144,25 +153,33 @@
     }
 
     /// What becomes of the job, now that all its tasks are gone.
-    pub(crate) fn settle(&self) -> Settled {
-        let all = |wanted| self.endings().all(|ending| ending == wanted);
-        let never_began = all(Ending::NeverBegan);
-        if all(Ending::Done) && (self.key.is_some() || !self.may_run_again()) {
-            return Settled::Over(Outcome::ran(Reason::Done));
-        }
+    pub(crate) fn settle(&mut self) -> Settled {
+        let ended = |ending| matches!(ending, Ending::Done | Ending::Failed);
+        let never_began = self.endings().all(|ending| ending == Ending::NeverBegan);
+        let by_itself = self.endings().all(ended);
+        let failed = self.endings().any(|ending| ending == Ending::Failed);
+        self.count(never_began, failed);
+        let ran = match failed {
+            true => Outcome::ran(Reason::Failed),
+            false => Outcome::ran(Reason::Done),
+        };
         if let Phase::Stopping(After::Close(reason)) = self.phase {
-            return Settled::Over(match never_began {
-                true => Outcome::not_run(reason),
-                false => Outcome::may_have_run(reason),
+            return Settled::Over(match by_itself {
+                true => ran,
+                false => self.given_up(reason),
             });
         }
+        if self.key.is_none() {
+            return Settled::Requeue;
+        }
+        if by_itself && !failed {
+            return Settled::Over(ran);
+        }
         if never_began || self.may_run_again() {
             return Settled::Requeue;
         }
-        let failed = self.endings().any(|ending| ending == Ending::Failed);
-        let ended = |ending| matches!(ending, Ending::Failed | Ending::Done);
-        Settled::Over(if failed && self.endings().all(ended) {
-            Outcome::ran(Reason::Failed)
+        Settled::Over(if by_itself {
+            ran
         } else if self.spec.idempotent {
             Outcome::may_have_run(Reason::AttemptsExhausted)
         } else {
@@ -170,9 +187,59 @@
         })
     }
 
+    /// Counts the attempt that is over.
+    fn count(&mut self, never_began: bool, failed: bool) {
+        let preempted = self.phase == Phase::Stopping(After::Preempt);
+        self.begun |= !never_began;
+        if !never_began && !preempted {
+            self.tries = self.tries.saturating_add(1);
+        }
+        let replica_ended = self.key.is_none() && self.phase == Phase::Running;
+        let declined = never_began && self.phase == Phase::Running;
+        self.failures = match failed || declined || replica_ended {
+            true => self.failures.saturating_add(1),
+            false => 0,
+        };
+    }
+
+    /// The outcome of a job that is given up while it holds no worker.
+    pub(crate) fn given_up(&self, reason: Reason) -> Outcome {
+        match self.begun {
+            true => Outcome::may_have_run(reason),
+            false => Outcome::not_run(reason),
+        }
+    }
+
     fn may_run_again(&self) -> bool {
-        let tries_left = self.attempt.0 < u64::from(self.spec.attempts);
-        self.spec.idempotent && (self.key.is_none() || tries_left)
+        self.spec.idempotent && self.tries < self.spec.attempts
+    }
+
+    /// Whether the job is given up and only waits for its tasks' end.
+    #[must_use]
+    pub fn is_closing(&self) -> bool {
+        matches!(self.phase, Phase::Stopping(After::Close(_)))
+    }
+
+    /// The longest output of one of its tasks, in bytes.
+    #[must_use]
+    pub fn output_limit(&self) -> usize {
+        TEXT_LIMIT / self.spec.count.max(1) as usize
+    }
+
+    /// The whole answer to the job's request.
+    pub(crate) fn answer(&self, id: id::Job, key: id::Key, outcome: Outcome) -> Answer {
+        let outputs = self.outputs();
+        let whole = outputs.iter().all(Output::is_whole);
+        let outcome = match outcome.reason {
+            Reason::Done if !whole => Outcome::ran(Reason::OutputTooLarge),
+            _ => outcome,
+        };
+        Answer {
+            key,
+            job: Some(id),
+            outcome,
+            outputs,
+        }
     }
 
     /// What the tasks wrote, by rank.
--- a/crates/gentianlane/src/cell/lead.rs
+++ b/crates/gentianlane/src/cell/lead.rs
@@ -1,12 +1,16 @@
 //! What a leader knows beyond the log, for as long as it leads.
 
 use indexmap::{IndexMap, IndexSet};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::BTreeSet;
 
-use crate::api::{Answer, Ending, Lease, Order, Renew};
+use crate::api::{Ending, Renew, Reply};
+use crate::cell::grant::{Grants, announce_first};
+use crate::cell::hold::Holds;
 use crate::cell::node::Ticket;
-use crate::cell::{Command, Event, Job, Phase, State};
+use crate::cell::{Command, Event, Job, Phase, State, Status};
 use crate::id;
-use crate::lease::Grantor;
 use crate::place::{Decision, Ended, Planner};
 use crate::unit::{Span, Time, Wall};
 use crate::verdict::Reason;
@@ -21,27 +25,33 @@
 /// The least that the horizon moves in one step.
 const EXPIRY_STEP: Span = Span::from_secs(600);
 
-/// A call that waits for something other than the log.
-#[derive(Debug, Clone)]
-pub(crate) struct Parked<T> {
-    pub(crate) ticket: Ticket,
-    pub(crate) until: Time,
-    pub(crate) what: T,
-}
+/// What the records may weigh together, in bytes; older ones go first.
+const RECORDS_LIMIT: u64 = 12 << 20;
+
+/// What the records weigh after they were too heavy, in bytes.
+const RECORDS_TARGET: u64 = 11 << 20;
+
+/// The pause before work that failed once is tried again.
+const BACKOFF_MIN: Span = Span::from_millis(250);
+
+/// The longest pause before work that failed is tried again.
+const BACKOFF_MAX: Span = Span::from_secs(30);
 
 /// What a leader knows beyond the log.
 #[derive(Debug, Clone)]
 pub(crate) struct Lead {
     planner: Planner,
-    grantor: Grantor,
-    /// The tokens whose start order may have left this or an earlier leader.
-    sent: IndexSet<id::Token>,
+    grants: Grants,
     /// When a job that runs was last started, for its run time.
     started: IndexMap<id::Job, Time>,
-    waiters: IndexMap<id::Key, Vec<Parked<()>>>,
-    renewals: IndexMap<id::Worker, Parked<Renew>>,
-    /// Workers with orders to send.
-    orders: IndexSet<id::Worker>,
+    holds: Holds,
+    /// Waiting jobs by the latest useful start.
+    deadlines: BTreeSet<(Wall, id::Job)>,
+    /// Jobs that have failed, by the time at which they may be tried again.
+    backoffs: BTreeSet<(Time, id::Job)>,
+    random: ChaCha8Rng,
+    /// Whether an expiry was proposed and not yet applied.
+    expiring: Option<Wall>,
     /// Starts that were proposed and not yet applied.
     proposed: IndexSet<id::Job>,
 }
@@ -49,34 +59,61 @@
 impl Lead {
     /// Begins to lead with the state as it is: every worker may hold a lease
     /// that an earlier leader granted just now.
+    ///
+    /// Gives what to propose at once, too.
     pub(crate) fn new(
         state: &State,
         setup: &place::Setup,
         term: lease::Term,
         clock: (Time, Wall),
-    ) -> Self {
+    ) -> (Self, Vec<Command>) {
         let (now, _) = clock;
         let mut lead = Self {
             planner: Planner::new(setup),
-            grantor: Grantor::new(term),
-            sent: IndexSet::new(),
+            grants: Grants::new(state, term, now),
             started: IndexMap::new(),
-            waiters: IndexMap::new(),
-            renewals: IndexMap::new(),
-            orders: IndexSet::new(),
+            holds: Holds::default(),
+            deadlines: BTreeSet::new(),
+            backoffs: BTreeSet::new(),
+            random: ChaCha8Rng::seed_from_u64(setup.seed),
+            expiring: None,
             proposed: IndexSet::new(),
         };
         let book = state.book();
         lead.planner.configure(book.settings(), book.teams());
         for (name, worker) in state.ledger().iter() {
             lead.planner.put_worker(name, worker);
-            lead.grantor.grant(name, now);
-            lead.sent.extend(state.tokens(name));
         }
+        let mut commands = Vec::new();
         for (id, job) in state.jobs() {
-            lead.take_in(id, job, clock);
+            commands.extend(lead.waits(id, job, clock));
+        }
+        (lead, commands)
+    }
+
+    /// Takes in a job, or lets it pause first if its last attempts failed.
+    fn waits(&mut self, id: id::Job, job: &Job, clock: (Time, Wall)) -> Vec<Command> {
+        if job.phase != Phase::Waiting {
+            return self.take_in(id, job, clock);
+        }
+        if let Some(deadline) = job.deadline {
+            self.deadlines.insert((deadline, id));
+        }
+        if job.failures == 0 {
+            return self.take_in(id, job, clock);
         }
-        lead
+        let (now, _) = clock;
+        let pause = self.backoff(job.failures);
+        self.backoffs.insert((now.after(pause), id));
+        Vec::new()
+    }
+
+    /// Between half and all of a pause that doubles with each failure.
+    fn backoff(&mut self, failures: u32) -> Span {
+        let doublings = failures.saturating_sub(1).min(16);
+        let pause = BACKOFF_MIN.times(1 << doublings).min(BACKOFF_MAX);
+        let millis = pause.as_millis();
+        Span::from_millis(self.random.random_range(millis / 2..=millis))
     }
 
     fn take_in(&mut self, id: id::Job, job: &Job, clock: (Time, Wall)) -> Vec<Command> {
@@ -104,7 +141,7 @@
         state: &State,
         events: &[Event],
         clock: (Time, Wall),
-        answers: &mut Vec<(Ticket, Answer)>,
+        replies: &mut Vec<(Ticket, Reply)>,
     ) -> Vec<Command> {
         let (now, _) = clock;
         let mut commands = Vec::new();
@@ -112,7 +149,7 @@
             match event {
                 Event::Waiting(id) => {
                     if let Some(job) = state.job(*id) {
-                        commands.extend(self.take_in(*id, job, clock));
+                        commands.extend(self.waits(*id, job, clock));
                     }
                 }
                 Event::Started(id) => {
@@ -128,6 +165,7 @@
                     }
                 }
                 Event::Released(task, ending) => {
+                    self.grants.released(*task);
                     let ended = self.ended(task.job, *ending, now);
                     self.planner.released(*task, ended, now);
                 }
@@ -135,19 +173,26 @@
                     self.planner.withdraw(*id);
                     self.started.swap_remove(id);
                 }
-                Event::Answered(answer) => self.answered(answer, answers),
-                Event::Worker(name) => self.worker(state, name, now),
+                Event::Answered(answer) => {
+                    let tickets = self.holds.take(&answer.key).into_iter();
+                    let reply = Reply::Answer(answer.clone());
+                    replies.extend(tickets.map(|ticket| (ticket, reply.clone())));
+                }
+                Event::Worker(name) => {
+                    let old = self.worker(state, name, now);
+                    replies.extend(old.map(|ticket| (ticket, announce_first())));
+                }
                 Event::Gone(name) => {
                     self.planner.drop_worker(name);
-                    self.grantor.forget(name);
-                    self.renewals.swap_remove(name);
+                    let old = self.grants.gone(name);
+                    replies.extend(old.map(|ticket| (ticket, announce_first())));
                 }
                 Event::Configured => {
                     let book = state.book();
                     self.planner.configure(book.settings(), book.teams());
                 }
                 Event::Orders(name) => {
-                    self.orders.insert(name.clone());
+                    self.grants.order(name);
                 }
             }
         }
@@ -163,35 +208,30 @@
         }
     }
 
-    fn worker(&mut self, state: &State, name: &id::Worker, now: Time) {
-        if let Some(worker) = state.ledger().get(name) {
-            self.planner.put_worker(name, worker);
-            self.grantor.grant(name, now);
-        }
+    fn worker(&mut self, state: &State, name: &id::Worker, now: Time) -> Option<Ticket> {
+        let worker = state.ledger().get(name)?;
+        self.planner.put_worker(name, worker);
+        self.grants.put(state, name, now)
     }
 
-    fn answered(&mut self, answer: &Answer, answers: &mut Vec<(Ticket, Answer)>) {
-        let waiters = self.waiters.swap_remove(&answer.key).unwrap_or_default();
-        for waiter in waiters {
-            answers.push((waiter.ticket, answer.clone()));
-        }
+    /// Holds a call until its request is answered; false if it can't be held.
+    pub(crate) fn wait(&mut self, key: id::Key, ticket: Ticket, until: Time) -> bool {
+        self.holds.add(key, ticket, until)
     }
 
-    /// Holds a call until its request is answered.
-    pub(crate) fn wait(&mut self, key: id::Key, ticket: Ticket, until: Time) {
-        let waiter = Parked {
-            ticket,
-            until,
-            what: (),
-        };
-        self.waiters.entry(key).or_default().push(waiter);
+    /// Whether any call waits for this key's answer.
+    pub(crate) fn awaits(&self, key: &id::Key) -> bool {
+        self.holds.contains(key)
     }
 
-    /// Holds a call no more, as it is answered.
-    pub(crate) fn drop_waiter(&mut self, ticket: Ticket) {
-        for waiters in self.waiters.values_mut() {
-            waiters.retain(|waiter| waiter.ticket != ticket);
-        }
+    /// Holds a call no more, as it is answered; false if it wasn't held.
+    pub(crate) fn drop_waiter(&mut self, ticket: Ticket) -> bool {
+        self.holds.remove(ticket)
+    }
+
+    /// The calls that have been held as long as they may.
+    pub(crate) fn expired(&mut self, now: Time) -> Vec<Ticket> {
+        self.holds.expired(now)
     }
 
     /// Holds a renewal until there are orders; gives the one that it replaces.
@@ -199,93 +239,64 @@
         &mut self,
         renew: Renew,
         ticket: Ticket,
-        until: Time,
+        now: Time,
     ) -> Option<Ticket> {
-        let name = renew.worker.clone();
-        self.orders.insert(name.clone());
-        let parked = Parked {
-            ticket,
-            until,
-            what: renew,
-        };
-        let old = self.renewals.insert(name, parked);
-        old.map(|parked| parked.ticket)
+        self.grants.renew(renew, ticket, now)
     }
 
     /// Answers the renewals for which there are orders or whose time is up.
-    pub(crate) fn leases(&mut self, state: &State, now: Time) -> Vec<(Ticket, Lease)> {
-        let mut leases = Vec::new();
-        for name in std::mem::take(&mut self.orders) {
-            let Some(parked) = self.renewals.get(&name) else {
-                continue;
-            };
-            let orders = orders(state, &parked.what);
-            if orders.is_empty() && now < parked.until {
-                continue;
-            }
-            let ticket = parked.ticket;
-            self.renewals.swap_remove(&name);
-            for order in &orders {
-                if let Order::Start { token, .. } = order {
-                    self.sent.insert(*token);
-                }
-            }
-            self.grantor.grant(&name, now);
-            leases.push((
-                ticket,
-                Lease {
-                    span: self.grantor.span(),
-                    orders,
-                },
-            ));
-        }
-        leases
+    pub(crate) fn leases(&mut self, state: &State, now: Time) -> Vec<(Ticket, Reply)> {
+        self.grants.leases(state, now)
     }
 
-    /// What the time asks for: calls whose time is up, and commands for
-    /// workers whose leases have ended and jobs whose deadlines have passed.
-    pub(crate) fn tick(&mut self, state: &State, now: Time, wall: Wall) -> Tick {
-        let mut tick = Tick::default();
-        for waiters in self.waiters.values_mut() {
-            let (up, rest) = waiters.drain(..).partition(|waiter| now >= waiter.until);
-            *waiters = rest;
-            tick.expired
-                .extend(up.into_iter().map(|waiter: Parked<()>| waiter.ticket));
+    /// What the time asks for: commands for workers whose leases have ended,
+    /// jobs whose deadlines have passed and records that are too old.
+    pub(crate) fn tick(&mut self, state: &State, now: Time, wall: Wall) -> Vec<Command> {
+        let mut commands = self.grants.tick(state, now);
+        commands.extend(self.try_again(state, (now, wall)));
+        commands.extend(self.late(state, wall));
+        if self.expiring.is_none_or(|before| state.horizon() >= before) {
+            let expiry = expiry(state, wall);
+            self.expiring = expiry;
+            commands.extend(expiry.map(|before| Command::Expire { before }));
         }
-        self.waiters.retain(|_, waiters| !waiters.is_empty());
-        for (name, parked) in &self.renewals {
-            if now >= parked.until {
-                self.orders.insert(name.clone());
+        commands
+    }
+
+    /// Takes in the jobs that have paused for long enough.
+    fn try_again(&mut self, state: &State, clock: (Time, Wall)) -> Vec<Command> {
+        let mut commands = Vec::new();
+        while let Some(&(due, id)) = self.backoffs.first() {
+            if due > clock.0 {
+                break;
             }
-        }
-        for name in self.grantor.ended(now) {
-            tick.commands.extend(self.lost(state, name));
-        }
-        for (id, job) in state.jobs() {
-            let late = job.deadline.is_some_and(|deadline| wall >= deadline);
-            if late && job.phase == Phase::Waiting && !self.proposed.contains(&id) {
-                tick.commands.push(Command::Close {
-                    job: id,
-                    reason: Reason::Deadline,
-                });
+            self.backoffs.pop_first();
+            let job = state.job(id).filter(|job| job.phase == Phase::Waiting);
+            if let Some(job) = job {
+                commands.extend(self.take_in(id, job, clock));
             }
         }
-        tick.commands.extend(expiry(state, wall));
-        self.sent.retain(|token| state.holds(token));
-        tick
+        commands
     }
 
-    fn lost(&self, state: &State, name: &id::Worker) -> Option<Command> {
-        let incarnation = state.ledger().get(name)?.incarnation;
-        let unsent = state
-            .tokens(name)
-            .filter(|token| !self.sent.contains(token));
-        let unsent = unsent.collect();
-        Some(Command::Lost {
-            worker: name.clone(),
-            incarnation,
-            unsent,
-        })
+    /// Gives up the waiting jobs whose deadlines have passed.
+    fn late(&mut self, state: &State, wall: Wall) -> Vec<Command> {
+        let mut commands = Vec::new();
+        let mut held_up = Vec::new();
+        while let Some(&(deadline, id)) = self.deadlines.first() {
+            if deadline > wall {
+                break;
+            }
+            self.deadlines.pop_first();
+            if self.proposed.contains(&id) {
+                held_up.push((deadline, id));
+            } else if state.job(id).is_some_and(|job| job.phase == Phase::Waiting) {
+                let reason = Reason::Deadline;
+                commands.push(Command::Close { job: id, reason });
+            }
+        }
+        self.deadlines.extend(held_up);
+        commands
     }
 
     /// Decides what can start now.
@@ -297,7 +308,9 @@
                 Decision::Start { job, workers } => {
                     let Some(command) = start(state, job, workers) else {
                         self.planner.refused(job);
-                        self.planner.withdraw(job);
+                        if state.job(job).is_none() {
+                            self.planner.withdraw(job);
+                        }
                         continue;
                     };
                     self.proposed.insert(job);
@@ -317,30 +330,20 @@
 
     /// Why a job waits, in one sentence.
     pub(crate) fn explain(&self, job: id::Job, now: Time) -> Option<String> {
-        self.planner.explain(job, now)
+        let paused = self.backoffs.iter().find(|(_, other)| *other == job);
+        let Some((due, _)) = paused else {
+            return self.planner.explain(job, now);
+        };
+        let span = due.since(now);
+        Some(format!("failed, and is tried again in {span}"))
     }
 
     /// All calls that are held, as the node leads no more.
-    pub(crate) fn tickets(self) -> Vec<Ticket> {
-        let waiters = self
-            .waiters
-            .into_values()
-            .flatten()
-            .map(|parked| parked.ticket);
-        let renewals = self.renewals.into_values().map(|parked| parked.ticket);
-        waiters.chain(renewals).collect()
+    pub(crate) fn tickets(&self) -> impl Iterator<Item = Ticket> {
+        self.holds.tickets().chain(self.grants.tickets())
     }
 }
 
-/// What the time asks for.
-#[derive(Debug, Default)]
-pub(crate) struct Tick {
-    /// Calls that have been held as long as they may.
-    pub(crate) expired: Vec<Ticket>,
-    /// What to propose.
-    pub(crate) commands: Vec<Command>,
-}
-
 fn start(state: &State, id: id::Job, names: Vec<id::Worker>) -> Option<Command> {
     let job = state.job(id)?;
     let mut workers = Vec::with_capacity(names.len());
@@ -356,35 +359,27 @@
     })
 }
 
-/// What a worker has to be told, given what it says that it runs.
-fn orders(state: &State, renew: &Renew) -> Vec<Order> {
-    let mut orders = Vec::new();
-    for token in state.tokens(&renew.worker) {
-        let Some(job) = state.job(token.task.job) else {
+/// The time before which records are to be forgotten now.
+fn expiry(state: &State, wall: Wall) -> Option<Wall> {
+    let before = Wall::from_millis(wall.since(Wall::default()).less(RETENTION).into());
+    let oldest = state.oldest_key()?.issued();
+    if oldest < before && before.since(state.horizon()) >= EXPIRY_STEP {
+        return Some(before);
+    }
+    if state.record_weight() <= RECORDS_LIMIT {
+        return None;
+    }
+    let mut excess = state.record_weight().saturating_sub(RECORDS_TARGET);
+    for (key, record) in state.records() {
+        if matches!(record.status, Status::Open(_)) {
             continue;
-        };
-        if let Phase::Stopping(_) = job.phase {
-            orders.push(Order::Stop { token });
-        } else if !renew.running.contains(&token) {
-            orders.push(Order::Start {
-                token,
-                workload: job.spec.workload.clone(),
-                payload: job.spec.payload.clone(),
-                size: job.spec.size,
-                count: job.spec.count,
-            });
+        }
+        excess = excess.saturating_sub(record.weight());
+        if excess == 0 {
+            return Some(key.issued().after(Span::from_millis(1)));
         }
     }
-    let strays = renew.running.iter().filter(|token| !state.holds(token));
-    orders.extend(strays.map(|&token| Order::Stop { token }));
-    orders
-}
-
-fn expiry(state: &State, wall: Wall) -> Option<Command> {
-    let before = Wall::from_millis(wall.since(Wall::default()).less(RETENTION).into());
-    let oldest = state.oldest_key()?.issued();
-    let due = oldest < before && before.since(state.horizon()) >= EXPIRY_STEP;
-    due.then_some(Command::Expire { before })
+    None
 }
 
 fn view(id: id::Job, job: &Job, clock: (Time, Wall)) -> place::Job {
--- a/crates/gentianlane/src/cell/mod.rs
+++ b/crates/gentianlane/src/cell/mod.rs
@@ -5,11 +5,14 @@
 //! and gives outputs that have to be carried out in order.
 
 mod command;
+mod grant;
+mod hold;
 mod job;
 mod lead;
 mod node;
 mod record;
 mod state;
+mod view;
 
 pub use command::{Command, Garbled};
 pub use job::{After, Job, Phase, Slot, Spec};
--- a/crates/gentianlane/src/cell/node.rs
+++ b/crates/gentianlane/src/cell/node.rs
@@ -5,21 +5,25 @@
 use indexmap::IndexMap;
 
 use crate::agree::{self, Entry, Index, Message, Payload, Role};
-use crate::api::{
-    Call, Explanation, JobView, MemberView, NodeRevision, NoteStatus, Refusal, Renew,
-    Reply, WorkerView,
-};
+use crate::api::{Call, Finish, MemberView, Refusal, Renew, Reply, Submit, TEXT_LIMIT};
+use crate::cell::grant::announce_first;
 use crate::cell::lead::Lead;
 use crate::cell::state::pending;
-use crate::cell::{Command, Job, Phase, State, Status};
+use crate::cell::{Command, State, Status};
 use crate::note::Note;
 use crate::unit::{Span, Time, Wall};
-use crate::verdict::Reason;
+use crate::verdict::{Outcome, Reason};
 use crate::{id, lease, place};
 
 /// The longest that a call is held.
 const HOLD_LIMIT: Span = Span::from_secs(30);
 
+/// How many jobs may be open; a new request is refused beyond it.
+const JOB_LIMIT: usize = 32_768;
+
+/// When to come back while too many jobs are open.
+const OVERLOAD_RETRY: Span = Span::from_millis(1_000);
+
 /// When to come back while the node doesn't lead.
 const NO_QUORUM_RETRY: Span = Span::from_millis(300);
 
@@ -63,15 +67,24 @@
     Role(Role),
 }
 
+/// The call that proposed an entry.
+#[derive(Debug, Clone, Copy)]
+struct Asker {
+    ticket: Ticket,
+    /// Whether the call waits for more than the entry, and may have been
+    /// answered before.
+    held: bool,
+}
+
 /// One node of a cell, without I/O.
 #[derive(Debug, Clone)]
 pub struct Node {
-    agree: agree::Node,
+    pub(super) agree: agree::Node,
     setup: Setup,
-    state: State,
-    lead: Option<Lead>,
+    pub(super) state: State,
+    pub(super) lead: Option<Lead>,
     proposals: Vec<(Command, Option<Ticket>)>,
-    asked: IndexMap<Index, Ticket>,
+    asked: IndexMap<Index, Asker>,
     /// How many bytes of commands were applied since the last snapshot.
     unsaved: usize,
     /// Whether a snapshot couldn't be read.
@@ -166,6 +179,8 @@
     }
 
     /// Takes a call; its reply comes as an [`Output::Reply`] some time later.
+    ///
+    /// A ticket may be used again only after its reply.
     pub fn call(&mut self, ticket: Ticket, call: Call, now: Time, wall: Wall) {
         if !self.agree.leads(now) || self.lead.is_none() {
             return self.reply(ticket, no_quorum());
@@ -173,9 +188,7 @@
         match call {
             Call::Submit(submit) => {
                 let until = now.after(submit.hold.min(HOLD_LIMIT));
-                let key = submit.key;
-                self.hold(key, ticket, until);
-                self.propose(Command::Submit { at: wall, submit }, Some(ticket));
+                self.submit(submit, ticket, until, wall);
             }
             Call::Wait(wait) => {
                 let until = now.after(wait.hold.min(HOLD_LIMIT));
@@ -183,14 +196,16 @@
             }
             Call::Cancel(cancel) => {
                 let until = now.after(cancel.hold.min(HOLD_LIMIT));
-                self.hold(cancel.key, ticket, until);
-                self.propose(Command::Cancel { key: cancel.key }, Some(ticket));
+                let key = cancel.key;
+                if self.hold(key, ticket, until) {
+                    self.propose(Command::Cancel { at: wall, key }, Some(ticket));
+                }
             }
             Call::Announce(announce) => {
                 self.propose(Command::Announce(announce), Some(ticket));
             }
             Call::Renew(renew) => self.renew(renew, ticket, now),
-            Call::Finish(finish) => self.propose(Command::Finish(finish), Some(ticket)),
+            Call::Finish(finish) => self.finish(finish, ticket),
             Call::Leave(leave) => self.propose(Command::Leave(leave), Some(ticket)),
             Call::Note(note) => match Note::read(&note.text) {
                 Ok(note) => self.propose(Command::Note(Box::new(note)), Some(ticket)),
@@ -220,10 +235,45 @@
         self.outputs.push(Output::Reply(ticket, reply, until));
     }
 
-    fn hold(&mut self, key: id::Key, ticket: Ticket, until: Time) {
-        if let Some(lead) = &mut self.lead {
-            lead.wait(key, ticket, until);
+    /// Holds a call; if that can't be, it is told to ask again.
+    fn hold(&mut self, key: id::Key, ticket: Ticket, until: Time) -> bool {
+        let Some(lead) = &mut self.lead else {
+            return false;
+        };
+        let held = lead.wait(key, ticket, until);
+        if !held {
+            self.reply(ticket, pending());
+        }
+        held
+    }
+
+    fn submit(&mut self, submit: Submit, ticket: Ticket, until: Time, wall: Wall) {
+        let key = submit.key;
+        if submit.payload.len() > TEXT_LIMIT {
+            let detail = format!("the payload is longer than {TEXT_LIMIT} bytes");
+            let refusal = Refusal::not_run(Reason::Malformed, detail);
+            return self.reply(ticket, Reply::Refused(refusal));
+        }
+        if self.is_full() && self.is_new(&key) {
+            let refusal = Refusal::not_run(Reason::Overloaded, "too much waits");
+            let refusal = refusal.retry_after(OVERLOAD_RETRY);
+            return self.reply(ticket, Reply::Refused(refusal));
         }
+        if self.hold(key, ticket, until) {
+            self.propose(Command::Submit { at: wall, submit }, Some(ticket));
+        }
+    }
+
+    /// Whether so many jobs are open or on their way that no more are taken.
+    fn is_full(&self) -> bool {
+        self.state.job_count() + self.asked.len() + self.proposals.len() >= JOB_LIMIT
+    }
+
+    /// Whether nothing has come under this key that could still run.
+    fn is_new(&self, key: &id::Key) -> bool {
+        let awaited = self.lead.as_ref().is_some_and(|lead| lead.awaits(key));
+        let expired = key.issued() < self.state.horizon();
+        self.state.record(key).is_none() && !awaited && !expired
     }
 
     fn wait(&mut self, key: id::Key, ticket: Ticket, until: Time) {
@@ -232,27 +282,40 @@
                 let reply = Reply::Answer(answer.clone());
                 self.reply(ticket, reply);
             }
-            Some(Status::Open(_)) => self.hold(key, ticket, until),
+            Some(Status::Open(_)) => {
+                self.hold(key, ticket, until);
+            }
+            None if key.issued() < self.state.horizon() => {
+                self.reply(ticket, Reply::Refused(Refusal::key_expired()));
+            }
             None => {
-                let detail = "no request with this key is known";
-                let refusal = Refusal::not_run(Reason::Malformed, detail);
-                self.reply(ticket, Reply::Refused(refusal));
+                let outcome = Outcome::may_have_run(Reason::UnknownKey);
+                let detail = "no request with this key has come here yet".to_owned();
+                self.reply(ticket, Reply::Refused(Refusal { outcome, detail }));
             }
         }
     }
 
+    /// Takes up a result whose text is what its length and digest say.
+    fn finish(&mut self, finish: Finish, ticket: Ticket) {
+        if !finish.output.is_whole() {
+            let detail = "the output isn't what its length and digest say";
+            let refusal = Refusal::not_run(Reason::Malformed, detail);
+            return self.reply(ticket, Reply::Refused(refusal));
+        }
+        self.propose(Command::Finish(finish), Some(ticket));
+    }
+
     fn renew(&mut self, renew: Renew, ticket: Ticket, now: Time) {
         let known = self.state.ledger().get(&renew.worker);
         let current = known.is_some_and(|known| known.incarnation == renew.incarnation);
         if !current {
-            let refusal = Refusal::not_run(Reason::WorkerLost, "announce first");
-            return self.reply(ticket, Reply::Refused(refusal));
+            return self.reply(ticket, announce_first());
         }
-        let until = now.after(renew.hold.min(HOLD_LIMIT));
         let Some(lead) = &mut self.lead else {
             return;
         };
-        if let Some(old) = lead.renew(renew, ticket, until) {
+        if let Some(old) = lead.renew(renew, ticket, now) {
             self.reply(old, pending());
         }
     }
@@ -263,17 +326,19 @@
             return;
         }
         self.agree.tick(now);
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        for ticket in lead.expired(now) {
+            self.reply(ticket, pending());
+        }
         if !self.agree.leads(now) {
             return;
         }
         let Some(lead) = &mut self.lead else {
             return;
         };
-        let tick = lead.tick(&self.state, now, wall);
-        for ticket in tick.expired {
-            self.reply(ticket, pending());
-        }
-        for command in tick.commands {
+        for command in lead.tick(&self.state, now, wall) {
             self.propose(command, None);
         }
     }
@@ -317,35 +382,47 @@
             return;
         }
         let mut commands = Vec::new();
-        let mut tickets = Vec::new();
+        let mut askers = Vec::new();
         for (command, ticket) in std::mem::take(&mut self.proposals) {
+            let held = matches!(command, Command::Submit { .. } | Command::Cancel { .. });
+            let asker = ticket.map(|ticket| Asker { ticket, held });
             match command.encode() {
                 Ok(bytes) => {
                     commands.push(bytes);
-                    tickets.push(ticket);
+                    askers.push(asker);
                 }
                 Err(_) => {
                     let garbled = Refusal::not_run(Reason::Malformed, "");
-                    if let Some(ticket) = ticket {
-                        self.reply(ticket, Reply::Refused(garbled));
-                    }
+                    self.turn_away(asker, &Reply::Refused(garbled));
                 }
             }
         }
         match self.agree.propose(commands, now) {
             Ok(indexes) => {
-                let asked = indexes.into_iter().zip(tickets);
-                let asked = asked.filter_map(|(index, ticket)| Some((index, ticket?)));
+                let asked = indexes.into_iter().zip(askers);
+                let asked = asked.filter_map(|(index, asker)| Some((index, asker?)));
                 self.asked.extend(asked);
             }
             Err(_) => {
-                for ticket in tickets.into_iter().flatten() {
-                    self.reply(ticket, no_quorum());
+                for asker in askers {
+                    self.turn_away(asker, &no_quorum());
                 }
             }
         }
     }
 
+    /// Answers a call whose command didn't get into the log.
+    fn turn_away(&mut self, asker: Option<Asker>, reply: &Reply) {
+        let Some(Asker { ticket, held }) = asker else {
+            return;
+        };
+        let lead = self.lead.as_mut();
+        let waits = held && lead.is_some_and(|lead| lead.drop_waiter(ticket));
+        if waits || !held {
+            self.reply(ticket, reply.clone());
+        }
+    }
+
     /// Carries out what the agreement has given; false if there was nothing.
     fn drain(&mut self, now: Time, wall: Wall) -> bool {
         let outputs = self.agree.take();
@@ -369,8 +446,12 @@
         }
         if self.lead.is_none() && self.agree.leads_until().is_some() {
             let place = &self.setup.place;
-            let lead = Lead::new(&self.state, place, self.setup.lease, (now, wall));
+            let clock = (now, wall);
+            let (lead, commands) = Lead::new(&self.state, place, self.setup.lease, clock);
             self.lead = Some(lead);
+            for command in commands {
+                self.propose(command, None);
+            }
         }
         any
     }
@@ -380,8 +461,10 @@
         if role == Role::Leader {
             return;
         }
-        let held = self.lead.take().map(Lead::tickets).unwrap_or_default();
+        let lead = self.lead.take();
+        let held = lead.iter().flat_map(Lead::tickets);
         let asked = std::mem::take(&mut self.asked).into_values();
+        let asked = asked.filter(|asker| !asker.held).map(|asker| asker.ticket);
         let mut tickets: Vec<Ticket> = asked.chain(held).collect();
         tickets.sort_unstable();
         tickets.dedup();
@@ -404,12 +487,12 @@
             let Some(lead) = &mut self.lead else {
                 continue;
             };
-            let mut answers = Vec::new();
+            let mut replies = Vec::new();
             let clock = (now, wall);
             let commands =
-                lead.follow_up(&self.state, &effect.events, clock, &mut answers);
-            for (ticket, answer) in answers {
-                self.reply(ticket, Reply::Answer(answer));
+                lead.follow_up(&self.state, &effect.events, clock, &mut replies);
+            for (ticket, reply) in replies {
+                self.reply(ticket, reply);
             }
             self.proposals
                 .extend(commands.into_iter().map(|command| (command, None)));
@@ -418,14 +501,15 @@
 
     /// Answers the call that proposed an entry, unless it waits for more.
     fn told(&mut self, index: Index, reply: Reply) {
-        let Some(ticket) = self.asked.swap_remove(&index) else {
+        let Some(Asker { ticket, held }) = self.asked.swap_remove(&index) else {
             return;
         };
-        if reply == pending() {
-            return;
-        }
-        if let Some(lead) = &mut self.lead {
-            lead.drop_waiter(ticket);
+        if held {
+            let waits = reply == pending();
+            let lead = self.lead.as_mut().filter(|_| !waits);
+            if !lead.is_some_and(|lead| lead.drop_waiter(ticket)) {
+                return;
+            }
         }
         self.reply(ticket, reply);
     }
@@ -437,80 +521,8 @@
         let Some(lead) = &mut self.lead else {
             return;
         };
-        for (ticket, lease) in lead.leases(&self.state, now) {
-            self.reply(ticket, Reply::Lease(lease));
-        }
-    }
-
-    fn note_status(&self) -> Reply {
-        let applied = self.agree.applied();
-        let me = NodeRevision {
-            node: self.agree.id(),
-            applied,
-            in_force: true,
-        };
-        let others = self.agree.peers().map(|(node, stored)| NodeRevision {
-            node,
-            applied: stored.min(applied),
-            in_force: stored >= applied,
-        });
-        let nodes = std::iter::once(me).chain(others).collect();
-        Reply::NoteStatus(NoteStatus {
-            revision: self.state.book().revision(),
-            nodes,
-        })
-    }
-
-    fn workers(&self) -> Reply {
-        let workers = self.state.ledger().iter().map(|(name, worker)| WorkerView {
-            worker: name.clone(),
-            incarnation: worker.incarnation,
-            domain: worker.domain.clone(),
-            rack: worker.rack.clone(),
-            size: worker.size,
-            reserved: worker.reserved(),
-            draining: worker.draining,
-            tasks: u32::try_from(self.state.tokens(name).count()).unwrap_or(u32::MAX),
-        });
-        Reply::Workers(workers.collect())
-    }
-
-    fn jobs(&self) -> Reply {
-        let jobs = self.state.jobs().map(|(id, job)| JobView {
-            job: id,
-            key: job.key,
-            team: job.spec.team.clone(),
-            workload: job.spec.workload.clone(),
-            kind: job.spec.kind,
-            attempt: job.attempt,
-            workers: job.held().map(|(_, name, _)| name.clone()).collect(),
-        });
-        Reply::Jobs(jobs.collect())
-    }
-
-    fn explain(&self, id: id::Job, now: Time) -> Reply {
-        let Some(job) = self.state.job(id) else {
-            let detail = format!("{id} is over, or never was");
-            return Reply::Refused(Refusal::not_run(Reason::Malformed, detail));
-        };
-        let workers = job.held().map(|(_, name, _)| name.clone()).collect();
-        let summary = self.summary(id, job, now);
-        Reply::Explain(Explanation {
-            job: id,
-            summary,
-            workers,
-        })
-    }
-
-    fn summary(&self, id: id::Job, job: &Job, now: Time) -> String {
-        let attempt = job.attempt;
-        match job.phase {
-            Phase::Waiting => {
-                let why = self.lead.as_ref().and_then(|lead| lead.explain(id, now));
-                why.unwrap_or_else(|| "is about to start".to_owned())
-            }
-            Phase::Running => format!("runs as attempt {attempt}"),
-            Phase::Stopping(_) => format!("attempt {attempt} is being stopped"),
+        for (ticket, reply) in lead.leases(&self.state, now) {
+            self.reply(ticket, reply);
         }
     }
 
@@ -536,7 +548,10 @@
 }
 
 /// What a call is told by a node that doesn't lead.
+///
+/// The node did nothing, but can't know what a leader did for the same key.
 fn no_quorum() -> Reply {
-    let refusal = Refusal::not_run(Reason::NoQuorum, "this node doesn't lead");
-    Reply::Refused(refusal.retry_after(NO_QUORUM_RETRY))
+    let outcome = Outcome::may_have_run(Reason::NoQuorum).retry_after(NO_QUORUM_RETRY);
+    let detail = "this node doesn't lead".to_owned();
+    Reply::Refused(Refusal { outcome, detail })
 }
--- /dev/null
+++ b/crates/gentianlane/src/cell/state/note.rs
@@ -0,0 +1,86 @@
+//! What a release note does to the services that stand.
+
+use indexmap::IndexMap;
+
+use crate::api::{NoteReply, Reply};
+use crate::cell::{After, Event, Job, Phase, Spec, State};
+use crate::id;
+use crate::note::Note;
+use crate::place::Kind;
+use crate::unit::Wall;
+use crate::verdict::Reason;
+
+impl State {
+    pub(super) fn note(&mut self, note: &Note, events: &mut Vec<Event>) -> Reply {
+        let before = self.book.revision();
+        let ruling = self.book.rule(note);
+        if self.book.revision() != before {
+            events.push(Event::Configured);
+            self.reconcile(events);
+        }
+        Reply::Note(NoteReply {
+            digest: note.digest(),
+            ruling,
+        })
+    }
+
+    /// Brings the services' replicas to what the notes in force ask for.
+    fn reconcile(&mut self, events: &mut Vec<Event>) {
+        let mut standing: IndexMap<id::Workload, Vec<id::Job>> = IndexMap::new();
+        for (&id, job) in self.jobs.iter().filter(|(_, job)| job.key.is_none()) {
+            standing
+                .entry(job.spec.workload.clone())
+                .or_default()
+                .push(id);
+        }
+        let mut missing = Vec::new();
+        for (name, workload) in self.book.workloads() {
+            if workload.kind != Kind::Service {
+                continue;
+            }
+            let wanted = workload.count as usize;
+            let jobs = standing.get_mut(name);
+            let have = jobs.as_ref().map_or(0, |jobs| jobs.len());
+            if let Some(jobs) = jobs {
+                jobs.drain(..wanted.min(have));
+            }
+            let spec = Spec::new(name, workload, &workload.team);
+            for _ in have..wanted {
+                missing.push(Spec {
+                    count: 1,
+                    ..spec.clone()
+                });
+            }
+        }
+        for job in standing.into_values().flatten() {
+            self.stop(job, After::Close(Reason::Withdrawn), events);
+        }
+        for spec in missing {
+            self.open(None, spec, None, events);
+        }
+    }
+
+    pub(super) fn open(
+        &mut self,
+        key: Option<id::Key>,
+        spec: Spec,
+        deadline: Option<Wall>,
+        events: &mut Vec<Event>,
+    ) -> id::Job {
+        self.last_job = id::Job(self.last_job.0 + 1);
+        let job = Job {
+            key,
+            spec,
+            deadline,
+            attempt: id::Attempt(0),
+            begun: false,
+            tries: 0,
+            failures: 0,
+            phase: Phase::Waiting,
+            slots: Vec::new(),
+        };
+        self.jobs.insert(self.last_job, job);
+        events.push(Event::Waiting(self.last_job));
+        self.last_job
+    }
+}
--- /dev/null
+++ b/crates/gentianlane/src/cell/state/request.rs
@@ -0,0 +1,191 @@
+//! Requests, their records and how long these are kept.
+
+use crate::api::{Answer, Refusal, Reply, Submit, TASK_LIMIT};
+use crate::cell::state::pending;
+use crate::cell::{After, Event, Record, Spec, State, Status};
+use crate::digest::Digest;
+use crate::id;
+use crate::note::Workload;
+use crate::place::Kind;
+use crate::unit::{Span, Wall};
+use crate::verdict::{Outcome, Reason};
+
+/// How far a key's time may lie ahead of the leader's civil time.
+const KEY_AHEAD: Span = Span::from_secs(300);
+
+impl State {
+    pub(super) fn submit(
+        &mut self,
+        at: Wall,
+        submit: Submit,
+        events: &mut Vec<Event>,
+    ) -> Reply {
+        let digest = submit.digest();
+        if let Some(reply) = self.known(&submit.key, &digest) {
+            return reply;
+        }
+        if let Some(refusal) = self.refuse(at, &submit) {
+            return Reply::Refused(refusal);
+        }
+        let workload = self.book.workload(&submit.workload);
+        let Some(workload) = workload.filter(|workload| takes_requests(workload)) else {
+            let outcome = Outcome::not_run(Reason::UnknownWorkload);
+            return self.close_unopened(submit.key, Some(digest), outcome);
+        };
+        let Submit {
+            key,
+            team,
+            workload: name,
+            payload,
+            count,
+            deadline,
+            ..
+        } = submit;
+        let spec = Spec::new(&name, workload, &team);
+        let spec = Spec {
+            payload,
+            count: count.unwrap_or(spec.count),
+            ..spec
+        };
+        let deadline = deadline.map(|span| at.after(span));
+        let job = self.open(Some(key), spec, deadline, events);
+        let status = Status::Open(job);
+        self.remember(
+            key,
+            Record {
+                digest: Some(digest),
+                status,
+            },
+        );
+        pending()
+    }
+
+    /// What a key that came before is told.
+    fn known(&self, key: &id::Key, digest: &Digest) -> Option<Reply> {
+        let record = self.records.get(key)?;
+        if record.digest.is_some_and(|known| known != *digest) {
+            let detail = "the key came before with another request";
+            let refusal = Refusal::not_run(Reason::KeyReused, detail);
+            return Some(Reply::Refused(refusal));
+        }
+        Some(match &record.status {
+            Status::Open(_) => pending(),
+            Status::Closed(answer) => Reply::Answer(answer.clone()),
+        })
+    }
+
+    /// Why a request isn't taken in, without a record of it.
+    ///
+    /// A request without a record is refused for good only for what it is
+    /// itself, so that a late copy of it is refused as well.
+    fn refuse(&self, at: Wall, submit: &Submit) -> Option<Refusal> {
+        self.out_of_range(at, &submit.key)
+            .or_else(|| malformed(submit))
+    }
+
+    /// Why a key without a record can't get one.
+    fn out_of_range(&self, at: Wall, key: &id::Key) -> Option<Refusal> {
+        if key.issued() < self.horizon {
+            return Some(Refusal::key_expired());
+        }
+        let ahead = key.issued().since(at);
+        if ahead > KEY_AHEAD {
+            let detail = "the key's time lies ahead of the cell's";
+            let refusal = Refusal::not_run(Reason::KeyAhead, detail);
+            return Some(refusal.retry_after(ahead.less(KEY_AHEAD)));
+        }
+        None
+    }
+
+    pub(super) fn cancel(
+        &mut self,
+        at: Wall,
+        key: id::Key,
+        events: &mut Vec<Event>,
+    ) -> Reply {
+        let job = match self.records.get(&key).map(|record| &record.status) {
+            Some(Status::Closed(answer)) => return Reply::Answer(answer.clone()),
+            Some(Status::Open(job)) => *job,
+            None => {
+                if let Some(refusal) = self.out_of_range(at, &key) {
+                    return Reply::Refused(refusal);
+                }
+                let outcome = Outcome::not_run(Reason::Cancelled);
+                return self.close_unopened(key, None, outcome);
+            }
+        };
+        self.stop(job, After::Close(Reason::Cancelled), events);
+        match self.records.get(&key).map(|record| &record.status) {
+            Some(Status::Closed(answer)) => Reply::Answer(answer.clone()),
+            Some(Status::Open(_)) | None => pending(),
+        }
+    }
+
+    /// Answers a request for good that never became a job.
+    fn close_unopened(
+        &mut self,
+        key: id::Key,
+        digest: Option<Digest>,
+        outcome: Outcome,
+    ) -> Reply {
+        let answer = Answer {
+            key,
+            job: None,
+            outcome,
+            outputs: Vec::new(),
+        };
+        let status = Status::Closed(answer.clone());
+        self.remember(key, Record { digest, status });
+        Reply::Answer(answer)
+    }
+
+    fn remember(&mut self, key: id::Key, record: Record) {
+        self.weight += record.weight();
+        self.records.insert(key, record);
+    }
+
+    /// Puts the answer into its request's record.
+    pub(super) fn answer(&mut self, answer: Answer) {
+        let Some(record) = self.records.get_mut(&answer.key) else {
+            return;
+        };
+        self.weight = self.weight.saturating_sub(record.weight());
+        record.status = Status::Closed(answer);
+        self.weight += record.weight();
+    }
+
+    /// Forgets the answered requests whose keys were issued before a time.
+    pub(super) fn expire(&mut self, before: Wall) -> Reply {
+        self.horizon = self.horizon.max(before);
+        let horizon = self.horizon;
+        let old = |(key, record): (&id::Key, &Record)| {
+            let closed = matches!(record.status, Status::Closed(_));
+            closed.then_some((*key, record.weight()))
+        };
+        let before_horizon = self
+            .records
+            .iter()
+            .take_while(|(key, _)| key.issued() < horizon);
+        let gone: Vec<(id::Key, u64)> = before_horizon.filter_map(old).collect();
+        for (key, weight) in gone {
+            self.records.remove(&key);
+            self.weight = self.weight.saturating_sub(weight);
+        }
+        Reply::Done
+    }
+}
+
+/// Why a request is refused for what it is, whatever the state says.
+fn malformed(submit: &Submit) -> Option<Refusal> {
+    let count = submit.count?;
+    if (1..=TASK_LIMIT).contains(&count) {
+        return None;
+    }
+    let detail = format!("a request has 1 to {TASK_LIMIT} tasks");
+    Some(Refusal::not_run(Reason::Malformed, detail))
+}
+
+/// Whether requests may ask for the workload; a service only notes do.
+fn takes_requests(workload: &Workload) -> bool {
+    workload.kind != Kind::Service && (1..=TASK_LIMIT).contains(&workload.count)
+}
--- /dev/null
+++ b/crates/gentianlane/src/cell/state/run.rs
@@ -0,0 +1,184 @@
+//! How jobs get workers, end and are given up.
+
+use crate::api::{Ending, Finish, Output, Reply};
+use crate::cell::job::Settled;
+use crate::cell::{After, Event, Job, Phase, Slot, State};
+use crate::id;
+use crate::verdict::{Outcome, Reason};
+
+impl State {
+    pub(super) fn start(
+        &mut self,
+        id: id::Job,
+        attempt: id::Attempt,
+        workers: Vec<(id::Worker, id::Incarnation)>,
+        events: &mut Vec<Event>,
+    ) -> Reply {
+        if !self.can_start(id, attempt, &workers) {
+            events.push(Event::NotStarted(id));
+            return Reply::Done;
+        }
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return Reply::Done;
+        };
+        let names: Vec<id::Worker> =
+            workers.iter().map(|(name, _)| name.clone()).collect();
+        if self.ledger.reserve(&names, &job.spec.size).is_err() {
+            events.push(Event::NotStarted(id));
+            return Reply::Done;
+        }
+        job.attempt = attempt;
+        job.phase = Phase::Running;
+        job.slots = workers
+            .into_iter()
+            .map(|(name, incarnation)| Slot::Held(name, incarnation))
+            .collect();
+        for (rank, name) in names.into_iter().enumerate() {
+            let token = job.token(id, rank);
+            self.tokens.entry(name.clone()).or_default().insert(token);
+            events.push(Event::Orders(name));
+        }
+        events.push(Event::Started(id));
+        Reply::Done
+    }
+
+    fn can_start(
+        &self,
+        id: id::Job,
+        attempt: id::Attempt,
+        workers: &[(id::Worker, id::Incarnation)],
+    ) -> bool {
+        let Some(job) = self.jobs.get(&id) else {
+            return false;
+        };
+        let alive = |(name, incarnation): &(id::Worker, id::Incarnation)| {
+            let worker = self.ledger.get(name);
+            worker.is_some_and(|worker| worker.incarnation == *incarnation)
+        };
+        job.phase == Phase::Waiting
+            && attempt.0 == job.attempt.0 + 1
+            && workers.len() == job.spec.count as usize
+            && workers.iter().all(alive)
+    }
+
+    pub(super) fn finish(&mut self, finish: Finish, events: &mut Vec<Event>) -> Reply {
+        let Finish {
+            worker,
+            incarnation,
+            token,
+            ending,
+            output,
+        } = finish;
+        let Some(job) = self.jobs.get(&token.task.job) else {
+            return Reply::Done;
+        };
+        let output = output.capped(job.output_limit());
+        let slot = job.slots.get(token.task.rank as usize);
+        let held = Slot::Held(worker.clone(), incarnation);
+        if job.attempt != token.attempt || slot != Some(&held) {
+            return Reply::Done;
+        }
+        if let Some(tokens) = self.tokens.get_mut(&worker) {
+            tokens.swap_remove(&token);
+        }
+        self.release(token, ending, output, events);
+        Reply::Done
+    }
+
+    /// Frees a task's room, and settles its job if it was the last task.
+    pub(super) fn release(
+        &mut self,
+        token: id::Token,
+        ending: Ending,
+        output: Output,
+        events: &mut Vec<Event>,
+    ) {
+        let Some(job) = self.jobs.get_mut(&token.task.job) else {
+            return;
+        };
+        let Some(slot) = job.slots.get_mut(token.task.rank as usize) else {
+            return;
+        };
+        let Slot::Held(name, _) = slot else {
+            return;
+        };
+        self.ledger.release(name, &job.spec.size);
+        *slot = Slot::Gone(ending, output);
+        events.push(Event::Released(token.task, ending));
+        if job.is_gone() {
+            self.settle(token.task.job, events);
+        } else if ending != Ending::Done && job.phase == Phase::Running {
+            self.stop(token.task.job, After::Requeue, events);
+        }
+    }
+
+    /// Has a job's tasks ended to make room, if it may run again.
+    pub(super) fn preempt(&mut self, id: id::Job, events: &mut Vec<Event>) {
+        if self.jobs.get(&id).is_some_and(|job| job.spec.idempotent) {
+            self.stop(id, After::Preempt, events);
+        }
+    }
+
+    fn settle(&mut self, id: id::Job, events: &mut Vec<Event>) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        match job.settle() {
+            Settled::Requeue => {
+                job.phase = Phase::Waiting;
+                job.slots.clear();
+                events.push(Event::Waiting(id));
+            }
+            Settled::Over(outcome) => self.end(id, outcome, events),
+        }
+    }
+
+    /// Takes a job out and answers its request.
+    fn end(&mut self, id: id::Job, outcome: Outcome, events: &mut Vec<Event>) {
+        let Some(job) = self.jobs.swap_remove(&id) else {
+            return;
+        };
+        events.push(Event::Over(id));
+        let Some(key) = job.key else {
+            return;
+        };
+        let answer = job.answer(id, key, outcome);
+        self.answer(answer.clone());
+        events.push(Event::Answered(answer));
+    }
+
+    /// Has a job's tasks ended; at once if it holds no worker.
+    pub(super) fn stop(&mut self, id: id::Job, after: After, events: &mut Vec<Event>) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        match (job.phase, after) {
+            (Phase::Waiting, After::Close(reason)) => {
+                let outcome = job.given_up(reason);
+                return self.end(id, outcome, events);
+            }
+            (Phase::Running, _) | (Phase::Stopping(_), After::Close(_))
+                if !job.is_closing() =>
+            {
+                job.phase = Phase::Stopping(after);
+            }
+            (Phase::Waiting | Phase::Running | Phase::Stopping(_), _) => return,
+        }
+        for (_, name, _) in job.held() {
+            events.push(Event::Orders(name.clone()));
+        }
+    }
+
+    pub(super) fn close(
+        &mut self,
+        id: id::Job,
+        reason: Reason,
+        events: &mut Vec<Event>,
+    ) -> Reply {
+        let waits = |job: &Job| job.phase == Phase::Waiting;
+        if self.jobs.get(&id).is_some_and(waits) {
+            self.stop(id, After::Close(reason), events);
+        }
+        Reply::Done
+    }
+}
--- /dev/null
+++ b/crates/gentianlane/src/cell/state/worker.rs
@@ -0,0 +1,91 @@
+//! How workers come and go.
+
+use crate::api::{Announce, Ending, Leave, Output, Refusal, Reply};
+use crate::cell::{Event, State};
+use crate::id;
+use crate::place::Worker;
+use crate::verdict::Reason;
+
+impl State {
+    pub(super) fn announce(
+        &mut self,
+        announce: Announce,
+        events: &mut Vec<Event>,
+    ) -> Reply {
+        let Announce {
+            worker: name,
+            incarnation,
+            size,
+            region,
+            domain,
+            rack,
+            ..
+        } = announce;
+        let old = self.ledger.get(&name);
+        let draining = old.is_some_and(|old| old.draining);
+        if let Some(known) = old.map(|old| old.incarnation) {
+            if known > incarnation {
+                let detail = format!("{name} has been announced as {known}");
+                return Reply::Refused(Refusal::not_run(Reason::WorkerLost, detail));
+            }
+            if known < incarnation {
+                self.vacate(&name, &[], events);
+            }
+        }
+        let mut worker = Worker::new(incarnation, (region, domain, rack), size);
+        worker.draining = draining;
+        self.ledger.put(&name, worker);
+        events.push(Event::Worker(name));
+        Reply::Done
+    }
+
+    pub(super) fn leave(&mut self, leave: &Leave, events: &mut Vec<Event>) -> Reply {
+        self.lose(&leave.worker, leave.incarnation, &[], events)
+    }
+
+    pub(super) fn lose(
+        &mut self,
+        name: &id::Worker,
+        incarnation: id::Incarnation,
+        unsent: &[id::Token],
+        events: &mut Vec<Event>,
+    ) -> Reply {
+        let known = self.ledger.get(name).map(|worker| worker.incarnation);
+        if known == Some(incarnation) {
+            self.vacate(name, unsent, events);
+            self.ledger.forget(name);
+            events.push(Event::Gone(name.clone()));
+        }
+        Reply::Done
+    }
+
+    /// Takes all tasks off a worker on which they are known to be gone.
+    fn vacate(
+        &mut self,
+        name: &id::Worker,
+        unsent: &[id::Token],
+        events: &mut Vec<Event>,
+    ) {
+        for token in self.tokens.shift_remove(name).unwrap_or_default() {
+            let ending = match unsent.contains(&token) {
+                true => Ending::NeverBegan,
+                false => Ending::Stopped,
+            };
+            self.release(token, ending, Output::new(String::new()), events);
+        }
+    }
+
+    pub(super) fn drain(
+        &mut self,
+        name: &id::Worker,
+        on: bool,
+        events: &mut Vec<Event>,
+    ) -> Reply {
+        if !self.ledger.drain(name, on) {
+            let detail = format!("worker {name} isn't known");
+            return Reply::Refused(Refusal::not_run(Reason::Malformed, detail));
+        }
+        events.push(Event::Worker(name.clone()));
+        Reply::Done
+    }
+}
--- a/crates/gentianlane/src/lease.rs
+++ b/crates/gentianlane/src/lease.rs
@@ -1,4 +1,4 @@
-//! Leases of workers, as the grantor counts them.
+//! Leases of workers, as the grantor and the holder count them.
 //!
 //! The holder counts a lease from when it *sent* the renewal; the grantor from
 //! when it *answered*, and adds what two clocks may drift apart. So the
@@ -32,6 +32,8 @@
 pub struct Grantor {
     term: Term,
     ends: IndexMap<id::Worker, Time>,
+    /// No lease ends before this.
+    next: Time,
 }
 
 impl Grantor {
@@ -41,6 +43,7 @@
         Self {
             term,
             ends: IndexMap::new(),
+            next: Time::from_millis(u64::MAX),
         }
     }
 
@@ -56,6 +59,7 @@
     /// leader before it has granted.
     pub fn grant(&mut self, worker: &id::Worker, now: Time) {
         let end = now.after(self.term.span + self.term.drift);
+        self.next = self.next.min(end);
         match self.ends.get_mut(worker) {
             Some(old) => *old = end.max(*old),
             None => {
@@ -76,8 +80,52 @@
     }
 
     /// The workers whose leases have ended.
-    pub fn ended(&self, now: Time) -> impl Iterator<Item = &id::Worker> {
-        let ended = move |(_, end): &(&id::Worker, &Time)| now >= **end;
-        self.ends.iter().filter(ended).map(|(worker, _)| worker)
+    ///
+    /// The leases are looked at one by one only when one of them may have
+    /// ended since the last look.
+    pub fn ended(&mut self, now: Time) -> Vec<id::Worker> {
+        if now < self.next {
+            return Vec::new();
+        }
+        let running = self.ends.values().filter(|end| now < **end);
+        self.next = running
+            .min()
+            .copied()
+            .unwrap_or(Time::from_millis(u64::MAX));
+        let ended = self.ends.iter().filter(|(_, end)| now >= **end);
+        let ended: Vec<id::Worker> = ended.map(|(worker, _)| worker.clone()).collect();
+        if !ended.is_empty() {
+            self.next = now;
+        }
+        ended
+    }
+}
+
+/// A lease as its holder counts it.
+///
+/// ```
+/// use gentianlane::{lease::Holder, unit::{Span, Time}};
+/// let mut holder = Holder::default();
+/// holder.granted(Time::from_millis(100), Span::from_millis(50));
+/// assert!(holder.holds(Time::from_millis(149)));
+/// assert!(!holder.holds(Time::from_millis(150)));
+/// ```
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct Holder {
+    end: Time,
+}
+
+impl Holder {
+    /// Takes in the answer to a renewal that was *sent* at this time.
+    ///
+    /// An answer to an older renewal never shortens the lease.
+    pub fn granted(&mut self, sent: Time, span: Span) {
+        self.end = self.end.max(sent.after(span));
+    }
+
+    /// Whether the holder may act.
+    #[must_use]
+    pub fn holds(&self, now: Time) -> bool {
+        now < self.end
     }
 }
--- a/crates/gentianlane/src/verdict.rs
+++ b/crates/gentianlane/src/verdict.rs
@@ -109,6 +109,12 @@
     /// The answer didn't reach this node in time; ask again under the same key.
     #[display("answer pending")]
     Pending,
+    /// The work ran, and what it wrote is longer than the cell carries.
+    #[display("output too large")]
+    OutputTooLarge,
+    /// No request with this key is known, though one may be on its way.
+    #[display("unknown key")]
+    UnknownKey,
 }
 
 /// A request's final state: the verdict, why, and when to come back.
