--- a/crates/gentianlane/tests/agree/net.rs
+++ b/crates/gentianlane/tests/agree/net.rs
@@ -8,6 +8,7 @@
 };
 use gentianlane::id;
 use gentianlane::unit::{Span, Time};
+use gentianlane::wire::{Frame, VERSION};
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -61,6 +62,10 @@
     pub(crate) fuse: Option<usize>,
     /// How fast its clock runs, in thousandths.
     pub(crate) rate: u64,
+    /// How many messages and bytes it has sent and received.
+    pub(crate) traffic: (u64, u64),
+    /// How many syncs its disk has seen.
+    pub(crate) syncs: u64,
     started: u64,
 }
 
@@ -76,7 +81,12 @@
 
     fn store(&mut self, entries: &[Entry]) {
         let first = entries[0].index;
-        self.disk.entries.retain(|entry| entry.index < first);
+        while let Some(last) = self.disk.entries.last() {
+            if last.index < first {
+                break;
+            }
+            self.disk.entries.pop();
+        }
         self.disk.entries.extend_from_slice(entries);
     }
 
@@ -163,6 +173,8 @@
             site,
             fuse: None,
             rate: 1_000,
+            traffic: (0, 0),
+            syncs: 0,
             started: 0,
         });
         at
@@ -278,7 +290,7 @@
         }
     }
 
-    fn deliver(&mut self) {
+    pub(crate) fn deliver(&mut self) {
         let mut held = Vec::new();
         while let Some(first) = self.queue.first_entry() {
             if first.key().0 > self.now {
@@ -317,7 +329,10 @@
         let machine = &mut self.machines[at];
         match output {
             Output::Save(ballot) => machine.disk.ballot = ballot,
-            Output::Store(entries) => machine.store(&entries),
+            Output::Store(entries) => {
+                machine.syncs += 1;
+                machine.store(&entries);
+            }
             Output::Snapshot(snapshot) => machine.snapshot(snapshot),
             Output::Restore(data) => {
                 machine.app = App::decode(&data);
@@ -350,8 +365,13 @@
 
     fn post(&mut self, from: usize, to: id::Node, message: &Message) {
         let to = to.0 as usize - 1;
+        let bytes = self.frame(from, to, message);
         self.messages += 1;
-        self.bytes += postcard::to_allocvec(&message).unwrap().len() as u64;
+        self.bytes += bytes;
+        for at in [from, to] {
+            self.machines[at].traffic.0 += 1;
+            self.machines[at].traffic.1 += bytes;
+        }
         let copies = match self.random.random_range(0..1_000) {
             chance if chance < self.noise.drop => 0,
             chance if chance < self.noise.drop + self.noise.double => 2,
@@ -365,6 +385,19 @@
         }
     }
 
+    /// How many bytes a message takes on a connection.
+    fn frame(&self, from: usize, to: usize, message: &Message) -> u64 {
+        let frame = Frame {
+            version: VERSION,
+            cell: id::Cell::from("norrvik"),
+            from: self.machines[from].id,
+            incarnation: id::Incarnation(1_800_000_000_000),
+            to: self.machines[to].id,
+            message: message.clone(),
+        };
+        frame.encode().unwrap().len() as u64 + 4
+    }
+
     /// At most one node leads at any true time.
     pub(crate) fn check(&self) {
         let leaders = self
