--- a/crates/gentianlane/src/agree/node/election.rs
+++ b/crates/gentianlane/src/agree/node/election.rs
@@ -150,9 +150,14 @@
 
     /// Puts the next election off by a random time.
     pub(super) fn rest(&mut self, now: Time) {
-        let shortest = self.setup.timing.election.as_millis();
-        let silence = self.random.random_range(shortest..=2 * shortest);
-        self.due = now.after(Span::from_millis(silence));
+        self.pause(self.setup.timing.election, now);
+    }
+
+    /// Asks again after a random time: once to twice a span.
+    fn pause(&mut self, span: Span, now: Time) {
+        let shortest = span.as_millis();
+        let pause = self.random.random_range(shortest..=2 * shortest);
+        self.due = now.after(Span::from_millis(pause));
     }
 
     /// Follows a leader, or waits for one.
@@ -183,7 +188,7 @@
     }
 
     fn ask_pre_votes(&mut self, now: Time) {
-        self.rest(now);
+        self.pause(self.setup.timing.heartbeat, now);
         self.change_role(Role::PreCandidate);
         self.granted.clear();
         self.granted.insert(self.setup.node);
@@ -213,7 +218,7 @@
         self.change_role(Role::Candidate);
         self.granted.clear();
         self.granted.insert(self.setup.node);
-        self.rest(now);
+        self.pause(self.setup.timing.heartbeat.times(2), now);
         if self.has_won() {
             return self.lead(now);
         }
