--- a/crates/gentianlane-daemon/src/process/control.rs
+++ b/crates/gentianlane-daemon/src/process/control.rs
@@ -173,8 +173,6 @@
     }
 }
 
-/// Writes what is to be durable, in order, with one sync for all records up to
-/// a snapshot.
 fn is_stored(output: &Output) -> bool {
     matches!(
         output,
@@ -182,6 +180,8 @@
     )
 }
 
+/// Writes what is to be durable, in order, with one sync for all records up to
+/// a snapshot.
 fn write(journal: &mut Journal, outputs: &[Output]) -> Result<(), Fault> {
     let mut records = Vec::new();
     for output in outputs {
