--- /dev/null
+++ b/crates/gentianlane-daemon/benches/cost.rs
@@ -0,0 +1,138 @@
+//! What a node costs: memory and processor time, idle and under load.
+//!
+//! Prints key=value lines from `/proc`. Needs the command line's binary beside
+//! the daemon's: `cargo build --release` first.
+#![allow(clippy::unwrap_used, reason = "a bench ends at a fault")]
+
+#[path = "../tests/common/mod.rs"]
+mod common;
+
+use std::fs;
+use std::path::PathBuf;
+use std::process::Command;
+use std::thread;
+use std::time::Duration;
+
+use common::{Cell, Process};
+use gentianlane_client::Client;
+
+/// How long the idle cell is watched.
+const IDLE: Duration = Duration::from_secs(10);
+
+/// How many stand-in workers the cell has.
+const WORKERS: usize = 6;
+
+/// Requests a second, one run each.
+const RATES: [u32; 4] = [10, 20, 40, 80];
+
+/// How long each rate is kept up, in seconds.
+const SECONDS: u32 = 8;
+
+/// The kernel's clock ticks in a second, as `/proc/PID/stat` counts them.
+const TICKS: f64 = 100.0;
+
+/// Processor time that a process has used, in seconds.
+fn cpu(process: &Process) -> f64 {
+    let stat = fs::read_to_string(format!("/proc/{}/stat", process.id())).unwrap();
+    let (_, rest) = stat.rsplit_once(") ").unwrap();
+    let fields: Vec<&str> = rest.split(' ').collect();
+    let ticks = |field: usize| fields[field].parse::<f64>().unwrap();
+    (ticks(11) + ticks(12)) / TICKS
+}
+
+/// A line of `/proc/PID/status`, in KiB or as a count.
+fn status(process: &Process, name: &str) -> u64 {
+    let text = fs::read_to_string(format!("/proc/{}/status", process.id())).unwrap();
+    let line = text.lines().find(|line| line.starts_with(name)).unwrap();
+    line.split_whitespace().nth(1).unwrap().parse().unwrap()
+}
+
+fn print(label: &str, cell: &Cell, before: &[f64], seconds: f64, leader: usize) {
+    for (node, process) in cell.nodes.iter().flatten().enumerate() {
+        let share = (cpu(process) - before[node]) / seconds * 100.0;
+        let part = if node == leader { "leader" } else { "follower" };
+        let (rss, threads) = (status(process, "VmRSS:"), status(process, "Threads:"));
+        println!(
+            "{label} node=n{} part={part} cpu_percent={share:.2} rss_kib={rss} threads={threads}",
+            node + 1
+        );
+    }
+}
+
+fn cpus(cell: &Cell) -> Vec<f64> {
+    cell.nodes.iter().flatten().map(cpu).collect()
+}
+
+/// Loads the cell at a rate and prints what the load's report says.
+fn load(cell: &Cell, rate: u32) -> f64 {
+    let binary = PathBuf::from(env!("CARGO_BIN_EXE_gentianlaned"));
+    let mut command = Command::new(binary.with_file_name("gentianlane"));
+    for entry in cell.entries() {
+        command.args(["--entry", &entry.to_string()]);
+    }
+    let (rate, seconds) = (rate.to_string(), SECONDS.to_string());
+    command.args([
+        "--json",
+        "load",
+        "--team",
+        "town",
+        "--work",
+        "route-batch=1",
+    ]);
+    command.args(["--rate", &rate, "--seconds", &seconds]);
+    let began = std::time::Instant::now();
+    let output = command.output().unwrap();
+    println!("load {}", String::from_utf8_lossy(&output.stdout).trim());
+    began.elapsed().as_secs_f64()
+}
+
+/// The slope and intercept of the least-squares line.
+fn fit(points: &[(f64, f64)]) -> (f64, f64) {
+    let count = points.len() as f64;
+    let x = points.iter().map(|point| point.0).sum::<f64>() / count;
+    let y = points.iter().map(|point| point.1).sum::<f64>() / count;
+    let top: f64 = points
+        .iter()
+        .map(|point| (point.0 - x) * (point.1 - y))
+        .sum();
+    let bottom: f64 = points.iter().map(|point| (point.0 - x).powi(2)).sum();
+    let slope = top / bottom;
+    (slope, y - slope * x)
+}
+
+fn main() {
+    let alone = Cell::start(0);
+    let (leader, before) = (alone.leader(), cpus(&alone));
+    thread::sleep(IDLE);
+    print(
+        "idle workers=0",
+        &alone,
+        &before,
+        IDLE.as_secs_f64(),
+        leader,
+    );
+    drop(alone);
+    let cell = Cell::start(WORKERS);
+    let (leader, before) = (cell.leader(), cpus(&cell));
+    thread::sleep(IDLE);
+    let label = format!("idle workers={WORKERS}");
+    print(&label, &cell, &before, IDLE.as_secs_f64(), leader);
+    let work = common::submit("image-run", "sleep=20 sorted");
+    let answer = Client::new(cell.entries()).ask(&work, common::PATIENCE);
+    common::check(&answer.unwrap(), &work, &["sorted"; 4]);
+    let mut points = Vec::new();
+    for rate in RATES {
+        let before = cpus(&cell);
+        let took = load(&cell, rate);
+        print(&format!("load rate={rate}"), &cell, &before, took, leader);
+        let after = cpus(&cell);
+        let share = (after[leader] - before[leader]) / took;
+        points.push((f64::from(rate * SECONDS) / took, share));
+    }
+    let (slope, base) = fit(&points);
+    println!(
+        "fit part=leader cpu_ms_per_request={:.3} base_percent={:.2}",
+        slope * 1_000.0,
+        base * 100.0
+    );
+}
