Give each test process and sample cell a loopback address of its own

Cause: a port that was free when a test asked for it could be taken by another process before the daemon bound it. Seen once in a whole run beside other runs of the same tests: a_connection_serves_one_request_after_another ended with 'not in time: a node is ready'; three runs of its file alone passed. The log of that node wasn't kept, so a taken port is the likely cause, not a proven one.

Change: addresses come from 127.64.0.0/10 by the process's number.

--- a/crates/gentianlane-daemon/src/command/dev.rs
+++ b/crates/gentianlane-daemon/src/command/dev.rs
@@ -66,10 +66,17 @@
     std::env::temp_dir().join(name)
 }
 
+/// An address of the loopback range that is this process's own, so that no
+/// port found free on it is taken by another process a moment later.
+fn own_address() -> Ipv4Addr {
+    let [_, high, middle, low] = std::process::id().to_be_bytes();
+    Ipv4Addr::new(127, 64 | high, middle, low.max(1))
+}
+
 /// The nodes, on addresses that were free a moment ago.
 fn peers() -> Result<Vec<Peer>> {
     let count = 3 * NODES as usize;
-    let bind = |_| TcpListener::bind((Ipv4Addr::LOCALHOST, 0));
+    let bind = |_| TcpListener::bind((own_address(), 0));
     let held: Vec<TcpListener> = (0..count)
         .map(bind)
         .collect::<Result<_, _>>()
--- a/crates/gentianlane-daemon/tests/common/mod.rs
+++ b/crates/gentianlane-daemon/tests/common/mod.rs
@@ -241,9 +241,16 @@
     }
 }
 
+/// An address of the loopback range that is this process's own, so that no
+/// port found free on it is taken by another process a moment later.
+pub(crate) fn own_address() -> Ipv4Addr {
+    let [_, high, middle, low] = std::process::id().to_be_bytes();
+    Ipv4Addr::new(127, 64 | high, middle, low.max(1))
+}
+
 /// Addresses that were free a moment ago.
 pub(crate) fn places(count: usize) -> Vec<Place> {
-    let bind = |_| TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let bind = |_| TcpListener::bind((own_address(), 0)).unwrap();
     let held: Vec<TcpListener> = (0..3 * count).map(bind).collect();
     let address = |listener: &TcpListener| listener.local_addr().unwrap();
     let addresses: Vec<SocketAddr> = held.iter().map(address).collect();
