Answer a worker's renewal only after a majority confirmed a later message

Cause: a leader whose VM is suspended wakes with its clock where it stood, and takes itself for leader for up to 900 ms. In that time it answered renewals that had come in meanwhile, with start orders whose tasks the next leader had already started elsewhere.

Ruled out: a clock that counts suspension, which not every hypervisor feeds, and a longer wait of the next leader, for which no length is safe.

Change: the agreement numbers its messages already; a renewal is kept until a majority has confirmed a message sent after the renewal came.

Before: scenario 14 ends with 'j1.0 runs on w1 and on w2'. After: it ends as it says, with all others.

Conclusion: the wait costs nothing while commits follow one another, and at most one heartbeat, 200 ms, in a quiet cell.

--- a/crates/gentianlane/src/agree/node.rs
+++ b/crates/gentianlane/src/agree/node.rs
@@ -219,6 +219,31 @@
         self.leads_until().is_some_and(|until| now < until)
     }
 
+    /// The number of the newest message that this leader has sent.
+    #[must_use]
+    pub fn sent(&self) -> u64 {
+        self.seq
+    }
+
+    /// The number of the newest message that a majority has confirmed.
+    ///
+    /// What arrived before that message was sent arrived while this node led,
+    /// whatever its clock did in between: a clock that stands still with a
+    /// suspended VM keeps a lease alive that has long ended elsewhere.
+    #[must_use]
+    pub fn confirmed(&self) -> u64 {
+        if self.role != Role::Leader {
+            return 0;
+        }
+        let me = self.setup.node;
+        let confirmed = self.voters().reached(|node| match self.peers.get(&node) {
+            _ if node == me => u64::MAX,
+            Some(peer) if !peer.lost => peer.answered,
+            Some(_) | None => 0,
+        });
+        confirmed.unwrap_or(0)
+    }
+
     /// When [`Node::tick`] is due.
     #[must_use]
     pub fn due(&self) -> Time {
--- a/crates/gentianlane/src/agree/peer.rs
+++ b/crates/gentianlane/src/agree/peer.rs
@@ -42,6 +42,8 @@
     pub(crate) stored: Index,
     /// When the newest message was sent that the peer has confirmed.
     pub(crate) confirmed: Option<Time>,
+    /// The newest message that the peer has confirmed.
+    pub(crate) answered: u64,
     /// When the peer was last heard.
     pub(crate) heard: Time,
     /// Since when the peer is known.
@@ -68,6 +70,7 @@
             next,
             stored: Index(0),
             confirmed: None,
+            answered: 0,
             heard: now,
             since: now,
             sent: now,
@@ -104,6 +107,7 @@
     pub(crate) fn answer(&mut self, seq: u64, now: Time) {
         self.heard = now;
         let at = self.flights.iter().position(|flight| flight.seq == seq);
+        self.answered = self.answered.max(seq);
         if let Some(flight) = at.and_then(|at| self.flights.remove(at)) {
             self.confirmed = self.confirmed.max(Some(flight.sent));
         }
--- a/crates/gentianlane/src/cell/grant.rs
+++ b/crates/gentianlane/src/cell/grant.rs
@@ -20,6 +20,8 @@
     ticket: Ticket,
     until: Time,
     renew: Renew,
+    /// The newest message to other nodes when it came.
+    mark: u64,
 }
 
 /// What one leader has granted to workers and has to tell them.
@@ -66,6 +68,7 @@
         mut renew: Renew,
         ticket: Ticket,
         now: Time,
+        mark: u64,
     ) -> Option<Ticket> {
         let longest = self.grantor.span().as_millis() / HOLD_DIVISOR;
         let until = now.after(renew.hold.min(Span::from_millis(longest)));
@@ -77,6 +80,7 @@
             ticket,
             until,
             renew,
+            mark,
         };
         let old = self.renewals.insert(name, parked);
         old.map(|parked| parked.ticket)
@@ -126,7 +130,16 @@
     }
 
     /// Answers the renewals for which there are orders or whose time is up.
-    pub(crate) fn leases(&mut self, state: &State, now: Time) -> Vec<(Ticket, Reply)> {
+    ///
+    /// A renewal is answered only once a majority has confirmed a message that
+    /// was sent after it came: until then this leader can't tell that it still
+    /// led when the renewal was sent, as its own clock may have stood still.
+    pub(crate) fn leases(
+        &mut self,
+        state: &State,
+        now: Time,
+        confirmed: u64,
+    ) -> Vec<(Ticket, Reply)> {
         let mut replies = Vec::new();
         for name in std::mem::take(&mut self.orders) {
             let Some(parked) = self.renewals.get(&name) else {
@@ -135,6 +148,10 @@
             if self.losing.contains_key(&name) {
                 continue;
             }
+            if confirmed <= parked.mark {
+                self.orders.insert(name);
+                continue;
+            }
             let known = state.ledger().get(&name).map(|worker| worker.incarnation);
             if known != Some(parked.renew.incarnation) {
                 replies.push((parked.ticket, announce_first()));
--- a/crates/gentianlane/src/cell/lead.rs
+++ b/crates/gentianlane/src/cell/lead.rs
@@ -240,13 +240,19 @@
         renew: Renew,
         ticket: Ticket,
         now: Time,
+        mark: u64,
     ) -> Option<Ticket> {
-        self.grants.renew(renew, ticket, now)
+        self.grants.renew(renew, ticket, now, mark)
     }
 
     /// Answers the renewals for which there are orders or whose time is up.
-    pub(crate) fn leases(&mut self, state: &State, now: Time) -> Vec<(Ticket, Reply)> {
-        self.grants.leases(state, now)
+    pub(crate) fn leases(
+        &mut self,
+        state: &State,
+        now: Time,
+        confirmed: u64,
+    ) -> Vec<(Ticket, Reply)> {
+        self.grants.leases(state, now, confirmed)
     }
 
     /// What the time asks for: commands for workers whose leases have ended,
--- a/crates/gentianlane/src/cell/node.rs
+++ b/crates/gentianlane/src/cell/node.rs
@@ -315,7 +315,8 @@
         let Some(lead) = &mut self.lead else {
             return;
         };
-        if let Some(old) = lead.renew(renew, ticket, now) {
+        let mark = self.agree.sent();
+        if let Some(old) = lead.renew(renew, ticket, now, mark) {
             self.reply(old, pending());
         }
     }
@@ -521,7 +522,8 @@
         let Some(lead) = &mut self.lead else {
             return;
         };
-        for (ticket, reply) in lead.leases(&self.state, now) {
+        let confirmed = self.agree.confirmed();
+        for (ticket, reply) in lead.leases(&self.state, now, confirmed) {
             self.reply(ticket, reply);
         }
     }
--- a/crates/gentianlane/tests/script/mod.rs
+++ b/crates/gentianlane/tests/script/mod.rs
@@ -169,6 +169,22 @@
         }
     });
     let s = Rc::clone(stage);
+    engine.register_fn("suspend", move |one: i64| {
+        let mut stage = s.borrow_mut();
+        let now = stage.world.now;
+        if let Some(host) = stage.world.hosts.get_mut(&node(one)) {
+            host.suspend(now);
+        }
+    });
+    let s = Rc::clone(stage);
+    engine.register_fn("bind_worker", move |name: &str, entry: i64| {
+        let mut stage = s.borrow_mut();
+        let machine = stage.world.machines.get_mut(&id::Worker::from(name));
+        if let Some(machine) = machine {
+            machine.bound = Some(node(entry));
+        }
+    });
+    let s = Rc::clone(stage);
     engine.register_fn("resume", move |one: i64| {
         let mut stage = s.borrow_mut();
         let (now, wall) = (stage.world.now, stage.world.wall());
