--- a/crates/gentianlane/tests/agree/election.rs
+++ b/crates/gentianlane/tests/agree/election.rs
@@ -1,7 +1,11 @@
 //! Elections, leases and hand-over.
 
-use gentianlane::agree::{Body, Message, Position, Role, Term};
+use gentianlane::agree::{
+    Ballot, Body, Entry, Index, Message, Node, Payload, Position, Role, Saved, Setup,
+    Term, Timing,
+};
 use gentianlane::id;
+use gentianlane::unit::Time;
 
 use crate::net::Net;
 
@@ -186,3 +190,125 @@
     assert!(net.node(other).term() < term);
     assert!(net.machines[leader].leads(net.now));
 }
+
+#[test]
+fn a_node_that_hears_all_but_the_leader_does_not_unseat_it() {
+    let (mut net, leader) = settled(3);
+    let term = net.node(leader).term();
+    let apart = (leader + 1) % 3;
+    net.cut.insert((leader, apart));
+    net.cut.insert((apart, leader));
+    net.run(20_000);
+    assert_eq!(net.node(apart).term(), term, "its pre-votes are refused");
+    net.cut.clear();
+    net.run(5_000);
+    assert_eq!(net.leader(), Some(leader));
+    assert_eq!(net.node(leader).term(), term);
+}
+
+/// A node that leads with two entries of earlier terms that nobody else has.
+fn leading_with_old_entries() -> Node {
+    let entry = |index, term| Entry {
+        index: Index(index),
+        term: Term(term),
+        payload: Payload::Command(vec![index as u8]),
+    };
+    let saved = Saved {
+        ballot: Ballot {
+            term: Term(4),
+            vote: None,
+        },
+        snapshot: None,
+        entries: vec![entry(1, 2), entry(2, 4)],
+    };
+    let setup = Setup {
+        node: id::Node(1),
+        voters: (1..=3).map(id::Node).collect(),
+        learners: Vec::new(),
+        timing: Timing::default(),
+        seed: SEED,
+    };
+    let mut node = Node::new(setup, saved, Time::default());
+    let now = node.due();
+    node.tick(now);
+    let term = Term(5);
+    for body in [
+        Body::PreVote { granted: true },
+        Body::Vote { granted: true },
+    ] {
+        node.receive(id::Node(2), Message { term, body }, now);
+    }
+    assert_eq!(node.role(), Role::Leader);
+    node
+}
+
+#[test]
+fn entries_of_earlier_terms_are_committed_with_one_of_the_leaders_own() {
+    let mut node = leading_with_old_entries();
+    let now = node.due();
+    let stored = |index| Message {
+        term: Term(5),
+        body: Body::Appended {
+            stored: Index(index),
+            seq: 1,
+        },
+    };
+    node.receive(id::Node(2), stored(2), now);
+    assert_eq!(
+        node.applied(),
+        Index(0),
+        "a majority isn't enough for these"
+    );
+    node.receive(id::Node(2), stored(3), now);
+    assert_eq!(node.applied(), Index(3));
+}
+
+/// Asks a machine for its vote in a term much newer than its own.
+fn ask_vote(net: &mut Net, at: usize, candidate: id::Node, term: Term, last: Position) {
+    let body = Body::AskVote {
+        last,
+        handover: false,
+    };
+    let message = Message { term, body };
+    net.with(at, |node, now| {
+        node.receive(candidate, message, now);
+    });
+}
+
+#[test]
+fn a_vote_outlives_a_restart() {
+    let (mut net, leader) = settled(3);
+    let voter = (leader + 1) % 3;
+    let term = Term(net.node(voter).term().0 + 7);
+    let last = Position {
+        index: Index(1_000),
+        term,
+    };
+    net.isolate(voter);
+    let first = net.machines[leader].id;
+    let second = net.machines[(leader + 2) % 3].id;
+    for candidate in [first, second] {
+        net.run(1_500);
+        ask_vote(&mut net, voter, candidate, term, last);
+        assert_eq!(net.machines[voter].disk.ballot.term, term);
+        assert_eq!(net.machines[voter].disk.ballot.vote, Some(first));
+        net.crash(voter);
+        net.start(voter, true);
+    }
+}
+
+#[test]
+fn nobody_votes_for_a_log_that_lacks_an_entry() {
+    let (mut net, leader) = settled(3);
+    assert!(net.propose([b"one".to_vec()]));
+    net.run(1_000);
+    let voter = (leader + 1) % 3;
+    let term = net.node(voter).term();
+    let index = net.node(voter).stored().prev();
+    net.isolate(voter);
+    net.run(1_500);
+    let next = Term(term.0 + 7);
+    let candidate = net.machines[leader].id;
+    ask_vote(&mut net, voter, candidate, next, Position { index, term });
+    assert_eq!(net.machines[voter].disk.ballot.vote, None);
+}
--- a/crates/gentianlane/tests/agree/member.rs
+++ b/crates/gentianlane/tests/agree/member.rs
@@ -1,6 +1,6 @@
 //! Changes of the voters: repair, removal, lost disks, failure domains.
 
-use gentianlane::agree::{Change, Denied, Role, Site, Standing};
+use gentianlane::agree::{Body, Change, Denied, Message, Output, Role, Site, Standing};
 use gentianlane::id;
 
 use crate::net::Net;
@@ -183,7 +183,11 @@
     assert_eq!(denied, Err(Denied::Unfit));
     // Without a disk its log is gone with each restart, and is sent again.
     net.crash(learner);
+    net.run(1_000);
     net.start(learner, true);
+    net.cut.insert((leader, learner));
+    net.run(2_000);
+    net.cut.clear();
     net.run(5_000);
     net.assert_whole([leader, learner]);
 }
@@ -217,3 +221,38 @@
     assert!(voters(&net, leader).contains(&5));
     assert_eq!(voters(&net, leader).len(), 3);
 }
+
+#[test]
+fn a_refused_voter_counts_neither_for_commits_nor_for_the_lease() {
+    let (mut net, leader) = settled(3, 0);
+    let wiped = other(&net, &[leader]);
+    net.wipe(wiped);
+    net.start(wiped, true);
+    net.run(2_000);
+    assert_eq!(net.node(wiped).standing(), Standing::Refused);
+    assert_eq!(net.leader(), Some(leader));
+    net.crash(other(&net, &[leader, wiped]));
+    net.run(3_000);
+    assert_eq!(net.leader(), None);
+    assert_eq!(net.machines[leader].app.count, 5);
+}
+
+#[test]
+fn a_leader_without_a_lease_welcomes_nobody() {
+    let (mut net, leader) = settled(3, 0);
+    let welcomes = |net: &mut Net| {
+        let mut node = net.node(leader).clone();
+        let term = node.term();
+        let body = Body::Blank { life: 5 };
+        let now = net.machines[leader].clock(net.now);
+        node.receive(id::Node(9), Message { term, body }, now);
+        let welcome = Body::Welcome { life: 5 };
+        let said =
+            |output: &Output| matches!(output, Output::Send(_, it) if it.body == welcome);
+        node.take().iter().any(said)
+    };
+    assert!(welcomes(&mut net));
+    net.isolate(leader);
+    net.run(3_000);
+    assert!(!welcomes(&mut net), "another may have given it a vote");
+}
--- a/crates/gentianlane/tests/agree/net.rs
+++ b/crates/gentianlane/tests/agree/net.rs
@@ -125,6 +125,8 @@
     /// How many messages and bytes of them were sent.
     pub(crate) messages: u64,
     pub(crate) bytes: u64,
+    /// How many snapshots were taken in.
+    pub(crate) restores: u64,
     founders: Voters,
     queue: BTreeMap<(u64, u64), (usize, usize, Message)>,
     random: ChaCha8Rng,
@@ -148,6 +150,7 @@
             data: DATA,
             messages: 0,
             bytes: 0,
+            restores: 0,
             founders: (1..=voters).map(id::Node).collect(),
             queue: BTreeMap::new(),
             random: ChaCha8Rng::seed_from_u64(seed),
@@ -335,6 +338,7 @@
             }
             Output::Snapshot(snapshot) => machine.snapshot(snapshot),
             Output::Restore(data) => {
+                self.restores += 1;
                 machine.app = App::decode(&data);
                 let node = machine.node.as_ref().expect("the node runs");
                 machine.applied = node.base().index.max(machine.applied);
--- a/crates/gentianlane/tests/agree/replicate.rs
+++ b/crates/gentianlane/tests/agree/replicate.rs
@@ -88,3 +88,19 @@
     net.run(5_000);
     net.assert_whole(0..3);
 }
+
+#[test]
+fn answers_that_are_lost_do_not_hold_up_a_peer() {
+    let mut net = Net::new(3, 0, SEED);
+    let leader = net.settle();
+    net.run(1_000);
+    let mute = (leader + 1) % 3;
+    net.cut.insert((mute, leader));
+    for number in 0..40_u8 {
+        assert!(net.propose([vec![number; 60 << 10]]));
+    }
+    net.run(300);
+    net.cut.clear();
+    net.run(3_000);
+    net.assert_whole(0..3);
+}
--- a/crates/gentianlane/tests/agree/snapshot.rs
+++ b/crates/gentianlane/tests/agree/snapshot.rs
@@ -1,6 +1,6 @@
 //! Snapshots in place of the log's beginning.
 
-use gentianlane::agree::{Body, Index, Message};
+use gentianlane::agree::{Append, Body, Entry, Index, Message, Payload, Position, Term};
 
 use crate::net::{Net, Noise};
 
@@ -113,14 +113,16 @@
     net.run(1_000);
     let follower = (leader + 1) % 3;
     let before = net.machines[follower].disk.entries.clone();
-    let from = net.machines[leader].id;
-    let first = before[1].clone();
-    let mut forged = first.clone();
-    forged.term = before[0].term;
-    forged.payload = gentianlane::agree::Payload::Empty;
-    for entry in [first, forged] {
-        let append = gentianlane::agree::Append {
-            prev: gentianlane::agree::Position {
+    let (from, term) = (net.machines[leader].id, net.node(leader).term());
+    let old = before[1].clone();
+    let forged = Entry {
+        term: Term(term.0 + 1),
+        payload: Payload::Empty,
+        ..old.clone()
+    };
+    for (term, entry) in [(term, old), (Term(term.0 + 1), forged)] {
+        let append = Append {
+            prev: Position {
                 index: before[0].index,
                 term: before[0].term,
             },
@@ -128,10 +130,8 @@
             commit: Index(0),
             seq: 1,
         };
-        let message = Message {
-            term: net.node(leader).term(),
-            body: Body::Append(append),
-        };
+        let body = Body::Append(append);
+        let message = Message { term, body };
         net.with(follower, |node, now| node.receive(from, message, now));
     }
     assert_eq!(net.machines[follower].disk.entries, before);
