Let a node with a full disk refuse new work and go on

Now the core stands still: what it wants stored is tried again every 10 ms, nothing that depends on it leaves, calls are refused. A request is called not run only if the node leads, has applied all that was stored before, and neither knows the key nor holds it back; all else may have run. A newer leader's appends still change where calls are passed on. A failed sync ends the process with an event as before. A file-size limit counts as a full disk.

Ruled out: telling the core to take entries back, which agreement has no way to do once a term began; letting the core run on, as its outputs would pile up without a bound.

--- a/crates/gentianlane-daemon/src/process/control.rs
+++ b/crates/gentianlane-daemon/src/process/control.rs
@@ -4,8 +4,10 @@
 use std::time::Duration;
 
 use flume::{RecvTimeoutError, Sender};
-use gentianlane::agree::{Role, Standing};
+use gentianlane::agree::{Body, Message, Role, Standing};
+use gentianlane::api::Reply;
 use gentianlane::cell::{Node, Output, Ticket};
+use gentianlane::id;
 use gentianlane::unit::{Span, Time};
 use gentianlane_store::{Fault, Journal, Record};
 use slog::{Logger, crit, info, warn};
@@ -14,7 +16,7 @@
 use crate::clock::Clock;
 use crate::connection::peer::Outbox;
 use crate::process::telemetry::metrics::Metrics;
-use crate::process::view;
+use crate::process::{full, view};
 
 /// How often the core looks at the time.
 const STEP: Duration = Duration::from_millis(10);
@@ -40,6 +42,10 @@
     pub(crate) log: Logger,
     pub(crate) replies: HashMap<Ticket, Sender<Sealed>>,
     pub(crate) last_ticket: u64,
+    /// What waits for room on the disk, and all that came after it.
+    pub(crate) held: Vec<Output>,
+    /// How many of these outputs are on the disk already.
+    pub(crate) done: usize,
 }
 
 impl Control {
@@ -63,7 +69,9 @@
                 }
                 Err(RecvTimeoutError::Timeout) => {}
             }
-            self.node.tick(self.clock.now(), Clock::wall());
+            if self.held.is_empty() {
+                self.node.tick(self.clock.now(), Clock::wall());
+            }
             self.flush()?;
             self.gauge(inputs.len());
         }
@@ -81,6 +89,19 @@
 
     fn take(&mut self, input: Input) {
         match input {
+            Input::Call(call, reply) if !self.held.is_empty() => {
+                let now = self.clock.now();
+                let refusal = full::refuse(&self.node, &self.held, &call, now);
+                let until = self.node.agree().leads_until();
+                let refused = Reply::Refused(refusal);
+                let _ = reply.try_send(Sealed {
+                    reply: refused,
+                    until,
+                });
+            }
+            Input::Message(from, message) if !self.held.is_empty() => {
+                self.hear_leader(from, &message);
+            }
             Input::Call(call, reply) => {
                 self.last_ticket += 1;
                 let ticket = Ticket(self.last_ticket);
@@ -95,6 +116,14 @@
         }
     }
 
+    /// Lets calls find a leader that has room while this node stands still.
+    fn hear_leader(&self, from: id::Node, message: &Message) {
+        let is_newer = message.term >= self.node.agree().term();
+        if is_newer && matches!(message.body, Body::Append(_)) {
+            self.view.set_leader(Some(from));
+        }
+    }
+
     /// Hands the lead over, and works on until another node has taken it.
     fn leave(&mut self, inputs: &Inputs) -> Result<(), Fault> {
         let led = self.node.agree().role() == Role::Leader;
@@ -111,18 +140,37 @@
             if let Ok(input) = inputs.recv_timeout(STEP) {
                 self.take(input);
             }
-            self.node.tick(self.clock.now(), Clock::wall());
+            if self.held.is_empty() {
+                self.node.tick(self.clock.now(), Clock::wall());
+            }
         }
     }
 
     /// Carries out what the core wants done: all that is to be durable first.
     fn flush(&mut self) -> Result<(), Fault> {
-        let outputs = self.node.flush(self.clock.now(), Clock::wall());
-        if outputs.is_empty() {
+        let was_full = !self.held.is_empty();
+        if !was_full {
+            self.held = self.node.flush(self.clock.now(), Clock::wall());
+        }
+        if self.held.is_empty() {
             return Ok(());
         }
-        self.store(&outputs)?;
-        for output in outputs {
+        match self.store() {
+            Err(Fault::Full { .. }) if was_full => return Ok(()),
+            Err(fault @ Fault::Full { .. }) => {
+                warn!(self.log, "disk full"; "fault" => %fault);
+                return Ok(());
+            }
+            Err(fault) => {
+                warn!(self.log, "journal"; "fault" => %fault);
+                return Err(fault);
+            }
+            Ok(()) => self.done = 0,
+        }
+        if was_full {
+            info!(self.log, "disk has room");
+        }
+        for output in std::mem::take(&mut self.held) {
             match output {
                 Output::Save(_) | Output::Store(_) | Output::Snapshot(_) => {}
                 Output::Send(to, message) => self.outbox.send(to, message),
@@ -156,25 +204,20 @@
         Ok(())
     }
 
-    fn store(&mut self, outputs: &[Output]) -> Result<(), Fault> {
+    fn store(&mut self) -> Result<(), Fault> {
         let Some(journal) = &mut self.journal else {
             return Ok(());
         };
-        if !outputs.iter().any(is_stored) {
+        if !self.held.iter().any(is_stored) {
             return Ok(());
         }
         let began = self.clock.now();
-        let stored = write(journal, outputs);
+        let stored = write(journal, &self.held, &mut self.done);
         self.metrics.stored(self.clock.now().since(began).into());
-        if let Err(fault) = &stored {
-            warn!(self.log, "journal"; "fault" => %fault);
-        }
         stored
     }
 }
 
-/// Writes what is to be durable, in order, with one sync for all records up to
-/// a snapshot.
 fn is_stored(output: &Output) -> bool {
     matches!(
         output,
@@ -182,9 +225,15 @@
     )
 }
 
-fn write(journal: &mut Journal, outputs: &[Output]) -> Result<(), Fault> {
+/// Writes what is to be durable, in order, with one sync for all records up to
+/// a snapshot; what is done isn't written again after a full disk.
+fn write(
+    journal: &mut Journal,
+    outputs: &[Output],
+    done: &mut usize,
+) -> Result<(), Fault> {
     let mut records = Vec::new();
-    for output in outputs {
+    for (at, output) in outputs.iter().enumerate().skip(*done) {
         match output {
             Output::Save(ballot) => records.push(Record::Ballot(*ballot)),
             Output::Store(entries) => {
@@ -193,7 +242,9 @@
             Output::Snapshot(snapshot) => {
                 append(journal, &records)?;
                 records.clear();
+                *done = at;
                 journal.snapshot(snapshot)?;
+                *done = at + 1;
             }
             Output::Send(..) | Output::Reply(..) | Output::Role(_) => {}
         }
--- /dev/null
+++ b/crates/gentianlane-daemon/src/process/full.rs
@@ -0,0 +1,62 @@
+//! What is answered while the disk takes no more.
+//!
+//! The core then stands still: what it wants stored is tried again, nothing
+//! that depends on it leaves, and no call reaches it.
+
+use gentianlane::agree::{Entry, Index, Payload};
+use gentianlane::api::{Call, Refusal, Submit};
+use gentianlane::cell::{Command, Node, Output};
+use gentianlane::unit::{Span, Time};
+use gentianlane::verdict::{Outcome, Reason};
+
+/// When to come back.
+const RETRY: Span = Span::from_secs(2);
+
+/// Refuses a call that the core doesn't get to see.
+///
+/// Only a request that no entry can have taken up is called `not run`: the
+/// node leads, has applied all that was stored before, and neither knows the
+/// key nor holds it back among what waits for the disk.
+pub(crate) fn refuse(node: &Node, held: &[Output], call: &Call, now: Time) -> Refusal {
+    let reason = Reason::DiskFull;
+    let outcome = match call {
+        Call::Submit(submit) if is_new(node, held, submit, now) => {
+            Outcome::not_run(reason)
+        }
+        _ => Outcome::may_have_run(reason),
+    };
+    Refusal {
+        outcome: outcome.retry_after(RETRY),
+        detail: "the disk for the cell's state takes no more".to_owned(),
+    }
+}
+
+fn is_new(node: &Node, held: &[Output], submit: &Submit, now: Time) -> bool {
+    let entries = || held.iter().flat_map(stored);
+    let agree = node.agree();
+    let first = entries().next().map(|entry| entry.index);
+    let known = first.map_or(agree.stored(), Index::prev);
+    agree.leads(now)
+        && agree.applied() >= known
+        && node.state().record(&submit.key).is_none()
+        && !entries().any(|entry| asks_for(entry, submit))
+}
+
+fn stored(output: &Output) -> &[Entry] {
+    match output {
+        Output::Store(entries) => entries,
+        _ => &[],
+    }
+}
+
+/// Whether an entry takes up a request of the same key.
+fn asks_for(entry: &Entry, submit: &Submit) -> bool {
+    let Payload::Command(bytes) = &entry.payload else {
+        return false;
+    };
+    match Command::decode(bytes) {
+        Ok(Command::Submit { submit: other, .. }) => other.key == submit.key,
+        Ok(_) => false,
+        Err(_) => true,
+    }
+}
--- a/crates/gentianlane-daemon/src/process/mod.rs
+++ b/crates/gentianlane-daemon/src/process/mod.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod control;
 pub(crate) mod data;
+pub(crate) mod full;
 pub(crate) mod log;
 pub(crate) mod node;
 pub(crate) mod settings;
--- a/crates/gentianlane-daemon/src/process/node.rs
+++ b/crates/gentianlane-daemon/src/process/node.rs
@@ -70,6 +70,8 @@
             log: log.clone(),
             replies: HashMap::new(),
             last_ticket: 0,
+            held: Vec::new(),
+            done: 0,
         };
         let logger = log.clone();
         let thread = thread::Builder::new()
--- a/crates/gentianlane-store/src/fault.rs
+++ b/crates/gentianlane-store/src/fault.rs
@@ -85,9 +85,9 @@
     pub(crate) fn of(file: &str, source: io::Error) -> Self {
         let file = file.to_owned();
         match source.kind() {
-            io::ErrorKind::StorageFull | io::ErrorKind::QuotaExceeded => {
-                Self::Full { file }
-            }
+            io::ErrorKind::StorageFull
+            | io::ErrorKind::QuotaExceeded
+            | io::ErrorKind::FileTooLarge => Self::Full { file },
             _ => Self::Io { file, source },
         }
     }
