--- a/crates/gentianlane/src/place/choose.rs
+++ b/crates/gentianlane/src/place/choose.rs
@@ -27,6 +27,8 @@
     pub(crate) job: &'a Job,
     /// From 0, wait least, to 100, pack most.
     pub(crate) packing: u8,
+    /// What is kept for each free accelerator.
+    pub(crate) beside: Size,
 }
 
 impl Search<'_> {
@@ -59,10 +61,10 @@
             return times(&self.job.size, &open);
         }
         let free = u64::from(open.accelerators.0);
-        let percent = 50 + u64::from(self.packing.min(100)) / 2;
-        let kept = |all: u64| (all / devices * free) / 100 * percent;
-        let kept = Size::new(kept(post.size.cpu.0), kept(post.size.memory.0), 0);
-        times(&self.job.size, &rest(&open, &kept))
+        let kept = |all: u64, asked: u64| (all / devices).min(asked) * free;
+        let cpu = kept(post.size.cpu.0, self.beside.cpu.0);
+        let memory = kept(post.size.memory.0, self.beside.memory.0);
+        times(&self.job.size, &rest(&open, &Size::new(cpu, memory, 0)))
     }
 
     /// Workers for all tasks out of some rooms, whichever come first.
--- a/crates/gentianlane/src/place/claim.rs
+++ b/crates/gentianlane/src/place/claim.rs
@@ -9,6 +9,7 @@
 use crate::id;
 use crate::place::fleet::{Fleet, Hold, Post};
 use crate::place::room::{Seat, rest};
+use crate::place::share::dominant;
 use crate::place::{Job, Kind};
 use crate::unit::{Size, Span, Time};
 
@@ -110,47 +111,67 @@
     Some(if end > now { end } else { now.after(again) })
 }
 
-/// The tasks to stop on a worker so that `need` comes free beside what others
-/// have claimed: none that may not yield, and the youngest first, as they lose
-/// the least. `None` if that isn't enough.
+/// What is lost by stopping a task: the time that all tasks of its job have run,
+/// weighed by their size.
+fn loss(hold: &Hold, post: &Post, now: Time) -> u64 {
+    let ran = now.since(hold.begun) + Span::from_secs(1);
+    let part = dominant(&hold.size, &post.size);
+    let millis = ran.times(hold.tasks.into()).as_millis();
+    (millis as f64 * part) as u64
+}
+
+/// Jobs to stop on a worker and what is lost by it.
+#[derive(Debug, Default, Clone)]
+pub(crate) struct Victims {
+    pub(crate) jobs: Vec<id::Job>,
+    pub(crate) loss: u64,
+}
+
+/// The jobs to stop on a worker so that `need` comes free beside what others
+/// have claimed: none that may not yield, and those first that lose the least.
+/// `None` if that isn't enough.
 pub(crate) fn victims(
     fleet: &Fleet,
     seat: Seat,
     need: &Size,
+    now: Time,
     stops: impl Fn(id::Job) -> bool,
-) -> Option<Vec<id::Job>> {
+) -> Option<Victims> {
     let post = fleet.post(seat);
     let need = need.plus(&post.claimed)?;
     let mut free = fleet.free(seat)?;
-    let mut yields: Vec<(&id::Task, &Hold)> = Vec::new();
+    let mut yields = Vec::new();
     for (task, hold) in &post.holds {
         if stops(task.job) {
             free = free.plus(&hold.size)?;
         } else if hold.yields {
-            yields.push((task, hold));
+            yields.push((loss(hold, post, now), *task, hold.size));
         }
     }
-    yields.sort_unstable_by_key(|(task, hold)| (std::cmp::Reverse(hold.begun), **task));
-    let mut chosen: Vec<(&id::Task, &Hold)> = Vec::new();
-    for (task, hold) in yields {
+    yields.sort_unstable_by_key(|(loss, task, _)| (*loss, *task));
+    let mut chosen = Vec::new();
+    for (loss, task, size) in yields {
         if need.fits(&free) {
             break;
         }
-        let useful = rest(&need, &free);
-        if rest(&useful, &hold.size) != useful {
-            free = free.plus(&hold.size)?;
-            chosen.push((task, hold));
+        let missing = rest(&need, &free);
+        if rest(&missing, &size) != missing {
+            free = free.plus(&size)?;
+            chosen.push((loss, task, size));
         }
     }
     if !need.fits(&free) {
         return None;
     }
-    chosen.retain(|(_, hold)| match free.less(&hold.size) {
-        Some(less) if need.fits(&less) => {
-            free = less;
-            false
+    let mut victims = Victims::default();
+    for (loss, task, size) in chosen.into_iter().rev() {
+        match free.less(&size) {
+            Some(less) if need.fits(&less) => free = less,
+            _ => {
+                victims.jobs.push(task.job);
+                victims.loss += loss;
+            }
         }
-        _ => true,
-    });
-    Some(chosen.into_iter().map(|(task, _)| task.job).collect())
+    }
+    Some(victims)
 }
--- a/crates/gentianlane/src/place/fleet.rs
+++ b/crates/gentianlane/src/place/fleet.rs
@@ -24,6 +24,8 @@
     pub(crate) end: Option<Time>,
     /// Whether urgent work may take its place.
     pub(crate) yields: bool,
+    /// How many tasks its job has, which all stop with it.
+    pub(crate) tasks: u32,
 }
 
 /// One worker.
--- a/crates/gentianlane/src/place/learn.rs
+++ b/crates/gentianlane/src/place/learn.rs
@@ -18,6 +18,9 @@
 /// The run time of a workload that declares none and hasn't run.
 const UNKNOWN: Span = Span::from_secs(60);
 
+/// How slowly what is asked for beside an accelerator is forgotten, in tasks.
+const FADING: u64 = 64;
+
 /// Significant decimal digits of what is remembered.
 const DIGITS: u8 = 1;
 
@@ -25,6 +28,7 @@
 #[derive(Debug, Default, Clone)]
 pub(crate) struct Learner {
     seen: IndexMap<id::Workload, Seen>,
+    beside: Size,
 }
 
 #[derive(Debug, Clone)]
@@ -45,6 +49,26 @@
         }
     }
 
+    /// Takes in what a task asks for, as it comes.
+    pub(crate) fn asked(&mut self, size: &Size) {
+        let devices = u64::from(size.accelerators.0);
+        let Some(cpu) = size.cpu.0.checked_div(devices) else {
+            return;
+        };
+        let memory = size.memory.0 / devices;
+        let next = |old: u64, new: u64| match new >= old {
+            true => new,
+            false => old - (old - new) / FADING,
+        };
+        let old = self.beside;
+        self.beside = Size::new(next(old.cpu.0, cpu), next(old.memory.0, memory), 0);
+    }
+
+    /// What tasks ask for beside each accelerator, at the most of late.
+    pub(crate) fn beside(&self) -> Size {
+        self.beside
+    }
+
     /// Takes in the most that a task was seen to use.
     pub(crate) fn used(&mut self, workload: &id::Workload, peak: &Size) {
         if let Some(seen) = self.seen(workload) {
--- a/crates/gentianlane/src/place/pace.rs
+++ b/crates/gentianlane/src/place/pace.rs
@@ -1,5 +1,6 @@
 //! Limits on how fast the planner does things that could stampede.
 
+use crate::place::queue::Shape;
 use crate::unit::{Span, Time};
 
 /// How many replicas of services are placed in one second.
@@ -21,6 +22,8 @@
     now: Time,
     swept: Option<Time>,
     reserved: Option<Time>,
+    /// The shape of the large job that ended last, until the next round is over.
+    ended: Option<Shape>,
     /// Replicas that may be placed now, in thousandths, and as of when.
     replicas: Option<(u64, Time)>,
 }
@@ -36,6 +39,21 @@
         self.replicas = Some((level, now));
     }
 
+    /// Says that a large job has ended.
+    pub(crate) fn ends(&mut self, shape: Shape) {
+        self.ended = Some(shape);
+    }
+
+    /// Says that a round is over.
+    pub(crate) fn tock(&mut self) {
+        self.ended = None;
+    }
+
+    /// Whether a large job of this shape has ended since the last round.
+    pub(crate) fn is_followed(&self, shape: &Shape) -> bool {
+        self.ended.as_ref() == Some(shape)
+    }
+
     /// Whether the planner has planned for this long.
     pub(crate) fn is_settled(&self, span: Span) -> bool {
         self.begun
--- a/crates/gentianlane/src/place/planner.rs
+++ b/crates/gentianlane/src/place/planner.rs
@@ -4,7 +4,7 @@
 
 use crate::id;
 use crate::note::{Quota, Settings};
-use crate::place::blame::{Blame, Ruling};
+use crate::place::blame::Blame;
 use crate::place::choose::Peers;
 use crate::place::claim::{Claim, per_seat};
 use crate::place::fleet::{Fleet, Hold};
@@ -14,7 +14,8 @@
 use crate::place::queue::{Queue, Scale, Shape};
 use crate::place::room::Seat;
 use crate::place::share::Shares;
-use crate::place::{Ended, Job, Kind, Ledger, Misfit, Setup, Worker};
+use crate::place::usage::Strain;
+use crate::place::{Job, Kind, Ledger, Misfit, Setup, Worker};
 use crate::unit::{Size, Span, Time};
 
 /// For how long a planner that has just begun refuses nothing, as workers may
@@ -77,6 +78,9 @@
     pub(crate) peers: IndexMap<id::Workload, Peers>,
     /// Jobs taken in while too little was known to refuse them.
     pub(crate) doubtful: IndexSet<id::Job>,
+    /// Since when jobs wait that have been stopped and may come back.
+    pub(crate) stopped: IndexMap<id::Job, Time>,
+    pub(crate) strains: IndexMap<id::Worker, Strain>,
     pub(crate) pace: Pace,
 }
 
@@ -96,6 +100,8 @@
             known: Known::default(),
             peers: IndexMap::new(),
             doubtful: IndexSet::new(),
+            stopped: IndexMap::new(),
+            strains: IndexMap::new(),
             pace: Pace::default(),
         }
     }
@@ -126,6 +132,7 @@
             return;
         };
         self.blame.forget(name);
+        self.strains.swap_remove(name);
         self.fleet.bar(seat, false);
         self.fleet.remove(name);
     }
@@ -138,7 +145,12 @@
     /// could hold one of its tasks, or all together couldn't hold them at once;
     /// it isn't taken in. A planner that has just begun, or that knows no
     /// worker, takes it in and may refuse it later.
-    pub fn admit(&mut self, job: Job) -> Result<(), Misfit> {
+    ///
+    /// A job that was stopped and comes back keeps its place in the order.
+    pub fn admit(&mut self, mut job: Job) -> Result<(), Misfit> {
+        if let Some(since) = self.stopped.swap_remove(&job.job) {
+            job.since = since.min(job.since);
+        }
         if let Some(misfit) = self.known.misfit(&Shape::of(&job)) {
             if self.pace.is_settled(SETTLING) {
                 return Err(misfit);
@@ -153,6 +165,7 @@
     }
 
     pub(crate) fn enqueue(&mut self, job: Job) {
+        self.learner.asked(&job.size);
         let scale = Scale {
             packing: self.packing,
             run: self.learner.middle(&job.workload, job.expected),
@@ -164,6 +177,7 @@
     /// Takes a job out of the queue; false if it doesn't wait there.
     pub fn withdraw(&mut self, job: id::Job) -> bool {
         self.doubtful.swap_remove(&job);
+        self.stopped.swap_remove(&job);
         self.unclaim(job);
         self.queue.remove(job).is_some()
     }
@@ -176,6 +190,9 @@
         for &seat in &claim.seats {
             self.fleet.unclaim(seat, &claim.job.size);
         }
+        if claim.at.is_none() {
+            self.shares.press(&claim.job, false);
+        }
         self.enqueue(claim.job);
     }
 
@@ -187,7 +204,7 @@
             let seat = name.as_ref().and_then(|name| self.fleet.seat(name));
             if let Some(seat) = seat {
                 self.fleet.resume(job.job, rank, seat, hold);
-                self.shares.take(&job.team, &job.size);
+                self.shares.take(&job);
                 self.stand(&job, seat);
             }
             seats.push(seat);
@@ -205,6 +222,7 @@
             begun: now,
             end: (job.kind != Kind::Service).then(|| now.after(run)),
             yields: job.idempotent && !job.urgent,
+            tasks: job.count,
         }
     }
 
@@ -216,21 +234,6 @@
         }
     }
 
-    fn unstand(&mut self, job: &Job, seat: Seat) {
-        let Some(peers) = self.peers.get_mut(&job.workload) else {
-            return;
-        };
-        if let Some(count) = peers.get_mut(&seat) {
-            *count -= 1;
-            if *count == 0 {
-                peers.swap_remove(&seat);
-            }
-        }
-        if peers.is_empty() {
-            self.peers.swap_remove(&job.workload);
-        }
-    }
-
     /// The log has taken up a decision to start.
     pub fn started(&mut self, job: id::Job, now: Time) {
         let Some(held) = self.held.get(&job) else {
@@ -243,77 +246,6 @@
         }
     }
 
-    /// A decision to start didn't hold: the job waits again.
-    pub fn refused(&mut self, job: id::Job) {
-        let Some(held) = self.held.swap_remove(&job) else {
-            return;
-        };
-        for (rank, seat) in (0..).zip(&held.seats) {
-            if let Some(seat) = *seat {
-                let name = &self.fleet.post(seat).name;
-                self.blame.silent(name, job, Time::default());
-                self.vacate(&held.job, rank, seat);
-            }
-        }
-        self.enqueue(held.job);
-    }
-
-    /// A task is known to be gone from its worker.
-    pub fn released(&mut self, task: id::Task, ended: Ended, now: Time) {
-        let Some(held) = self.held.get_mut(&task.job) else {
-            return;
-        };
-        let slot = held.seats.get_mut(task.rank as usize);
-        let Some(seat) = slot.and_then(Option::take) else {
-            return;
-        };
-        let job = held.job.clone();
-        if held.seats.iter().all(Option::is_none) {
-            self.held.swap_remove(&task.job);
-        }
-        let name = self.fleet.post(seat).name.clone();
-        self.judge(&job, &name, seat, ended, now);
-        self.vacate(&job, task.rank, seat);
-    }
-
-    fn vacate(&mut self, job: &Job, rank: u32, seat: Seat) {
-        let task = id::Task { job: job.job, rank };
-        if self.fleet.release(task, seat).is_some() {
-            self.shares.give(&job.team, &job.size);
-            self.unstand(job, seat);
-        }
-    }
-
-    /// Learns from how a task ended.
-    fn judge(
-        &mut self,
-        job: &Job,
-        name: &id::Worker,
-        seat: Seat,
-        ended: Ended,
-        now: Time,
-    ) {
-        let ruling = match ended {
-            Ended::Done(span) => {
-                self.learner.ran(&job.workload, span);
-                self.blame.done(name, &job.workload)
-            }
-            Ended::Failed(_) => {
-                let known = self.fleet.len();
-                self.blame.failed(name, &job.workload, known, now)
-            }
-            Ended::Stopped => {
-                self.blame.silent(name, job.job, now);
-                Ruling::Same
-            }
-        };
-        match ruling {
-            Ruling::Same => {}
-            Ruling::Bar => self.fleet.bar(seat, true),
-            Ruling::Clear => self.fleet.bar(seat, false),
-        }
-    }
-
     /// Takes in the most that a task of a workload was seen to use.
     pub fn used(&mut self, workload: &id::Workload, peak: &Size) {
         self.learner.used(workload, peak);
@@ -326,6 +258,12 @@
         self.learner.peak(workload)
     }
 
+    /// How packing is weighed against waiting: from 0, wait least, to 100.
+    #[must_use]
+    pub fn packing(&self) -> u8 {
+        self.packing
+    }
+
     /// How many jobs wait.
     #[must_use]
     pub fn waiting(&self) -> usize {
@@ -356,6 +294,9 @@
                 self.fleet.claim(seat, &size);
             }
         }
+        if claim.at.is_none() {
+            self.shares.press(&claim.job, true);
+        }
         self.claims.insert(claim.job.job, claim);
     }
 }
--- a/crates/gentianlane/src/place/preempt.rs
+++ b/crates/gentianlane/src/place/preempt.rs
@@ -5,11 +5,12 @@
 use indexmap::IndexSet;
 
 use crate::id;
-use crate::place::claim::{Claim, victims};
+use crate::place::claim::{Claim, Victims, victims};
 use crate::place::queue::Shape;
 use crate::place::room::{Order, Seat, times};
 use crate::place::round::Round;
 use crate::place::{Decision, Job, Planner};
+use crate::unit::Time;
 
 /// How many workers are looked at for one that urgent work could take.
 const LOOKS: usize = 24;
@@ -21,13 +22,12 @@
     /// Has others stop for an urgent job of a team within its quota.
     pub(crate) fn take_over(&mut self, job: &Job, round: &mut Round) -> bool {
         let shape = Shape::of(job);
-        let more = job.size.times(job.count).unwrap_or(job.size);
-        let may = job.urgent && self.shares.is_entitled(&job.team, &more);
+        let may = self.shares.is_pressing(job);
         if !may || self.claims.len() >= CLAIMS || round.stuck.contains(&shape) {
             return false;
         }
         round.searches = round.searches.saturating_sub(1);
-        let Some((seats, jobs)) = self.prey(job) else {
+        let Some((seats, jobs)) = self.prey(job, round.now) else {
             round.stuck.insert(shape);
             return false;
         };
@@ -49,39 +49,79 @@
     }
 
     /// Workers that an urgent job could have, and whom it would stop there.
-    fn prey(&self, job: &Job) -> Option<(Vec<Seat>, IndexSet<id::Job>)> {
-        let stops = |id| self.held.get(&id).is_some_and(|held| held.stops);
-        let mut seats = Vec::new();
-        let mut jobs = IndexSet::new();
+    fn prey(&self, job: &Job, now: Time) -> Option<(Vec<Seat>, IndexSet<id::Job>)> {
         let sides: &[usize] = match job.size.accelerators.0 {
             0 => &[0, 1],
             _ => &[1],
         };
-        for &side in sides {
-            let mut looks = 0;
-            self.fleet.reach[side].visit(&job.size, Order::Tight, |seat| {
-                looks += 1;
-                let left = job.count - u32::try_from(seats.len()).unwrap_or(job.count);
-                let most = times(&job.size, &self.fleet.post(seat).size).min(left);
-                let ways = (1..=most).rev().find_map(|count| {
-                    let need = job.size.times(count)?;
-                    let jobs = victims(&self.fleet, seat, &need, stops)?;
-                    Some((count, jobs))
-                });
-                if let Some((count, more)) = ways {
-                    seats.extend(std::iter::repeat_n(seat, count as usize));
-                    jobs.extend(more);
-                }
-                let done = seats.len() == job.count as usize;
-                match done || looks >= LOOKS + job.count as usize {
-                    true => ControlFlow::Break(()),
-                    false => ControlFlow::Continue(()),
-                }
+        sides.iter().find_map(|&side| match job.count {
+            1 => self.cheapest(job, side, now),
+            _ => self.several(job, side, now),
+        })
+    }
+
+    fn stops(&self, job: id::Job) -> bool {
+        self.held.get(&job).is_some_and(|held| held.stops)
+    }
+
+    /// The worker on which the least is lost, among some.
+    fn cheapest(
+        &self,
+        job: &Job,
+        side: usize,
+        now: Time,
+    ) -> Option<(Vec<Seat>, IndexSet<id::Job>)> {
+        let mut best: Option<(Victims, Seat)> = None;
+        let mut looks = 0;
+        self.fleet.reach[side].visit(&job.size, Order::Tight, |seat| {
+            looks += 1;
+            let stops = |id| self.stops(id);
+            let found = victims(&self.fleet, seat, &job.size, now, stops);
+            if let Some(found) = found
+                && best.as_ref().is_none_or(|(it, _)| found.loss < it.loss)
+            {
+                best = Some((found, seat));
+            }
+            let free = best.as_ref().is_some_and(|(it, _)| it.loss == 0);
+            match free || looks >= LOOKS {
+                true => ControlFlow::Break(()),
+                false => ControlFlow::Continue(()),
+            }
+        });
+        let (victims, seat) = best?;
+        Some((vec![seat], victims.jobs.into_iter().collect()))
+    }
+
+    /// Workers for all tasks of a job, as many to each as it can come to hold.
+    fn several(
+        &self,
+        job: &Job,
+        side: usize,
+        now: Time,
+    ) -> Option<(Vec<Seat>, IndexSet<id::Job>)> {
+        let mut seats = Vec::new();
+        let mut jobs = IndexSet::new();
+        let mut left = job.count;
+        let mut looks = 0;
+        self.fleet.reach[side].visit(&job.size, Order::Tight, |seat| {
+            looks += 1;
+            let most = times(&job.size, &self.fleet.post(seat).size).min(left);
+            let ways = (1..=most).rev().find_map(|count| {
+                let need = job.size.times(count)?;
+                let stops = |id| self.stops(id);
+                let found = victims(&self.fleet, seat, &need, now, stops)?;
+                Some((count, found.jobs))
             });
-            if seats.len() == job.count as usize {
-                return Some((seats, jobs));
+            if let Some((count, more)) = ways {
+                seats.extend(std::iter::repeat_n(seat, count as usize));
+                jobs.extend(more);
+                left -= count;
             }
-        }
-        None
+            match left == 0 || looks >= LOOKS + job.count as usize {
+                true => ControlFlow::Break(()),
+                false => ControlFlow::Continue(()),
+            }
+        });
+        (left == 0).then_some((seats, jobs))
     }
 }
--- a/crates/gentianlane/src/place/round.rs
+++ b/crates/gentianlane/src/place/round.rs
@@ -29,12 +29,20 @@
 const GROWN: usize = 32;
 
 /// How many workers there are to each job for which room is set aside.
-const WORKERS_PER_CLAIM: usize = 32;
+const WORKERS_PER_CLAIM: usize = 128;
 
 /// The part of the largest worker from which on a single task gets room set
 /// aside; smaller ones find it as tasks end.
 const LARGE: f64 = 0.25;
 
+/// From which weight of packing on jobs fill room that is set aside if half of
+/// their runs are short enough; else nine of ten have to be.
+const PACKS: u8 = 50;
+
+/// How far a large job is put forward when one like it has just ended, as its
+/// workers needn't be emptied once more.
+const FOLLOWS: Span = Span::from_secs(300);
+
 /// How long a job waits at least before room is set aside for it.
 const PATIENCE: Span = Span::from_secs(1);
 
@@ -43,7 +51,7 @@
 
 /// What a round has done so far.
 pub(crate) struct Round {
-    now: Time,
+    pub(crate) now: Time,
     limit: usize,
     /// How many searches are left.
     pub(crate) searches: usize,
@@ -78,6 +86,7 @@
         self.honour(&mut round);
         self.wake(now);
         self.serve(&mut round);
+        self.pace.tock();
         round.decisions
     }
 
@@ -225,13 +234,16 @@
     /// quotas first, then by rank and by what the team uses already.
     fn turn(&self, track: Track) -> Option<(bool, u64)> {
         let (rank, job) = self.queue.lane(track).head()?;
-        let more = job.size.times(job.count).unwrap_or(job.size);
-        if job.urgent && self.shares.is_entitled(&job.team, &more) {
+        if self.shares.is_pressing(job) {
             return Some((false, rank));
         }
+        let more = job.size.times(job.count).unwrap_or(job.size);
         let total = self.fleet.total();
         let penalty = self.shares.penalty(&job.team, &more, &total);
-        Some((true, rank.saturating_add(penalty.as_millis())))
+        let rank = rank.saturating_add(penalty.as_millis());
+        let like = self.pace.is_followed(&Shape::of(job));
+        let credit = if like { FOLLOWS } else { Span::ZERO };
+        Some((true, rank.saturating_sub(credit.as_millis())))
     }
 
     /// Tries a lane's first job; false if the lane has to wait.
@@ -256,6 +268,7 @@
                 fleet: &self.fleet,
                 job,
                 packing: self.packing,
+                beside: self.learner.beside(),
             };
             if let Some(seats) = search.find(self.peers.get(&job.workload)) {
                 let id = job.job;
@@ -291,9 +304,12 @@
         if job.kind != Kind::Batch || job.count != 1 {
             return false;
         }
-        let run = self.learner.most(&job.workload);
-        let run = run
-            .unwrap_or_else(|| self.learner.middle(&job.workload, job.expected).times(2));
+        let run = match self.packing >= PACKS {
+            true => self.learner.middle(&job.workload, job.expected),
+            false => self.learner.most(&job.workload).unwrap_or_else(|| {
+                self.learner.middle(&job.workload, job.expected).times(2)
+            }),
+        };
         let later = self.claims.values();
         let later = later.filter(|claim| self.spans(claim, run, round.now));
         let seats = later.flat_map(|claim| claim.seats.iter().copied());
@@ -349,7 +365,7 @@
         };
         self.doubtful.swap_remove(&id);
         for &seat in seats {
-            self.shares.take(&job.team, &job.size);
+            self.shares.take(&job);
             self.stand(&job, seat);
         }
         let name = |&seat: &Seat| self.fleet.post(seat).name.clone();
--- a/crates/gentianlane/src/place/share.rs
+++ b/crates/gentianlane/src/place/share.rs
@@ -4,6 +4,7 @@
 
 use crate::id;
 use crate::note::Quota;
+use crate::place::Job;
 use crate::place::room::rest;
 use crate::unit::{Size, Span};
 
@@ -24,6 +25,8 @@
 struct Share {
     quota: Option<Quota>,
     used: Size,
+    /// What urgent work uses of it.
+    urgent: Size,
 }
 
 impl Shares {
@@ -43,25 +46,55 @@
         self.weights = self.teams.values().map(Share::weight).sum();
     }
 
-    /// Takes in that a team uses more.
-    pub(crate) fn take(&mut self, team: &id::Team, size: &Size) {
-        if let Some(share) = self.teams.get_mut(team) {
-            share.used = share.used.plus(size).unwrap_or(share.used);
+    /// Takes in that a task of a job uses its size.
+    pub(crate) fn take(&mut self, job: &Job) {
+        let share = self.share(&job.team);
+        share.used = share.used.plus(&job.size).unwrap_or(share.used);
+        if job.urgent {
+            share.urgent = share.urgent.plus(&job.size).unwrap_or(share.urgent);
+        }
+    }
+
+    /// Takes in that a task of a job uses its size no more.
+    pub(crate) fn give(&mut self, job: &Job) {
+        let Some(share) = self.teams.get_mut(&job.team) else {
             return;
+        };
+        share.used = rest(&share.used, &job.size);
+        if job.urgent {
+            share.urgent = rest(&share.urgent, &job.size);
         }
-        let share = Share {
-            quota: None,
-            used: *size,
+    }
+
+    /// Takes in that urgent work has room set aside for it, or not any more.
+    pub(crate) fn press(&mut self, job: &Job, on: bool) {
+        let more = job.size.times(job.count).unwrap_or(job.size);
+        let share = self.share(&job.team);
+        share.urgent = match on {
+            true => share.urgent.plus(&more).unwrap_or(share.urgent),
+            false => rest(&share.urgent, &more),
         };
-        self.weights += share.weight();
-        self.teams.insert(team.clone(), share);
     }
 
-    /// Takes in that a team uses less.
-    pub(crate) fn give(&mut self, team: &id::Team, size: &Size) {
-        if let Some(share) = self.teams.get_mut(team) {
-            share.used = rest(&share.used, size);
+    fn share(&mut self, team: &id::Team) -> &mut Share {
+        if !self.teams.contains_key(team) {
+            self.weights += Share::default().weight();
         }
+        self.teams.entry(team.clone()).or_default()
+    }
+
+    /// Whether a job goes before all that isn't urgent: a team's urgent work may
+    /// do so up to the team's quota, whatever else the team uses.
+    pub(crate) fn is_pressing(&self, job: &Job) -> bool {
+        let Some(share) = self.teams.get(&job.team) else {
+            return job.urgent;
+        };
+        let Some(quota) = &share.quota else {
+            return job.urgent;
+        };
+        let more = job.size.times(job.count);
+        let sum = more.and_then(|more| share.urgent.plus(&more));
+        job.urgent && sum.is_some_and(|sum| sum.fits(&quota.size))
     }
 
     /// Whether a team may have this much more without borrowing. A team
--- a/crates/gentianlane/tests/place_failures.rs
+++ b/crates/gentianlane/tests/place_failures.rs
@@ -4,7 +4,7 @@
 
 use gentianlane::id;
 use gentianlane::note::Quota;
-use gentianlane::place::{Decision, Ended, Job};
+use gentianlane::place::{Decision, Ended, Job, Overuse};
 use gentianlane::unit::{Size, Span};
 use place_fake::{Cell, GIB, batch, gang, name, service, settings, urgent};
 
@@ -329,9 +329,12 @@
         cell.worker(0, IMAGING);
         cell.worker(4, PLAIN);
         weigh(&mut cell, packing, &[]);
+        let images = batch("a", "photos", Size::new(1_500, 4 * GIB, 1));
+        let first = cell.admit(images.clone()).expect("it fits");
+        cell.step(100);
+        cell.finish(first, Ended::Done(Span::from_secs(1)), false);
         fill(&mut cell, 64, &batch("a", "route", CORE));
         cell.step(100);
-        let images = batch("a", "photos", Size::new(1_500, 4 * GIB, 1));
         let images = fill(&mut cell, 8, &images);
         cell.step(100);
         assert!(images.iter().all(|id| cell.runs(*id)), "packing {packing}");
@@ -404,3 +407,81 @@
     cell.step(10);
     assert!(cell.runs(honest) && !cell.runs(liar));
 }
+
+#[test]
+fn a_preempted_job_keeps_its_place_in_the_order() {
+    let mut cell = settled(1, CORE);
+    let first = cell.admit(batch("a", "route", CORE)).expect("it fits");
+    cell.step(10);
+    cell.pass(Span::from_secs(5));
+    let second = cell.admit(batch("a", "route", CORE)).expect("it fits");
+    cell.pass(Span::from_secs(5));
+    let alarm = cell.admit(urgent(CORE)).expect("it fits");
+    cell.step(10);
+    cell.step(10);
+    assert!(cell.runs(alarm));
+    cell.finish(alarm, Ended::Done(Span::from_secs(1)), false);
+    cell.step(10);
+    assert!(cell.runs(first) && !cell.runs(second));
+}
+
+#[test]
+fn urgent_work_stops_what_loses_the_least() {
+    let mut cell = settled(3, PLAIN);
+    let wide = cell.admit(gang("wide", PLAIN, 2)).expect("it fits");
+    let old = cell.admit(batch("a", "route", Size::new(8_000, GIB, 0)));
+    cell.step(10);
+    cell.pass(Span::from_secs(9));
+    let young = cell.admit(batch("a", "route", Size::new(8_000, GIB, 0)));
+    cell.step(10);
+    assert!(cell.runs(wide) && old.is_some_and(|id| cell.runs(id)));
+    cell.admit(urgent(CORE));
+    let job = young.expect("it fits");
+    assert_eq!(cell.step(10), [Decision::Preempt { job }]);
+}
+
+#[test]
+fn urgent_work_goes_first_only_up_to_its_teams_quota() {
+    let mut cell = settled(1, PLAIN);
+    let size = Size::new(2_000, 32 * GIB, 0);
+    weigh(&mut cell, 50, &[("alarms", Quota { size, weight: 1 })]);
+    fill(&mut cell, 16, &batch("a", "route", CORE));
+    cell.step(100);
+    fill(&mut cell, 5, &urgent(CORE));
+    let preempts = |decision: &&Decision| matches!(decision, Decision::Preempt { .. });
+    let mut preempted = 0;
+    for _ in 0..5 {
+        preempted += cell.step(100).iter().filter(preempts).count();
+        cell.pass(Span::from_secs(1));
+    }
+    assert_eq!(preempted, 2);
+}
+
+#[test]
+fn over_use_is_throttled_and_then_stopped_once_it_lasts() {
+    let mut cell = settled(1, PLAIN);
+    let once = Job {
+        idempotent: false,
+        ..batch("a", "notice", CORE)
+    };
+    cell.admit(once).expect("it fits");
+    let liar = cell.admit(batch("a", "liar", CORE)).expect("it fits");
+    cell.admit(batch("a", "route", CORE)).expect("it fits");
+    cell.step(10);
+    for _ in 0..4 {
+        cell.planner
+            .used(&"liar".into(), &Size::new(1_000, 9 * GIB, 0));
+    }
+    let used = Size::new(9_000, 9 * GIB, 0);
+    assert!(cell.planner.reported(&name(0), &used, cell.now).is_empty());
+    cell.pass(Span::from_secs(9));
+    assert!(cell.planner.reported(&name(0), &used, cell.now).is_empty());
+    cell.pass(Span::from_secs(1));
+    let orders = cell.planner.reported(&name(0), &used, cell.now);
+    assert_eq!(orders.len(), 4);
+    assert_eq!(orders[3], Overuse::Stop { job: liar });
+    let kept = Size::new(3_000, 3 * GIB, 0);
+    assert!(cell.planner.reported(&name(0), &kept, cell.now).is_empty());
+    cell.pass(Span::from_secs(10));
+    assert!(cell.planner.reported(&name(0), &used, cell.now).is_empty());
+}
