Index what work without accelerators may have, so that a search is exact

Cause: a search for room beside accelerators looked at workers by what is open on them and gave up after 24 in a row whose rest is kept for their free accelerators. Looking from the other end as well finds most, but not all: with 30 workers that have one free accelerator and nothing to spare, ten empty ones weren't found.

Change: workers with accelerators stand in a third index by what is left after what they keep. What is kept changes at most once a second downwards, and at once upwards, and then their index is built anew. Every worker that a search names fits, so the second search and the limit on unsuitable ones are gone.

Conclusion: batch work and gangs find room whenever there is some.

--- a/crates/gentianlane/src/place/choose.rs
+++ b/crates/gentianlane/src/place/choose.rs
@@ -4,12 +4,11 @@
 
 use indexmap::IndexMap;
 
-use crate::place::fleet::{Fleet, Rooms};
-use crate::place::room::{Order, Seat, rest, times};
+use crate::place::fleet::Fleet;
+use crate::place::room::{Order, Rooms, Seat, sides, times};
 use crate::place::{Job, Kind};
-use crate::unit::Size;
 
-/// How many workers in a row may turn out unsuitable before a search ends.
+/// How many workers are looked at for one where the fewest replicas stand.
 const LOOKS: usize = 24;
 
 /// How many racks are tried for a gang.
@@ -27,8 +26,6 @@
     pub(crate) job: &'a Job,
     /// From 0, wait least, to 100, pack most.
     pub(crate) packing: u8,
-    /// What is kept for each free accelerator.
-    pub(crate) beside: Size,
 }
 
 impl Search<'_> {
@@ -41,52 +38,26 @@
         }
     }
 
-    /// Workers with and without accelerators, in the order to try them.
-    fn sides(&self) -> &'static [usize] {
-        match self.job.size.accelerators.0 {
-            0 => &[0, 1],
-            _ => &[1],
-        }
-    }
-
     /// How many tasks of the job a worker should take. Work that needs no
     /// accelerator leaves processors and memory for those that are free.
     fn room(&self, seat: Seat) -> u32 {
-        let Some(open) = self.fleet.open(seat) else {
-            return 0;
+        let room = match self.job.size.accelerators.0 {
+            0 => self.fleet.spare(seat),
+            _ => self.fleet.open(seat),
         };
-        let post = self.fleet.post(seat);
-        let devices = u64::from(post.size.accelerators.0);
-        if devices == 0 || self.job.size.accelerators.0 > 0 {
-            return times(&self.job.size, &open);
-        }
-        let free = u64::from(open.accelerators.0);
-        let kept = |all: u64, asked: u64| (all / devices).min(asked) * free;
-        let cpu = kept(post.size.cpu.0, self.beside.cpu.0);
-        let memory = kept(post.size.memory.0, self.beside.memory.0);
-        times(&self.job.size, &rest(&open, &Size::new(cpu, memory, 0)))
+        room.map_or(0, |room| times(&self.job.size, &room))
     }
 
     /// Workers for all tasks out of some rooms, whichever come first.
     fn gather(&self, rooms: &Rooms, order: Order) -> Option<Vec<Seat>> {
-        match self.gather_in(rooms, order) {
-            // Workers with the least free may all keep it for accelerators.
-            None if order == Order::Tight => self.gather_in(rooms, Order::Loose),
-            found => found,
-        }
-    }
-
-    fn gather_in(&self, rooms: &Rooms, order: Order) -> Option<Vec<Seat>> {
         let count = self.job.count as usize;
         let mut seats = Vec::with_capacity(count.min(1_024));
-        for &side in self.sides() {
-            let mut looks = 0;
+        for &side in sides(&self.job.size) {
             rooms[side].visit(&self.job.size, order, |seat| {
                 let left = count - seats.len();
                 let room = (self.room(seat) as usize).min(left);
                 seats.extend(std::iter::repeat_n(seat, room));
-                looks = if room == 0 { looks + 1 } else { 0 };
-                match seats.len() == count || looks >= LOOKS {
+                match seats.len() == count {
                     true => ControlFlow::Break(()),
                     false => ControlFlow::Continue(()),
                 }
@@ -154,7 +125,7 @@
         }
         let mut order: Vec<usize> = (0..domains.len()).collect();
         order.sort_by_key(|&domain| domains[domain]);
-        for &side in self.sides() {
+        for &side in sides(&self.job.size) {
             for &domain in &order {
                 let room = &self.fleet.domains[domain][side];
                 let mut best = None;
--- a/crates/gentianlane/src/place/explain.rs
+++ b/crates/gentianlane/src/place/explain.rs
@@ -3,6 +3,7 @@
 use crate::id;
 use crate::place::claim::Claim;
 use crate::place::queue::Shape;
+use crate::place::room::sides;
 use crate::place::{Job, Kind, Planner};
 use crate::unit::Time;
 
@@ -60,7 +61,7 @@
         if job.kind == Kind::Service && !self.pace.has_replica() {
             return "as replicas are placed at a bounded rate".to_owned();
         }
-        let mut rooms = self.fleet.all.iter();
+        let mut rooms = sides(&size).iter().map(|&side| &self.fleet.all[side]);
         if rooms.any(|room| room.holds(&size)) && count == 1 {
             let before = self.queue.before(job.job);
             return format!("for its turn; {before} jobs are before it");
--- a/crates/gentianlane/src/place/fleet.rs
+++ b/crates/gentianlane/src/place/fleet.rs
@@ -9,7 +9,7 @@
 use indexmap::{IndexMap, IndexSet};
 
 use crate::id;
-use crate::place::room::{Room, Seat, rest};
+use crate::place::room::{Room, Rooms, Seat, rest};
 use crate::place::{Ledger, Worker};
 use crate::unit::{Size, Time};
 
@@ -43,6 +43,8 @@
     gone: bool,
     /// What the indexes say that is open on it; `None` if it isn't in them.
     open: Option<Size>,
+    /// What of that work without accelerators may have.
+    spare: Option<Size>,
     /// What the index says that urgent work could have.
     reach: Option<Size>,
 }
@@ -54,10 +56,6 @@
     open: Size,
 }
 
-/// The workers of a domain, or of the cell: those without accelerators and
-/// those with.
-pub(crate) type Rooms = [Room; 2];
-
 /// All workers.
 #[derive(Debug, Default, Clone)]
 pub(crate) struct Fleet {
@@ -71,7 +69,9 @@
     /// Racks by the accelerators and processors that are open in them.
     pub(crate) by_open: BTreeSet<(u32, u64, usize)>,
     /// Workers by what is free or could be freed for urgent work.
-    pub(crate) reach: Rooms,
+    pub(crate) reach: [Room; 2],
+    /// What is kept free for each free accelerator.
+    beside: Size,
     /// Workers on which more has come open.
     grown: IndexSet<Seat>,
     /// Workers that have become smaller than what is reserved on them.
@@ -119,6 +119,38 @@
         self.posts[seat].open
     }
 
+    /// What of it work without accelerators may have.
+    pub(crate) fn spare(&self, seat: Seat) -> Option<Size> {
+        self.posts[seat].spare
+    }
+
+    /// What is kept free for each free accelerator.
+    pub(crate) fn beside(&self) -> Size {
+        self.beside
+    }
+
+    /// Keeps so much free for each free accelerator from now on, and no more
+    /// than the accelerator's part of its worker.
+    pub(crate) fn keep(&mut self, beside: Size) {
+        if self.beside == beside {
+            return;
+        }
+        self.beside = beside;
+        let with = self.seats.values().copied();
+        let with = with.filter(|&seat| self.posts[seat].size.accelerators.0 > 0);
+        for seat in with.collect::<Vec<_>>() {
+            self.refresh(seat);
+        }
+    }
+
+    /// What is kept on a worker of this size for its free accelerators.
+    fn kept(&self, size: &Size, free: u32) -> Size {
+        let devices = u64::from(size.accelerators.0.max(1));
+        let kept = |all: u64, asked: u64| (all / devices).min(asked) * u64::from(free);
+        let cpu = kept(size.cpu.0, self.beside.cpu.0);
+        Size::new(cpu, kept(size.memory.0, self.beside.memory.0), 0)
+    }
+
     /// Takes in a worker, or what has changed of it. Nothing that `worker`
     /// says of reservations counts: tasks come by [`Fleet::resume`].
     pub(crate) fn put(&mut self, name: &id::Worker, worker: &Worker) {
@@ -150,6 +182,7 @@
             barred: false,
             gone: false,
             open: None,
+            spare: None,
             reach: None,
         };
         let seat = match self.vacant.pop() {
@@ -287,7 +320,7 @@
 
     /// Brings the indexes in step with what the ledger says of a worker.
     fn refresh(&mut self, seat: Seat) {
-        let had = self.posts[seat].open;
+        let had = (self.posts[seat].open, self.posts[seat].spare);
         self.hide(seat);
         let post = &self.posts[seat];
         if let Some(worker) = self.ledger.get(&post.name)
@@ -302,19 +335,27 @@
         let yields = post.holds.values().filter(|hold| hold.yields);
         let yields: Size = yields.map(|hold| hold.size).sum();
         let reach = rest(&free.plus(&yields).unwrap_or(free), &post.claimed);
-        self.show(seat, open, reach);
-        if had.is_none_or(|had| !open.fits(&had)) {
+        let spare = rest(&open, &self.kept(&post.size, open.accelerators.0));
+        self.show(seat, open, spare, reach);
+        let grown = |now: Size, had: Option<Size>| had.is_none_or(|had| !now.fits(&had));
+        if grown(open, had.0) || grown(spare, had.1) {
             self.grown.insert(seat);
         }
     }
 
-    fn show(&mut self, seat: Seat, open: Size, reach: Size) {
+    fn show(&mut self, seat: Seat, open: Size, spare: Size, reach: Size) {
         let post = &mut self.posts[seat];
         let side = usize::from(post.size.accelerators.0 > 0);
         post.open = Some(open);
+        post.spare = Some(spare);
         post.reach = Some(reach);
+        let domain = &mut self.domains[post.domain];
         self.all[side].insert(seat, &open);
-        self.domains[post.domain][side].insert(seat, &open);
+        domain[side].insert(seat, &open);
+        if side == 1 {
+            self.all[2].insert(seat, &spare);
+            domain[2].insert(seat, &spare);
+        }
         self.reach[side].insert(seat, &reach);
         let (at, rack) = (post.rack, &mut self.racks[post.rack]);
         self.by_open.remove(&key(&rack.open, at));
@@ -331,8 +372,15 @@
         let Some(open) = post.open.take() else {
             return;
         };
+        let domain = &mut self.domains[post.domain];
         self.all[side].remove(seat, &open);
-        self.domains[post.domain][side].remove(seat, &open);
+        domain[side].remove(seat, &open);
+        if let Some(spare) = post.spare.take()
+            && side == 1
+        {
+            self.all[2].remove(seat, &spare);
+            domain[2].remove(seat, &spare);
+        }
         let (at, rack) = (post.rack, &mut self.racks[post.rack]);
         self.by_open.remove(&key(&rack.open, at));
         rack.open = rest(&rack.open, &open);
--- a/crates/gentianlane/src/place/planner.rs
+++ b/crates/gentianlane/src/place/planner.rs
@@ -166,6 +166,10 @@
 
     pub(crate) fn enqueue(&mut self, job: Job) {
         self.learner.asked(&job.size);
+        let beside = self.learner.beside();
+        if !beside.fits(&self.fleet.beside()) {
+            self.fleet.keep(beside);
+        }
         let scale = Scale {
             packing: self.packing,
             run: self.learner.middle(&job.workload, job.expected),
--- a/crates/gentianlane/src/place/room.rs
+++ b/crates/gentianlane/src/place/room.rs
@@ -34,6 +34,18 @@
     Loose,
 }
 
+/// The workers of a domain, or of the cell: those without accelerators, those
+/// with, and those again by what work without accelerators may have there.
+pub(crate) type Rooms = [Room; 3];
+
+/// Which rooms a job of some size may go to, in the order to try them.
+pub(crate) fn sides(size: &Size) -> &'static [usize] {
+    match size.accelerators.0 {
+        0 => &[0, 2],
+        _ => &[1],
+    }
+}
+
 /// Workers by what is free on them.
 #[derive(Debug, Default, Clone)]
 pub(crate) struct Room {
--- a/crates/gentianlane/src/place/round.rs
+++ b/crates/gentianlane/src/place/round.rs
@@ -191,8 +191,12 @@
 
     /// Has lanes tried again for which something has come open.
     fn wake(&mut self, now: Time) {
+        let sweeps = self.pace.sweeps(now);
+        if sweeps {
+            self.fleet.keep(self.learner.beside());
+        }
         let grown = self.fleet.take_grown();
-        if self.pace.sweeps(now) || grown.len() > GROWN {
+        if sweeps || grown.len() > GROWN {
             self.queue.wake(|_| true);
             return;
         }
@@ -268,7 +272,6 @@
                 fleet: &self.fleet,
                 job,
                 packing: self.packing,
-                beside: self.learner.beside(),
             };
             if let Some(seats) = search.find(self.peers.get(&job.workload)) {
                 let id = job.job;
--- a/crates/gentianlane/tests/place_failures.rs
+++ b/crates/gentianlane/tests/place_failures.rs
@@ -485,3 +485,22 @@
     cell.pass(Span::from_secs(10));
     assert!(cell.planner.reported(&name(0), &used, cell.now).is_empty());
 }
+
+/// However many workers keep their rest for accelerators, work without finds
+/// the room that others have.
+#[test]
+fn work_without_accelerators_passes_all_workers_that_keep_their_rest() {
+    let mut cell = settled(0, CORE);
+    for at in 0..30 {
+        cell.worker(at, Size::new(8_000, 32 * GIB, 8));
+    }
+    let images = batch("a", "photos", Size::new(7_000, 7 * GIB, 7));
+    fill(&mut cell, 30, &images);
+    cell.step(1_000);
+    for at in 30..40 {
+        cell.worker(at, Size::new(16_000, 32 * GIB, 8));
+    }
+    let routes = fill(&mut cell, 80, &batch("a", "route", CORE));
+    cell.step(1_000);
+    assert!(routes.iter().all(|id| cell.runs(*id)));
+}
