--- a/crates/gentianlane/benches/place.rs
+++ b/crates/gentianlane/benches/place.rs
@@ -72,8 +72,12 @@
         let p50 = quantile(waits, 0.5);
         let p99 = quantile(waits, 0.99);
         let mean = waits.iter().sum::<u64>() / waits.len().max(1) as u64;
+        let longest = waits.iter().max().copied().unwrap_or_default();
         let count = waits.len();
-        println!("wait of {sort}: p50 {p50} ms, p99 {p99} ms, mean {mean} ms of {count}");
+        println!(
+            "wait of {sort}: p50 {p50} ms, p99 {p99} ms, mean {mean} ms, longest \
+             {longest} ms of {count}"
+        );
     }
     let parts = ["processors", "memory", "accelerators"];
     for (part, (reserved, used)) in parts.iter().zip(outcome.packing()) {
