--- a/crates/gentianlane/src/cell/state/request.rs
+++ b/crates/gentianlane/src/cell/state/request.rs
@@ -32,6 +32,10 @@
             let outcome = Outcome::not_run(Reason::UnknownWorkload);
             return self.close_unopened(submit.key, Some(digest), outcome);
         };
+        if submit.deadline == Some(Span::ZERO) {
+            let outcome = Outcome::not_run(Reason::Deadline);
+            return self.close_unopened(submit.key, Some(digest), outcome);
+        }
         let Submit {
             key,
             team,
--- a/crates/gentianlane/src/lib.rs
+++ b/crates/gentianlane/src/lib.rs
@@ -8,10 +8,13 @@
 //! - [`agree`] replicates a log of commands among the voters.
 //! - [`cell`] is the state that the log builds, and the leader's work upon it.
 //! - [`place`] decides which worker runs what.
+//! - [`admit`] refuses early what can't be served in time.
+//! - [`route`] takes calls to the leader and to the instances of services.
 //! - [`note`] checks release notes and keeps those in force.
 //! - [`api`] holds what callers, workers and operators send and receive.
 //! - [`verdict`] says whether a request may have run.
 
+pub mod admit;
 pub mod agree;
 pub mod api;
 pub mod cell;
@@ -20,6 +23,7 @@
 pub mod lease;
 pub mod note;
 pub mod place;
+pub mod route;
 pub mod unit;
 pub mod verdict;
 pub mod wire;
