--- a/crates/gentianlane-client/src/client.rs
+++ b/crates/gentianlane-client/src/client.rs
@@ -7,7 +7,7 @@
 use attohttpc::header::CONTENT_TYPE;
 use gentianlane::api::{Answer, Call, Refusal, Reply, Submit, Wait};
 use gentianlane::unit::Span;
-use gentianlane::verdict::Reason;
+use gentianlane::verdict::{Reason, Verdict};
 use rand::RngExt;
 
 use crate::{Fault, Method, Route};
@@ -97,6 +97,7 @@
     ) -> Result<Answer, Refusal> {
         let end = Instant::now() + patience;
         let mut pause = PAUSE_MIN;
+        let mut may_have_run = false;
         loop {
             let refusal = match self.call(call) {
                 Ok(Reply::Answer(answer)) => return Ok(answer),
@@ -108,8 +109,9 @@
                     detail: fault.to_string(),
                 },
             };
+            may_have_run |= refusal.outcome.verdict == Verdict::MayHaveRun;
             if Instant::now() + pause >= end {
-                return Err(refusal);
+                return Err(given_up(refusal, may_have_run));
             }
             let least = refusal
                 .outcome
@@ -121,6 +123,15 @@
     }
 }
 
+/// The last refusal, as it stands after all that was sent: one that holds only
+/// up to now doesn't undo that an earlier sending may have arrived.
+fn given_up(mut refusal: Refusal, may_have_run: bool) -> Refusal {
+    if may_have_run {
+        refusal.outcome.verdict = Verdict::MayHaveRun;
+    }
+    refusal
+}
+
 /// Whether asking again under the same key would change nothing.
 fn is_final(refusal: &Refusal) -> bool {
     match refusal.outcome.reason {
--- a/crates/gentianlane-client/tests/cell/main.rs
+++ b/crates/gentianlane-client/tests/cell/main.rs
@@ -1,5 +1,6 @@
 //! The whole core with fake workers and callers, on virtual time.
 
+mod cut;
 mod fuzz;
 mod lease;
 mod world;
--- a/crates/gentianlane-client/tests/cell/world/mod.rs
+++ b/crates/gentianlane-client/tests/cell/world/mod.rs
@@ -16,7 +16,7 @@
 
 pub(crate) use caller::{Caller, Wish};
 pub(crate) use oracle::Oracle;
-pub(crate) use packet::{Net, Packet, Peer};
+pub(crate) use packet::{Hop, Net, Packet, Peer};
 pub(crate) use worker::Fake;
 
 /// One step of virtual time.
--- a/crates/gentianlane-client/tests/cell/world/packet.rs
+++ b/crates/gentianlane-client/tests/cell/world/packet.rs
@@ -35,6 +35,43 @@
     },
 }
 
+/// Where a packet is cut.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Hop {
+    /// From a caller to a node.
+    Ask,
+    /// From a node to a caller, once it is an answer.
+    Answer,
+    /// From a worker to a node, with a lease to renew.
+    Renew,
+    /// From a node to a worker, with orders.
+    Order,
+    /// From a worker to a node, with a result.
+    Result,
+    /// From a node to a worker, as the result is durable.
+    Acknowledge,
+}
+
+impl Packet {
+    fn hop(&self) -> Option<Hop> {
+        match self {
+            Self::Message { .. } => None,
+            Self::Call { call, .. } => match call {
+                Call::Submit(_) => Some(Hop::Ask),
+                Call::Renew(_) => Some(Hop::Renew),
+                Call::Finish(_) => Some(Hop::Result),
+                _ => None,
+            },
+            Self::Reply { to, reply } => match (to, reply) {
+                (_, Reply::Answer(_)) => Some(Hop::Answer),
+                (_, Reply::Lease(lease)) if !lease.orders.is_empty() => Some(Hop::Order),
+                (Peer::Worker(_, _, _, 1..), Reply::Done) => Some(Hop::Acknowledge),
+                _ => None,
+            },
+        }
+    }
+}
+
 /// The packets on their way.
 #[derive(Default)]
 pub(crate) struct Net {
@@ -50,10 +87,18 @@
     pub(crate) cut: Vec<usize>,
     /// Workers that can't reach the cell, nor be reached.
     pub(crate) mute: Vec<usize>,
+    /// Where the next packets are cut, and how many.
+    pub(crate) snip: Option<(Hop, u32)>,
 }
 
 impl Net {
     pub(crate) fn send(&mut self, packet: &Packet, now: Time, random: &mut ChaCha8Rng) {
+        if let Some((hop, left @ 1..)) = self.snip
+            && packet.hop() == Some(hop)
+        {
+            self.snip = Some((hop, left - 1));
+            return;
+        }
         let mut copies = 1;
         if random.random_range(0..100) < self.loss {
             copies -= 1;
--- a/crates/gentianlane-daemon/src/connection/http/route.rs
+++ b/crates/gentianlane-daemon/src/connection/http/route.rs
@@ -5,7 +5,6 @@
 
 use gentianlane::api::{Call, NoteText, Refusal, Reply};
 use gentianlane::id;
-use gentianlane::unit::Span;
 use gentianlane::verdict::Reason;
 use rouille::{Request, Response};
 use serde::de::DeserializeOwned;
@@ -14,9 +13,7 @@
 use crate::process::telemetry::trace;
 use crate::process::telemetry::{self, Telemetry};
 use crate::request::entry::Entry;
-
-/// When to come back while too many requests are open.
-const OVERLOAD_RETRY: Span = Span::from_millis(500);
+use crate::request::local;
 
 /// What every request needs.
 #[derive(Clone)]
@@ -59,8 +56,7 @@
 
 /// What a caller is told while too many requests are open.
 pub(super) fn overloaded() -> Response {
-    let refusal = Refusal::not_run(Reason::Overloaded, "too many open requests");
-    respond(&Reply::Refused(refusal.retry_after(OVERLOAD_RETRY)))
+    respond(&Reply::Refused(local::overloaded("too many open requests")))
 }
 
 fn health(entry: &Entry) -> Response {
@@ -140,7 +136,7 @@
     match reason {
         Reason::Pending => 202,
         Reason::Malformed => 400,
-        Reason::UnknownWorkload => 404,
+        Reason::UnknownWorkload | Reason::UnknownKey => 404,
         Reason::KeyReused | Reason::WorkerLost => 409,
         Reason::KeyExpired | Reason::KeyAhead => 410,
         Reason::Quota | Reason::Overloaded => 429,
--- a/crates/gentianlane-daemon/src/request/entry.rs
+++ b/crates/gentianlane-daemon/src/request/entry.rs
@@ -1,28 +1,21 @@
 //! A call from outside, on its way to whoever leads.
 
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
-use std::time::{Duration, Instant};
 
-use gentianlane::api::{Call, Refusal, Reply};
+use gentianlane::admit::Budget;
+use gentianlane::api::{Call, Reply};
 use gentianlane::id;
-use gentianlane::unit::Span;
-use gentianlane::verdict::Reason;
-use rand::RngExt;
+use gentianlane::route::{Cut, Forward, Next};
 
 use crate::channel::Control;
 use crate::clock::Clock;
-use crate::connection::rpc::{Fault, Forward};
+use crate::connection::rpc::{self, Fault};
 use crate::process::view;
 use crate::request::local;
 
-/// How long a call looks for a leader beyond its own hold.
-const LEADER_PATIENCE: Duration = Duration::from_secs(3);
-
-/// The pause before the leader is looked for again.
-const PAUSE: Duration = Duration::from_millis(50);
-
-/// When to come back if no leader was found.
-const NO_QUORUM_RETRY: Span = Span::from_millis(500);
+/// How many calls may be asked again at once after lost replies.
+const RETRIES: u32 = 256;
 
 /// The way from a listener to the leader.
 #[derive(Clone)]
@@ -31,7 +24,8 @@
     control: Control,
     view: view::Shared,
     clock: Clock,
-    forward: Forward,
+    forward: rpc::Forward,
+    budget: Arc<Mutex<Budget>>,
 }
 
 impl Entry {
@@ -40,7 +34,7 @@
         control: Control,
         view: view::Shared,
         clock: Clock,
-        forward: Forward,
+        forward: rpc::Forward,
     ) -> Self {
         Self {
             node,
@@ -48,6 +42,7 @@
             view,
             clock,
             forward,
+            budget: Arc::new(Mutex::new(Budget::new(RETRIES))),
         }
     }
 
@@ -65,23 +60,26 @@
     /// Every call may be asked again: requests by their keys, the rest because
     /// it changes nothing the second time.
     pub(crate) fn ask(&self, call: &Call) -> Reply {
-        let end = Instant::now() + LEADER_PATIENCE;
-        let mut may_have_arrived = false;
+        let mut forward = Forward::new(call.clone(), self.clock.now());
         loop {
-            match self.ask_once(call) {
-                Ok(Reply::Refused(refusal))
-                    if refusal.outcome.reason == Reason::NoQuorum => {}
-                Ok(reply) => return reply,
-                Err(Fault::Unreachable) => {}
-                Err(Fault::Lost) => may_have_arrived = true,
+            let heard = self.ask_once(&forward.ask(self.clock.now()));
+            let next = forward.heard(
+                heard.map_err(cut),
+                self.clock.now(),
+                &mut self.budget(),
+                &mut rand::rng(),
+            );
+            match next {
+                Next::Again(pause) => thread::sleep(pause.into()),
+                Next::Reply(reply) => return reply,
             }
-            if Instant::now() >= end {
-                return self.give_up(may_have_arrived);
-            }
-            thread::sleep(rand::rng().random_range(PAUSE..PAUSE * 2));
         }
     }
 
+    fn budget(&self) -> MutexGuard<'_, Budget> {
+        self.budget.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn ask_once(&self, call: &Call) -> Result<Reply, Fault> {
         match self.view.get().leader {
             Some(leader) if leader == self.node => {
@@ -92,12 +90,11 @@
             None => Err(Fault::Unreachable),
         }
     }
+}
 
-    fn give_up(&self, may_have_arrived: bool) -> Reply {
-        if may_have_arrived {
-            return local::pending();
-        }
-        let refusal = Refusal::not_run(Reason::NoQuorum, "no leader can be reached");
-        Reply::Refused(refusal.retry_after(NO_QUORUM_RETRY))
+fn cut(fault: Fault) -> Cut {
+    match fault {
+        Fault::Unreachable => Cut::Unreachable,
+        Fault::Lost => Cut::Lost,
     }
 }
--- a/crates/gentianlane-daemon/src/request/local.rs
+++ b/crates/gentianlane-daemon/src/request/local.rs
@@ -6,6 +6,7 @@
 use gentianlane::api::{Call, Refusal, Reply};
 use gentianlane::unit::Span;
 use gentianlane::verdict::{Outcome, Reason};
+use rand::RngExt;
 
 use crate::channel::{Control, Input, Sealed};
 use crate::clock::Clock;
@@ -13,7 +14,7 @@
 /// The longest wait for the control thread; calls are held for less.
 const PATIENCE: Duration = Duration::from_secs(40);
 
-/// When to come back while the control thread has too much to do.
+/// When to come back after too much load; the longest is twice that.
 const OVERLOAD_RETRY: Span = Span::from_millis(500);
 
 /// When to ask again after a reply that came too late to be used.
@@ -39,10 +40,7 @@
     let (sender, replies) = flume::bounded(1);
     match control.try_send(Input::Call(call, sender)) {
         Ok(()) => Ok(replies),
-        Err(_) => Err(
-            Refusal::not_run(Reason::Overloaded, "the control thread is busy")
-                .retry_after(OVERLOAD_RETRY),
-        ),
+        Err(_) => Err(overloaded("the control thread is busy")),
     }
 }
 
@@ -58,6 +56,17 @@
     }
 }
 
+/// A refusal without a look at the state: what was sent before under the same
+/// key may have run.
+pub(crate) fn overloaded(detail: &str) -> Refusal {
+    let spread = rand::rng().random_range(0..=OVERLOAD_RETRY.as_millis());
+    let span = OVERLOAD_RETRY + Span::from_millis(spread);
+    Refusal {
+        outcome: Outcome::may_have_run(Reason::Overloaded).retry_after(span),
+        detail: detail.to_owned(),
+    }
+}
+
 /// What is said while the answer isn't known.
 pub(crate) fn pending() -> Reply {
     let outcome = Outcome::may_have_run(Reason::Pending).retry_after(ASK_AGAIN);
