Count ports up within a test process

Cause: cells of one test process, started side by side, could still find the same port free: every_entry_gives_every_caller_its_whole_answer and a_wiped_node_does_not_vote_away_what_was_acknowledged both ended with 'not in time: a node is ready' in one whole run, after addresses had become the process's own.

Change: each address is used once: the process's own loopback address and the next number.

--- a/crates/gentianlane-daemon/tests/common/mod.rs
+++ b/crates/gentianlane-daemon/tests/common/mod.rs
@@ -3,9 +3,10 @@
 #![allow(clippy::unwrap_used, clippy::panic, reason = "a test ends at a fault")]
 
 use std::fs::{self, File};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -241,25 +242,28 @@
     }
 }
 
+/// The next port that no cell of this process has had.
+static PORT: AtomicU16 = AtomicU16::new(10_000);
+
 /// An address of the loopback range that is this process's own, so that no
-/// port found free on it is taken by another process a moment later.
-pub(crate) fn own_address() -> Ipv4Addr {
+/// other process takes a port on it.
+fn own_address() -> Ipv4Addr {
     let [_, high, middle, low] = std::process::id().to_be_bytes();
     Ipv4Addr::new(127, 64 | high, middle, low.max(1))
 }
 
-/// Addresses that were free a moment ago.
+/// Addresses that nothing else uses.
 pub(crate) fn places(count: usize) -> Vec<Place> {
-    let bind = |_| TcpListener::bind((own_address(), 0)).unwrap();
-    let held: Vec<TcpListener> = (0..3 * count).map(bind).collect();
-    let address = |listener: &TcpListener| listener.local_addr().unwrap();
-    let addresses: Vec<SocketAddr> = held.iter().map(address).collect();
-    let place = |three: &[SocketAddr]| Place {
-        http: three[0],
-        peer: three[1],
-        rpc: three[2],
+    let next = || {
+        let port = PORT.fetch_add(1, Ordering::Relaxed);
+        SocketAddr::from((own_address(), port))
+    };
+    let place = |_| Place {
+        http: next(),
+        peer: next(),
+        rpc: next(),
     };
-    addresses.chunks_exact(3).map(place).collect()
+    (0..count).map(place).collect()
 }
 
 fn settings(places: &[Place], node: usize, folder: &Path, more: &str) -> String {
