--- a/crates/gentianlane/src/agree/node.rs
+++ b/crates/gentianlane/src/agree/node.rs
@@ -127,6 +127,8 @@
         let blank = self.ballot == Ballot::default() && self.stored() == Index(0);
         if blank {
             self.standing = Standing::Blank;
+            // It has nobody to vote for, so it announces itself at once.
+            self.due = self.seen;
         }
         self
     }
