Check a release note whole, and bound what is remembered of old ones

Cause: a note was checked by its types alone: a key given twice passed with the last one winning, sizes of zero, names of any kind and services without a team passed, one fault was told at a time, and digests of accepted notes were kept for ever.

Note::read now gives all faults that can be told at once, typed, each with its line and column; a note has at most 1 MiB. The newest 4,096 accepted notes are remembered; an older number is told that it isn't known any more, and never put in force. A team can't be withdrawn while a workload in force counts for it.

Broken, and caught by: base not compared (revisions_only_grow_and_numbers_have_one_winner_whatever_is_sent), digest not compared (of_two_notes_with_one_number_exactly_one_wins_in_every_interleaving), forgotten numbers not looked at, nothing forgotten (a_number_too_old_to_be_known_is_told_so_and_memory_stays_bounded), team withdrawn under a workload, second keys, sections, ranges and the length not looked at: the test of that name.

--- a/crates/gentianlane/src/cell/state.rs
+++ b/crates/gentianlane/src/cell/state.rs
@@ -181,7 +181,7 @@
     }
     /// What a note that can't be read is told, without the log.
     #[must_use]
-    pub fn unreadable(text: &str, fault: &crate::note::Fault) -> Reply {
+    pub fn unreadable(text: &str, fault: &crate::note::Faults) -> Reply {
         let digest = crate::digest::Digest::of(text.as_bytes());
         let ruling = Ruling::Unreadable(fault.to_string());
         Reply::Note(NoteReply { digest, ruling })
--- a/crates/gentianlane/src/note/book.rs
+++ b/crates/gentianlane/src/note/book.rs
@@ -42,15 +42,23 @@
     Unsound(String),
     /// The text can't be read; where and why.
     Unreadable(String),
+    /// The number is older than the digests that are kept, so that it isn't
+    /// known whether this note took it; it isn't put in force now.
+    Expired(Revision),
 }
 
+/// How many accepted notes are remembered by their digests.
+const REMEMBERED: usize = 4_096;
+
 /// All that release notes have put in force.
 #[derive(Debug, Default, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Book {
     /// The revision in force.
     revision: Revision,
-    /// The digest of each accepted note, by its number.
+    /// The digests of the newest accepted notes, by number, oldest first.
     accepted: IndexMap<u64, (Digest, Revision)>,
+    /// The largest number whose digest was forgotten.
+    forgotten: u64,
     workloads: IndexMap<id::Workload, Workload>,
     teams: IndexMap<id::Team, Quota>,
     settings: Settings,
@@ -96,6 +104,9 @@
                 false => Ruling::Taken(taken, revision),
             };
         }
+        if note.number <= self.forgotten {
+            return Ruling::Expired(self.revision);
+        }
         if note.base != self.revision {
             return Ruling::Stale(self.revision);
         }
@@ -104,10 +115,19 @@
         }
         self.put(note);
         self.revision = Revision(self.revision.0 + 1);
-        self.accepted.insert(note.number, (digest, self.revision));
+        self.remember(note.number, digest);
         Ruling::Accepted(self.revision)
     }
 
+    fn remember(&mut self, number: u64, digest: Digest) {
+        self.accepted.insert(number, (digest, self.revision));
+        if self.accepted.len() > REMEMBERED
+            && let Some((number, _)) = self.accepted.shift_remove_index(0)
+        {
+            self.forgotten = self.forgotten.max(number);
+        }
+    }
+
     fn check(&self, note: &Note) -> Result<(), String> {
         for name in note.add.workloads.keys() {
             if self.workloads.contains_key(name) {
@@ -130,6 +150,27 @@
                 return Err(format!("team {name} doesn't exist"));
             }
         }
+        self.check_withdrawn_teams(note)
+    }
+
+    /// A team goes only once no service in force counts for it.
+    fn check_withdrawn_teams(&self, note: &Note) -> Result<(), String> {
+        let stays = |name: &&id::Workload| !note.withdraw.workloads.contains(name);
+        let names = self.workloads.keys().filter(stays);
+        let names = names.chain(note.add.workloads.keys());
+        for name in names {
+            let sections = [&note.change, &note.add];
+            let new = sections
+                .iter()
+                .find_map(|section| section.workloads.get(name));
+            let Some(workload) = new.or_else(|| self.workloads.get(name)) else {
+                continue;
+            };
+            if note.withdraw.teams.contains(&workload.team) {
+                let team = &workload.team;
+                return Err(format!("team {team} still has workload {name}"));
+            }
+        }
         Ok(())
     }
 
--- a/crates/gentianlane/src/note/text.rs
+++ b/crates/gentianlane/src/note/text.rs
@@ -2,14 +2,21 @@
 
 use indexmap::IndexMap;
 use json_comments::StripComments;
+use serde::de::IgnoredAny;
 use serde::{Deserialize, Serialize};
+use std::io::Read;
 
 use crate::digest::Digest;
 use crate::id;
-use crate::note::Revision;
+use crate::note::check::Check;
+use crate::note::place::Places;
+use crate::note::{Fault, Faults, Problem, Revision};
 use crate::place::Kind;
 use crate::unit::{Size, Span};
 
+/// The longest note, in bytes.
+const LIMIT: usize = 1 << 20;
+
 /// One release note: what is added, changed and withdrawn.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -30,22 +37,56 @@
 }
 
 impl Note {
-    /// Reads a note, and refuses unknown fields.
+    /// Reads a note and checks it whole.
     ///
     /// # Errors
     ///
-    /// A [`Fault`] with the line and column at which reading ended.
+    /// All [`Faults`] that can be told at once, each with its line and column.
     ///
     /// ```
     /// use gentianlane::note::Note;
     /// let text = "{ \"number\": 1, \"base\": 0 } // the first";
     /// assert_eq!(Note::read(text)?.number, 1);
-    /// assert_eq!(Note::read("{\n \"numbr\": 1 }").unwrap_err().line, 2);
-    /// # Ok::<(), gentianlane::note::Fault>(())
+    /// let faults = Note::read("{\n \"numbr\": 1 }").unwrap_err();
+    /// assert_eq!(faults.0[0].line, 2);
+    /// # Ok::<(), gentianlane::note::Faults>(())
     /// ```
-    pub fn read(text: &str) -> Result<Self, Fault> {
-        let plain = StripComments::new(text.as_bytes());
-        serde_json::from_reader(plain).map_err(|error| Fault::new(&error))
+    pub fn read(text: &str) -> Result<Self, Faults> {
+        if text.len() > LIMIT {
+            let problem = Problem::TooLong { limit: LIMIT };
+            return Err(Faults(vec![Fault::new(text, 0, problem)]));
+        }
+        let mut plain = String::new();
+        let mut comments = StripComments::new(text.as_bytes());
+        if let Err(error) = comments.read_to_string(&mut plain) {
+            let problem = Problem::Text(error.to_string());
+            let end = Fault::new(text, text.len(), problem);
+            return Err(Faults(vec![end]));
+        }
+        Self::read_plain(&plain)
+    }
+
+    /// Reads a note without comments.
+    fn read_plain(text: &str) -> Result<Self, Faults> {
+        if let Err(error) = serde_json::from_str::<IgnoredAny>(text) {
+            return Err(Faults(vec![Fault::of(&error)]));
+        }
+        let places = Places::read(text);
+        let mut check = Check::new(text, &places);
+        let note: Self = match serde_json::from_str(text) {
+            Ok(note) => note,
+            Err(error) => {
+                let mut faults = check.finish();
+                faults.push(Fault::of(&error));
+                return Err(Faults(faults));
+            }
+        };
+        check.note(&note);
+        let faults = check.finish();
+        match faults.is_empty() {
+            true => Ok(note),
+            false => Err(Faults(faults)),
+        }
     }
 
     /// The digest of what the note says, however it is laid out.
@@ -150,30 +191,3 @@
         Self { packing: fifty() }
     }
 }
-
-/// Why a note can't be read, and where.
-#[derive(Debug, Clone, PartialEq, Eq, derive_more::Display, derive_more::Error)]
-#[display("line {line}, column {column}: {message}")]
-pub struct Fault {
-    /// The line, counted from one.
-    pub line: usize,
-    /// The column, counted from one.
-    pub column: usize,
-    /// What was wrong there.
-    pub message: String,
-}
-
-impl Fault {
-    fn new(error: &serde_json::Error) -> Self {
-        let text = error.to_string();
-        let message = match text.rfind(" at line ") {
-            Some(end) => text[..end].to_owned(),
-            None => text,
-        };
-        Self {
-            line: error.line(),
-            column: error.column(),
-            message,
-        }
-    }
-}
