Tell what a data folder holds without opening it

Opening and the report share one check of the segments' ends. The command line tells of a note whose number is too old.

--- a/crates/gentianlane-cli/src/print.rs
+++ b/crates/gentianlane-cli/src/print.rs
@@ -70,6 +70,9 @@
             format!("refused: its base isn't revision {}, in force", revision.0)
         }
         Ruling::Unsound(why) => format!("refused: {why}"),
+        Ruling::Expired(_) => {
+            "refused: the number is too old; it isn't known which note took it".to_owned()
+        }
         Ruling::Unreadable(why) => format!("refused: it can't be read: {why}"),
     }
 }
--- a/crates/gentianlane-store/src/lib.rs
+++ b/crates/gentianlane-store/src/lib.rs
@@ -16,6 +16,7 @@
 mod reader;
 mod record;
 mod replay;
+mod report;
 mod segment;
 mod snapshot;
 
@@ -25,3 +26,4 @@
 pub use identity::{Identity, Owner};
 pub use journal::Journal;
 pub use record::Record;
+pub use report::{Report, Segment, Snapshot, Tail};
--- a/crates/gentianlane-store/src/opening.rs
+++ b/crates/gentianlane-store/src/opening.rs
@@ -114,25 +114,16 @@
     }
     let numbers = counting(&names, from, number)?;
     let mut parts = Vec::new();
-    let mut unsealed = None;
-    let mut last = None;
-    for (at, &number) in numbers.iter().enumerate() {
+    let mut scans = Vec::new();
+    for &number in &numbers {
         let scan = segment::scan(folder, identity, number, &mut replay)?;
+        scans.push((number, scan));
         parts.push(Part {
             number,
             newest: scan.newest,
         });
-        if at + 1 == numbers.len() {
-            last = Some(scan);
-        } else if scan.tail != End::Sealed {
-            if at + 2 != numbers.len() {
-                return Err(Fault::damaged(&segment::name(number), scan.end));
-            }
-            unsealed = Some((number, scan));
-        }
     }
-    let last = last.ok_or_else(|| Fault::missing(segment::name(from)))?;
-    check_end(&numbers, &last, unsealed.as_ref())?;
+    let (last, unsealed) = check_ends(&scans)?;
     Ok(Contents {
         snapshot: number,
         replay,
@@ -160,23 +151,27 @@
     Ok(numbers)
 }
 
-/// A sealed segment has a successor, and one that isn't sealed has no
-/// successor that was written to.
-fn check_end(
-    numbers: &[u64],
-    last: &Scan,
-    unsealed: Option<&(u64, Scan)>,
-) -> Result<(), Fault> {
-    let number = numbers.last().copied().unwrap_or(0);
+/// Checks that a sealed segment has a successor, and that one which isn't
+/// sealed has none that was written to; gives the last segment and one before
+/// it that is to be sealed.
+pub(crate) fn check_ends(
+    scans: &[(u64, Scan)],
+) -> Result<(Scan, Option<(u64, Scan)>), Fault> {
+    let Some(((number, last), before)) = scans.split_last() else {
+        return Err(Fault::missing(segment::name(1)));
+    };
     if last.tail == End::Sealed {
         return Err(Fault::missing(segment::name(number + 1)));
     }
-    match unsealed {
-        Some((number, scan)) if last.end > last.begin => {
-            Err(Fault::damaged(&segment::name(*number), scan.end))
-        }
-        _ => Ok(()),
+    let mut open = before.iter().filter(|(_, scan)| scan.tail != End::Sealed);
+    let Some(&(unsealed, scan)) = open.next() else {
+        return Ok((*last, None));
+    };
+    let is_newest = unsealed + 1 == *number;
+    if !is_newest || last.end > last.begin {
+        return Err(Fault::damaged(&segment::name(unsealed), scan.end));
     }
+    Ok((*last, Some((unsealed, scan))))
 }
 
 /// Does what a crash kept from being done.
--- a/crates/gentianlane-store/src/replay.rs
+++ b/crates/gentianlane-store/src/replay.rs
@@ -33,6 +33,14 @@
         self.last
     }
 
+    /// The newest entry.
+    pub(crate) fn position(&self) -> Position {
+        Position {
+            index: self.last,
+            term: self.term(self.last).unwrap_or_default(),
+        }
+    }
+
     /// Whether an entry may be put: it follows on the log or replaces its end.
     pub(crate) fn accepts(&self, entry: &Entry) -> bool {
         entry.index > self.base.index && entry.index <= self.last.next()
@@ -114,6 +122,15 @@
         }
     }
 
+    /// A log that is empty after a snapshot that isn't kept here.
+    pub(crate) fn beyond(number: u64, last: Position) -> Self {
+        Self {
+            saved: Saved::default(),
+            terms: Terms::new(last),
+            snapshot: number,
+        }
+    }
+
     /// Takes a record; `None` if it leaves a gap in the log.
     pub(crate) fn put(&mut self, record: Record) -> Option<()> {
         let entry = match record {
