Don't count a replica that is being stopped as one that stands

Cause: a service that was withdrawn and added again, or shrunk and grown, while its replicas were still being stopped got too few: those counted as standing. Tests at the state for withdrawal, count and size under running work.

Broken (the old rule put back): two of the tests in note_state failed, 3 jobs in place of 6 and 4 in place of 6.

--- a/crates/gentianlane/src/cell/state/note.rs
+++ b/crates/gentianlane/src/cell/state/note.rs
@@ -27,7 +27,10 @@
     /// Brings the services' replicas to what the notes in force ask for.
     fn reconcile(&mut self, events: &mut Vec<Event>) {
         let mut standing: IndexMap<id::Workload, Vec<id::Job>> = IndexMap::new();
-        for (&id, job) in self.jobs.iter().filter(|(_, job)| job.key.is_none()) {
+        let stands = |job: &Job| {
+            job.key.is_none() && !matches!(job.phase, Phase::Stopping(After::Close(_)))
+        };
+        for (&id, job) in self.jobs.iter().filter(|(_, job)| stands(job)) {
             standing
                 .entry(job.spec.workload.clone())
                 .or_default()
