--- a/crates/gentianlane/benches/place_driver/run.rs
+++ b/crates/gentianlane/benches/place_driver/run.rs
@@ -115,6 +115,8 @@
 struct State {
     attempt: u32,
     failures: u32,
+    /// When it was started first.
+    first: Option<Time>,
     /// When the run began that did the work, or that still goes on.
     useful: Option<Time>,
     begun: Time,
@@ -156,6 +158,7 @@
     let states = plans.iter().map(|_| State {
         attempt: 0,
         failures: 0,
+        first: None,
         useful: None,
         begun: Time::default(),
         places: Vec::new(),
@@ -241,6 +244,12 @@
             if plan.job.since >= self.warm && plan.job.since < end {
                 let waited = until.since(plan.job.since).as_millis();
                 self.note(at, waited);
+                let until = self.states[at].first.unwrap_or(end);
+                if plan.job.urgent {
+                    let waited = until.since(plan.job.since).as_millis();
+                    let first = self.outcome.waits.entry("urgent, first start");
+                    first.or_default().push(waited);
+                }
             }
         }
         self.outcome.waiting = match &self.side {
@@ -468,6 +477,7 @@
         state.begun = self.now;
         let end = Event::End(at, state.attempt);
         self.events.push(Reverse((self.now.after(run), end)));
+        state.first.get_or_insert(self.now);
         state.useful = Some(self.now);
     }
 
