--- a/crates/gentianlane/tests/cell_verdict.rs
+++ b/crates/gentianlane/tests/cell_verdict.rs
@@ -393,3 +393,21 @@
         Some(Outcome::ran(Reason::Done))
     );
 }
+
+#[test]
+fn a_request_without_time_left_is_answered_at_once_and_for_good() {
+    let mut cell = Cell::new("notice");
+    let Command::Submit { at, mut submit } = submit(key(1), "notice") else {
+        unreachable!();
+    };
+    submit.deadline = Some(Span::ZERO);
+    let first = cell.state.apply(Command::Submit {
+        at,
+        submit: submit.clone(),
+    });
+    let never = Some(Outcome::not_run(Reason::Deadline));
+    assert_eq!(answer(&first), never);
+    submit.deadline = Some(Span::from_secs(9));
+    let again = cell.state.apply(Command::Submit { at, submit });
+    assert_eq!(answer(&again), never);
+}
--- a/crates/gentianlane/tests/route_share.rs
+++ b/crates/gentianlane/tests/route_share.rs
@@ -295,3 +295,28 @@
     assert_eq!(counts.len(), 16);
     assert!(most <= least.map(|least| 2 * least).as_ref(), "{counts:?}");
 }
+
+#[test]
+fn an_entry_that_was_cut_off_for_long_claims_nothing_from_a_new_leader() {
+    for wait in 0..60 {
+        println!("seed {SEED:#x}, wait {wait}");
+        let mut net = Net::new(2, 1, SEED + wait);
+        for _ in 0..500 {
+            net.step();
+            let _ = net.pick(0, 10);
+        }
+        net.cut = Some(0);
+        for _ in 0..1_000 {
+            net.step();
+            let _ = net.pick(1, 100_000);
+        }
+        net.change_leader();
+        net.cut = None;
+        (0..wait).for_each(|_| net.step());
+        for _ in 0..200 {
+            net.step();
+            let _ = net.pick(0, 1_000);
+            assert_eq!(net.over(), None);
+        }
+    }
+}
