Test how long and for which life a leader holds a renewal

Cause: that a renewal is held for a quarter of the lease only, and that a later life of the worker has it refused, was written down without a test of its own.

Broken on purpose, and the test that failed: the hold isn't capped (a_renewal_is_held_for_a_part_of_the_lease_only); an earlier life's renewal is kept (a_held_renewal_of_an_earlier_life_is_refused).

Ruled out: testing it through daemons, where the time would have to be waited for.

Conclusion: both hold.

--- /dev/null
+++ b/crates/gentianlane/tests/lease_renewal.rs
@@ -0,0 +1,127 @@
+//! Renewals that a leader holds, in a cell of one node.
+
+use gentianlane::agree;
+use gentianlane::api::{Announce, Call, Renew, Reply};
+use gentianlane::cell::{self, Node, Output, Ticket};
+use gentianlane::unit::{Size, Span, Time, Wall};
+use gentianlane::verdict::Reason;
+use gentianlane::{id, lease, place};
+
+const WALL: Wall = Wall::from_millis(1_800_000_000_000);
+
+const SEED: u64 = 3;
+
+/// A node that leads, and the time.
+struct Leader {
+    node: Node,
+    now: Time,
+}
+
+impl Leader {
+    fn new() -> Self {
+        let setup = cell::Setup {
+            agree: agree::Setup {
+                node: id::Node(1),
+                voters: [id::Node(1)].into_iter().collect(),
+                learners: Vec::new(),
+                timing: agree::Timing::default(),
+                seed: SEED,
+            },
+            lease: lease::Term::default(),
+            place: place::Setup { seed: SEED },
+        };
+        let now = Time::from_millis(0);
+        let node = Node::new(setup, agree::Saved::default(), now);
+        let mut leader = Self { node, now };
+        leader.pass(Span::from_secs(10));
+        leader.announce(1);
+        leader
+    }
+
+    /// The replies that leave in this span.
+    fn pass(&mut self, span: Span) -> Vec<(Ticket, Reply)> {
+        let end = self.now.after(span);
+        let mut replies = Vec::new();
+        while self.now < end {
+            self.now = self.now.after(Span::from_millis(10));
+            self.node.tick(self.now, WALL);
+            for output in self.node.flush(self.now, WALL) {
+                if let Output::Reply(ticket, reply, _) = output {
+                    replies.push((ticket, reply));
+                }
+            }
+        }
+        replies
+    }
+
+    fn announce(&mut self, incarnation: u64) -> Vec<(Ticket, Reply)> {
+        let announce = Announce {
+            worker: "w".into(),
+            incarnation: id::Incarnation(incarnation),
+            size: Size::new(1_000, 1_000, 0),
+            region: "r".into(),
+            domain: "d".into(),
+            rack: "k".into(),
+            address: String::new(),
+        };
+        let call = Call::Announce(announce);
+        self.node.call(Ticket(1), call, self.now, WALL);
+        self.pass(Span::from_millis(100))
+    }
+
+    fn renew(&mut self, ticket: u64, hold: Span) -> Vec<(Ticket, Reply)> {
+        let renew = Renew {
+            worker: "w".into(),
+            incarnation: id::Incarnation(1),
+            running: Vec::new(),
+            used: Size::default(),
+            hold,
+        };
+        let call = Call::Renew(renew);
+        self.node.call(Ticket(ticket), call, self.now, WALL);
+        self.pass(Span::from_millis(100))
+    }
+}
+
+fn is_lost(reply: &Reply) -> bool {
+    matches!(reply, Reply::Refused(refusal) if refusal.outcome.reason == Reason::WorkerLost)
+}
+
+#[test]
+fn a_renewal_is_held_for_a_part_of_the_lease_only() {
+    let mut leader = Leader::new();
+    assert_eq!(leader.renew(2, Span::from_secs(30)), []);
+    let part = Span::from_millis(lease::Term::default().span.as_millis() / 4);
+    let replies = leader.pass(part);
+    assert!(
+        matches!(replies[..], [(Ticket(2), Reply::Lease(_))]),
+        "{replies:?}"
+    );
+}
+
+#[test]
+fn a_held_renewal_of_an_earlier_life_is_refused() {
+    let mut leader = Leader::new();
+    assert_eq!(leader.renew(2, Span::from_secs(2)), []);
+    let replies = leader.announce(2);
+    let refused =
+        |(ticket, reply): &(Ticket, Reply)| *ticket == Ticket(2) && is_lost(reply);
+    assert!(replies.iter().any(refused), "{replies:?}");
+    assert!(is_lost(&leader.renew(3, Span::from_secs(2))[0].1));
+}
+
+#[test]
+fn a_newer_renewal_takes_the_place_of_the_held_one() {
+    let mut leader = Leader::new();
+    assert_eq!(leader.renew(2, Span::from_secs(2)), []);
+    let replies = leader.renew(3, Span::from_secs(2));
+    assert!(
+        matches!(replies[..], [(Ticket(2), Reply::Refused(_))]),
+        "{replies:?}"
+    );
+    let replies = leader.pass(Span::from_secs(3));
+    assert!(
+        matches!(replies[..], [(Ticket(3), Reply::Lease(_))]),
+        "{replies:?}"
+    );
+}
