--- a/crates/gentianlane-daemon/benches/cost.rs
+++ b/crates/gentianlane-daemon/benches/cost.rs
@@ -8,8 +8,11 @@
 mod common;
 
 use std::fs;
+use std::net::UdpSocket;
 use std::path::PathBuf;
 use std::process::Command;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread;
 use std::time::Duration;
 
@@ -100,7 +103,56 @@
     (slope, y - slope * x)
 }
 
+/// Adds up the nodes' counts of frames and bytes, until the bench ends.
+fn collect() -> (String, Traffic) {
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let more = format!(
+        r#""telemetry": {{ "metrics": "{}" }},"#,
+        socket.local_addr().unwrap()
+    );
+    let traffic = Traffic::default();
+    let sum = traffic.clone();
+    thread::spawn(move || {
+        let mut bytes = [0; 2_048];
+        while let Ok(count) = socket.recv(&mut bytes) {
+            let text = String::from_utf8_lossy(&bytes[..count]);
+            let value = text
+                .split([':', '|'])
+                .nth(1)
+                .and_then(|text| text.parse().ok());
+            let value: u64 = value.unwrap_or_default();
+            if text.starts_with("gentianlane.frames.sent:") {
+                sum.0.fetch_add(value, Ordering::Relaxed);
+            } else if text.starts_with("gentianlane.frames.bytes:") {
+                sum.1.fetch_add(value, Ordering::Relaxed);
+            }
+        }
+    });
+    (more, traffic)
+}
+
+/// Frames and bytes between all nodes.
+#[derive(Clone, Default)]
+struct Traffic(Arc<AtomicU64>, Arc<AtomicU64>);
+
+impl Traffic {
+    fn now(&self) -> (f64, f64) {
+        let read = |sum: &AtomicU64| sum.load(Ordering::Relaxed) as f64;
+        (read(&self.0), read(&self.1))
+    }
+
+    /// Prints frames and bytes since `before`, for each second.
+    fn print(&self, label: &str, before: (f64, f64), seconds: f64) -> (f64, f64) {
+        let now = self.now();
+        let frames = (now.0 - before.0) / seconds;
+        let bytes = (now.1 - before.1) / seconds;
+        println!("{label} frames_per_second={frames:.1} bytes_per_second={bytes:.0}");
+        (frames, bytes)
+    }
+}
+
 fn main() {
+    let (more, traffic) = collect();
     let alone = Cell::start(0);
     let (leader, before) = (alone.leader(), cpus(&alone));
     thread::sleep(IDLE);
@@ -112,22 +164,29 @@
         leader,
     );
     drop(alone);
-    let cell = Cell::start(WORKERS);
+    let cell = Cell::start_with(WORKERS, &more);
     let (leader, before) = (cell.leader(), cpus(&cell));
+    let idle = traffic.now();
     thread::sleep(IDLE);
     let label = format!("idle workers={WORKERS}");
     print(&label, &cell, &before, IDLE.as_secs_f64(), leader);
+    traffic.print(&label, idle, IDLE.as_secs_f64());
     let work = common::submit("image-run", "sleep=20 sorted");
     let answer = Client::new(cell.entries()).ask(&work, common::PATIENCE);
     common::check(&answer.unwrap(), &work, &["sorted"; 4]);
-    let mut points = Vec::new();
+    let (mut points, mut frames, mut bytes) = (Vec::new(), Vec::new(), Vec::new());
     for rate in RATES {
-        let before = cpus(&cell);
+        let (before, sent) = (cpus(&cell), traffic.now());
         let took = load(&cell, rate);
-        print(&format!("load rate={rate}"), &cell, &before, took, leader);
+        let label = format!("load rate={rate}");
+        print(&label, &cell, &before, took, leader);
+        let (frames_rate, bytes_rate) = traffic.print(&label, sent, took);
         let after = cpus(&cell);
         let share = (after[leader] - before[leader]) / took;
-        points.push((f64::from(rate * SECONDS) / took, share));
+        let real_rate = f64::from(rate * SECONDS) / took;
+        points.push((real_rate, share));
+        frames.push((real_rate, frames_rate));
+        bytes.push((real_rate, bytes_rate));
     }
     let (slope, base) = fit(&points);
     println!(
@@ -135,4 +194,6 @@
         slope * 1_000.0,
         base * 100.0
     );
+    let (frames, bytes) = (fit(&frames).0, fit(&bytes).0);
+    println!("fit frames_per_request={frames:.2} bytes_per_request={bytes:.0}");
 }
--- a/crates/gentianlane-daemon/src/connection/peer.rs
+++ b/crates/gentianlane-daemon/src/connection/peer.rs
@@ -36,11 +36,16 @@
     node: id::Node,
     incarnation: id::Incarnation,
     peers: HashMap<id::Node, Sender<Vec<u8>>>,
+    metrics: Metrics,
 }
 
 impl Outbox {
     /// Starts a thread for each other node; they end with the outbox.
-    pub(crate) fn start(settings: &Settings, incarnation: id::Incarnation) -> Self {
+    pub(crate) fn start(
+        settings: &Settings,
+        incarnation: id::Incarnation,
+        metrics: Metrics,
+    ) -> Self {
         let mut peers = HashMap::new();
         for peer in settings.others() {
             let (sender, receiver) = flume::bounded(PEER_LIMIT);
@@ -54,6 +59,7 @@
             node,
             incarnation,
             peers,
+            metrics,
         }
     }
 
@@ -68,7 +74,9 @@
             message,
         };
         if let (Some(peer), Ok(bytes)) = (self.peers.get(&to), frame.encode()) {
-            let _ = peer.try_send(bytes);
+            let length = bytes.len();
+            let sent = peer.try_send(bytes).is_ok();
+            self.metrics.frame(length, sent);
         }
     }
 }
--- a/crates/gentianlane-daemon/src/process/node.rs
+++ b/crates/gentianlane-daemon/src/process/node.rs
@@ -50,7 +50,7 @@
         let (control, inputs) = flume::bounded(CONTROL_LIMIT);
         let view = view::Shared::default();
         let incarnation = Clock::wall().as_millis().into();
-        let outbox = peer::Outbox::start(settings, incarnation);
+        let outbox = peer::Outbox::start(settings, incarnation, metrics.clone());
         let peers = peer::Listener::start(me.peer, settings, control.clone(), &metrics)?;
         let runtime = runtime()?;
         runtime.block_on(rpc::serve(me.rpc, control.clone(), clock, tracer.clone()))?;
--- a/crates/gentianlane-daemon/src/process/telemetry/metrics.rs
+++ b/crates/gentianlane-daemon/src/process/telemetry/metrics.rs
@@ -57,6 +57,20 @@
         let _ = self.0.count("requests.unreadable", 1);
     }
 
+    /// A frame went to another node, or found no room in its queue.
+    pub(crate) fn frame(&self, bytes: usize, sent: bool) {
+        let bytes = i64::try_from(bytes).unwrap_or(i64::MAX);
+        match sent {
+            true => {
+                let _ = self.0.count("frames.sent", 1);
+                let _ = self.0.count("frames.bytes", bytes);
+            }
+            false => {
+                let _ = self.0.count("frames.dropped", 1);
+            }
+        }
+    }
+
     /// A frame from another node was refused.
     pub(crate) fn refused_frame(&self) {
         let _ = self.0.count("frames.refused", 1);
