--- a/crates/gentianlane-daemon/src/process/control.rs
+++ b/crates/gentianlane-daemon/src/process/control.rs
@@ -158,7 +158,7 @@
         match self.store() {
             Err(Fault::Full { .. }) if was_full => return Ok(()),
             Err(fault @ Fault::Full { .. }) => {
-                warn!(self.log, "disk full"; "fault" => %fault);
+                warn!(self.log, "disk_full"; "fault" => %fault);
                 return Ok(());
             }
             Err(fault) => {
@@ -168,7 +168,7 @@
             Ok(()) => self.done = 0,
         }
         if was_full {
-            info!(self.log, "disk has room");
+            info!(self.log, "disk_room");
         }
         for output in std::mem::take(&mut self.held) {
             match output {
