--- a/crates/gentianlane-daemon/tests/cell.rs
+++ b/crates/gentianlane-daemon/tests/cell.rs
@@ -57,8 +57,11 @@
     thread::scope(|scope| {
         let asked: Vec<_> = notices
             .iter()
-            .map(|notice| {
-                let mut client = cell.client();
+            .enumerate()
+            .map(|(number, notice)| {
+                let mut entries: Vec<_> = cell.entries().collect();
+                entries.rotate_left(number % 3);
+                let mut client = Client::new(entries);
                 scope.spawn(move || client.ask(notice, PATIENCE))
             })
             .collect();
