--- a/crates/gentianlane/benches/agree_repair.rs
+++ b/crates/gentianlane/benches/agree_repair.rs
@@ -78,18 +78,20 @@
     let mut random = ChaCha8Rng::seed_from_u64(SEED);
     let plans: Vec<Plan> = (0..VOTERS + SPARES).map(|_| plan(&mut random)).collect();
     for warm in [true, false] {
-        for delay in [30, 180, 600, 1_800] {
-            day(warm, delay, &plans);
-        }
+        std::thread::scope(|scope| {
+            for delay in [30, 180, 600, 1_800] {
+                let plans = &plans;
+                scope.spawn(move || day(warm, delay, plans));
+            }
+        });
     }
 }
 
 /// One day of a cell.
 struct Day {
     net: Net,
-    /// Which machine each VM is at present.
-    vms: Vec<usize>,
-    warm: bool,
+    /// Which machine each VM is at present; none if it isn't taken.
+    vms: Vec<Option<usize>>,
     delay: u64,
     silent: u64,
 }
@@ -100,15 +102,17 @@
     }
 
     fn act(&mut self, second: u64, plans: &[Plan]) {
-        let vms = if self.warm { VOTERS + SPARES } else { VOTERS };
-        for (vm, plan) in plans.iter().enumerate().take(vms) {
-            let at = self.vms[vm];
+        for (vm, plan) in plans.iter().enumerate() {
+            let Some(at) = self.vms[vm] else {
+                continue;
+            };
             if plan.fails == Some(second) {
                 self.net.wipe(at);
             }
             if plan.fails.is_some_and(|fails| fails + REPLACED == second) {
-                self.vms[vm] = self.net.add(Site::default());
-                self.net.start(self.vms[vm], true);
+                let new = self.net.add(Site::default());
+                self.net.start(new, true);
+                self.vms[vm] = Some(new);
             }
             let gone = |at| {
                 plan.fails
@@ -135,17 +139,21 @@
     fn supply(&mut self, voters: &[usize]) {
         let down = voters.iter().any(|&at| !self.is_up(at));
         self.silent = if down { self.silent + 1 } else { 0 };
-        let idle: Vec<usize> = (0..self.net.machines.len())
-            .filter(|at| self.is_up(*at) && !voters.contains(at))
-            .collect();
-        if self.silent >= self.delay && idle.is_empty() {
+        let idle = |at: &usize| self.is_up(*at) && !voters.contains(at);
+        let idle: Vec<usize> = self.vms.iter().flatten().copied().filter(idle).collect();
+        let free = self.vms.iter().position(Option::is_none);
+        if let (true, true, Some(vm)) = (self.silent >= self.delay, idle.is_empty(), free)
+        {
             let new = self.net.add(Site::default());
             self.net.start(new, true);
+            self.vms[vm] = Some(new);
             self.silent = 0;
         }
         if !down && voters.len() == VOTERS {
             for at in idle {
                 self.net.wipe(at);
+                let vm = self.vms.iter().position(|&it| it == Some(at));
+                self.vms[vm.expect("a VM")] = None;
             }
         }
     }
@@ -162,8 +170,9 @@
     }
     let mut day = Day {
         net,
-        vms: (0..VOTERS + SPARES).collect(),
-        warm,
+        vms: (0..VOTERS + SPARES)
+            .map(|vm| (warm || vm < VOTERS).then_some(vm))
+            .collect(),
         delay,
         silent: 0,
     };
--- a/crates/gentianlane/src/agree/setup.rs
+++ b/crates/gentianlane/src/agree/setup.rs
@@ -27,7 +27,7 @@
             heartbeat: Span::from_millis(200),
             election: Span::from_millis(1_000),
             drift: Span::from_millis(100),
-            repair: Span::from_secs(600),
+            repair: Span::from_secs(30),
         }
     }
 }
