--- a/crates/gentianlane/tests/cell_verdict.rs
+++ b/crates/gentianlane/tests/cell_verdict.rs
@@ -11,7 +11,7 @@
     "notice": {"kind": "batch", "size": {"cpu": 1, "memory": 1}, "idempotent": false},
     "batch": {"kind": "batch", "size": {"cpu": 1, "memory": 1}, "idempotent": true},
     "duo": {"kind": "gang", "count": 2, "size": {"cpu": 1, "memory": 1}, "idempotent": false},
-    "listener": {"kind": "service", "size": {"cpu": 1, "memory": 1}, "idempotent": false}
+    "listener": {"kind": "service", "size": {"cpu": 1, "memory": 1}, "idempotent": false, "team": "norrvik"}
 }}}"#;
 
 /// The civil time of every command.
