Replace a service's replicas a tenth at a time when a note changes them

Cause: a changed size, payload or team held for new replicas alone, so that a service stood under two notes for ever. Those that wait are replaced at once; of those that run a tenth of the count, at least one, at a time, the next once as many new ones run and old ones are gone. It is part of the replicated state, so that a new leader goes on with it.

Ruled out: all at once, which stops a service; a rate by the clock, which the state doesn't have.

--- a/crates/gentianlane/src/cell/state.rs
+++ b/crates/gentianlane/src/cell/state.rs
@@ -2,6 +2,7 @@
 
 mod note;
 mod request;
+mod roll;
 mod run;
 mod worker;
 
@@ -30,6 +31,8 @@
     /// Keys issued before this have no record any more.
     horizon: Wall,
     last_job: id::Job,
+    /// Services with replicas that stand as an earlier note had them.
+    rolling: IndexSet<id::Workload>,
     /// What the records weigh together, in bytes.
     weight: u64,
 }
@@ -177,6 +180,7 @@
             Command::Close { job, reason } => self.close(job, reason, &mut events),
             Command::Expire { before } => self.expire(before),
         };
+        self.roll(&mut events);
         Effect { reply, events }
     }
     /// What a note that can't be read is told, without the log.
--- a/crates/gentianlane/src/cell/state/note.rs
+++ b/crates/gentianlane/src/cell/state/note.rs
@@ -48,6 +48,7 @@
                 jobs.drain(..wanted.min(have));
             }
             let spec = Spec::new(name, workload, &workload.team);
+            self.rolling.insert(name.clone());
             for _ in have..wanted {
                 missing.push(Spec {
                     count: 1,
--- a/crates/gentianlane/tests/note_state.rs
+++ b/crates/gentianlane/tests/note_state.rs
@@ -2,7 +2,7 @@
 
 #![allow(clippy::unwrap_used, reason = "only tests call this")]
 
-use gentianlane::api::Announce;
+use gentianlane::api::{Announce, Ending, Finish, Output};
 use gentianlane::cell::{After, Command, Job, Phase, State};
 use gentianlane::id;
 use gentianlane::note::Note;
@@ -91,16 +91,59 @@
     assert_eq!((replicas(&state).len(), stopping(&state)), (6, 2));
 }
 
-#[test]
-fn a_changed_size_leaves_standing_replicas_and_their_room_alone() {
-    let mut state = running(2);
-    note(&mut state, &format!("\"change\": {}", service(3, 500)));
-    let sizes: Vec<u64> = replicas(&state)
+/// Ends a replica that is being stopped, and starts one that waits.
+fn step(state: &mut State) {
+    let worker = id::Worker::from("w1");
+    let incarnation = id::Incarnation(1);
+    let all = replicas(state);
+    let going = all
         .iter()
-        .map(|(_, job)| job.spec.size.cpu.0)
-        .collect();
-    assert_eq!(sizes, [100, 100, 500]);
-    assert_eq!(stopping(&state), 0);
+        .find(|(_, job)| matches!(job.phase, Phase::Stopping(_)));
+    if let Some((id, job)) = going {
+        state.apply(Command::Finish(Finish {
+            worker: worker.clone(),
+            incarnation,
+            token: job.token(*id, 0),
+            ending: Ending::Stopped,
+            output: Output::new(String::new()),
+        }));
+    }
+    let waiting = all.iter().find(|(_, job)| job.phase == Phase::Waiting);
+    if let Some((id, job)) = waiting {
+        state.apply(Command::Start {
+            job: *id,
+            attempt: id::Attempt(job.attempt.0 + 1),
+            workers: vec![(worker, incarnation)],
+        });
+    }
+}
+
+#[test]
+fn a_changed_size_replaces_replicas_a_tenth_at_a_time() {
+    let mut state = running(20);
+    note(&mut state, &format!("\"change\": {}", service(20, 200)));
+    for round in 0..40 {
+        let all = replicas(&state);
+        let runs = all.iter().filter(|it| it.1.phase == Phase::Running).count();
+        assert!(runs >= 18, "round {round}: {runs} of 20 run");
+        let bytes = postcard::to_allocvec(&state).unwrap();
+        state = postcard::from_bytes(&bytes).unwrap();
+        step(&mut state);
+    }
+    let all = replicas(&state);
+    assert_eq!(all.len(), 20);
+    let is_new = |job: &Job| job.phase == Phase::Running && job.spec.size.cpu.0 == 200;
+    assert!(all.iter().all(|(_, job)| is_new(job)), "{all:?}");
     let worker = state.ledger().get(&id::Worker::from("w1")).unwrap();
-    assert_eq!(worker.reserved(), Size::new(200, 2, 0));
+    assert_eq!(worker.reserved(), Size::new(4_000, 20, 0));
+}
+
+#[test]
+fn a_service_that_becomes_batch_work_while_it_is_replaced_leaves_no_replica() {
+    let mut state = running(20);
+    note(&mut state, &format!("\"change\": {}", service(20, 200)));
+    let batch = service(20, 200).replace("service", "batch");
+    note(&mut state, &format!("\"change\": {batch}"));
+    let close = |job: &Job| matches!(job.phase, Phase::Stopping(After::Close(_)));
+    assert!(replicas(&state).iter().all(|(_, job)| close(job)));
 }
