--- a/crates/gentianlane/src/cell/node.rs
+++ b/crates/gentianlane/src/cell/node.rs
@@ -5,7 +5,7 @@
 use indexmap::IndexMap;
 
 use crate::agree::{self, Entry, Index, Message, Payload, Role};
-use crate::api::{Call, Finish, MemberView, Refusal, Renew, Reply, Submit, TEXT_LIMIT};
+use crate::api::{Call, Finish, Refusal, Renew, Reply, Submit, TEXT_LIMIT};
 use crate::cell::grant::announce_first;
 use crate::cell::lead::Lead;
 use crate::cell::state::pending;
@@ -527,26 +527,6 @@
             self.reply(ticket, reply);
         }
     }
-
-    fn members(&self) -> Reply {
-        let term = self.agree.term();
-        let voters = self.agree.voters();
-        let me = MemberView {
-            node: self.agree.id(),
-            voter: voters.contains(self.agree.id()),
-            leader: true,
-            term,
-            stored: self.agree.stored(),
-        };
-        let others = self.agree.peers().map(|(node, stored)| MemberView {
-            node,
-            voter: voters.contains(node),
-            leader: false,
-            term,
-            stored,
-        });
-        Reply::Members(std::iter::once(me).chain(others).collect())
-    }
 }
 
 /// What a call is told by a node that doesn't lead.
--- a/crates/gentianlane/src/cell/view.rs
+++ b/crates/gentianlane/src/cell/view.rs
@@ -1,7 +1,8 @@
 //! What a leader shows to operators.
 
 use crate::api::{
-    Explanation, JobView, NodeRevision, NoteStatus, Refusal, Reply, WorkerView,
+    Explanation, JobView, MemberView, NodeRevision, NoteStatus, Refusal, Reply,
+    WorkerView,
 };
 use crate::cell::{Job, Node, Phase};
 use crate::id;
@@ -80,4 +81,24 @@
             Phase::Stopping(_) => format!("attempt {attempt} is being stopped"),
         }
     }
+
+    pub(super) fn members(&self) -> Reply {
+        let term = self.agree.term();
+        let voters = self.agree.voters();
+        let me = MemberView {
+            node: self.agree.id(),
+            voter: voters.contains(self.agree.id()),
+            leader: true,
+            term,
+            stored: self.agree.stored(),
+        };
+        let others = self.agree.peers().map(|(node, stored)| MemberView {
+            node,
+            voter: voters.contains(node),
+            leader: false,
+            term,
+            stored,
+        });
+        Reply::Members(std::iter::once(me).chain(others).collect())
+    }
 }
