--- a/crates/gentianlane/benches/place.rs
+++ b/crates/gentianlane/benches/place.rs
@@ -12,13 +12,16 @@
     reason = "a bench may panic"
 )]
 
+#[path = "place_driver/outcome.rs"]
+mod outcome;
 #[path = "place_driver/run.rs"]
 mod run;
 #[path = "place_driver/site.rs"]
 mod site;
 
 use gentianlane::unit::Span;
-use run::{Outcome, Trouble, quantile, run, sides};
+use outcome::{Outcome, quantile};
+use run::{Trouble, run, sides};
 use site::{Site, jobs};
 
 const SEED: u64 = 4;
