--- a/crates/gentianlane/src/cell/mod.rs
+++ b/crates/gentianlane/src/cell/mod.rs
@@ -4,6 +4,7 @@
 //! [`Node`] joins it to the agreement: it takes calls, messages and the time,
 //! and gives outputs that have to be carried out in order.
 
+mod call;
 mod command;
 mod grant;
 mod hold;
--- a/crates/gentianlane/src/cell/node.rs
+++ b/crates/gentianlane/src/cell/node.rs
@@ -5,11 +5,11 @@
 use indexmap::IndexMap;
 
 use crate::agree::{self, Entry, Index, Message, Payload, Role};
-use crate::api::{Call, Finish, Refusal, Renew, Reply, Submit, TEXT_LIMIT};
+use crate::api::{Call, Refusal, Renew, Reply};
 use crate::cell::grant::announce_first;
 use crate::cell::lead::Lead;
 use crate::cell::state::pending;
-use crate::cell::{Command, State, Status};
+use crate::cell::{Command, State};
 use crate::note::Note;
 use crate::unit::{Span, Time, Wall};
 use crate::verdict::{Outcome, Reason};
@@ -18,12 +18,6 @@
 /// The longest that a call is held.
 const HOLD_LIMIT: Span = Span::from_secs(30);
 
-/// How many jobs may be open; a new request is refused beyond it.
-const JOB_LIMIT: usize = 32_768;
-
-/// When to come back while too many jobs are open.
-const OVERLOAD_RETRY: Span = Span::from_millis(1_000);
-
 /// When to come back while the node doesn't lead.
 const NO_QUORUM_RETRY: Span = Span::from_millis(300);
 
@@ -69,7 +63,7 @@
 
 /// The call that proposed an entry.
 #[derive(Debug, Clone, Copy)]
-struct Asker {
+pub(super) struct Asker {
     ticket: Ticket,
     /// Whether the call waits for more than the entry, and may have been
     /// answered before.
@@ -83,8 +77,8 @@
     setup: Setup,
     pub(super) state: State,
     pub(super) lead: Option<Lead>,
-    proposals: Vec<(Command, Option<Ticket>)>,
-    asked: IndexMap<Index, Asker>,
+    pub(super) proposals: Vec<(Command, Option<Ticket>)>,
+    pub(super) asked: IndexMap<Index, Asker>,
     /// How many bytes of commands were applied since the last snapshot.
     unsaved: usize,
     /// Whether a snapshot couldn't be read.
@@ -226,17 +220,17 @@
         }
     }
 
-    fn propose(&mut self, command: Command, ticket: Option<Ticket>) {
+    pub(super) fn propose(&mut self, command: Command, ticket: Option<Ticket>) {
         self.proposals.push((command, ticket));
     }
 
-    fn reply(&mut self, ticket: Ticket, reply: Reply) {
+    pub(super) fn reply(&mut self, ticket: Ticket, reply: Reply) {
         let until = self.agree.leads_until();
         self.outputs.push(Output::Reply(ticket, reply, until));
     }
 
     /// Holds a call; if that can't be, it is told to ask again.
-    fn hold(&mut self, key: id::Key, ticket: Ticket, until: Time) -> bool {
+    pub(super) fn hold(&mut self, key: id::Key, ticket: Ticket, until: Time) -> bool {
         let Some(lead) = &mut self.lead else {
             return false;
         };
@@ -247,65 +241,6 @@
         held
     }
 
-    fn submit(&mut self, submit: Submit, ticket: Ticket, until: Time, wall: Wall) {
-        let key = submit.key;
-        if submit.payload.len() > TEXT_LIMIT {
-            let detail = format!("the payload is longer than {TEXT_LIMIT} bytes");
-            let refusal = Refusal::not_run(Reason::Malformed, detail);
-            return self.reply(ticket, Reply::Refused(refusal));
-        }
-        if self.is_full() && self.is_new(&key) {
-            let refusal = Refusal::not_run(Reason::Overloaded, "too much waits");
-            let refusal = refusal.retry_after(OVERLOAD_RETRY);
-            return self.reply(ticket, Reply::Refused(refusal));
-        }
-        if self.hold(key, ticket, until) {
-            self.propose(Command::Submit { at: wall, submit }, Some(ticket));
-        }
-    }
-
-    /// Whether so many jobs are open or on their way that no more are taken.
-    fn is_full(&self) -> bool {
-        self.state.job_count() + self.asked.len() + self.proposals.len() >= JOB_LIMIT
-    }
-
-    /// Whether nothing has come under this key that could still run.
-    fn is_new(&self, key: &id::Key) -> bool {
-        let awaited = self.lead.as_ref().is_some_and(|lead| lead.awaits(key));
-        let expired = key.issued() < self.state.horizon();
-        self.state.record(key).is_none() && !awaited && !expired
-    }
-
-    fn wait(&mut self, key: id::Key, ticket: Ticket, until: Time) {
-        match self.state.record(&key).map(|record| &record.status) {
-            Some(Status::Closed(answer)) => {
-                let reply = Reply::Answer(answer.clone());
-                self.reply(ticket, reply);
-            }
-            Some(Status::Open(_)) => {
-                self.hold(key, ticket, until);
-            }
-            None if key.issued() < self.state.horizon() => {
-                self.reply(ticket, Reply::Refused(Refusal::key_expired()));
-            }
-            None => {
-                let outcome = Outcome::may_have_run(Reason::UnknownKey);
-                let detail = "no request with this key has come here yet".to_owned();
-                self.reply(ticket, Reply::Refused(Refusal { outcome, detail }));
-            }
-        }
-    }
-
-    /// Takes up a result whose text is what its length and digest say.
-    fn finish(&mut self, finish: Finish, ticket: Ticket) {
-        if !finish.output.is_whole() {
-            let detail = "the output isn't what its length and digest say";
-            let refusal = Refusal::not_run(Reason::Malformed, detail);
-            return self.reply(ticket, Reply::Refused(refusal));
-        }
-        self.propose(Command::Finish(finish), Some(ticket));
-    }
-
     fn renew(&mut self, renew: Renew, ticket: Ticket, now: Time) {
         let known = self.state.ledger().get(&renew.worker);
         let current = known.is_some_and(|known| known.incarnation == renew.incarnation);
