--- a/crates/gentianlane-cli/src/command/line.rs
+++ b/crates/gentianlane-cli/src/command/line.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
+use crate::command::data;
 use crate::load;
 
 /// What the exit codes mean, below the help.
@@ -66,6 +67,7 @@
                 ),
         )
         .subcommand(Command::new("top").about("Shows the cell at a glance"))
+        .subcommand(data::command())
         .subcommand(load::command())
         .subcommand(
             Command::new("completions")
--- a/crates/gentianlane-cli/src/command/mod.rs
+++ b/crates/gentianlane-cli/src/command/mod.rs
@@ -1,6 +1,7 @@
 //! What the command line offers.
 
 mod call;
+mod data;
 mod line;
 mod overview;
 mod wait;
@@ -31,6 +32,7 @@
     let mut client = Client::new(entries.iter().copied());
     match matches.subcommand() {
         Some(("completions", matches)) => Ok(completions(matches)),
+        Some(("data", matches)) => data::run(matches, json),
         Some(("load", matches)) => load::run(matches, &entries, json),
         Some(("top", _)) => overview::run(&mut client, json),
         Some(("submit", matches)) => wait::submit(&mut client, matches, json),
--- a/crates/gentianlane-cli/tests/command.rs
+++ b/crates/gentianlane-cli/tests/command.rs
@@ -212,6 +212,37 @@
     assert!(picture.starts_with("<svg") && picture.contains("<polyline"));
 }
 
+#[test]
+fn a_data_folder_is_looked_at_without_its_node() {
+    let mut cell = Cell::start();
+    let folder = cell.folder.path().join("cell/n1");
+    let folder = folder.to_str().unwrap().to_owned();
+    cell.daemon.kill().unwrap();
+    cell.daemon.wait().unwrap();
+    let said = cell.json(&["data", "check", &folder], 0);
+    assert_eq!(said["node"], 1);
+    assert!(said["entries"].as_u64().unwrap() > 0, "{said}");
+    assert!(
+        cell.says(&["data", "describe", &folder], 0)
+            .contains("node n1 of cell dev")
+    );
+    let segment = cell
+        .folder
+        .path()
+        .join("cell/n1")
+        .join(said["segments"][0]["file"].as_str().unwrap());
+    let mut bytes = fs::read(&segment).unwrap();
+    let middle = bytes.len() / 2;
+    bytes[middle] ^= 1;
+    fs::write(&segment, &bytes).unwrap();
+    let said = cell.json(&["data", "check", &folder], 1);
+    assert!(
+        said["fault"].as_str().unwrap().contains("damaged"),
+        "{said}"
+    );
+    assert_eq!(fs::read(&segment).unwrap(), bytes);
+}
+
 #[test]
 fn what_goes_wrong_has_its_exit_code() {
     let run = |arguments: &[&str]| {
