--- a/crates/gentianlane-daemon/benches/cost.rs
+++ b/crates/gentianlane-daemon/benches/cost.rs
@@ -22,7 +22,10 @@
 /// How long the idle cell is watched.
 const IDLE: Duration = Duration::from_secs(10);
 
-/// How many stand-in workers the cell has.
+/// How many stand-in workers the idle cells have.
+const IDLE_WORKERS: [usize; 4] = [0, 12, 36, 96];
+
+/// How many stand-in workers the cell under load has.
 const WORKERS: usize = 6;
 
 /// Requests a second, one run each.
@@ -151,19 +154,30 @@
     }
 }
 
+/// What an idle cell costs by its workers, each of which renews its lease.
+fn idle() {
+    let mut points = Vec::new();
+    for workers in IDLE_WORKERS {
+        let cell = Cell::start(workers);
+        let (leader, before) = (cell.leader(), cpus(&cell));
+        thread::sleep(IDLE);
+        let label = format!("idle workers={workers}");
+        let took = IDLE.as_secs_f64();
+        print(&label, &cell, &before, took, leader);
+        let after = cpus(&cell);
+        points.push((workers as f64, (after[leader] - before[leader]) / took));
+    }
+    let (slope, base) = fit(&points);
+    println!(
+        "fit part=leader idle cpu_percent_per_worker={:.4} base_percent={:.2}",
+        slope * 100.0,
+        base * 100.0
+    );
+}
+
 fn main() {
+    idle();
     let (more, traffic) = collect();
-    let alone = Cell::start(0);
-    let (leader, before) = (alone.leader(), cpus(&alone));
-    thread::sleep(IDLE);
-    print(
-        "idle workers=0",
-        &alone,
-        &before,
-        IDLE.as_secs_f64(),
-        leader,
-    );
-    drop(alone);
     let cell = Cell::start_with(WORKERS, &more);
     let (leader, before) = (cell.leader(), cpus(&cell));
     let idle = traffic.now();
--- a/crates/gentianlane-daemon/tests/common/mod.rs
+++ b/crates/gentianlane-daemon/tests/common/mod.rs
@@ -169,8 +169,10 @@
         let domain = format!("domain-{}", worker % 3);
         let mut arguments = vec!["worker", "--name", &name, "--domain", &domain];
         arguments.extend(["--accelerators", "8", "--entry"]);
-        let entries: Vec<String> =
+        let mut entries: Vec<String> =
             self.entries().map(|entry| entry.to_string()).collect();
+        let count = entries.len();
+        entries.rotate_left(worker % count);
         arguments.extend(entries.iter().map(String::as_str));
         let said = self.path(&format!("{name}.log"));
         self.workers.push(Process::start(&arguments, &said));
--- a/crates/gentianlane/benches/capacity.rs
+++ b/crates/gentianlane/benches/capacity.rs
@@ -31,6 +31,9 @@
 /// Civil time when the bench begins, in milliseconds since 1970.
 const EPOCH: u64 = 1_800_000_000_000;
 
+/// How long after a renewal a message to other nodes follows at the latest.
+const HEARTBEAT: Span = Span::from_millis(250);
+
 /// How often the workers ask for orders until every standing task runs.
 const START_ROUNDS: u64 = 100;
 
@@ -227,13 +230,19 @@
 }
 
 /// Every worker renews once and takes its orders; JSON bytes of both ways.
+///
+/// The renewals come together and are answered at the next heartbeat.
 fn renew_all(cell: &mut Cell, machines: &mut [Machine]) -> (u64, u64) {
     let (mut asked, mut told) = (0, 0);
-    for machine in machines {
+    let mut tickets = Vec::new();
+    for machine in machines.iter() {
         let call = renewal(machine);
         asked += serde_json::to_vec(&call).unwrap().len() as u64;
-        let ticket = cell.call(call);
-        cell.settle();
+        tickets.push(cell.call(call));
+    }
+    cell.settle();
+    cell.advance(HEARTBEAT);
+    for (machine, ticket) in machines.iter_mut().zip(tickets) {
         let reply = cell.reply(ticket);
         told += serde_json::to_vec(&reply).unwrap().len() as u64;
         let Reply::Lease(lease) = reply else {
