Share the leader's room for open jobs among teams

Cause: the leader had one limit of 32,768 open jobs for all. A greedy team could fill it, and every other was refused until its jobs were done; all that were refused were told to come back after the same second.

Ruled out: a fixed part for each team, which idles room while teams are quiet and has to be changed with their number.

Change: a team may have as many jobs open as room is left for all. One alone fills half, two a third each, and the next always finds room. The time to come back is spread by the key's random bits over one to two seconds.

--- a/crates/gentianlane/src/cell/call.rs
+++ b/crates/gentianlane/src/cell/call.rs
@@ -9,7 +9,7 @@
 /// How many jobs may be open; a new request is refused beyond it.
 const JOB_LIMIT: usize = 32_768;
 
-/// When to come back while too many jobs are open.
+/// When to come back while too many jobs are open; the longest is twice that.
 const OVERLOAD_RETRY: Span = Span::from_millis(1_000);
 
 impl Node {
@@ -26,19 +26,33 @@
             let refusal = Refusal::not_run(Reason::Malformed, detail);
             return self.reply(ticket, Reply::Refused(refusal));
         }
-        if self.is_full() && self.is_new(&key) {
-            let refusal = Refusal::not_run(Reason::Overloaded, "too much waits");
-            let refusal = refusal.retry_after(OVERLOAD_RETRY);
-            return self.reply(ticket, Reply::Refused(refusal));
+        let turned = self.turned_away(&submit.team);
+        if let Some(refusal) = turned.filter(|_| self.is_new(&key)) {
+            let spread = key.spread(OVERLOAD_RETRY.as_millis());
+            let span = OVERLOAD_RETRY + Span::from_millis(spread);
+            let refusal = Reply::Refused(refusal.retry_after(span));
+            return self.reply(ticket, refusal);
         }
         if self.hold(key, ticket, until) {
             self.propose(Command::Submit { at: wall, submit }, Some(ticket));
         }
     }
 
-    /// Whether so many jobs are open or on their way that no more are taken.
-    fn is_full(&self) -> bool {
-        self.state.job_count() + self.asked.len() + self.proposals.len() >= JOB_LIMIT
+    /// Why no more of a team's requests are taken in, if none are.
+    ///
+    /// A team may have as many jobs open as there is room left for all teams:
+    /// one alone fills half of the room, and the next always finds some.
+    fn turned_away(&self, team: &id::Team) -> Option<Refusal> {
+        let coming = self.asked.len() + self.proposals.len();
+        let left = JOB_LIMIT.saturating_sub(self.state.job_count() + coming);
+        if left == 0 {
+            return Some(Refusal::not_run(Reason::Overloaded, "too much waits"));
+        }
+        if self.state.open_count(team) >= left {
+            let detail = format!("team {team} has as much open as is left for all");
+            return Some(Refusal::not_run(Reason::Quota, detail));
+        }
+        None
     }
 
     /// Whether nothing has come under this key that could still run.
--- a/crates/gentianlane/src/cell/state.rs
+++ b/crates/gentianlane/src/cell/state.rs
@@ -35,6 +35,8 @@
     rolling: IndexSet<id::Workload>,
     /// What the records weigh together, in bytes.
     weight: u64,
+    /// How many requests' jobs are open, by team.
+    open: IndexMap<id::Team, u32>,
 }
 
 /// What a command did: what its proposer is told, and what the leader has to
@@ -125,6 +127,12 @@
         self.jobs.len()
     }
 
+    /// How many jobs of a team's requests are open.
+    #[must_use]
+    pub fn open_count(&self, team: &id::Team) -> usize {
+        self.open.get(team).map_or(0, |count| *count as usize)
+    }
+
     /// The oldest key with a record.
     #[must_use]
     pub fn oldest_key(&self) -> Option<&id::Key> {
--- a/crates/gentianlane/src/cell/state/note.rs
+++ b/crates/gentianlane/src/cell/state/note.rs
@@ -72,6 +72,9 @@
         events: &mut Vec<Event>,
     ) -> id::Job {
         self.last_job = id::Job(self.last_job.0 + 1);
+        if key.is_some() {
+            *self.open.entry(spec.team.clone()).or_default() += 1;
+        }
         let job = Job {
             key,
             spec,
--- a/crates/gentianlane/src/cell/state/run.rs
+++ b/crates/gentianlane/src/cell/state/run.rs
@@ -142,11 +142,23 @@
         let Some(key) = job.key else {
             return;
         };
+        self.count_down(&job.spec.team);
         let answer = job.answer(id, key, outcome);
         self.answer(answer.clone());
         events.push(Event::Answered(answer));
     }
 
+    /// One job of a team's requests is over.
+    fn count_down(&mut self, team: &id::Team) {
+        let Some(count) = self.open.get_mut(team) else {
+            return;
+        };
+        *count = count.saturating_sub(1);
+        if *count == 0 {
+            self.open.swap_remove(team);
+        }
+    }
+
     /// Has a job's tasks ended; at once if it holds no worker.
     pub(super) fn stop(&mut self, id: id::Job, after: After, events: &mut Vec<Event>) {
         let Some(job) = self.jobs.get_mut(&id) else {
--- a/crates/gentianlane/src/id.rs
+++ b/crates/gentianlane/src/id.rs
@@ -137,6 +137,25 @@
         millis[2..].copy_from_slice(&bytes[..6]);
         Wall::from_millis(u64::from_be_bytes(millis))
     }
+
+    /// A number below `limit` that differs from key to key, or zero.
+    ///
+    /// It comes from the key's random bits, so that what depends on it is the
+    /// same for every resend and spread over callers.
+    ///
+    /// ```
+    /// use gentianlane::{id::Key, unit::Wall};
+    /// let key = Key::new(Wall::from_millis(1), &[7; 10]);
+    /// assert!(key.spread(100) < 100);
+    /// assert_eq!(key.spread(100), key.spread(100));
+    /// ```
+    #[must_use]
+    pub fn spread(&self, limit: u64) -> u64 {
+        let bytes = self.0.as_bytes();
+        let mut random = [0; 8];
+        random[2..].copy_from_slice(&bytes[10..]);
+        u64::from_be_bytes(random).checked_rem(limit).unwrap_or(0)
+    }
 }
 
 /// A key that isn't a version 7 UUID.
