Renew leases by a mark while a worker's tasks stay the same

Cause: every renewal listed all tokens of the worker; with 16 tasks that was 839 bytes, 760 workers every two seconds, and the largest part of the traffic at entries and leader in docs/CAPACITY.md.

Weighed: deltas, which need both sides to agree on a base across lost replies and leaders; a mark of the whole set needs nothing but the set.

Change: a renewal whose tokens a lease has answered before carries their mark alone. A leader that doesn't know the mark grants the lease without orders and asks for the list.

--- a/crates/gentianlane-client/src/stand/desk.rs
+++ b/crates/gentianlane-client/src/stand/desk.rs
@@ -1,10 +1,10 @@
 //! What a worker has accepted, without I/O: the worker's side of the rules.
 
-use gentianlane::api::{Ending, Finish, Lease, Order, Output};
+use gentianlane::api::{Ending, Finish, Lease, Order, Output, Renew};
 use gentianlane::id;
 use gentianlane::id::{Attempt, Incarnation, Task, Token};
-use gentianlane::lease::Holder;
-use gentianlane::unit::{Span, Time};
+use gentianlane::lease::{Holder, Mark};
+use gentianlane::unit::{Size, Span, Time};
 use indexmap::{IndexMap, IndexSet};
 use std::collections::VecDeque;
 
@@ -38,6 +38,10 @@
     runs: IndexMap<Token, Run>,
     results: IndexMap<Token, Finish>,
     holder: Holder,
+    /// The mark of the tokens in the newest renewal.
+    asked: Option<Mark>,
+    /// The mark of tokens that the cell knows.
+    listed: Option<Mark>,
     /// The longest lease that was granted.
     span: Span,
     /// Tasks whose results are durable, and since when.
@@ -55,6 +59,8 @@
             runs: IndexMap::new(),
             results: IndexMap::new(),
             holder: Holder::default(),
+            asked: None,
+            listed: None,
             span: Span::ZERO,
             settled: VecDeque::new(),
         }
@@ -81,9 +87,30 @@
         self.runs.values()
     }
 
+    /// The next renewal; it lists the tokens only if the cell may not know them.
+    pub fn renewal(&mut self, hold: Span) -> Renew {
+        let tokens = self.tokens();
+        let mark = Mark::of(&tokens);
+        let unchanged = self.listed.filter(|listed| *listed == mark);
+        self.asked = Some(mark);
+        Renew {
+            worker: self.worker.clone(),
+            incarnation: self.incarnation,
+            running: if unchanged.is_some() {
+                Vec::new()
+            } else {
+                tokens
+            },
+            unchanged,
+            used: Size::default(),
+            hold,
+        }
+    }
+
     /// Takes in the answer to a renewal that was *sent* at a time, and carries
     /// out its orders; gives the runs that it began.
     pub fn lease(&mut self, lease: Lease, sent: Time, now: Time) -> Vec<Run> {
+        self.listed = self.asked.filter(|_| !lease.resend);
         if now >= sent.after(lease.span) {
             return Vec::new();
         }
--- a/crates/gentianlane-client/src/stand/worker.rs
+++ b/crates/gentianlane-client/src/stand/worker.rs
@@ -6,8 +6,8 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
-use gentianlane::api::{Announce, Call, Lease, Leave, Renew, Reply};
-use gentianlane::unit::{Size, Span, Time};
+use gentianlane::api::{Announce, Call, Lease, Leave, Reply};
+use gentianlane::unit::{Span, Time};
 use gentianlane::verdict::Reason;
 
 use crate::Client;
@@ -134,14 +134,7 @@
 /// Renews once; false if the cell doesn't know the worker.
 fn renew_once(shared: &Shared, client: &mut Client) -> bool {
     let sent = shared.now();
-    let announce = &shared.setup.announce;
-    let renew = Renew {
-        worker: announce.worker.clone(),
-        incarnation: announce.incarnation,
-        running: shared.desk().tokens(),
-        used: Size::default(),
-        hold: HOLD,
-    };
+    let renew = shared.desk().renewal(HOLD);
     match client.call(&Call::Renew(renew)) {
         Ok(Reply::Lease(lease)) => carry_out(shared, lease, sent),
         Ok(Reply::Refused(refusal)) => {
--- a/crates/gentianlane-client/tests/cell/world/worker.rs
+++ b/crates/gentianlane-client/tests/cell/world/worker.rs
@@ -1,6 +1,6 @@
 //! Fake workers: the stand-in's rules on virtual time.
 
-use gentianlane::api::{Announce, Call, Lease, Leave, Renew, Reply};
+use gentianlane::api::{Announce, Call, Lease, Leave, Reply};
 use gentianlane::id::{self, Incarnation};
 use gentianlane::unit::{Size, Span, Time};
 use gentianlane::verdict::Reason;
@@ -70,17 +70,11 @@
         }
     }
 
-    fn next_call(&self) -> Call {
+    fn next_call(&mut self) -> Call {
         if !self.known {
             return Call::Announce(self.announce());
         }
-        Call::Renew(Renew {
-            worker: self.name.clone(),
-            incarnation: Incarnation(self.life),
-            running: self.desk.tokens(),
-            used: Size::default(),
-            hold: HOLD,
-        })
+        Call::Renew(self.desk.renewal(HOLD))
     }
 }
 
--- a/crates/gentianlane-client/tests/lease_desk.rs
+++ b/crates/gentianlane-client/tests/lease_desk.rs
@@ -37,7 +37,11 @@
 }
 
 fn lease(orders: Vec<Order>) -> Lease {
-    Lease { span: SPAN, orders }
+    Lease {
+        span: SPAN,
+        orders,
+        resend: false,
+    }
 }
 
 fn desk() -> Desk {
--- a/crates/gentianlane/benches/admit_goodput.rs
+++ b/crates/gentianlane/benches/admit_goodput.rs
@@ -189,6 +189,7 @@
         worker: "w".into(),
         incarnation: id::Incarnation(1),
         running: Vec::new(),
+        unchanged: None,
         used: Size::default(),
         hold: Span::ZERO,
     }
--- a/crates/gentianlane/benches/capacity.rs
+++ b/crates/gentianlane/benches/capacity.rs
@@ -20,6 +20,7 @@
 };
 use gentianlane::cell::{Node, Output, Setup, Ticket};
 use gentianlane::id::{self, Incarnation, Token};
+use gentianlane::lease::Mark;
 use gentianlane::unit::{Size, Span, Time, Wall};
 use gentianlane::wire::{Frame, VERSION};
 use gentianlane::{lease, place};
@@ -201,6 +202,8 @@
 struct Machine {
     announce: Announce,
     running: Vec<Token>,
+    /// The mark of the tokens that the leader knows.
+    listed: Option<Mark>,
 }
 
 fn machine(number: u64) -> Machine {
@@ -216,14 +219,23 @@
     Machine {
         announce,
         running: Vec::new(),
+        listed: None,
     }
 }
 
 fn renewal(machine: &Machine) -> Call {
+    let running = machine.running.clone();
+    let mark = Mark::of(&running);
+    let unchanged = machine.listed.filter(|listed| *listed == mark);
     Call::Renew(Renew {
         worker: machine.announce.worker.clone(),
         incarnation: Incarnation(1),
-        running: machine.running.clone(),
+        running: if unchanged.is_some() {
+            Vec::new()
+        } else {
+            running
+        },
+        unchanged,
         used: Size::default(),
         hold: Span::ZERO,
     })
@@ -248,6 +260,7 @@
         let Reply::Lease(lease) = reply else {
             panic!("no lease: {reply:?}");
         };
+        machine.listed = Some(Mark::of(&machine.running));
         for order in lease.orders {
             if let Order::Start { token, .. } = order {
                 machine.running.push(token);
@@ -332,6 +345,7 @@
     assert_eq!(running as u64, tasks, "every standing task runs");
     let memory = resident().saturating_sub(before) / 3;
 
+    renew_all(&mut cell, &mut machines);
     cell.reset();
     let (asked, told) = renew_all(&mut cell, &mut machines);
     let renewal = micros(cell.costs[cell.leader].cpu, workers);
--- a/crates/gentianlane/src/api.rs
+++ b/crates/gentianlane/src/api.rs
@@ -8,6 +8,7 @@
 use crate::agree::{Index, Term};
 use crate::digest::Digest;
 use crate::id;
+use crate::lease::Mark;
 use crate::note;
 use crate::place::Kind;
 use crate::unit::{Size, Span};
@@ -281,9 +282,14 @@
     pub worker: id::Worker,
     /// The life of the worker's process.
     pub incarnation: id::Incarnation,
-    /// The tokens that the worker has accepted and not finished, sorted.
+    /// The tokens that the worker has accepted and not finished, sorted; none
+    /// if [`Renew::unchanged`] is given.
     #[serde(default)]
     pub running: Vec<id::Token>,
+    /// The mark of the tokens, if a lease has answered a renewal that listed
+    /// just these.
+    #[serde(default)]
+    pub unchanged: Option<Mark>,
     /// What the running tasks use together.
     #[serde(default)]
     pub used: Size,
@@ -299,6 +305,10 @@
     pub span: Span,
     /// What to do now; an order seen before is done once.
     pub orders: Vec<Order>,
+    /// Whether the next renewal has to list its tokens, as the cell doesn't
+    /// know the mark; there are no orders then.
+    #[serde(default)]
+    pub resend: bool,
 }
 
 /// What a worker is told to do.
--- a/crates/gentianlane/src/cell/grant.rs
+++ b/crates/gentianlane/src/cell/grant.rs
@@ -6,7 +6,7 @@
 use crate::cell::node::Ticket;
 use crate::cell::{Command, Phase, State};
 use crate::id;
-use crate::lease::{Grantor, Term};
+use crate::lease::{Grantor, Mark, Term};
 use crate::unit::{Span, Time};
 use crate::verdict::Reason;
 
@@ -22,6 +22,8 @@
     renew: Renew,
     /// The newest message to other nodes when it came.
     mark: u64,
+    /// Whether its tokens aren't known here.
+    resend: bool,
 }
 
 /// What one leader has granted to workers and has to tell them.
@@ -32,6 +34,8 @@
     /// or an earlier leader.
     sent: IndexMap<id::Task, id::Attempt>,
     renewals: IndexMap<id::Worker, Parked>,
+    /// The tokens that each worker listed last, and their mark.
+    listed: IndexMap<id::Worker, (Mark, Vec<id::Token>)>,
     /// No renewal's time is up before this.
     due: Time,
     /// Workers with orders to send.
@@ -49,6 +53,7 @@
             grantor: Grantor::new(term),
             sent: IndexMap::new(),
             renewals: IndexMap::new(),
+            listed: IndexMap::new(),
             due: Time::from_millis(u64::MAX),
             orders: IndexSet::new(),
             losing: IndexMap::new(),
@@ -75,17 +80,36 @@
         self.due = self.due.min(until);
         let name = renew.worker.clone();
         self.orders.insert(name.clone());
-        renew.running.sort_unstable();
+        let resend = !self.list(&mut renew);
         let parked = Parked {
             ticket,
-            until,
+            until: if resend { now } else { until },
             renew,
             mark,
+            resend,
         };
         let old = self.renewals.insert(name, parked);
         old.map(|parked| parked.ticket)
     }
 
+    /// Fills in the tokens of a renewal that leaves them out; false if they
+    /// aren't known here.
+    fn list(&mut self, renew: &mut Renew) -> bool {
+        let Some(unchanged) = renew.unchanged else {
+            renew.running.sort_unstable();
+            let listed = (Mark::of(&renew.running), renew.running.clone());
+            self.listed.insert(renew.worker.clone(), listed);
+            return true;
+        };
+        match self.listed.get(&renew.worker) {
+            Some((mark, tokens)) if *mark == unchanged => {
+                renew.running = tokens.clone();
+                true
+            }
+            Some(_) | None => false,
+        }
+    }
+
     /// A worker has come or changed; gives a renewal of an earlier life.
     pub(crate) fn put(
         &mut self,
@@ -115,6 +139,7 @@
         self.grantor.forget(name);
         self.losing.swap_remove(name);
         self.orders.swap_remove(name);
+        self.listed.swap_remove(name);
         let parked = self.renewals.swap_remove(name);
         parked.map(|parked| parked.ticket)
     }
@@ -158,17 +183,27 @@
                 self.renewals.swap_remove(&name);
                 continue;
             }
-            let orders = orders(state, &parked.renew);
+            let resend = parked.resend;
+            let orders = match resend {
+                true => Vec::new(),
+                false => orders(state, &parked.renew),
+            };
             if orders.is_empty() && now < parked.until {
                 continue;
             }
-            replies.push((parked.ticket, self.lease(&name, orders, now)));
+            replies.push((parked.ticket, self.lease(&name, orders, resend, now)));
             self.renewals.swap_remove(&name);
         }
         replies
     }
 
-    fn lease(&mut self, name: &id::Worker, orders: Vec<Order>, now: Time) -> Reply {
+    fn lease(
+        &mut self,
+        name: &id::Worker,
+        orders: Vec<Order>,
+        resend: bool,
+        now: Time,
+    ) -> Reply {
         for order in &orders {
             if let Order::Start { token, .. } = order {
                 self.sent.insert(token.task, token.attempt);
@@ -176,7 +211,11 @@
         }
         self.grantor.grant(name, now);
         let span = self.grantor.span();
-        Reply::Lease(Lease { span, orders })
+        Reply::Lease(Lease {
+            span,
+            orders,
+            resend,
+        })
     }
 
     /// What the time asks for: answers that are due, and lost workers.
--- a/crates/gentianlane/src/lease.rs
+++ b/crates/gentianlane/src/lease.rs
@@ -4,11 +4,47 @@
 //! when it *answered*, and adds what two clocks may drift apart. So the
 //! holder's lease has ended by the time the grantor says that it has.
 
+use derive_more::Display;
 use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
 
+use crate::digest::Digest;
 use crate::id;
 use crate::unit::{Span, Time};
 
+/// A number that stands for a set of tokens, for renewals that leave it out.
+///
+/// It is the head of a digest, below 2^53 so that every reader of JSON keeps
+/// it whole.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Mark(u64);
+
+impl Mark {
+    /// The mark of some sorted tokens.
+    ///
+    /// ```
+    /// use gentianlane::{id, lease::Mark};
+    /// let token = id::Token::default();
+    /// assert_eq!(Mark::of(&[token]), Mark::of(&[token]));
+    /// assert_ne!(Mark::of(&[token]), Mark::of(&[]));
+    /// ```
+    #[must_use]
+    pub fn of(tokens: &[id::Token]) -> Self {
+        const SHIFT: u32 = 64 - 53;
+        let mut bytes = Vec::with_capacity(tokens.len() * 20);
+        for token in tokens {
+            bytes.extend_from_slice(&token.task.job.0.to_be_bytes());
+            bytes.extend_from_slice(&token.task.rank.to_be_bytes());
+            bytes.extend_from_slice(&token.attempt.0.to_be_bytes());
+        }
+        let digest = Digest::of(&bytes);
+        let head = digest.as_bytes().iter().take(8);
+        let number = head.fold(0, |number, &byte| number << 8 | u64::from(byte));
+        Self(number >> SHIFT)
+    }
+}
+
 /// How long leases last and how far clocks may drift.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Term {
--- a/crates/gentianlane/tests/agree_catchup.rs
+++ b/crates/gentianlane/tests/agree_catchup.rs
@@ -237,6 +237,7 @@
             worker: name(number),
             incarnation: Incarnation(1),
             running: Vec::new(),
+            unchanged: None,
             used: Size::default(),
             hold: Span::ZERO,
         });
--- a/crates/gentianlane/tests/lease_renewal.rs
+++ b/crates/gentianlane/tests/lease_renewal.rs
@@ -1,5 +1,7 @@
 //! Renewals that a leader holds, in a cell of one node.
 
+#![allow(clippy::panic, reason = "a test ends at a fault")]
+
 use gentianlane::agree;
 use gentianlane::api::{Announce, Call, Renew, Reply};
 use gentianlane::cell::{self, Node, Output, Ticket};
@@ -70,10 +72,21 @@
     }
 
     fn renew(&mut self, ticket: u64, hold: Span) -> Vec<(Ticket, Reply)> {
+        self.renew_with(ticket, hold, Vec::new(), None)
+    }
+
+    fn renew_with(
+        &mut self,
+        ticket: u64,
+        hold: Span,
+        running: Vec<id::Token>,
+        unchanged: Option<lease::Mark>,
+    ) -> Vec<(Ticket, Reply)> {
         let renew = Renew {
             worker: "w".into(),
             incarnation: id::Incarnation(1),
-            running: Vec::new(),
+            running,
+            unchanged,
             used: Size::default(),
             hold,
         };
@@ -125,3 +138,23 @@
         "{replies:?}"
     );
 }
+
+#[test]
+fn tokens_are_listed_again_only_when_the_leader_does_not_know_their_mark() {
+    let mut leader = Leader::new();
+    let stray = id::Token::default();
+    let mark = lease::Mark::of(&[stray]);
+    let lease = |replies: Vec<(Ticket, Reply)>| match replies.into_iter().next() {
+        Some((_, Reply::Lease(lease))) => lease,
+        other => panic!("{other:?}"),
+    };
+    let unknown = lease(leader.renew_with(2, Span::ZERO, Vec::new(), Some(mark)));
+    assert!(unknown.resend && unknown.orders.is_empty(), "{unknown:?}");
+    let listed = lease(leader.renew_with(3, Span::ZERO, vec![stray], None));
+    assert!(!listed.resend && listed.orders.len() == 1, "{listed:?}");
+    let known = lease(leader.renew_with(4, Span::ZERO, Vec::new(), Some(mark)));
+    assert_eq!(known, listed);
+    let other = Some(lease::Mark::of(&[]));
+    let other = lease(leader.renew_with(5, Span::ZERO, Vec::new(), other));
+    assert!(other.resend && other.orders.is_empty(), "{other:?}");
+}
--- a/crates/gentianlane/tests/world/worker.rs
+++ b/crates/gentianlane/tests/world/worker.rs
@@ -132,6 +132,7 @@
             worker: self.announce.worker.clone(),
             incarnation: self.announce.incarnation,
             running,
+            unchanged: None,
             used: Size::default(),
             hold: Span::ZERO,
         })
