--- a/crates/gentianlane/tests/script/mod.rs
+++ b/crates/gentianlane/tests/script/mod.rs
@@ -369,6 +369,12 @@
         Ok(host.state().book().revision().0.cast_signed())
     });
     let s = Rc::clone(stage);
+    engine.register_fn("is_up", move |one: i64| -> bool {
+        let stage = s.borrow();
+        let host = stage.world.hosts.get(&node(one));
+        host.is_some_and(|host| !host.is_down())
+    });
+    let s = Rc::clone(stage);
     engine.register_fn("is_voter", move |one: i64| -> bool {
         let stage = s.borrow();
         let host = stage
--- a/crates/gentianlane/tests/world/mod.rs
+++ b/crates/gentianlane/tests/world/mod.rs
@@ -59,6 +59,8 @@
     pub(crate) largest: usize,
     /// How many parts of snapshots were sent.
     pub(crate) chunks: usize,
+    /// The first voters.
+    founders: Vec<id::Node>,
     open: IndexMap<Ticket, Open>,
     last_ticket: u64,
 }
@@ -78,6 +80,7 @@
             breaches: Vec::new(),
             largest: 0,
             chunks: 0,
+            founders: ids,
             open: IndexMap::new(),
             last_ticket: 0,
         }
@@ -85,9 +88,8 @@
 
     /// Adds a node that isn't among the first voters.
     pub(crate) fn learner(&mut self, id: id::Node, seed: u64) {
-        let voters: Vec<id::Node> = self.hosts.keys().copied().collect();
-        self.hosts
-            .insert(id, Host::learner(id, &voters, seed, self.now));
+        let host = Host::learner(id, &self.founders, seed, self.now);
+        self.hosts.insert(id, host);
     }
 
     pub(crate) fn wall(&self) -> Wall {
