Give each start order a span in its request's trace

Cause: a trace ended at the control thread; the hop from the cell to a worker had no span, as no trace went through the log.

Weighed: spans from the leader's control thread, which would then talk to the exporter for every order; the entry that the order leaves through has a tracer already.

Change: an entry that traces writes its span into the request; the job keeps it, start orders carry it, and the entry through which one leaves exports a span for it. Nothing is added to the log while traces are off.

Test: an_order_has_a_span_in_its_requests_trace.

Conclusion: each hop has a span; the workers' own spans are theirs to add.

--- a/crates/gentianlane-cli/src/command/wait.rs
+++ b/crates/gentianlane-cli/src/command/wait.rs
@@ -33,6 +33,7 @@
         payload: text(matches, "PAYLOAD"),
         count: matches.get_one("count").copied(),
         deadline: Some(Span::from_secs(number(matches, "deadline"))),
+        trace: None,
         hold: Span::ZERO,
     };
     progress(&format!("waits for {key}"));
--- a/crates/gentianlane-cli/src/load/sender.rs
+++ b/crates/gentianlane-cli/src/load/sender.rs
@@ -89,6 +89,7 @@
         payload: plan.payload.clone(),
         count: None,
         deadline: Some(Span::from_millis(deadline)),
+        trace: None,
         hold: Span::ZERO,
     }
 }
--- a/crates/gentianlane-client/tests/cell/world/caller.rs
+++ b/crates/gentianlane-client/tests/cell/world/caller.rs
@@ -121,6 +121,7 @@
             payload: self.payload.clone(),
             count: None,
             deadline: self.deadline,
+            trace: None,
             hold: HOLD,
         }
     }
--- a/crates/gentianlane-client/tests/client.rs
+++ b/crates/gentianlane-client/tests/client.rs
@@ -19,6 +19,7 @@
         payload: String::new(),
         count: None,
         deadline: None,
+        trace: None,
         hold: Span::ZERO,
     }
 }
--- a/crates/gentianlane-client/tests/lease_desk.rs
+++ b/crates/gentianlane-client/tests/lease_desk.rs
@@ -27,6 +27,7 @@
         payload: "sleep=100 out".to_owned(),
         size: Size::default(),
         count: 1,
+        trace: None,
     }])
 }
 
--- a/crates/gentianlane-daemon/src/command/dev/sample.rs
+++ b/crates/gentianlane-daemon/src/command/dev/sample.rs
@@ -115,6 +115,7 @@
         payload: payload.to_owned(),
         count: None,
         deadline: Some(Span::from_secs(20)),
+        trace: None,
         hold: Span::ZERO,
     }
 }
--- a/crates/gentianlane-daemon/src/connection/http/route.rs
+++ b/crates/gentianlane-daemon/src/connection/http/route.rs
@@ -3,14 +3,14 @@
 use std::io::Read;
 use std::time::Instant;
 
-use gentianlane::api::{Call, NoteText, Refusal, Reply};
+use gentianlane::api::{Call, NoteText, Order, Refusal, Reply, Submit};
 use gentianlane::id;
 use gentianlane::verdict::Reason;
 use rouille::{Request, Response};
 use serde::de::DeserializeOwned;
 
 use crate::connection::http::head::Fault;
-use crate::process::telemetry::trace;
+use crate::process::telemetry::trace::{self, Tracer};
 use crate::process::telemetry::{self, Telemetry};
 use crate::request::entry::Entry;
 use crate::request::local;
@@ -43,11 +43,41 @@
     let parent = parent.and_then(|parent| parent.parse().ok());
     let span = tracer.begin("entry", name, parent);
     let began = Instant::now();
+    let traced = span.as_ref().and_then(|span| traced(call, span));
+    let call = traced.as_ref().unwrap_or(call);
     let reply = trace::Span::within(span.as_ref(), || service.entry.ask(call));
+    trace_orders(tracer, &reply);
     metrics.call(name, &reply, began.elapsed());
     reply
 }
 
+/// A request for work with the span that its orders shall belong to.
+fn traced(call: &Call, span: &trace::Span) -> Option<Call> {
+    let Call::Submit(submit) = call else {
+        return None;
+    };
+    let trace = Some(span.context().to_string());
+    Some(Call::Submit(Submit {
+        trace,
+        ..submit.clone()
+    }))
+}
+
+/// A span for each order that leaves for a worker, in its request's trace.
+fn trace_orders(tracer: &Tracer, reply: &Reply) {
+    let Reply::Lease(lease) = reply else {
+        return;
+    };
+    for order in &lease.orders {
+        if let Order::Start {
+            trace: Some(trace), ..
+        } = order
+        {
+            drop(tracer.begin("order", "start", trace.parse().ok()));
+        }
+    }
+}
+
 /// What a caller is told whose request couldn't be read.
 pub(super) fn refused(fault: Fault) -> Response {
     let refusal = Refusal::not_run(Reason::Malformed, fault.to_string());
--- a/crates/gentianlane-daemon/tests/common/mod.rs
+++ b/crates/gentianlane-daemon/tests/common/mod.rs
@@ -313,6 +313,7 @@
         payload: payload.to_owned(),
         count: None,
         deadline: Some(Span::from_secs(60)),
+        trace: None,
         hold: Span::ZERO,
     }
 }
--- a/crates/gentianlane-daemon/tests/telemetry.rs
+++ b/crates/gentianlane-daemon/tests/telemetry.rs
@@ -9,7 +9,7 @@
 use std::sync::mpsc::{Receiver, channel};
 use std::thread;
 
-use common::{Cell, PATIENCE, is_ready, status, until};
+use common::{Cell, PATIENCE, is_ready, status, submit, until};
 use serde_json::Value;
 
 /// The trace and the span that the caller works in.
@@ -82,6 +82,30 @@
     assert_eq!(call, "workers");
 }
 
+#[test]
+fn an_order_has_a_span_in_its_requests_trace() {
+    let (port, spans) = collector();
+    let more = format!(r#""telemetry": {{ "traces": "127.0.0.1:{port}" }},"#);
+    let cell = Cell::start_with(1, &more);
+    let to = cell.places[cell.leader()].http;
+    let submit = submit("route-batch", "sorted");
+    let response = attohttpc::post(format!("http://{to}/v1/requests"))
+        .header("traceparent", format!("00-{TRACE}-{CALLER}-01"))
+        .json(&submit)
+        .unwrap()
+        .send();
+    assert!(response.unwrap().is_success());
+    let mut hops: HashMap<String, Value> = HashMap::new();
+    while !(hops.contains_key("order") && hops.contains_key("entry")) {
+        let span = spans.recv_timeout(PATIENCE).unwrap();
+        if span["traceId"] == TRACE {
+            hops.insert(span["name"].as_str().unwrap().to_owned(), span);
+        }
+    }
+    assert_eq!(hops["entry"]["parentSpanId"], CALLER);
+    assert_eq!(hops["order"]["parentSpanId"], hops["entry"]["spanId"]);
+}
+
 #[test]
 fn a_collector_that_never_answers_holds_up_no_call() {
     let silent = TcpListener::bind("127.0.0.1:0").unwrap();
--- a/crates/gentianlane/benches/admit_goodput.rs
+++ b/crates/gentianlane/benches/admit_goodput.rs
@@ -180,6 +180,7 @@
         payload: "route 7".to_owned(),
         count: None,
         deadline: None,
+        trace: None,
         hold: Span::ZERO,
     }
 }
--- a/crates/gentianlane/benches/capacity.rs
+++ b/crates/gentianlane/benches/capacity.rs
@@ -281,6 +281,7 @@
         payload: "flue-12 route-7 2026-12-03".to_owned(),
         count: None,
         deadline: None,
+        trace: None,
         hold: Span::ZERO,
     })
 }
--- a/crates/gentianlane/benches/cell_records.rs
+++ b/crates/gentianlane/benches/cell_records.rs
@@ -72,6 +72,7 @@
         payload: "route 7".to_owned(),
         count: None,
         deadline: Some(Span::from_secs(60)),
+        trace: None,
         hold: Span::ZERO,
     };
     let effect = state.apply(Command::Submit { at, submit });
--- a/crates/gentianlane/src/api.rs
+++ b/crates/gentianlane/src/api.rs
@@ -18,6 +18,9 @@
 /// answer taken together, in bytes.
 pub const TEXT_LIMIT: usize = 64 << 10;
 
+/// The longest `traceparent`, in bytes.
+pub const TRACE_LIMIT: usize = 64;
+
 /// The most tasks that one request may ask for.
 pub const TASK_LIMIT: u32 = 1_024;
 
@@ -100,6 +103,10 @@
     /// How long the caller will still wait for a start, in milliseconds.
     #[serde(default)]
     pub deadline: Option<Span>,
+    /// The span that the start orders belong to, as a W3C `traceparent`; an
+    /// entry that traces fills it in.
+    #[serde(default)]
+    pub trace: Option<String>,
     /// How long to hold this call for the answer, in milliseconds.
     #[serde(default)]
     pub hold: Span,
@@ -327,6 +334,9 @@
         size: Size,
         /// How many tasks its job has.
         count: u32,
+        /// The span that the order belongs to, as a W3C `traceparent`.
+        #[serde(default)]
+        trace: Option<String>,
     },
     /// Stop a task; if it hasn't begun, never begin it.
     Stop {
--- a/crates/gentianlane/src/cell/grant.rs
+++ b/crates/gentianlane/src/cell/grant.rs
@@ -288,6 +288,7 @@
                 payload: job.spec.payload.clone(),
                 size: job.spec.size,
                 count: job.spec.count,
+                trace: job.spec.trace.clone(),
             });
         }
     }
--- a/crates/gentianlane/src/cell/job.rs
+++ b/crates/gentianlane/src/cell/job.rs
@@ -32,6 +32,8 @@
     pub expected: Option<Span>,
     /// What the tasks get as their input.
     pub payload: String,
+    /// The span that its start orders belong to.
+    pub trace: Option<String>,
 }
 
 impl Spec {
@@ -49,6 +51,7 @@
             attempts: workload.attempts,
             expected: workload.expected,
             payload: workload.payload.clone(),
+            trace: None,
         }
     }
 }
--- a/crates/gentianlane/src/cell/state/request.rs
+++ b/crates/gentianlane/src/cell/state/request.rs
@@ -1,6 +1,6 @@
 //! Requests, their records and how long these are kept.
 
-use crate::api::{Answer, Refusal, Reply, Submit, TASK_LIMIT};
+use crate::api::{Answer, Refusal, Reply, Submit, TASK_LIMIT, TRACE_LIMIT};
 use crate::cell::state::pending;
 use crate::cell::{After, Event, Record, Spec, State, Status};
 use crate::digest::Digest;
@@ -43,11 +43,13 @@
             payload,
             count,
             deadline,
+            trace,
             ..
         } = submit;
         let spec = Spec::new(&name, workload, &team);
         let spec = Spec {
             payload,
+            trace,
             count: count.unwrap_or(spec.count),
             ..spec
         };
@@ -181,6 +183,14 @@
 
 /// Why a request is refused for what it is, whatever the state says.
 fn malformed(submit: &Submit) -> Option<Refusal> {
+    if submit
+        .trace
+        .as_ref()
+        .is_some_and(|trace| trace.len() > TRACE_LIMIT)
+    {
+        let detail = format!("a traceparent is longer than {TRACE_LIMIT} bytes");
+        return Some(Refusal::not_run(Reason::Malformed, detail));
+    }
     let count = submit.count?;
     if (1..=TASK_LIMIT).contains(&count) {
         return None;
--- a/crates/gentianlane/tests/admit_leader.rs
+++ b/crates/gentianlane/tests/admit_leader.rs
@@ -82,6 +82,7 @@
                 payload: String::new(),
                 count: None,
                 deadline: None,
+                trace: None,
                 hold: Span::ZERO,
             }));
         }
--- a/crates/gentianlane/tests/agree_catchup.rs
+++ b/crates/gentianlane/tests/agree_catchup.rs
@@ -67,6 +67,7 @@
         payload: "sorted".to_owned(),
         count: None,
         deadline: None,
+        trace: None,
         hold: Span::ZERO,
     })
 }
--- a/crates/gentianlane/tests/cell_verdict.rs
+++ b/crates/gentianlane/tests/cell_verdict.rs
@@ -103,6 +103,7 @@
         payload: String::new(),
         count: None,
         deadline: None,
+        trace: None,
         hold: Span::ZERO,
     };
     Command::Submit { at: AT, submit }
--- a/crates/gentianlane/tests/route_forward.rs
+++ b/crates/gentianlane/tests/route_forward.rs
@@ -27,6 +27,7 @@
         payload: String::new(),
         count: None,
         deadline: Some(Span::from_millis(1_000)),
+        trace: None,
         hold: Span::from_millis(400),
     })
 }
--- a/crates/gentianlane/tests/script/mod.rs
+++ b/crates/gentianlane/tests/script/mod.rs
@@ -300,6 +300,7 @@
         payload: payload.to_owned(),
         count: None,
         deadline,
+        trace: None,
         hold: Span::from_millis(500),
     };
     stage.world.submit(node(entry), submit) as i64
