Share the one-node cell of two tests

Cause: the tests of renewals and of the leader's admission each built the same cell of one node and passed its time by hand.

Change: tests/solo holds it; assertions are as they were.

--- a/crates/gentianlane/tests/admit_leader.rs
+++ b/crates/gentianlane/tests/admit_leader.rs
@@ -3,14 +3,13 @@
 
 #![allow(clippy::panic, reason = "a test ends at a fault")]
 
-use gentianlane::agree;
+mod solo;
+
 use gentianlane::api::{Call, NoteText, Reply, Submit};
-use gentianlane::cell::{self, Node, Output, Ticket};
-use gentianlane::unit::{Span, Time, Wall};
+use gentianlane::id;
+use gentianlane::unit::Span;
 use gentianlane::verdict::{Reason, Verdict};
-use gentianlane::{id, lease, place};
-
-const WALL: Wall = Wall::from_millis(1_800_000_000_000);
+use solo::{STEP, Solo, WALL};
 
 const SEED: u64 = 5;
 
@@ -19,55 +18,29 @@
 
 /// A node that leads and has no worker, so that all that comes waits.
 struct Leader {
-    node: Node,
-    now: Time,
+    solo: Solo,
     calls: u64,
 }
 
 impl Leader {
     fn new() -> Self {
-        let setup = cell::Setup {
-            agree: agree::Setup {
-                node: id::Node(1),
-                voters: [id::Node(1)].into_iter().collect(),
-                learners: Vec::new(),
-                timing: agree::Timing::default(),
-                seed: SEED,
-            },
-            lease: lease::Term::default(),
-            place: place::Setup { seed: SEED },
-        };
-        let now = Time::from_millis(0);
-        let node = Node::new(setup, agree::Saved::default(), now);
-        let mut leader = Self {
-            node,
-            now,
-            calls: 0,
-        };
-        for _ in 0..500 {
-            leader.step();
-        }
+        let solo = Solo::new(SEED);
+        let mut leader = Self { solo, calls: 0 };
         let text = NOTE.to_owned();
         leader.call(Call::Note(NoteText { text }));
         leader.step();
-        assert_eq!(leader.node.state().book().revision().0, 1);
+        assert_eq!(leader.solo.node.state().book().revision().0, 1);
         leader
     }
 
     fn step(&mut self) -> Vec<Reply> {
-        self.now = self.now.after(Span::from_millis(10));
-        self.node.tick(self.now, WALL);
-        let outputs = self.node.flush(self.now, WALL).into_iter();
-        let replies = outputs.filter_map(|output| match output {
-            Output::Reply(_, reply, _) => Some(reply),
-            _ => None,
-        });
-        replies.collect()
+        let replies = self.solo.pass(STEP).into_iter();
+        replies.map(|(_, reply)| reply).collect()
     }
 
     fn call(&mut self, call: Call) {
         self.calls += 1;
-        self.node.call(Ticket(self.calls), call, self.now, WALL);
+        self.solo.call(self.calls, call);
     }
 
     /// Asks for work so many times, and gives the refusals for good measure.
@@ -115,8 +88,8 @@
     returns.sort_unstable();
     returns.dedup();
     assert!(returns.len() > 100, "they don't all come back at once");
-    let taken = leader.node.state().open_count(&"greedy".into());
+    let taken = leader.solo.node.state().open_count(&"greedy".into());
     assert_eq!(leader.ask("modest", 500), []);
-    assert_eq!(leader.node.state().open_count(&"modest".into()), 500);
+    assert_eq!(leader.solo.node.state().open_count(&"modest".into()), 500);
     assert!(taken > 10_000, "{taken} were taken while room lay idle");
 }
--- a/crates/gentianlane/tests/lease_renewal.rs
+++ b/crates/gentianlane/tests/lease_renewal.rs
@@ -2,58 +2,32 @@
 
 #![allow(clippy::panic, reason = "a test ends at a fault")]
 
-use gentianlane::agree;
+mod solo;
+
 use gentianlane::api::{Announce, Call, Renew, Reply};
-use gentianlane::cell::{self, Node, Output, Ticket};
-use gentianlane::unit::{Size, Span, Time, Wall};
+use gentianlane::cell::Ticket;
+use gentianlane::unit::{Size, Span};
 use gentianlane::verdict::Reason;
-use gentianlane::{id, lease, place};
-
-const WALL: Wall = Wall::from_millis(1_800_000_000_000);
+use gentianlane::{id, lease};
+use solo::Solo;
 
 const SEED: u64 = 3;
 
-/// A node that leads, and the time.
+/// A node that leads and knows one worker.
 struct Leader {
-    node: Node,
-    now: Time,
+    solo: Solo,
 }
 
 impl Leader {
     fn new() -> Self {
-        let setup = cell::Setup {
-            agree: agree::Setup {
-                node: id::Node(1),
-                voters: [id::Node(1)].into_iter().collect(),
-                learners: Vec::new(),
-                timing: agree::Timing::default(),
-                seed: SEED,
-            },
-            lease: lease::Term::default(),
-            place: place::Setup { seed: SEED },
-        };
-        let now = Time::from_millis(0);
-        let node = Node::new(setup, agree::Saved::default(), now);
-        let mut leader = Self { node, now };
-        leader.pass(Span::from_secs(10));
+        let solo = Solo::new(SEED);
+        let mut leader = Self { solo };
         leader.announce(1);
         leader
     }
 
-    /// The replies that leave in this span.
     fn pass(&mut self, span: Span) -> Vec<(Ticket, Reply)> {
-        let end = self.now.after(span);
-        let mut replies = Vec::new();
-        while self.now < end {
-            self.now = self.now.after(Span::from_millis(10));
-            self.node.tick(self.now, WALL);
-            for output in self.node.flush(self.now, WALL) {
-                if let Output::Reply(ticket, reply, _) = output {
-                    replies.push((ticket, reply));
-                }
-            }
-        }
-        replies
+        self.solo.pass(span)
     }
 
     fn announce(&mut self, incarnation: u64) -> Vec<(Ticket, Reply)> {
@@ -67,7 +41,7 @@
             address: String::new(),
         };
         let call = Call::Announce(announce);
-        self.node.call(Ticket(1), call, self.now, WALL);
+        self.solo.call(1, call);
         self.pass(Span::from_millis(100))
     }
 
@@ -91,7 +65,7 @@
             hold,
         };
         let call = Call::Renew(renew);
-        self.node.call(Ticket(ticket), call, self.now, WALL);
+        self.solo.call(ticket, call);
         self.pass(Span::from_millis(100))
     }
 }
