--- /dev/null
+++ b/crates/gentianlane-daemon/src/command/fleet.rs
@@ -0,0 +1,66 @@
+//! `gentianlaned core` and `gentianlaned entry`: one process of a fleet.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+use miette::{Result, miette};
+
+use crate::fleet;
+
+/// The variable that names the settings file if no argument does.
+const VARIABLE: &str = "GENTIANLANE_BOOT";
+
+pub(super) fn core_command() -> Command {
+    command(
+        "core",
+        "Runs a fleet's core, which holds the log and calls workers",
+    )
+}
+
+pub(super) fn entry_command() -> Command {
+    command(
+        "entry",
+        "Runs a fleet's entry, which takes callers' requests",
+    )
+}
+
+fn command(name: &'static str, about: &'static str) -> Command {
+    let settings = Arg::new("settings")
+        .long("settings")
+        .value_name("FILE")
+        .help("The settings file; without it, the one that GENTIANLANE_BOOT names")
+        .value_parser(value_parser!(PathBuf));
+    let check = Arg::new("check")
+        .long("check")
+        .action(clap::ArgAction::SetTrue)
+        .help("Checks the settings and exits");
+    Command::new(name).about(about).arg(settings).arg(check)
+}
+
+pub(super) fn core(matches: &ArgMatches) -> Result<ExitCode> {
+    run(matches, fleet::run_core)
+}
+
+pub(super) fn entry(matches: &ArgMatches) -> Result<ExitCode> {
+    run(matches, fleet::run_entry)
+}
+
+fn run(
+    matches: &ArgMatches,
+    process: impl Fn(&std::path::Path) -> Result<()>,
+) -> Result<ExitCode> {
+    let path = match matches.get_one::<PathBuf>("settings") {
+        Some(path) => path.clone(),
+        None => std::env::var_os(VARIABLE)
+            .map(PathBuf::from)
+            .ok_or_else(|| miette!("neither --settings nor {VARIABLE} names a file"))?,
+    };
+    if matches.get_flag("check") {
+        fleet::Settings::read(&path)?;
+        println!("{} is fine", path.display());
+        return Ok(ExitCode::SUCCESS);
+    }
+    process(&path)?;
+    Ok(ExitCode::SUCCESS)
+}
--- a/crates/gentianlane-daemon/src/command/mod.rs
+++ b/crates/gentianlane-daemon/src/command/mod.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod dev;
+mod fleet;
 mod init;
 mod run;
 mod worker;
@@ -25,6 +26,8 @@
         Some(("init", matches)) => init::run(matches),
         Some(("run", matches)) => run::run(matches),
         Some(("dev", matches)) => dev::run(matches),
+        Some(("core", matches)) => fleet::core(matches),
+        Some(("entry", matches)) => fleet::entry(matches),
         Some(("worker", matches)) => worker::run(matches),
         _ => Ok(ExitCode::from(EXIT_FAULT)),
     }
@@ -65,6 +68,8 @@
                         .long("data"),
                 ),
         )
+        .subcommand(fleet::core_command())
+        .subcommand(fleet::entry_command())
         .subcommand(worker::command())
 }
 
--- /dev/null
+++ b/crates/gentianlane-daemon/src/fleet/client.rs
@@ -0,0 +1,141 @@
+//! Requests to workers and to the adviser over kept connections.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use gentianlane_platform::Outgoing;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Bytes;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::header::{CONTENT_TYPE, HOST};
+use hyper::{Method, Request};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// How long a connection may take to come about.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// The longest body that an answer may have, in bytes.
+const BODY_LIMIT: usize = 8 << 20;
+
+/// How many idle connections to one address are kept.
+const IDLE_LIMIT: usize = 4;
+
+/// Connections that wait for their next request, by address.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Client {
+    idle: Arc<Mutex<HashMap<SocketAddr, Vec<Connection>>>>,
+}
+
+type Connection = SendRequest<Full<Bytes>>;
+
+/// What came of a request.
+#[derive(Debug)]
+pub(crate) enum Outcome {
+    /// A whole answer: its status and body.
+    Answered(u16, Bytes),
+    /// Nothing listens at the address, so nothing was done.
+    Refused,
+    /// No whole answer came.
+    Lost,
+}
+
+impl Client {
+    /// Sends a request and waits for the whole answer.
+    pub(crate) async fn send(
+        &self,
+        address: SocketAddr,
+        outgoing: Outgoing,
+        limit: Duration,
+    ) -> Outcome {
+        let outcome = timeout(limit, self.exchange(address, outgoing)).await;
+        let outcome = outcome.unwrap_or(Outcome::Lost);
+        if matches!(outcome, Outcome::Lost) {
+            // The idle ones may have gone silent as well.
+            self.lock().remove(&address);
+        }
+        outcome
+    }
+
+    async fn exchange(&self, address: SocketAddr, outgoing: Outgoing) -> Outcome {
+        let Some(request) = request(address, outgoing) else {
+            return Outcome::Lost;
+        };
+        let mut connection = match self.take(address) {
+            Some(connection) => connection,
+            None => match connect(address).await {
+                Ok(connection) => connection,
+                Err(outcome) => return outcome,
+            },
+        };
+        let Ok(response) = connection.send_request(request).await else {
+            return Outcome::Lost;
+        };
+        let status = response.status().as_u16();
+        let body = Limited::new(response.into_body(), BODY_LIMIT);
+        let Ok(body) = body.collect().await else {
+            return Outcome::Lost;
+        };
+        self.give_back(address, connection);
+        Outcome::Answered(status, body.to_bytes())
+    }
+
+    fn take(&self, address: SocketAddr) -> Option<Connection> {
+        let mut idle = self.lock();
+        let connections = idle.get_mut(&address)?;
+        loop {
+            let connection = connections.pop()?;
+            if connection.is_ready() {
+                return Some(connection);
+            }
+        }
+    }
+
+    fn give_back(&self, address: SocketAddr, connection: Connection) {
+        let mut idle = self.lock();
+        let connections = idle.entry(address).or_default();
+        if connections.len() < IDLE_LIMIT {
+            connections.push(connection);
+        }
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, Vec<Connection>>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+async fn connect(address: SocketAddr) -> Result<Connection, Outcome> {
+    let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
+            return Err(Outcome::Refused);
+        }
+        Ok(Err(_)) | Err(_) => return Err(Outcome::Lost),
+    };
+    if stream.set_nodelay(true).is_err() {
+        return Err(Outcome::Lost);
+    }
+    let Ok((sender, connection)) = http1::handshake(TokioIo::new(stream)).await else {
+        return Err(Outcome::Lost);
+    };
+    tokio::spawn(async move {
+        // Whoever waits for an answer is told by the sender's side.
+        let _ = connection.await;
+    });
+    Ok(sender)
+}
+
+fn request(address: SocketAddr, outgoing: Outgoing) -> Option<Request<Full<Bytes>>> {
+    let mut request = Request::builder()
+        .method(Method::POST)
+        .uri(outgoing.path)
+        .header(HOST, address.to_string())
+        .header(CONTENT_TYPE, "application/json");
+    if let Some(target) = outgoing.target {
+        request = request.header("Target-Instance", target);
+    }
+    request.body(Full::new(Bytes::from(outgoing.body))).ok()
+}
--- /dev/null
+++ b/crates/gentianlane-daemon/src/fleet/core.rs
@@ -0,0 +1,569 @@
+//! A core: holds the log, takes workers' and operators' calls and, while it
+//! leads, calls the workers.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::Path;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread;
+use std::time::Duration;
+
+use flume::{Receiver, Sender};
+use gentianlane::agree::{self, Body};
+use gentianlane::fleet::call::{Call, Reply};
+use gentianlane::fleet::dispatch::Helper;
+use gentianlane::fleet::link::{Guide, Packet};
+use gentianlane::fleet::order::{Action, Answer, Order, Question};
+use gentianlane::fleet::{self, Node};
+use gentianlane::id;
+use gentianlane::unit::{Span, Time};
+use gentianlane::wire::{Frame, VERSION};
+use gentianlane_platform::{self as platform, Response};
+use gentianlane_store::{Journal, Owner};
+use indexmap::IndexMap;
+use miette::{IntoDiagnostic, Result};
+use slog::{Logger, crit, info, warn};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::oneshot;
+
+use crate::clock::Clock;
+use crate::fleet::Settings;
+use crate::fleet::client::{Client, Outcome};
+use crate::fleet::control::{
+    Asker, Control, EFFECT_LIMIT, Effect, INPUT_LIMIT, Input, control_address,
+};
+use crate::fleet::link;
+use crate::fleet::log::Lines;
+use crate::fleet::metrics::Metrics;
+use crate::fleet::server::{Asked, Server};
+use crate::fleet::settings::Fault;
+use crate::fleet::stop::{Request, Signals};
+
+/// The name that frames between nodes carry: processes of another kind of
+/// cell are refused.
+const CELL: &str = "fleet";
+
+/// How long a call of a worker or an operator is waited for: they turn to
+/// another node after a second.
+const CALL_LIMIT: Duration = Duration::from_millis(900);
+
+/// When to come back to a node that has no room for another call.
+const BUSY_RETRY: Span = Span::from_millis(1_000);
+
+/// The pause before a lost connection to another core is made again.
+const RECONNECT: Duration = Duration::from_millis(100);
+
+/// How long answers that are on their way have when the process ends.
+const LAST_ANSWERS: Duration = Duration::from_millis(300);
+
+/// How often the settings file is looked at.
+const SETTINGS_STEP: Duration = Duration::from_secs(1);
+
+/// This process as a helper of its own leader.
+const OWN: Helper = 0;
+
+/// What agreement takes: half a second of silence is several heartbeats, and
+/// more than a stall of the processor's quota.
+const TIMING: agree::Timing = agree::Timing {
+    heartbeat: Span::from_millis(120),
+    election: Span::from_millis(700),
+    drift: Span::from_millis(70),
+    repair: Span::from_millis(3_000),
+};
+
+/// What the traffic thread's tasks share.
+#[derive(Clone)]
+struct Shared {
+    own: SocketAddr,
+    clock: Clock,
+    inputs: Sender<Input>,
+    client: Client,
+    adviser: Arc<Mutex<Option<SocketAddr>>>,
+    guide: Arc<Mutex<Guide>>,
+    /// The connections that other processes have made, by number.
+    links: Arc<Mutex<IndexMap<Helper, Sender<Packet>>>>,
+    metrics: Metrics,
+    log: Logger,
+}
+
+/// Runs a core until it is told to stop.
+pub(crate) fn run(path: &Path) -> Result<()> {
+    let settings = Settings::read(path)?;
+    let lines = Lines::start();
+    let log = lines.logger(&settings.node);
+    let clock = Clock::start();
+    let node = identity(&settings)?;
+    info!(log, "starts"; "id" => %node, "bootstrap" => settings.bootstrap,
+        "seeds" => ?settings.seeds);
+    let (journal, saved) = open(&settings, node)?;
+    let part = core(&settings, node, saved, clock.now());
+    let (inputs, receiver) = flume::bounded(INPUT_LIMIT);
+    let (effects, effect_receiver) = flume::bounded(EFFECT_LIMIT);
+    let metrics = Metrics::default();
+    let control = Control {
+        node: part,
+        journal,
+        clock,
+        effects,
+        metrics: metrics.clone(),
+        log: log.clone(),
+        lines,
+        askers: IndexMap::new(),
+        last_ticket: 0,
+        held: Vec::new(),
+        guide: Guide::default(),
+    };
+    let logger = log.clone();
+    let thread = thread::Builder::new().name("control".to_owned());
+    let spawned = thread.spawn(move || {
+        if let Err(fault) = control.run(&receiver) {
+            crit!(logger, "ends"; "fault" => %fault);
+            // The line is written by another thread.
+            thread::sleep(LAST_LINES);
+            std::process::exit(i32::from(crate::command::EXIT_FAULT));
+        }
+    });
+    spawned.into_diagnostic()?;
+    let own = settings
+        .control
+        .ok_or(Fault::Missing { field: "control" })?;
+    let shared = Shared {
+        own,
+        clock,
+        inputs,
+        client: Client::default(),
+        adviser: Arc::new(Mutex::new(settings.adviser())),
+        guide: Arc::default(),
+        links: Arc::default(),
+        metrics,
+        log,
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .into_diagnostic()?;
+    runtime.block_on(serve(path, settings, node, shared, &effect_receiver))
+}
+
+/// How long the last lines have to be written.
+const LAST_LINES: Duration = Duration::from_millis(50);
+
+/// Which node this is: the one whose folder it finds, a founder, or a new one.
+fn identity(settings: &Settings) -> Result<id::Node> {
+    let folder = settings
+        .data
+        .as_ref()
+        .ok_or(Fault::Missing { field: "data" })?;
+    if let Some(owner) = Journal::owner_of(folder).into_diagnostic()? {
+        return Ok(owner.node);
+    }
+    if settings.bootstrap && settings.seed_ips().contains(&settings.ip) {
+        return Ok(id::Node::on(settings.ip, 0));
+    }
+    let seconds = Clock::wall().as_millis() / 1_000;
+    let generation = u32::try_from(seconds).unwrap_or(u32::MAX).max(1);
+    Ok(id::Node::on(settings.ip, generation))
+}
+
+fn open(settings: &Settings, node: id::Node) -> Result<(Journal, agree::Saved)> {
+    let folder = settings
+        .data
+        .as_ref()
+        .ok_or(Fault::Missing { field: "data" })?;
+    let owner = Owner {
+        cell: id::Cell::from(CELL),
+        node,
+    };
+    Journal::open(folder, &owner).into_diagnostic()
+}
+
+fn core(settings: &Settings, node: id::Node, saved: agree::Saved, now: Time) -> Node {
+    let founders = settings
+        .seed_ips()
+        .into_iter()
+        .map(|ip| id::Node::on(ip, 0));
+    let agree = agree::Setup {
+        node,
+        voters: founders.collect(),
+        learners: Vec::new(),
+        timing: TIMING,
+        seed: Clock::wall().as_millis() ^ node.0,
+    };
+    let setup = fleet::Setup {
+        agree,
+        dispatch: settings.dispatch(),
+    };
+    let site = agree::Site {
+        disk: true,
+        domain: id::Domain::from(settings.domain.as_str()),
+    };
+    let part = Node::new(setup, saved, now)
+        .located(site)
+        .sized(2 * settings.losses + 1);
+    // A founder's folder that was never written to has promised nothing.
+    match node == id::Node::on(settings.ip, 0) {
+        true => part,
+        false => part.returning(),
+    }
+}
+
+async fn serve(
+    path: &Path,
+    settings: Settings,
+    node: id::Node,
+    shared: Shared,
+    effects: &Receiver<Vec<Effect>>,
+) -> Result<()> {
+    let mut signals = Signals::listen().into_diagnostic()?;
+    let server = Server::new();
+    let listener = TcpListener::bind(settings.link()).await.into_diagnostic()?;
+    tokio::spawn(accept(listener, node, shared.clone()));
+    let front = shared.clone();
+    let handler = move |asked| serve_control(front.clone(), asked);
+    server.listen(shared.own, handler).await.into_diagnostic()?;
+    if let Some(port) = settings.metrics_port {
+        let metrics = shared.metrics.clone();
+        let address = (settings.ip, port).into();
+        let served = server.listen(address, move |_| text(metrics.clone())).await;
+        if let Err(error) = served {
+            warn!(shared.log, "no_metrics"; "error" => %error);
+        }
+    }
+    let _ = shared.inputs.send_async(Input::Helper(OWN, true)).await;
+    info!(shared.log, "runs"; "control" => %shared.own);
+    let mut known = settings.clone();
+    let mut traffic = Traffic {
+        node,
+        port: settings.link_port,
+        peers: IndexMap::new(),
+        incarnation: Clock::wall().as_millis().into(),
+        shared: shared.clone(),
+    };
+    let mut stopping = false;
+    loop {
+        tokio::select! {
+            batch = effects.recv_async() => {
+                let Ok(batch) = batch else {
+                    return Ok(());
+                };
+                for effect in batch {
+                    if matches!(effect, Effect::Stopped) {
+                        tokio::time::sleep(LAST_ANSWERS).await;
+                        info!(shared.log, "stopped");
+                        tokio::time::sleep(LAST_LINES).await;
+                        return Ok(());
+                    }
+                    traffic.carry_out(effect);
+                }
+            }
+            request = signals.next(), if !stopping => match request {
+                Request::Stop => {
+                    stopping = true;
+                    info!(shared.log, "stops");
+                    server.stop();
+                    let _ = shared.inputs.send_async(Input::Stop).await;
+                }
+                Request::Reload => reload(path, &mut known, &shared),
+            },
+            () = tokio::time::sleep(SETTINGS_STEP) => reload(path, &mut known, &shared),
+        }
+    }
+}
+
+/// Takes up what has changed in the settings file.
+fn reload(path: &Path, known: &mut Settings, shared: &Shared) {
+    match Settings::read(path) {
+        Ok(settings) if settings == *known => {}
+        Ok(settings) => {
+            info!(shared.log, "reload"; "seeds" => ?settings.seeds);
+            *lock(&shared.adviser) = settings.adviser();
+            *known = settings;
+        }
+        // The old settings stay in force; the file may be half written.
+        Err(fault) => warn!(shared.log, "reload_failed"; "fault" => %fault),
+    }
+}
+
+async fn text(metrics: Metrics) -> Response {
+    Response {
+        status: 200,
+        retry_after: None,
+        location: None,
+        body: metrics.text().into_bytes(),
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Serves a worker's or an operator's call.
+async fn serve_control(shared: Shared, asked: Asked) -> Response {
+    let call = match platform::control::decode(&asked.method, &asked.path, &asked.body) {
+        Ok(call) => call,
+        Err(fault) => {
+            warn!(shared.log, "malformed"; "path" => asked.path, "fault" => %fault);
+            return Response::malformed(&fault);
+        }
+    };
+    let is_report = matches!(call, Call::Report(_));
+    let (sender, receiver) = oneshot::channel();
+    let input = Input::Call(call, Asker::Local(sender));
+    if shared.inputs.try_send(input).is_err() {
+        shared.metrics.count("busy", 1);
+        return Response::unavailable("the node is busy", BUSY_RETRY);
+    }
+    let reply = match tokio::time::timeout(CALL_LIMIT, receiver).await {
+        Ok(Ok(reply)) => reply,
+        Ok(Err(_)) | Err(_) => Reply::Unsure,
+    };
+    let leader = lock(&shared.guide).leader;
+    let leader = leader.map(|vm| control_address(shared.own, vm));
+    platform::control::encode(is_report, &asked.path, &reply, shared.own, leader)
+}
+
+/// Takes the connections of other processes of the fleet.
+async fn accept(listener: TcpListener, node: id::Node, shared: Shared) {
+    let mut last: Helper = OWN;
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                last += 1;
+                tokio::spawn(serve_link(stream, last, node, shared.clone()));
+            }
+            Err(error) => {
+                warn!(shared.log, "accept"; "error" => %error);
+                tokio::time::sleep(RECONNECT).await;
+            }
+        }
+    }
+}
+
+async fn serve_link(stream: TcpStream, number: Helper, node: id::Node, shared: Shared) {
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let (sender, outgoing) = flume::bounded(link::WAITING_LIMIT);
+    let mut helps = false;
+    let take = |packet| match packet {
+        Packet::Hello { helps: true, .. } => {
+            helps = true;
+            let guide = lock(&shared.guide).clone();
+            let _ = sender.try_send(Packet::Guide(guide));
+            lock(&shared.links).insert(number, sender.clone());
+            hand_in(&shared, Input::Helper(number, true));
+        }
+        Packet::Peer(frame) if is_for(&frame, node) => {
+            hand_in(&shared, Input::Message(frame.from, frame.message));
+        }
+        Packet::Call(call_number, call) => {
+            let input = Input::Call(*call, Asker::Link(number, call_number));
+            if shared.inputs.try_send(input).is_err() {
+                shared.metrics.count("busy", 1);
+                let reply = Reply::Refused {
+                    retry: BUSY_RETRY,
+                    reason: gentianlane::fleet::call::Refusal::Busy,
+                };
+                let _ = sender.try_send(Packet::Reply(call_number, reply));
+            }
+        }
+        Packet::Opinion(opinion) => hand_in(&shared, Input::Opinion(number, opinion)),
+        _ => {}
+    };
+    let ended = link::carry(stream, &outgoing, false, take).await;
+    if helps {
+        let error = ended
+            .err()
+            .map(|error| error.to_string())
+            .unwrap_or_default();
+        info!(shared.log, "link_closed"; "link" => number, "error" => error);
+        lock(&shared.links).swap_remove(&number);
+        let _ = shared.inputs.send_async(Input::Helper(number, false)).await;
+    }
+}
+
+/// Hands something in that the sender repeats if it is dropped.
+fn hand_in(shared: &Shared, input: Input) {
+    if shared.inputs.try_send(input).is_err() {
+        shared.metrics.count("dropped_inputs", 1);
+    }
+}
+
+/// Whether a frame is meant for this node, or for one that stood on its VM
+/// before and asks who is there.
+fn is_for(frame: &Frame, node: id::Node) -> bool {
+    let asks = matches!(
+        frame.message.body,
+        Body::Announce(_) | Body::Redirect { .. } | Body::Blank { .. }
+    );
+    let same_vm = frame.to.seat() == node.seat();
+    frame.cell.as_str() == CELL && (frame.to == node || (asks && same_vm))
+}
+
+/// The traffic thread's side of what the control thread wants done.
+struct Traffic {
+    node: id::Node,
+    port: u16,
+    peers: IndexMap<Ipv4Addr, Sender<Packet>>,
+    incarnation: id::Incarnation,
+    shared: Shared,
+}
+
+impl Traffic {
+    fn carry_out(&mut self, effect: Effect) {
+        match effect {
+            Effect::Send(to, message) => self.send(to, message),
+            Effect::Reply(asker, reply, until) => self.reply(asker, reply, until),
+            Effect::Order(order, until) => {
+                let shared = self.shared.clone();
+                tokio::spawn(async move { give(shared, order, until).await });
+            }
+            Effect::Ask(OWN, question) => {
+                let shared = self.shared.clone();
+                tokio::spawn(async move {
+                    let adviser = *lock(&shared.adviser);
+                    let opinion = ask(&shared.client, adviser, &question).await;
+                    let input = Input::Opinion(OWN, opinion);
+                    let _ = shared.inputs.send_async(input).await;
+                });
+            }
+            Effect::Ask(helper, question) => self.ask(helper, question),
+            Effect::Guide(guide) => {
+                lock(&self.shared.guide).clone_from(&guide);
+                for link in lock(&self.shared.links).values() {
+                    let _ = link.try_send(Packet::Guide(guide.clone()));
+                }
+            }
+            Effect::Stopped => {}
+        }
+    }
+
+    fn ask(&self, helper: Helper, question: Question) {
+        let links = lock(&self.shared.links);
+        let number = question.number;
+        let sent = links
+            .get(&helper)
+            .is_some_and(|link| link.try_send(Packet::Ask(question)).is_ok());
+        if !sent {
+            let opinion = gentianlane::fleet::order::Opinion {
+                number,
+                eligible: None,
+            };
+            hand_in(&self.shared, Input::Opinion(helper, opinion));
+        }
+    }
+
+    fn reply(&self, asker: Asker, reply: Reply, until: Option<Time>) {
+        let over = until.is_some_and(|until| self.shared.clock.now() >= until);
+        let reply = if over { Reply::Unsure } else { reply };
+        match asker {
+            Asker::Local(sender) => {
+                // The request may have been given up by now.
+                let _ = sender.send(reply);
+            }
+            Asker::Link(helper, number) => {
+                let links = lock(&self.shared.links);
+                let sent = links
+                    .get(&helper)
+                    .map(|link| link.try_send(Packet::Reply(number, reply)).is_ok());
+                if sent == Some(false) {
+                    self.shared.metrics.count("dropped_replies", 1);
+                }
+            }
+        }
+    }
+
+    fn send(&mut self, to: id::Node, message: agree::Message) {
+        let Some(vm) = to.seat() else {
+            return;
+        };
+        let frame = Frame {
+            version: VERSION,
+            cell: id::Cell::from(CELL),
+            from: self.node,
+            incarnation: self.incarnation,
+            to,
+            message,
+        };
+        let address = (vm, self.port).into();
+        let log = self.shared.log.clone();
+        let peer = self.peers.entry(vm).or_insert_with(|| {
+            let (sender, receiver) = flume::bounded(link::WAITING_LIMIT);
+            tokio::spawn(keep_peer(address, receiver, log));
+            sender
+        });
+        // The protocol sends again what is dropped here.
+        let _ = peer.try_send(Packet::Peer(Box::new(frame)));
+    }
+}
+
+/// Keeps a connection to another core.
+async fn keep_peer(address: SocketAddr, outgoing: Receiver<Packet>, log: Logger) {
+    loop {
+        let ended = match link::dial(address, false).await {
+            Ok(stream) => {
+                info!(log, "peer_connected"; "peer" => %address);
+                link::carry(stream, &outgoing, true, |_| {}).await
+            }
+            Err(error) => Err(error),
+        };
+        match ended {
+            Ok(()) => return,
+            Err(error) => {
+                warn!(log, "peer_lost"; "peer" => %address, "error" => %error);
+            }
+        }
+        tokio::time::sleep(RECONNECT).await;
+        // What has waited meanwhile is old; the protocol sends it again.
+        outgoing.drain();
+    }
+}
+
+/// Gives a worker an order, unless this node may not lead any more.
+async fn give(shared: Shared, order: Order, until: Option<Time>) {
+    let number = order.number;
+    let began = shared.clock.now();
+    let answer = match until {
+        Some(until) if began < until => {
+            let is_hold = matches!(order.action, Action::Hold { .. });
+            let outgoing = platform::worker::request(&order);
+            let limit = order.timeout.into();
+            let outcome = shared.client.send(order.address, outgoing, limit).await;
+            let took = shared.clock.now().since(began);
+            if !is_hold {
+                shared.metrics.time("order", took.into());
+            }
+            match outcome {
+                Outcome::Answered(status, body) => {
+                    platform::worker::answer(is_hold, status, &body)
+                }
+                Outcome::Refused => Answer::Unreachable,
+                Outcome::Lost => Answer::Lost,
+            }
+        }
+        _ => Answer::Lost,
+    };
+    let _ = shared
+        .inputs
+        .send_async(Input::Answer(number, answer))
+        .await;
+}
+
+/// Puts a question to the adviser.
+pub(crate) async fn ask(
+    client: &Client,
+    adviser: Option<SocketAddr>,
+    question: &Question,
+) -> gentianlane::fleet::order::Opinion {
+    let outgoing = platform::adviser::request(question);
+    let limit = question.timeout.into();
+    let outcome = match adviser {
+        Some(address) => client.send(address, outgoing, limit).await,
+        None => Outcome::Lost,
+    };
+    match outcome {
+        Outcome::Answered(status, body) => {
+            platform::adviser::opinion(question, status, &body)
+        }
+        Outcome::Refused | Outcome::Lost => platform::adviser::opinion(question, 0, b""),
+    }
+}
--- /dev/null
+++ b/crates/gentianlane-daemon/src/fleet/entry.rs
@@ -0,0 +1,448 @@
+//! An entry: takes callers' requests to the core that leads, and puts its
+//! questions for advice.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::Path;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use flume::{Receiver, Sender};
+use gentianlane::fleet::call::{Call, Refusal, Reply};
+use gentianlane::fleet::link::Packet;
+use gentianlane::unit::{Span, Time};
+use gentianlane_platform::{self as platform, Response};
+use indexmap::IndexMap;
+use miette::{IntoDiagnostic, Result};
+use slog::{Logger, info, warn};
+use tokio::sync::{Notify, oneshot};
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::clock::Clock;
+use crate::fleet::Settings;
+use crate::fleet::client::Client;
+use crate::fleet::core::ask;
+use crate::fleet::guide::Known;
+use crate::fleet::link;
+use crate::fleet::log::Lines;
+use crate::fleet::metrics::Metrics;
+use crate::fleet::server::{Asked, Server};
+use crate::fleet::settings::Fault;
+use crate::fleet::stop::{Request, Signals};
+
+/// How long a caller is taken to wait if it doesn't say.
+const PATIENCE: Duration = Duration::from_millis(3_000);
+
+/// What is left of a caller's patience when it is answered at the latest.
+const ANSWER_RESERVE: Duration = Duration::from_millis(250);
+
+/// How long a call waits for a leader before it is turned away: about as long
+/// as the change of a leader takes.
+const LEADER_WAIT: Duration = Duration::from_millis(2_000);
+
+/// When to come back while no leader is known.
+const NO_LEADER_RETRY: Span = Span::from_millis(1_000);
+
+/// When to come back to an entry that is full.
+const BUSY_RETRY: Span = Span::from_millis(1_000);
+
+/// How many calls may wait for their replies; bounds the entry's memory.
+const CALL_LIMIT: usize = 4_096;
+
+/// The pause before another core is tried.
+const RECONNECT: Duration = Duration::from_millis(50);
+
+/// How often the settings file is looked at.
+const SETTINGS_STEP: Duration = Duration::from_secs(1);
+
+/// How long an entry that stops takes connections that the balancer still
+/// sends: it looks every second and needs two misses.
+const BALANCER_LAG: Duration = Duration::from_millis(2_500);
+
+/// What is left of the grace when the process ends at the latest.
+const STOP_RESERVE: Duration = Duration::from_millis(700);
+
+/// How often a stopping entry looks whether all is answered.
+const STOP_STEP: Duration = Duration::from_millis(50);
+
+/// How long the entry counts as ready after it lost the leader.
+const READY_LAG: Span = Span::from_millis(2_500);
+
+/// What an entry's tasks share.
+#[derive(Clone)]
+struct Shared {
+    clock: Clock,
+    calls: Arc<Mutex<Calls>>,
+    /// Wakes the link when a call has come.
+    waiting: Arc<Notify>,
+    adviser: Arc<Mutex<Option<SocketAddr>>>,
+    known: Arc<Mutex<Known>>,
+    client: Client,
+    metrics: Metrics,
+    log: Logger,
+}
+
+/// The calls that wait for their replies.
+#[derive(Default)]
+struct Calls {
+    last: u64,
+    open: IndexMap<u64, Open>,
+    /// The way to the leader, while there is one.
+    link: Option<Sender<Packet>>,
+    /// When there last was one.
+    linked: Time,
+}
+
+/// One call.
+struct Open {
+    call: Call,
+    reply: oneshot::Sender<Reply>,
+    /// Whether it is at a leader that may act on it.
+    sent: bool,
+    /// Whether it ever was, without a word that nothing came of it.
+    doubtful: bool,
+}
+
+/// Runs an entry until it is told to stop.
+pub(crate) fn run(path: &Path) -> Result<()> {
+    let settings = Settings::read(path)?;
+    let lines = Lines::start();
+    let log = lines.logger(&settings.node);
+    info!(log, "starts"; "seeds" => ?settings.seeds);
+    let mut known = Known::default();
+    known.seed(settings.seed_ips());
+    let shared = Shared {
+        clock: Clock::start(),
+        calls: Arc::default(),
+        waiting: Arc::default(),
+        adviser: Arc::new(Mutex::new(settings.adviser())),
+        known: Arc::new(Mutex::new(known)),
+        client: Client::default(),
+        metrics: Metrics::default(),
+        log,
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .into_diagnostic()?;
+    runtime.block_on(serve(path, settings, shared))
+}
+
+async fn serve(path: &Path, settings: Settings, shared: Shared) -> Result<()> {
+    let front = settings.front.ok_or(Fault::Missing { field: "front" })?;
+    let ready = settings.ready.ok_or(Fault::Missing { field: "ready" })?;
+    let mut signals = Signals::listen().into_diagnostic()?;
+    let server = Server::new();
+    tokio::spawn(keep_link(shared.clone(), settings.link_port));
+    let caller = shared.clone();
+    server
+        .listen(front, move |asked| serve_caller(caller.clone(), asked))
+        .await
+        .into_diagnostic()?;
+    let (asked, own) = (shared.clone(), server.clone());
+    let balancer = Server::new();
+    balancer
+        .listen(ready, move |_| readiness(asked.clone(), own.clone()))
+        .await
+        .into_diagnostic()?;
+    if let Some(port) = settings.metrics_port {
+        let metrics = shared.metrics.clone();
+        let address = (settings.ip, port).into();
+        let served = balancer
+            .listen(address, move |_| text(metrics.clone()))
+            .await;
+        if let Err(error) = served {
+            warn!(shared.log, "no_metrics"; "error" => %error);
+        }
+    }
+    info!(shared.log, "runs"; "front" => %front);
+    let grace = settings.grace();
+    let mut known = settings;
+    loop {
+        tokio::select! {
+            request = signals.next() => match request {
+                Request::Stop => break,
+                Request::Reload => reload(path, &mut known, &shared),
+            },
+            () = sleep(SETTINGS_STEP) => reload(path, &mut known, &shared),
+        }
+    }
+    stop(&server, &shared, grace).await;
+    Ok(())
+}
+
+/// Takes what the balancer still sends, then ends once all is answered.
+async fn stop(server: &Server, shared: &Shared, grace: Duration) {
+    info!(shared.log, "stops");
+    server.stop();
+    let end = Instant::now() + grace.saturating_sub(STOP_RESERVE);
+    sleep(BALANCER_LAG.min(grace / 2)).await;
+    server.end();
+    while server.open() > 0 && Instant::now() < end {
+        sleep(STOP_STEP).await;
+    }
+    info!(shared.log, "stopped"; "open" => server.open());
+    sleep(STOP_STEP).await;
+}
+
+/// Takes up what has changed in the settings file.
+fn reload(path: &Path, known: &mut Settings, shared: &Shared) {
+    match Settings::read(path) {
+        Ok(settings) if settings == *known => {}
+        Ok(settings) => {
+            info!(shared.log, "reload"; "seeds" => ?settings.seeds);
+            *lock(&shared.adviser) = settings.adviser();
+            lock(&shared.known).seed(settings.seed_ips());
+            *known = settings;
+        }
+        // The old settings stay in force; the file may be half written.
+        Err(fault) => warn!(shared.log, "reload_failed"; "fault" => %fault),
+    }
+}
+
+async fn text(metrics: Metrics) -> Response {
+    Response {
+        status: 200,
+        retry_after: None,
+        location: None,
+        body: metrics.text().into_bytes(),
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Whether the balancer should send callers here.
+async fn readiness(shared: Shared, server: Server) -> Response {
+    let calls = lock(&shared.calls);
+    let lag = shared.clock.now().since(calls.linked);
+    let reaches =
+        calls.link.is_some() || (calls.linked > Time::default() && lag < READY_LAG);
+    match reaches && !server.is_stopping() {
+        true => Response {
+            status: 200,
+            retry_after: None,
+            location: None,
+            body: b"{}".to_vec(),
+        },
+        false => Response::unavailable("not ready", NO_LEADER_RETRY),
+    }
+}
+
+/// Serves a caller's request.
+async fn serve_caller(shared: Shared, asked: Asked) -> Response {
+    let Asked {
+        method,
+        host,
+        path,
+        patience,
+        body,
+    } = asked;
+    let call = match platform::front::decode(&method, &host, &path, &body) {
+        Ok(call) => call,
+        Err(fault) => {
+            warn!(shared.log, "malformed"; "path" => path, "fault" => %fault);
+            return Response::malformed(&fault);
+        }
+    };
+    let began = Instant::now();
+    let patience = patience.unwrap_or(PATIENCE);
+    let response = pass_on(&shared, call, patience).await;
+    shared.metrics.time("request", began.elapsed());
+    if response.status >= 429 {
+        shared.metrics.count("turned_away", 1);
+        info!(shared.log, "answer"; "method" => method, "path" => path,
+            "status" => response.status, "took_ms" => began.elapsed().as_millis());
+    }
+    response
+}
+
+/// Takes a call to the leader, again to the next one while the caller waits.
+async fn pass_on(shared: &Shared, call: Call, patience: Duration) -> Response {
+    let changes = !call.only_reads();
+    let Some((number, reply)) = open(shared, call) else {
+        shared.metrics.count("busy", 1);
+        return Response::unavailable("the entry is full", BUSY_RETRY);
+    };
+    let limit = patience.saturating_sub(ANSWER_RESERVE);
+    tokio::pin!(reply);
+    let first = timeout(limit.min(LEADER_WAIT), reply.as_mut()).await;
+    let replied = match first {
+        Ok(replied) => Some(replied),
+        // Nothing is at a leader: the call is turned away, and never made.
+        Err(_) if withdraw(shared, number) => {
+            return Response::unavailable("no leader is known", NO_LEADER_RETRY);
+        }
+        Err(_) => timeout(limit.saturating_sub(LEADER_WAIT), reply).await.ok(),
+    };
+    let answer = replied.and_then(Result::ok);
+    let response = answer.as_ref().and_then(platform::front::encode);
+    if let Some(response) = response {
+        return response;
+    }
+    let doubtful = lock(&shared.calls)
+        .open
+        .swap_remove(&number)
+        .is_none_or(|open| open.sent || open.doubtful);
+    match doubtful && changes {
+        true => Response::unsure("the leader hasn't answered"),
+        false => Response::unavailable("no leader is known", NO_LEADER_RETRY),
+    }
+}
+
+/// Takes a call back if no leader can act on it; false if one may.
+fn withdraw(shared: &Shared, number: u64) -> bool {
+    let mut calls = lock(&shared.calls);
+    let unsent = calls
+        .open
+        .get(&number)
+        .is_some_and(|open| !open.sent && !open.doubtful);
+    if unsent {
+        calls.open.swap_remove(&number);
+    }
+    unsent
+}
+
+/// Takes a call in, and sends it if there is a leader.
+fn open(shared: &Shared, call: Call) -> Option<(u64, oneshot::Receiver<Reply>)> {
+    let mut calls = lock(&shared.calls);
+    if calls.open.len() >= CALL_LIMIT {
+        return None;
+    }
+    calls.last += 1;
+    let number = calls.last;
+    let (reply, receiver) = oneshot::channel();
+    let packet = Packet::Call(number, Box::new(call.clone()));
+    let sent = calls
+        .link
+        .as_ref()
+        .is_some_and(|link| link.try_send(packet).is_ok());
+    let open = Open {
+        call,
+        reply,
+        sent,
+        doubtful: false,
+    };
+    calls.open.insert(number, open);
+    Some((number, receiver))
+}
+
+/// Keeps a connection to the core that leads.
+async fn keep_link(shared: Shared, port: u16) {
+    loop {
+        let Some(core) = lock(&shared.known).choose() else {
+            sleep(SETTINGS_STEP).await;
+            continue;
+        };
+        let ended = match link::dial((core, port).into(), true).await {
+            Ok(stream) => use_link(&shared, core, stream).await,
+            Err(error) => Err(error),
+        };
+        let lost = unlink(&shared);
+        if let Err(error) = ended
+            && lost
+        {
+            warn!(shared.log, "leader_lost"; "core" => %core, "error" => %error);
+        }
+        lock(&shared.known).doubt(core);
+        sleep(RECONNECT).await;
+    }
+}
+
+/// Uses a connection to a core for as long as that core leads.
+async fn use_link(
+    shared: &Shared,
+    core: Ipv4Addr,
+    stream: tokio::net::TcpStream,
+) -> std::io::Result<()> {
+    let (sender, outgoing): (Sender<Packet>, Receiver<Packet>) =
+        flume::bounded(link::WAITING_LIMIT);
+    let moved = Notify::new();
+    let take = |packet| match packet {
+        Packet::Guide(guide) => {
+            lock(&shared.known).learn(core, &guide);
+            match guide.leads {
+                true => relink(shared, core, &sender),
+                false => moved.notify_one(),
+            }
+        }
+        Packet::Reply(number, Reply::NotLeader(_)) => {
+            take_back(shared, number);
+            moved.notify_one();
+        }
+        Packet::Reply(
+            number,
+            Reply::Refused {
+                reason: Refusal::Busy,
+                ..
+            },
+        ) => {
+            answer(shared, number, busy());
+        }
+        Packet::Reply(number, reply) => answer(shared, number, reply),
+        Packet::Ask(question) => {
+            let (shared, sender) = (shared.clone(), sender.clone());
+            tokio::spawn(async move {
+                let adviser = *lock(&shared.adviser);
+                let opinion = ask(&shared.client, adviser, &question).await;
+                let _ = sender.try_send(Packet::Opinion(opinion));
+            });
+        }
+        _ => {}
+    };
+    tokio::select! {
+        ended = link::carry(stream, &outgoing, true, take) => ended,
+        () = moved.notified() => Ok(()),
+    }
+}
+
+fn busy() -> Reply {
+    Reply::Refused {
+        retry: BUSY_RETRY,
+        reason: Refusal::Busy,
+    }
+}
+
+/// A core says that it leads: it gets every call that waits.
+fn relink(shared: &Shared, core: Ipv4Addr, link: &Sender<Packet>) {
+    let mut calls = lock(&shared.calls);
+    if calls.link.is_none() {
+        info!(shared.log, "leader_found"; "core" => %core, "waiting" => calls.open.len());
+    }
+    calls.link = Some(link.clone());
+    calls.linked = shared.clock.now();
+    for (&number, open) in &mut calls.open {
+        if !open.sent {
+            let packet = Packet::Call(number, Box::new(open.call.clone()));
+            open.sent = link.try_send(packet).is_ok();
+        }
+    }
+}
+
+/// The connection is gone: what was sent over it may or may not have arrived.
+fn unlink(shared: &Shared) -> bool {
+    let mut calls = lock(&shared.calls);
+    for open in calls.open.values_mut().filter(|open| open.sent) {
+        open.sent = false;
+        open.doubtful = true;
+    }
+    let lost = calls.link.take().is_some();
+    if lost {
+        calls.linked = shared.clock.now();
+    }
+    lost
+}
+
+/// The core says that it did nothing about a call.
+fn take_back(shared: &Shared, number: u64) {
+    if let Some(open) = lock(&shared.calls).open.get_mut(&number) {
+        open.sent = false;
+    }
+}
+
+fn answer(shared: &Shared, number: u64, reply: Reply) {
+    if let Some(open) = lock(&shared.calls).open.swap_remove(&number) {
+        // The caller may have gone.
+        let _ = open.reply.send(reply);
+    }
+}
--- /dev/null
+++ b/crates/gentianlane-daemon/src/fleet/metrics.rs
@@ -0,0 +1,72 @@
+//! Counters and latency histograms, served as text.
+
+use std::fmt::Write as _;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use indexmap::IndexMap;
+
+/// The highest latency that is told apart, in microseconds.
+const HIGHEST: u64 = 60_000_000;
+
+/// What a process counts; copies share their figures.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Metrics {
+    board: Arc<Mutex<Board>>,
+}
+
+#[derive(Debug, Default)]
+struct Board {
+    counters: IndexMap<&'static str, u64>,
+    latencies: IndexMap<&'static str, Histogram<u64>>,
+}
+
+impl Metrics {
+    /// Adds to a counter.
+    pub(crate) fn count(&self, name: &'static str, by: u64) {
+        *self.lock().counters.entry(name).or_insert(0) += by;
+    }
+
+    /// Takes a latency.
+    pub(crate) fn time(&self, name: &'static str, took: Duration) {
+        let micros = u64::try_from(took.as_micros())
+            .unwrap_or(HIGHEST)
+            .clamp(1, HIGHEST);
+        let mut board = self.lock();
+        if !board.latencies.contains_key(name)
+            && let Ok(histogram) = Histogram::new_with_bounds(1, HIGHEST, 2)
+        {
+            board.latencies.insert(name, histogram);
+        }
+        if let Some(histogram) = board.latencies.get_mut(name) {
+            histogram.saturating_record(micros);
+        }
+    }
+
+    /// All figures, a line each.
+    pub(crate) fn text(&self) -> String {
+        let board = self.lock();
+        let mut text = String::new();
+        for (name, count) in &board.counters {
+            // Writing to a string can't fail.
+            let _ = writeln!(text, "gentianlane_{name}_total {count}");
+        }
+        for (name, histogram) in &board.latencies {
+            for quantile in [0.5, 0.9, 0.99, 1.0] {
+                let micros = histogram.value_at_quantile(quantile);
+                let _ = writeln!(
+                    text,
+                    "gentianlane_{name}_micros{{quantile=\"{quantile}\"}} {micros}"
+                );
+            }
+            let count = histogram.len();
+            let _ = writeln!(text, "gentianlane_{name}_micros_count {count}");
+        }
+        text
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Board> {
+        self.board.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/gentianlane-daemon/src/fleet/server.rs
@@ -0,0 +1,220 @@
+//! The HTTP server: connections of callers, workers and operators.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::Duration;
+
+use gentianlane_platform::Response as Answer;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::{Bytes, Incoming};
+use hyper::header::{CONNECTION, CONTENT_TYPE, HOST, HeaderValue, LOCATION, RETRY_AFTER};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+/// How long a connection may take to send a request's head, and be idle before
+/// the next one.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// How long a request's body may take.
+const BODY_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// The longest body that a request may have, in bytes; the workers' reports
+/// and the operators' plans are the longest.
+const BODY_LIMIT: usize = 4 << 20;
+
+/// How many connections are served at a time; far below the descriptors that a
+/// process has.
+const CONNECTION_LIMIT: usize = 2_500;
+
+/// What a handler is given of a request.
+#[derive(Debug)]
+pub(crate) struct Asked {
+    pub(crate) method: String,
+    pub(crate) host: String,
+    pub(crate) path: String,
+    /// How long the caller waits, if it says so.
+    pub(crate) patience: Option<Duration>,
+    pub(crate) body: Bytes,
+}
+
+/// A server, from which connections learn that it stops.
+#[derive(Debug, Clone)]
+pub(crate) struct Server {
+    stopping: Arc<AtomicBool>,
+    open: Arc<AtomicUsize>,
+    ending: watch::Sender<bool>,
+}
+
+impl Server {
+    pub(crate) fn new() -> Self {
+        Self {
+            stopping: Arc::default(),
+            open: Arc::default(),
+            ending: watch::Sender::new(false),
+        }
+    }
+
+    /// From now on answers close their connections.
+    pub(crate) fn stop(&self) {
+        self.stopping.store(true, Ordering::Relaxed);
+    }
+
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    /// Takes no more connections, and closes those without a request.
+    pub(crate) fn end(&self) {
+        self.ending.send_replace(true);
+    }
+
+    /// How many connections are open.
+    pub(crate) fn open(&self) -> usize {
+        self.open.load(Ordering::Relaxed)
+    }
+
+    /// Binds an address and serves what comes there.
+    pub(crate) async fn listen<H, F>(
+        &self,
+        address: SocketAddr,
+        handler: H,
+    ) -> std::io::Result<()>
+    where
+        H: Fn(Asked) -> F + Clone + Send + Sync + 'static,
+        F: Future<Output = Answer> + Send + 'static,
+    {
+        let listener = TcpListener::bind(address).await?;
+        let server = self.clone();
+        tokio::spawn(async move { server.accept(&listener, handler).await });
+        Ok(())
+    }
+
+    async fn accept<H, F>(&self, listener: &TcpListener, handler: H)
+    where
+        H: Fn(Asked) -> F + Clone + Send + Sync + 'static,
+        F: Future<Output = Answer> + Send + 'static,
+    {
+        let mut ending = self.ending.subscribe();
+        loop {
+            let stream = tokio::select! {
+                accepted = listener.accept() => match accepted {
+                    Ok((stream, _)) => stream,
+                    Err(_) => {
+                        // Out of descriptors: some will be free again soon.
+                        tokio::time::sleep(ACCEPT_PAUSE).await;
+                        continue;
+                    }
+                },
+                _ = ending.changed() => return,
+            };
+            if self.open() >= CONNECTION_LIMIT {
+                continue;
+            }
+            let server = self.clone();
+            let handler = handler.clone();
+            tokio::spawn(async move { server.serve(stream, handler).await });
+        }
+    }
+
+    async fn serve<H, F>(self, stream: TcpStream, handler: H)
+    where
+        H: Fn(Asked) -> F + Clone + Send + Sync + 'static,
+        F: Future<Output = Answer> + Send + 'static,
+    {
+        if stream.set_nodelay(true).is_err() {
+            return;
+        }
+        self.open.fetch_add(1, Ordering::Relaxed);
+        let stopping = Arc::clone(&self.stopping);
+        let service = service_fn(move |request| {
+            let handler = handler.clone();
+            let stopping = Arc::clone(&stopping);
+            async move {
+                let answer = answer(request, handler).await;
+                let closes = stopping.load(Ordering::Relaxed);
+                Ok::<_, Infallible>(response(answer, closes))
+            }
+        });
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(HEAD_TIMEOUT)
+            .serve_connection(TokioIo::new(stream), service);
+        tokio::pin!(connection);
+        let mut ending = self.ending.subscribe();
+        tokio::select! {
+            _ = connection.as_mut() => {}
+            () = ended(&mut ending) => {
+                connection.as_mut().graceful_shutdown();
+                let _ = connection.await;
+            }
+        }
+        self.open.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Waits until the server takes no more connections.
+async fn ended(ending: &mut watch::Receiver<bool>) {
+    // Without a sender there is no server any more either.
+    let _ = ending.wait_for(|ending| *ending).await;
+}
+
+/// The pause after a connection that couldn't be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+async fn answer<H, F>(request: Request<Incoming>, handler: H) -> Answer
+where
+    H: Fn(Asked) -> F,
+    F: Future<Output = Answer>,
+{
+    let (head, body) = request.into_parts();
+    let header = |name: &str| head.headers.get(name)?.to_str().ok();
+    let patience = header("Deadline-Ms").and_then(|text| text.parse().ok());
+    let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
+    let host = head
+        .headers
+        .get(HOST)
+        .and_then(|host| host.to_str().ok())
+        .unwrap_or_default();
+    let body = Limited::new(body, BODY_LIMIT).collect();
+    let Ok(Ok(body)) = tokio::time::timeout(BODY_TIMEOUT, body).await else {
+        return Answer::malformed(&gentianlane_platform::Fault::Value {
+            field: "the body",
+            value: "cut short, late or too long".to_owned(),
+        });
+    };
+    handler(Asked {
+        method: head.method.to_string(),
+        host: host.to_owned(),
+        path: path.to_owned(),
+        patience: patience.map(Duration::from_millis),
+        body: body.to_bytes(),
+    })
+    .await
+}
+
+fn response(answer: Answer, closes: bool) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from(answer.body)));
+    *response.status_mut() =
+        StatusCode::from_u16(answer.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    if let Some(seconds) = answer.retry_after {
+        headers.insert(RETRY_AFTER, HeaderValue::from(seconds));
+    }
+    if let Some(location) = answer.location
+        && let Ok(location) = HeaderValue::from_str(&location)
+    {
+        headers.insert(LOCATION, location);
+    }
+    if closes {
+        headers.insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
--- a/crates/gentianlane-store/src/journal.rs
+++ b/crates/gentianlane-store/src/journal.rs
@@ -74,6 +74,20 @@
         opening::open(Box::new(folder), owner, fresh)
     }
 
+    /// Whose a folder is, without opening it; `None` if it was never begun.
+    ///
+    /// # Errors
+    ///
+    /// [`Fault`] if the folder can't be read or its identity is damaged.
+    pub fn owner_of(folder: impl AsRef<Path>) -> Result<Option<Owner>, Fault> {
+        let path = folder.as_ref();
+        if !path.exists() {
+            return Ok(None);
+        }
+        let identity = opening::identity(&Disk::read_only(path))?;
+        Ok(identity.map(|identity| identity.owner))
+    }
+
     /// Whose the folder is.
     #[must_use]
     pub fn identity(&self) -> &Identity {
--- a/crates/gentianlane-store/src/opening.rs
+++ b/crates/gentianlane-store/src/opening.rs
@@ -22,6 +22,12 @@
     unsealed: Option<(u64, Scan)>,
 }
 
+/// Whose a folder is; `None` if it was never begun.
+pub(crate) fn identity(folder: &dyn Folder) -> Result<Option<Identity>, Fault> {
+    let names = names(folder)?;
+    Identity::read(folder, &names)
+}
+
 /// Opens a folder for writing.
 pub(crate) fn open(
     mut folder: Box<dyn Folder>,
--- a/crates/gentianlane/src/agree/node.rs
+++ b/crates/gentianlane/src/agree/node.rs
@@ -26,6 +26,8 @@
 pub struct Node {
     setup: Setup,
     site: Site,
+    /// How many voters there should be.
+    target: usize,
     random: ChaCha8Rng,
     standing: Standing,
     /// Tells this start of the node from others while its disk is blank.
@@ -72,6 +74,7 @@
         let entries = saved.entries.into_iter().filter(after).collect();
         let mut node = Self {
             random: ChaCha8Rng::seed_from_u64(setup.seed),
+            target: setup.voters.len(),
             setup,
             site: Site::default(),
             standing: Standing::Member,
@@ -105,6 +108,14 @@
         self
     }
 
+    /// Says how many voters there should be; without this, as many as there
+    /// were at the beginning.
+    #[must_use]
+    pub fn sized(mut self, voters: usize) -> Self {
+        self.target = voters;
+        self
+    }
+
     /// Says that the cell isn't new: a disk that holds nothing may have been
     /// wiped, and then its old votes must not be given a second time.
     ///
--- a/crates/gentianlane/src/agree/node/election.rs
+++ b/crates/gentianlane/src/agree/node/election.rs
@@ -5,7 +5,7 @@
 use crate::agree::node::Node;
 use crate::agree::peer::Peer;
 use crate::agree::{
-    Ballot, Body, Message, Output, Payload, Position, Role, Standing, Term,
+    Ballot, Body, Index, Message, Output, Payload, Position, Role, Standing, Term,
 };
 use crate::id;
 use crate::unit::{Span, Time};
@@ -238,11 +238,23 @@
         let peer = |node| (node, Peer::new(next, now));
         self.peers = nodes.into_iter().map(peer).collect();
         self.due = now.after(self.setup.timing.heartbeat);
-        self.push([Payload::Empty]);
+        let first = self.opening();
+        self.push([first]);
         self.send_to_all(now);
         self.advance(now);
     }
 
+    /// A term's first entry.
+    ///
+    /// The log's very first one names the voters, so that a node that joins
+    /// later needn't know who the founders were.
+    fn opening(&self) -> Payload {
+        match self.log.last().index {
+            Index(0) => Payload::Voters(self.voters().clone()),
+            _ => Payload::Empty,
+        }
+    }
+
     pub(super) fn change_role(&mut self, role: Role) {
         if self.role != role {
             self.role = role;
--- a/crates/gentianlane/src/agree/node/member.rs
+++ b/crates/gentianlane/src/agree/node/member.rs
@@ -24,6 +24,22 @@
             peer.site = Some(site);
             peer.heard = now;
         }
+        self.unseat(from, now);
+    }
+
+    /// Takes the silent predecessors on a node's VM for lost: their disk is the
+    /// one that the node found empty.
+    fn unseat(&mut self, by: id::Node, now: Time) {
+        let Some(seat) = by.seat() else {
+            return;
+        };
+        let silence = self.setup.timing.election;
+        for (&node, peer) in &mut self.peers {
+            let earlier = node != by && node.seat() == Some(seat);
+            if earlier && now.since(peer.heard) >= silence {
+                peer.lost = true;
+            }
+        }
     }
 
     /// Brings a node that looks for a leader and the leader together.
@@ -99,7 +115,7 @@
 
     fn wanted(&self, now: Time) -> Option<Change> {
         let voters = self.voters();
-        let target = self.setup.voters.len();
+        let target = self.target;
         if voters.len() > target {
             return self.worst(now).map(Change::Remove);
         }
--- /dev/null
+++ b/crates/gentianlane/src/fleet/dispatch/follow.rs
@@ -0,0 +1,318 @@
+//! What the leader does about changes of the state and reports of workers.
+
+use crate::fleet::decision::{Decision, Why};
+use crate::fleet::dispatch::Lead;
+use crate::fleet::dispatch::advice::Helper;
+use crate::fleet::dispatch::session::{Doing, Session};
+use crate::fleet::dispatch::stage::Stage;
+use crate::fleet::job::{self, Spec, Step, Task};
+use crate::fleet::worker::{Life, Report};
+use crate::fleet::{Command, Event, Job, State};
+use crate::id;
+use crate::unit::{Span, Time, Wall};
+
+/// The rest of an earlier life's lease may hide behind a new life for this
+/// long: an order that was sent to the old one may be carried out late.
+const LATE_ORDER: Span = Span::from_millis(400);
+
+impl Lead {
+    /// Takes note of a change of the state.
+    pub fn follow(&mut self, state: &State, event: &Event, now: Time, wall: Wall) {
+        self.stirred = true;
+        match event {
+            Event::Planned => self.replan(state),
+            Event::Submitted(job) => {
+                self.since.entry(*job).or_insert(now);
+                self.activate(state, *job, now, wall);
+            }
+            Event::Over(job) => self.job_over(state, job, now),
+            Event::Noted(task, run) => self.noted(state, task, *run, now, wall),
+            Event::Joined(worker) => self.joined(state, worker, now),
+            Event::Draining(worker) => {
+                if let Some(session) = self.sessions.get_mut(worker) {
+                    session.draining = true;
+                }
+            }
+            Event::Left(life) => self.left(life, Why::Left),
+        }
+    }
+
+    /// Lets open steps follow a new plan.
+    fn replan(&mut self, state: &State) {
+        for stage in self.stages.values_mut() {
+            let name = state.job(&stage.id.job).map(|job| job.queue.as_str());
+            let Some(queue) = name.and_then(|name| state.queue(name)) else {
+                continue;
+            };
+            if queue.pool != stage.queue.pool {
+                stage.eligible = None;
+                stage.asked.clear();
+            }
+            stage.queue = queue.clone();
+        }
+    }
+
+    /// Makes the steps of a job that can run ready.
+    pub(super) fn activate(&mut self, state: &State, id: job::Id, now: Time, wall: Wall) {
+        let Some(job) = state.job(&id).filter(|job| job.is_open()) else {
+            return;
+        };
+        let Some(queue) = state.queue(&job.queue) else {
+            return;
+        };
+        let rounds = u32::try_from(job.rounds.len()).unwrap_or(u32::MAX);
+        let due = |round: u32| job.spec.due(round).is_none_or(|due| due <= wall);
+        if (0..rounds).any(|round| !due(round)) {
+            self.timed.insert(id);
+        } else {
+            self.timed.swap_remove(&id);
+        }
+        let chains = self.chains(&job.queue, &job.spec);
+        let chain = chains.iter().copied().max().unwrap_or_default();
+        let since = self.since.get(&id).copied().unwrap_or(now);
+        for round in (0..rounds).filter(|&round| due(round)) {
+            for (at, step) in job.spec.steps.iter().enumerate() {
+                let Ok(number) = u16::try_from(at) else {
+                    break;
+                };
+                let stage = job::Stage {
+                    job: id,
+                    round,
+                    step: number,
+                };
+                let done = job
+                    .progress(&stage)
+                    .is_none_or(crate::fleet::Progress::is_done);
+                if done || self.stages.contains_key(&stage) || !job.is_ready(&stage) {
+                    continue;
+                }
+                let mut ready = open(job, stage, step, now);
+                ready.queue = queue.clone();
+                ready.chain = chain;
+                ready.rest = chains[at];
+                ready.work = job.spec.work();
+                ready.since = match job.spec.due(round) {
+                    Some(_) => now,
+                    None => since,
+                };
+                self.stages.insert(stage, ready);
+            }
+        }
+    }
+
+    /// For each step, the longest chain of work from it on.
+    fn chains(&self, queue: &str, spec: &Spec) -> Vec<Span> {
+        let mut chains = vec![Span::ZERO; spec.steps.len()];
+        for (at, step) in spec.steps.iter().enumerate().rev() {
+            let own = self.learn.expect(queue, step);
+            chains[at] = chains[at] + own;
+            let from = chains[at];
+            for &before in &step.after {
+                if let Some(slot) = chains.get_mut(usize::from(before)) {
+                    *slot = (*slot).max(from);
+                }
+            }
+        }
+        chains
+    }
+
+    /// Makes occurrences ready whose time has come.
+    pub(super) fn start_timed(&mut self, state: &State, now: Time, wall: Wall) {
+        let timed: Vec<job::Id> = self.timed.iter().copied().collect();
+        for id in timed {
+            match state.job(&id).is_some_and(Job::is_open) {
+                true => self.activate(state, id, now, wall),
+                false => {
+                    self.timed.swap_remove(&id);
+                }
+            }
+        }
+    }
+
+    fn job_over(&mut self, state: &State, id: &job::Id, now: Time) {
+        if let Some((phase, _)) = state.job(id).and_then(|job| job.over) {
+            self.work.decisions.push(Decision::Over { job: *id, phase });
+        }
+        self.since.swap_remove(id);
+        self.begun.swap_remove(id);
+        self.timed.swap_remove(id);
+        self.stages.retain(|stage, _| stage.job != *id);
+        let of_job = |task: &&Task| task.stage.job == *id;
+        let tasks: Vec<Task> = self.placed.keys().filter(of_job).copied().collect();
+        for task in tasks {
+            self.stop(&task, Why::JobOver, now);
+        }
+    }
+
+    /// An end is durable: the worker may forget it, and a failed task may be
+    /// tried again.
+    fn noted(&mut self, state: &State, task: &Task, run: u64, now: Time, wall: Wall) {
+        for session in self.sessions.values_mut() {
+            if session.note(task, run) && session.hold.is_none() {
+                session.hold_at = now;
+            }
+        }
+        let id = task.stage.job;
+        let Some(job) = state.job(&id).filter(|job| job.is_open()) else {
+            return;
+        };
+        let Some(progress) = job.progress(&task.stage) else {
+            return;
+        };
+        if progress.is_done() {
+            self.stages.swap_remove(&task.stage);
+            return self.activate(state, id, now, wall);
+        }
+        let Some(stage) = self.stages.get_mut(&task.stage) else {
+            return;
+        };
+        let unit = if stage.step.gang { 0 } else { task.index };
+        let done = progress
+            .units
+            .get(unit as usize)
+            .is_some_and(|unit| unit.done);
+        if done {
+            stage.done.insert(unit);
+            stage.pending.remove(&task.index);
+        } else if !self.placed.contains_key(task) && !stage.done.contains(&unit) {
+            stage.pending.insert(task.index);
+        }
+    }
+
+    fn joined(&mut self, state: &State, name: &id::Worker, now: Time) {
+        let Some(member) = state.life(name) else {
+            return;
+        };
+        let elsewhere = self.sessions.values().filter(|session| {
+            session.site.address == member.site.address
+                && session.life.worker != *name
+                && session.life.born < member.life.born
+        });
+        for earlier in elsewhere {
+            let life = earlier.life.clone();
+            self.work.commands.push(Command::Leave { life });
+        }
+        let fresh = Session::new(member, self.setup.lease, now);
+        let Some(held) = self.sessions.get_mut(name) else {
+            self.sessions.insert(name.clone(), fresh);
+            return;
+        };
+        if held.life == member.life {
+            held.site = member.site.clone();
+            return;
+        }
+        // An order to the earlier life may have reached this one, so each of
+        // its runs is stopped here before its task starts anywhere.
+        let old = std::mem::replace(held, fresh);
+        self.work.decisions.push(Decision::WorkerGone {
+            life: old.life,
+            why: Why::OtherLife,
+        });
+        for (task, mut run) in old.runs {
+            run.state = Doing::Stopping;
+            run.order = None;
+            run.settled = None;
+            run.tries = 0;
+            run.retry = now.after(LATE_ORDER);
+            held.insert(task, run);
+        }
+    }
+
+    /// A life is over: nothing runs there any more.
+    pub(super) fn left(&mut self, life: &Life, why: Why) {
+        let worker = &life.worker;
+        let Some(session) = self.sessions.get(worker) else {
+            return;
+        };
+        if session.life != *life {
+            return;
+        }
+        let runs: Vec<(Task, u64)> = session
+            .runs
+            .iter()
+            .map(|(task, run)| (*task, run.number))
+            .collect();
+        for (task, run) in runs {
+            self.work.decisions.push(Decision::Gone {
+                task,
+                run,
+                worker: worker.clone(),
+                why,
+            });
+            self.release(worker, &task);
+        }
+        self.sessions.swap_remove(worker);
+        let life = life.clone();
+        self.work.decisions.push(Decision::WorkerGone { life, why });
+    }
+
+    /// Takes a worker's report; a command if the state has to learn of it.
+    ///
+    /// A draining worker's report is answered once the drain is in the log, so
+    /// that a new leader knows of every drain that was acknowledged.
+    pub fn report(
+        &mut self,
+        state: &State,
+        report: &Report,
+        now: Time,
+    ) -> Option<Command> {
+        let Report { life, site, .. } = report;
+        let join = || Command::Join {
+            life: life.clone(),
+            site: site.clone(),
+        };
+        let Some(known) = state.life(&life.worker) else {
+            return Some(join());
+        };
+        if known.life.born > life.born {
+            return None;
+        }
+        if known.life != *life || known.site != *site {
+            return Some(join());
+        }
+        let session = self.sessions.get_mut(&life.worker)?;
+        if report.number <= session.report {
+            return None;
+        }
+        session.report = report.number;
+        session.reported = now;
+        if report.draining {
+            session.draining = true;
+            session.leaves_at = report.remaining.map(|left| now.after(left));
+            if !known.draining {
+                return Some(Command::Drain { life: life.clone() });
+            }
+        }
+        None
+    }
+
+    /// Drops a helper; its question is put again by another.
+    pub fn helper_left(&mut self, helper: Helper) {
+        if let Some(asked) = self.desk.leave(helper)
+            && let Some(stage) = self.stages.get_mut(&asked.stage)
+        {
+            stage.asking = None;
+            self.stirred = true;
+        }
+    }
+}
+
+/// A step with the tasks that haven't ended well.
+fn open(job: &Job, id: job::Stage, step: &Step, now: Time) -> Stage {
+    let payload = job.spec.payload.clone();
+    let mut stage = Stage::new(id, step.clone(), Default::default(), payload, now);
+    let progress = job.progress(&id);
+    let done = |unit: u32| {
+        progress
+            .and_then(|progress| progress.units.get(unit as usize))
+            .is_some_and(|unit| unit.done)
+    };
+    for index in 0..step.count {
+        let unit = if step.gang { 0 } else { index };
+        match done(unit) {
+            true => stage.done.insert(unit),
+            false => stage.pending.insert(index),
+        };
+    }
+    stage
+}
--- /dev/null
+++ b/crates/gentianlane/src/fleet/dispatch/hold.rs
@@ -0,0 +1,280 @@
+//! Leases: holds that are due, orders that are sent again, and what has ended
+//! with its lease.
+
+use crate::fleet::decision::{Decision, Why};
+use crate::fleet::dispatch::Lead;
+use crate::fleet::dispatch::session::{Doing, Run, Session};
+use crate::fleet::job::Task;
+use crate::fleet::order::{Action, Start};
+use crate::fleet::{Command, State};
+use crate::id;
+use crate::unit::{Span, Time};
+
+/// How often one start is sent before it is made void instead.
+const START_TRIES: u32 = 3;
+
+/// The pause between orders about one run that find no answer.
+const ORDER_PAUSE: Span = Span::from_millis(100);
+
+/// A worker whose lease has ended and that hasn't reported for this long is
+/// forgotten.
+const FORGET: Span = Span::from_secs(20);
+
+/// How long a hold waits for ends that were told to become durable.
+const DURABLE_WAIT: Span = Span::from_millis(60);
+
+impl Lead {
+    /// Looks after every worker: orders without answer, leases that are over.
+    pub(super) fn keep_sessions(&mut self, state: &State, now: Time) {
+        let names: Vec<id::Worker> = self.sessions.keys().cloned().collect();
+        for name in names {
+            self.retry_orders(&name, now);
+            self.end_lease(&name, now);
+            self.forget(state, &name, now);
+        }
+    }
+
+    fn retry_orders(&mut self, name: &id::Worker, now: Time) {
+        let Some(session) = self.sessions.get(name) else {
+            return;
+        };
+        if session.silent > 0 {
+            return;
+        }
+        let due = |run: &Run| {
+            let open = match run.state {
+                Doing::Starting => true,
+                Doing::Stopping => run.settled.is_none(),
+                Doing::Up => false,
+            };
+            open && run.order.is_none() && run.retry <= now
+        };
+        let due: Vec<(Task, Doing, u32)> = session
+            .runs
+            .iter()
+            .filter(|(_, run)| due(run))
+            .map(|(task, run)| (*task, run.state, run.tries))
+            .collect();
+        for (task, doing, tries) in due {
+            let again = tries < START_TRIES && self.stages.contains_key(&task.stage);
+            match doing {
+                Doing::Starting if again => self.start_again(name, &task, now),
+                Doing::Starting => {
+                    self.stop(&task, Why::NoAnswer, now);
+                    self.break_gang(&task, now);
+                }
+                _ => self.stop_again(name, &task, now),
+            }
+        }
+    }
+
+    /// Sends an order to stop a run that isn't its task's present one.
+    pub(super) fn stop_stray(&mut self, name: &id::Worker, task: &Task, now: Time) {
+        let Some(session) = self.sessions.get_mut(name) else {
+            return;
+        };
+        let Some(run) = session.runs.get_mut(task) else {
+            return;
+        };
+        run.state = Doing::Stopping;
+        run.settled = None;
+        run.tries = 0;
+        let number = run.number;
+        self.work.decisions.push(Decision::Stop {
+            task: *task,
+            run: number,
+            worker: name.clone(),
+            why: Why::Superseded,
+        });
+        self.stop_again(name, task, now);
+    }
+
+    fn stop_again(&mut self, name: &id::Worker, task: &Task, now: Time) {
+        let run = self
+            .sessions
+            .get(name)
+            .and_then(|session| session.runs.get(task));
+        let Some(number) = run.map(|run| run.number) else {
+            return;
+        };
+        let stop = Action::Stop {
+            task: *task,
+            run: number,
+        };
+        let order = self.order(name, self.setup.answer, stop, now);
+        if let Some(run) = self
+            .sessions
+            .get_mut(name)
+            .and_then(|session| session.runs.get_mut(task))
+        {
+            run.order = order;
+            run.tries += 1;
+            run.retry = now.after(ORDER_PAUSE);
+        }
+    }
+
+    fn start_again(&mut self, name: &id::Worker, task: &Task, now: Time) {
+        self.send_start(name, task, now);
+    }
+
+    /// Sends a run's start, for the first time or again.
+    pub(super) fn send_start(&mut self, name: &id::Worker, task: &Task, now: Time) {
+        let Some(stage) = self.stages.get(&task.stage) else {
+            return;
+        };
+        let payload = stage.payload.clone();
+        let saved = stage.saved.get(&stage.save_key(task.index)).cloned();
+        let lease = self.setup.lease;
+        let Some(session) = self.sessions.get_mut(name) else {
+            return;
+        };
+        let heard = now.since(session.heard);
+        let Some(deadline) = session.grant(lease, now) else {
+            return;
+        };
+        let left = session.lease_left(now);
+        let life = session.life.clone();
+        let Some(run) = session.runs.get_mut(task) else {
+            return;
+        };
+        run.tries += 1;
+        run.retry = now.after(ORDER_PAUSE);
+        let start = Start {
+            task: *task,
+            run: run.number,
+            payload,
+            deadline,
+            checkpoint: saved,
+            ticket: run.ticket.clone(),
+        };
+        self.work.decisions.push(Decision::Start {
+            task: *task,
+            run: run.number,
+            life,
+            heard,
+            lease: left,
+            tries: run.tries,
+        });
+        let action = Action::Start(Box::new(start));
+        let order = self.order(name, self.setup.answer, action, now);
+        if let Some(run) = self
+            .sessions
+            .get_mut(name)
+            .and_then(|session| session.runs.get_mut(task))
+        {
+            run.order = order;
+        }
+    }
+
+    /// Once a lease has ended, nothing runs there any more.
+    fn end_lease(&mut self, name: &id::Worker, now: Time) {
+        let Some(session) = self.sessions.get_mut(name) else {
+            return;
+        };
+        if now < session.expires || session.runs.is_empty() {
+            return;
+        }
+        let runs: Vec<(Task, u64)> = session
+            .runs
+            .iter()
+            .filter(|(_, run)| run.state != Doing::Starting || run.tries > 0)
+            .map(|(task, run)| (*task, run.number))
+            .collect();
+        for (task, run) in runs {
+            self.work.decisions.push(Decision::Gone {
+                task,
+                run,
+                worker: name.clone(),
+                why: Why::Lease,
+            });
+            self.release(name, &task);
+            self.break_gang(&task, now);
+        }
+    }
+
+    fn forget(&mut self, state: &State, name: &id::Worker, now: Time) {
+        let Some(session) = self.sessions.get(name) else {
+            return;
+        };
+        let quiet = now.since(session.reported) >= FORGET;
+        let dead =
+            session.silent > 0 && now >= session.expires && now >= self.doubt_until;
+        if !quiet || !dead || !session.runs.is_empty() {
+            return;
+        }
+        let life = session.life.clone();
+        self.left(&life, Why::Unreported);
+        if state.life(name).is_some_and(|member| member.life == life) {
+            self.work.commands.push(Command::Leave { life });
+        }
+    }
+
+    /// Sends the holds that are due.
+    pub(super) fn hold_due(&mut self, now: Time) {
+        let due: Vec<id::Worker> = self
+            .sessions
+            .iter()
+            .filter(|(_, session)| wants_hold(session, now))
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in due {
+            self.hold(&name, now);
+        }
+    }
+
+    fn hold(&mut self, name: &id::Worker, now: Time) {
+        let lease = self.setup.lease;
+        let Some(session) = self.sessions.get_mut(name) else {
+            return;
+        };
+        let deadline = session.grant(lease, now);
+        let noted = session.noted();
+        // The first hold, and one after a silence, is answered at once.
+        let at_once = !session.resolved || session.silent > 0;
+        let stopping = |run: &Run| run.state == Doing::Stopping && run.settled.is_some();
+        let stops = session.runs.values().any(stopping);
+        let wait = match at_once || deadline.is_none() {
+            true => Span::ZERO,
+            false if stops => STOP_WAIT,
+            false => self.setup.hold,
+        };
+        let timeout = wait + self.setup.answer;
+        let action = Action::Hold {
+            deadline,
+            noted,
+            wait,
+        };
+        let number = self.order(name, timeout, action, now);
+        if let Some(session) = self.sessions.get_mut(name) {
+            session.hold = number.map(|number| (number, now));
+        }
+    }
+
+    /// Ends the doubt about what an earlier leader started, once every life has
+    /// told what it runs or can't run anything from then any more.
+    pub(super) fn settle_doubt(&mut self, now: Time) {
+        if !self.doubtful {
+            return;
+        }
+        let told = self.sessions.values().all(|session| session.resolved);
+        if told || now >= self.doubt_until {
+            self.doubtful = false;
+            for stage in self.stages.values_mut() {
+                stage.doubtful = false;
+            }
+            self.stirred = true;
+        }
+    }
+}
+
+/// How long a hold waits while a stop is under way, so that the room is known
+/// to be free soon.
+const STOP_WAIT: Span = Span::from_millis(250);
+
+/// A hold is due, and the ends that were told are durable or take long.
+fn wants_hold(session: &Session, now: Time) -> bool {
+    if session.hold.is_some() || session.hold_at > now {
+        return false;
+    }
+    !session.has_open_ends() || now.since(session.heard) >= DURABLE_WAIT
+}
--- /dev/null
+++ b/crates/gentianlane/src/fleet/dispatch/lead.rs
@@ -0,0 +1,278 @@
+//! What the leader keeps in mind.
+
+use indexmap::{IndexMap, IndexSet};
+
+use crate::fleet::decision::{Decision, Why};
+use crate::fleet::dispatch::Setup;
+use crate::fleet::dispatch::advice::{Desk, Helper};
+use crate::fleet::dispatch::learn::Learn;
+use crate::fleet::dispatch::session::{Doing, Session};
+use crate::fleet::dispatch::stage::Stage;
+use crate::fleet::job::{self, Task};
+use crate::fleet::order::{Action, Number, Order, Question};
+use crate::fleet::{Command, State};
+use crate::id;
+use crate::unit::{Span, Time, Wall};
+
+/// What the leader wants done.
+#[derive(Debug, Default, Clone)]
+pub struct Work {
+    /// Orders to workers.
+    pub orders: Vec<Order>,
+    /// Questions, each with the helper that is to put it.
+    pub questions: Vec<(Helper, Question)>,
+    /// Commands for the log.
+    pub commands: Vec<Command>,
+    /// What was decided.
+    pub decisions: Vec<Decision>,
+}
+
+/// An order that is under way.
+#[derive(Debug, Clone)]
+pub(super) struct Sent {
+    pub(super) worker: id::Worker,
+    pub(super) born: Wall,
+    pub(super) at: Time,
+    pub(super) about: About,
+}
+
+/// What an order under way is about.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum About {
+    Hold,
+    Start(Task, u64),
+    Stop(Task, u64),
+    Pace,
+}
+
+/// The leader's view of jobs, workers and runs.
+#[derive(Debug, Clone)]
+pub struct Lead {
+    pub(super) setup: Setup,
+    /// The leadership's number, which every order carries.
+    pub(super) fence: u64,
+    pub(super) sessions: IndexMap<id::Worker, Session>,
+    pub(super) stages: IndexMap<job::Stage, Stage>,
+    /// Where each task runs, may run or is being stopped.
+    pub(super) placed: IndexMap<Task, id::Worker>,
+    /// The jobs of which a task has started.
+    pub(super) begun: IndexSet<job::Id>,
+    /// The open jobs, and since when their callers wait.
+    pub(super) since: IndexMap<job::Id, Time>,
+    /// The jobs with occurrences to come.
+    pub(super) timed: IndexSet<job::Id>,
+    pub(super) sent: IndexMap<Number, Sent>,
+    pub(super) last_number: Number,
+    pub(super) desk: Desk,
+    pub(super) learn: Learn,
+    /// Until when a life that hasn't answered may run an earlier leader's
+    /// tasks.
+    pub(super) doubt_until: Time,
+    /// Whether some steps wait for what runs from before.
+    pub(super) doubtful: bool,
+    /// Whether anything changed that placement depends on.
+    pub(super) stirred: bool,
+    /// When tickets and refusals are looked at again.
+    pub(super) look_at: Time,
+    pub(super) work: Work,
+}
+
+impl Lead {
+    /// The leader's view at the beginning of its term.
+    ///
+    /// A life that this leader can't reach may run an earlier leader's tasks
+    /// until the longest lease has ended.
+    #[must_use]
+    pub fn new(state: &State, fence: u64, setup: Setup, now: Time, wall: Wall) -> Self {
+        let longest = setup.lease.as_millis() * 21 / 20;
+        let mut lead = Self {
+            setup,
+            fence,
+            sessions: IndexMap::new(),
+            stages: IndexMap::new(),
+            placed: IndexMap::new(),
+            begun: IndexSet::new(),
+            since: IndexMap::new(),
+            timed: IndexSet::new(),
+            sent: IndexMap::new(),
+            last_number: 0,
+            desk: Desk::default(),
+            learn: Learn::default(),
+            doubt_until: now.after(Span::from_millis(longest)),
+            doubtful: true,
+            stirred: true,
+            look_at: now,
+            work: Work::default(),
+        };
+        for member in state.lives() {
+            let session = Session::new(member, Span::from_millis(longest), now);
+            lead.sessions.insert(member.life.worker.clone(), session);
+        }
+        for (&id, job) in state.jobs().filter(|(_, job)| job.is_open()) {
+            let age = wall.since(job.at);
+            let since =
+                Time::from_millis(now.as_millis().saturating_sub(age.as_millis()));
+            lead.since.insert(id, since);
+            if job.has_ends() {
+                lead.begun.insert(id);
+            }
+            lead.activate(state, id, now, wall);
+        }
+        for stage in lead.stages.values_mut() {
+            stage.doubtful = true;
+        }
+        lead
+    }
+
+    /// Takes what has to be done since the last call.
+    pub fn take(&mut self) -> Work {
+        std::mem::take(&mut self.work)
+    }
+
+    /// When [`Lead::step`] has something to do at the latest.
+    #[must_use]
+    pub fn due(&self) -> Time {
+        self.look_at
+    }
+
+    /// How many jobs of a queue have no task that has started.
+    #[must_use]
+    pub fn waiting(&self, state: &State, queue: &str) -> u64 {
+        let waits = |(id, _): &(&job::Id, &Time)| {
+            let of_queue = state.job(id).is_some_and(|job| job.queue == queue);
+            of_queue && !self.begun.contains(*id)
+        };
+        self.since.iter().filter(waits).count() as u64
+    }
+
+    /// Whether a task of this job has started.
+    #[must_use]
+    pub fn has_begun(&self, job: &job::Id) -> bool {
+        self.begun.contains(job)
+    }
+
+    /// Takes in a helper that can put questions for this leader.
+    pub fn helper_joined(&mut self, helper: Helper) {
+        self.desk.join(helper);
+        self.stirred = true;
+    }
+
+    /// Does what the time asks for, then places what can be placed.
+    pub fn step(&mut self, state: &State, now: Time, wall: Wall) {
+        let looks = now >= self.look_at;
+        if looks {
+            self.look_at = now.after(LOOK);
+            self.start_timed(state, now, wall);
+            self.expire_questions(now);
+            self.keep_sessions(state, now);
+            self.settle_doubt(now);
+            self.pace_fillers(now);
+        }
+        if looks || self.stirred {
+            self.stirred = false;
+            self.hold_due(now);
+            self.place(state, now);
+            self.ask(now);
+        }
+    }
+
+    /// Sends an order, and remembers what it is about.
+    pub(super) fn order(
+        &mut self,
+        worker: &id::Worker,
+        timeout: Span,
+        action: Action,
+        now: Time,
+    ) -> Option<Number> {
+        let session = self.sessions.get(worker)?;
+        self.last_number += 1;
+        let number = self.last_number;
+        let about = match &action {
+            Action::Start(start) => About::Start(start.task, start.run),
+            Action::Stop { task, run } => About::Stop(*task, *run),
+            Action::Hold { .. } => About::Hold,
+            Action::Pace { .. } => About::Pace,
+        };
+        let sent = Sent {
+            worker: worker.clone(),
+            born: session.life.born,
+            at: now,
+            about,
+        };
+        self.sent.insert(number, sent);
+        self.work.orders.push(Order {
+            number,
+            worker: worker.clone(),
+            address: session.site.address,
+            fence: self.fence,
+            timeout,
+            action,
+        });
+        Some(number)
+    }
+
+    /// Has a run stopped, wherever it is.
+    pub(super) fn stop(&mut self, task: &Task, why: Why, now: Time) {
+        let Some(worker) = self.placed.get(task).cloned() else {
+            return;
+        };
+        let Some(session) = self.sessions.get_mut(&worker) else {
+            return;
+        };
+        let Some(run) = session.runs.get_mut(task) else {
+            return;
+        };
+        if run.state == Doing::Stopping {
+            return;
+        }
+        run.state = Doing::Stopping;
+        run.settled = None;
+        run.tries = 1;
+        run.retry = now.after(self.setup.answer);
+        let number = run.number;
+        self.work.decisions.push(Decision::Stop {
+            task: *task,
+            run: number,
+            worker: worker.clone(),
+            why,
+        });
+        let stop = Action::Stop {
+            task: *task,
+            run: number,
+        };
+        let order = self.order(&worker, self.setup.answer, stop, now);
+        if let Some(session) = self.sessions.get_mut(&worker)
+            && let Some(run) = session.runs.get_mut(task)
+        {
+            run.order = order;
+        }
+    }
+
+    /// Frees a run's room; its task waits again unless it has ended well.
+    pub(super) fn release(&mut self, worker: &id::Worker, task: &Task) {
+        let Some(session) = self.sessions.get_mut(worker) else {
+            return;
+        };
+        let Some(run) = session.remove(task) else {
+            return;
+        };
+        self.stirred = true;
+        if self.placed.get(task) == Some(worker) {
+            self.placed.swap_remove(task);
+        }
+        let Some(stage) = self.stages.get_mut(&task.stage) else {
+            return;
+        };
+        if !run.saved.is_empty() {
+            let key = stage.save_key(task.index);
+            stage.saved.insert(key, run.saved);
+        }
+        let unit = if stage.step.gang { 0 } else { task.index };
+        if !stage.done.contains(&unit) {
+            stage.pending.insert(task.index);
+        }
+    }
+}
+
+/// How often leases, retries and tickets are looked at.
+const LOOK: Span = Span::from_millis(50);
--- /dev/null
+++ b/crates/gentianlane/src/fleet/dispatch/mod.rs
@@ -0,0 +1,26 @@
+//! The leader's work: which task starts where and when, without I/O.
+//!
+//! [`Lead`] takes what the state tells, what workers answer and the time, and
+//! gives [`Work`]: orders to workers, questions for advice, commands for the
+//! log and the decisions behind them. A new leader knows from the state which
+//! lives of workers there are, and hears from each what runs there before it
+//! starts anything that an earlier leader may have started.
+
+mod admit;
+mod advice;
+mod answer;
+mod follow;
+mod hold;
+mod lead;
+mod learn;
+mod pace;
+mod place;
+mod rank;
+mod session;
+mod setup;
+mod stage;
+mod view;
+
+pub use advice::Helper;
+pub use lead::{Lead, Work};
+pub use setup::Setup;
--- /dev/null
+++ b/crates/gentianlane/src/fleet/dispatch/place.rs
@@ -0,0 +1,376 @@
+//! Which worker gets which task.
+//!
+//! Answers unequal workers and tasks at a load near all there is: a task goes
+//! where it leaves the least room over, near its data and its gang, and never
+//! beyond what a worker has.
+
+use indexmap::IndexMap;
+
+use crate::fleet::State;
+use crate::fleet::dispatch::Lead;
+use crate::fleet::dispatch::rank::rank;
+use crate::fleet::dispatch::session::{Doing, Run, Session};
+use crate::fleet::dispatch::stage::Stage;
+use crate::fleet::job::{self, Size, Task};
+use crate::id;
+use crate::unit::{Span, Time};
+
+/// The most workers that one question names, by the platform's protocol.
+const QUESTION_LIMIT: usize = 100;
+
+/// How many free helpers are kept for steps that nothing is known of yet.
+const HELPER_RESERVE: usize = 2;
+
+/// A worker that could take tasks of a step.
+#[derive(Debug, Clone)]
+struct Candidate {
+    worker: id::Worker,
+    rack: Option<String>,
+    free: Size,
+    /// How many tasks of the step may still go there.
+    slots: u32,
+    /// Whether the data is elsewhere.
+    far: bool,
+    /// Whether a task of the step has failed there.
+    failed: bool,
+    ticket: Option<String>,
+}
+
+impl Candidate {
+    /// How many tasks of a size fit.
+    fn room_for(&self, size: &Size) -> u32 {
+        let by = |have: u64, need: u64| match need {
+            0 => u64::from(u32::MAX),
+            _ => have / need,
+        };
+        let fits = by(self.free.millicores, size.millicores)
+            .min(by(self.free.memory, size.memory))
+            .min(by(self.free.accelerators, size.accelerators));
+        u32::try_from(fits).unwrap_or(u32::MAX).min(self.slots)
+    }
+
+    /// What is left over after a task; less is better.
+    fn cost(&self, size: &Size) -> (bool, bool, u64, u64) {
+        let left = self.free.less(size);
+        (self.failed, self.far, left.accelerators, left.millicores)
+    }
+}
+
+impl Lead {
+    /// Places what can be placed, the most urgent steps first.
+    pub(super) fn place(&mut self, state: &State, now: Time) {
+        if state.plan().is_none() {
+            return;
+        }
+        for id in self.in_order(now) {
+            let Some(stage) = self.stages.get(&id) else {
+                continue;
+            };
+            if !stage.is_placeable(now) {
+                continue;
+            }
+            let candidates = self.candidates(stage, now);
+            if candidates.is_empty() {
+                continue;
+            }
+            match stage.step.gang {
+                true => self.place_gang(&id, candidates, now),
+                false => self.place_each(&id, candidates, now),
+            }
+        }
+    }
+
+    /// The steps with tasks to place, the most urgent first.
+    fn in_order(&self, now: Time) -> Vec<job::Stage> {
+        let open = self
+            .stages
+            .values()
+            .filter(|stage| !stage.pending.is_empty());
+        let mut order: Vec<_> = open.map(|stage| (rank(stage, now), stage.id)).collect();
+        order.sort_unstable();
+        order.into_iter().map(|(_, id)| id).collect()
+    }
+
+    /// The workers that could take a task of a step now.
+    fn candidates(&self, stage: &Stage, now: Time) -> Vec<Candidate> {
+        let size = stage.step.room();
+        let mut candidates = Vec::new();
+        for (name, session) in &self.sessions {
+            if !may_run(stage, session) || !session.is_usable(now) {
+                continue;
+            }
+            let free = session.free();
+            if !size.fits(&free) {
+                continue;
+            }
+            let ticket = match stage.needs_advice() {
+                false => None,
+                true => match stage.pass(name) {
+                    Some(pass) if pass.is_good(now) => Some(pass.ticket.clone()),
+                    _ => continue,
+                },
+            };
+            let slots = match stage.step.spread {
+                Some(limit) => limit.saturating_sub(session.count_of(&stage.id)),
+                None => u32::MAX,
+            };
+            if slots == 0 {
+                continue;
+            }
+            let near = stage.step.near.as_ref();
+            candidates.push(Candidate {
+                worker: name.clone(),
+                rack: rack(session).cloned(),
+                free,
+                slots,
+                far: near.is_some_and(|near| !session.site.labels.contains(near)),
+                failed: stage.failed_on.contains_key(name),
+                ticket,
+            });
+        }
+        candidates
+    }
+
+    fn place_each(&mut self, id: &job::Stage, mut at: Vec<Candidate>, now: Time) {
+        let Some(stage) = self.stages.get(id) else {
+            return;
+        };
+        let size = stage.step.room();
+        let pending: Vec<u32> = stage.pending.iter().copied().collect();
+        for index in pending {
+            let best = at
+                .iter_mut()
+                .filter(|candidate| candidate.room_for(&size) > 0)
+                .min_by_key(|candidate| candidate.cost(&size));
+            let Some(best) = best else {
+                return;
+            };
+            best.free = best.free.less(&size);
+            best.slots = best.slots.saturating_sub(1);
+            let (worker, ticket) = (best.worker.clone(), best.ticket.clone());
+            let Some(stage) = self.stages.get_mut(id) else {
+                return;
+            };
+            let number = stage.next_run(self.fence);
+            self.start(id, index, &worker, number, ticket, now);
+        }
+    }
+
+    fn place_gang(&mut self, id: &job::Stage, at: Vec<Candidate>, now: Time) {
+        let Some(stage) = self.stages.get_mut(id) else {
+            return;
+        };
+        let size = stage.step.room();
+        let count = stage.step.count;
+        let Some(chosen) = choose_gang(at, &size, count, stage.step.one_rack) else {
+            return;
+        };
+        let number = stage.next_run(self.fence);
+        let mut index = 0;
+        for (candidate, members) in chosen {
+            for _ in 0..members {
+                let ticket = candidate.ticket.clone();
+                self.start(id, index, &candidate.worker, number, ticket, now);
+                index += 1;
+            }
+        }
+    }
+
+    /// Reserves the room of one task and sends its start.
+    fn start(
+        &mut self,
+        id: &job::Stage,
+        index: u32,
+        worker: &id::Worker,
+        number: u64,
+        ticket: Option<String>,
+        now: Time,
+    ) {
+        let task = Task { stage: *id, index };
+        let Some(stage) = self.stages.get_mut(id) else {
+            return;
+        };
+        let Some(session) = self.sessions.get_mut(worker) else {
+            return;
+        };
+        stage.pending.remove(&index);
+        let run = Run {
+            number,
+            size: stage.step.room(),
+            state: Doing::Starting,
+            order: None,
+            tries: 0,
+            retry: now,
+            settled: None,
+            began: now,
+            saved: stage
+                .saved
+                .get(&stage.save_key(index))
+                .cloned()
+                .unwrap_or_default(),
+            fills: stage.step.fills,
+            tail: stage.step.tail,
+            gauge: None,
+            idle_since: None,
+            percent: 100,
+            ticket,
+        };
+        session.insert(task, run);
+        self.placed.insert(task, worker.clone());
+        self.send_start(worker, &task, now);
+    }
+
+    /// Puts the questions that steps wait for, while helpers are free.
+    pub(super) fn ask(&mut self, now: Time) {
+        let order = self.in_order(now);
+        for (fresh, reserve) in [(true, 0), (false, HELPER_RESERVE)] {
+            for id in &order {
+                if self.desk.free_count(now) <= reserve {
+                    break;
+                }
+                self.ask_for(id, fresh, now);
+            }
+        }
+    }
+
+    /// Puts one step's question: about workers that it never asked about, or
+    /// about those whose tickets grow old.
+    fn ask_for(&mut self, id: &job::Stage, fresh: bool, now: Time) {
+        let Some(stage) = self.stages.get(id) else {
+            return;
+        };
+        let Some(advice) = stage.queue.advice else {
+            return;
+        };
+        if stage.asking.is_some() || stage.not_before > now || stage.doubtful {
+            return;
+        }
+        let workers = match fresh {
+            true => self.unasked(stage),
+            false => self.aging(stage, advice.base, now),
+        };
+        if workers.is_empty() {
+            return;
+        }
+        let Some(helper) = self.desk.free(now) else {
+            return;
+        };
+        self.last_number += 1;
+        let number = self.last_number;
+        let takes = advice.duration(workers.len());
+        let question = self.desk.ask(helper, number, *id, workers, takes, now);
+        self.work.questions.push((helper, question));
+        if let Some(stage) = self.stages.get_mut(id) {
+            stage.asking = Some(number);
+        }
+    }
+
+    /// The workers that could run a step and weren't asked about.
+    fn unasked(&self, stage: &Stage) -> Vec<id::Worker> {
+        let size = stage.step.room();
+        let open = self.sessions.iter().filter(|(name, session)| {
+            may_run(stage, session)
+                && !session.draining
+                && session.silent == 0
+                && size.fits(&session.site.capacity)
+                && !stage.asked.contains(*name)
+        });
+        open.map(|(name, _)| name.clone())
+            .take(QUESTION_LIMIT)
+            .collect()
+    }
+
+    /// The workers that may run a step, if none of their tickets will be good
+    /// for much longer than the question takes.
+    fn aging(&self, stage: &Stage, takes: Span, now: Time) -> Vec<id::Worker> {
+        let Some(passes) = &stage.eligible else {
+            return Vec::new();
+        };
+        let soon = now.after(takes).after(REFRESH_LEAD);
+        if passes.values().any(|pass| pass.is_good(soon)) {
+            return Vec::new();
+        }
+        let alive = |name: &id::Worker| {
+            let session = self.sessions.get(name);
+            session.is_some_and(|session| session.is_usable(now))
+        };
+        let names = passes.keys().filter(|name| alive(name));
+        names.take(QUESTION_LIMIT).cloned().collect()
+    }
+
+    /// Lets steps ask again whose questions found no answer.
+    pub(super) fn expire_questions(&mut self, now: Time) {
+        for asked in self.desk.expired(now) {
+            if let Some(stage) = self.stages.get_mut(&asked.stage) {
+                stage.asking = None;
+            }
+        }
+    }
+}
+
+/// How long before its tickets end a step asks again, beyond the time that the
+/// question takes.
+const REFRESH_LEAD: Span = Span::from_millis(100);
+
+/// Whether a worker is of the step's pool and has its label.
+fn may_run(stage: &Stage, session: &Session) -> bool {
+    let labels = &session.site.labels;
+    let label = stage.step.label.as_ref();
+    session.site.pool == stage.queue.pool
+        && label.is_none_or(|label| labels.contains(label))
+}
+
+/// The rack that a worker's labels name: the last one.
+fn rack(session: &Session) -> Option<&String> {
+    session.site.labels.last()
+}
+
+/// The workers for a gang with how many members each, if all fit at once.
+///
+/// A gang that is slow across racks goes to one rack if any has room for all.
+fn choose_gang(
+    at: Vec<Candidate>,
+    size: &Size,
+    count: u32,
+    one_rack: bool,
+) -> Option<Vec<(Candidate, u32)>> {
+    if one_rack {
+        let mut racks: IndexMap<Option<String>, Vec<Candidate>> = IndexMap::new();
+        for candidate in &at {
+            racks
+                .entry(candidate.rack.clone())
+                .or_default()
+                .push(candidate.clone());
+        }
+        let whole = racks
+            .into_values()
+            .filter_map(|rack| fill(rack, size, count))
+            .min_by_key(Vec::len);
+        if whole.is_some() {
+            return whole;
+        }
+    }
+    fill(at, size, count)
+}
+
+/// Fills workers with a gang's members, the tightest fit first.
+fn fill(
+    mut at: Vec<Candidate>,
+    size: &Size,
+    count: u32,
+) -> Option<Vec<(Candidate, u32)>> {
+    at.sort_by_key(|candidate| candidate.cost(size));
+    let mut left = count;
+    let mut chosen = Vec::new();
+    for candidate in at {
+        let members = candidate.room_for(size).min(left);
+        if members > 0 {
+            left -= members;
+            chosen.push((candidate, members));
+        }
+        if left == 0 {
+            return Some(chosen);
+        }
+    }
+    None
+}
--- /dev/null
+++ b/crates/gentianlane/src/fleet/dispatch/session.rs
@@ -0,0 +1,268 @@
+//! The leader's side of one called worker: its clock, its lease, what runs
+//! there and which ends it has told.
+
+use indexmap::IndexMap;
+use std::collections::VecDeque;
+
+use crate::fleet::Member;
+use crate::fleet::job::{Size, Task};
+use crate::fleet::order::Number;
+use crate::fleet::worker::{Life, Site};
+use crate::unit::{Span, Time};
+
+/// How much slower than the leader's a worker's clock may run, in thousandths;
+/// the users' promise is 2%.
+const CLOCK_SLACK: u64 = 25;
+
+/// What a lease's end is put off by beyond that, for rounding and late timers.
+const LEASE_MARGIN: Span = Span::from_millis(50);
+
+/// One life of a worker, as the leader knows it.
+#[derive(Debug, Clone)]
+pub(crate) struct Session {
+    pub(crate) life: Life,
+    pub(crate) site: Site,
+    pub(crate) draining: bool,
+    /// When the draining worker may end, by its own word.
+    pub(crate) leaves_at: Option<Time>,
+    /// The worker's clock, and when it was read.
+    clock: Option<(Time, u64)>,
+    /// The end of the longest lease that any order carried, on the worker's
+    /// clock.
+    deadline: u64,
+    /// When that lease has ended for sure, on the leader's clock.
+    pub(crate) expires: Time,
+    /// Whether this leadership has heard what runs there.
+    pub(crate) resolved: bool,
+    /// The hold that is under way, and when it was sent.
+    pub(crate) hold: Option<(Number, Time)>,
+    /// When the next hold is due.
+    pub(crate) hold_at: Time,
+    /// When the worker last answered.
+    pub(crate) heard: Time,
+    /// When it last reported by itself.
+    pub(crate) reported: Time,
+    /// The newest report's number.
+    pub(crate) report: u64,
+    /// How many orders in a row found no answer.
+    pub(crate) silent: u32,
+    /// How many times in a row nothing listened.
+    pub(crate) unreachable: u32,
+    /// No new work before this.
+    pub(crate) shunned: Time,
+    /// How many failures of unlike jobs stand against the worker.
+    pub(crate) blame: u32,
+    /// What runs, may run or is being stopped there.
+    pub(crate) runs: IndexMap<Task, Run>,
+    /// The room that these take.
+    pub(crate) used: Size,
+    /// The newest end that was handled.
+    seen: u64,
+    /// Ends that were handled and aren't forgotten there, with whether they
+    /// are durable.
+    ends: VecDeque<End>,
+    /// The newest end that may be forgotten there.
+    noted: u64,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct End {
+    number: u64,
+    task: Task,
+    run: u64,
+    durable: bool,
+}
+
+/// One run on a worker.
+#[derive(Debug, Clone)]
+pub(crate) struct Run {
+    pub(crate) number: u64,
+    pub(crate) size: Size,
+    pub(crate) state: Doing,
+    /// The order about it that is under way.
+    pub(crate) order: Option<Number>,
+    /// How often its present order was sent.
+    pub(crate) tries: u32,
+    /// When the order is sent again.
+    pub(crate) retry: Time,
+    /// Since when the worker has surely taken or refused the order.
+    pub(crate) settled: Option<Time>,
+    /// When the task was handed to the worker.
+    pub(crate) began: Time,
+    /// The newest checkpoint.
+    pub(crate) saved: String,
+    /// Whether the task fills idle time only.
+    pub(crate) fills: bool,
+    /// The limit on a serving task's tail.
+    pub(crate) tail: Option<Span>,
+    /// What the worker last told about it.
+    pub(crate) gauge: Option<u64>,
+    /// Since when it has told that the task uses no processor.
+    pub(crate) idle_since: Option<Time>,
+    /// The share at which the task works.
+    pub(crate) percent: u8,
+    /// The order to start, for sending it again.
+    pub(crate) ticket: Option<String>,
+}
+
+/// What the leader wants of a run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Doing {
+    Starting,
+    Up,
+    Stopping,
+}
+
+impl Session {
+    /// A life that may hold a lease of the given length already.
+    pub(crate) fn new(member: &Member, lease: Span, now: Time) -> Self {
+        let Member {
+            life,
+            site,
+            draining,
+        } = member.clone();
+        Self {
+            life,
+            site,
+            draining,
+            leaves_at: None,
+            clock: None,
+            deadline: 0,
+            expires: now.after(lease).after(LEASE_MARGIN),
+            resolved: false,
+            hold: None,
+            hold_at: now,
+            heard: now,
+            reported: now,
+            report: 0,
+            silent: 0,
+            unreachable: 0,
+            shunned: now,
+            blame: 0,
+            runs: IndexMap::new(),
+            used: Size::default(),
+            seen: 0,
+            ends: VecDeque::new(),
+            noted: 0,
+        }
+    }
+
+    /// Takes a reading of the worker's clock.
+    pub(crate) fn read_clock(&mut self, clock: u64, now: Time) {
+        let newer = self.clock.is_none_or(|(_, held)| clock >= held);
+        if newer {
+            self.clock = Some((now, clock));
+        }
+    }
+
+    /// The end of a lease that begins now, on the worker's clock; none while
+    /// that clock isn't known.
+    ///
+    /// The reading was taken before its answer came, so the worker's clock is
+    /// ahead of this and the lease a little shorter than wanted.
+    pub(crate) fn grant(&mut self, lease: Span, now: Time) -> Option<u64> {
+        let (read, clock) = self.clock?;
+        let elapsed = now.since(read).as_millis();
+        let deadline = clock + elapsed + lease.as_millis();
+        self.deadline = self.deadline.max(deadline);
+        let slow = elapsed - elapsed * CLOCK_SLACK / 1_000;
+        let left = self.deadline.saturating_sub(clock + slow);
+        let longest = left + left * CLOCK_SLACK / 1_000;
+        let ends = now.after(Span::from_millis(longest)).after(LEASE_MARGIN);
+        self.expires = self.expires.max(ends);
+        Some(deadline)
+    }
+
+    /// How long the lease may still last.
+    pub(crate) fn lease_left(&self, now: Time) -> Span {
+        self.expires.since(now)
+    }
+
+    /// The room that nothing has.
+    pub(crate) fn free(&self) -> Size {
+        self.site.capacity.less(&self.used)
+    }
+
+    /// Reserves the room of a run.
+    pub(crate) fn insert(&mut self, task: Task, run: Run) {
+        self.used = self.used.plus(&run.size);
+        if let Some(old) = self.runs.insert(task, run) {
+            self.used = self.used.less(&old.size);
+        }
+    }
+
+    /// Frees the room of a run.
+    pub(crate) fn remove(&mut self, task: &Task) -> Option<Run> {
+        let run = self.runs.swap_remove(task)?;
+        self.used = self.used.less(&run.size);
+        Some(run)
+    }
+
+    /// Whether an end is new; from then on it isn't.
+    pub(crate) fn see(
+        &mut self,
+        number: u64,
+        task: Task,
+        run: u64,
+        durable: bool,
+    ) -> bool {
+        if number <= self.seen {
+            return false;
+        }
+        self.seen = number;
+        self.ends.push_back(End {
+            number,
+            task,
+            run,
+            durable,
+        });
+        self.settle();
+        true
+    }
+
+    /// Takes note that the ends of a task's run are durable.
+    pub(crate) fn note(&mut self, task: &Task, run: u64) -> bool {
+        let mut any = false;
+        for end in &mut self.ends {
+            if end.task == *task && end.run == run && !end.durable {
+                end.durable = true;
+                any = true;
+            }
+        }
+        self.settle();
+        any
+    }
+
+    fn settle(&mut self) {
+        while let Some(end) = self.ends.front().filter(|end| end.durable) {
+            self.noted = end.number;
+            self.ends.pop_front();
+        }
+    }
+
+    /// The newest end that may be forgotten at the worker.
+    pub(crate) fn noted(&self) -> u64 {
+        self.noted
+    }
+
+    /// Whether ends were told that aren't durable yet.
+    pub(crate) fn has_open_ends(&self) -> bool {
+        !self.ends.is_empty()
+    }
+
+    /// How many of a step's tasks run here.
+    pub(crate) fn count_of(&self, stage: &crate::fleet::job::Stage) -> u32 {
+        let of = self.runs.keys().filter(|task| task.stage == *stage);
+        u32::try_from(of.count()).unwrap_or(u32::MAX)
+    }
+
+    /// Whether the worker may get new work.
+    pub(crate) fn is_usable(&self, now: Time) -> bool {
+        self.resolved
+            && !self.draining
+            && self.silent == 0
+            && self.unreachable == 0
+            && self.clock.is_some()
+            && self.shunned <= now
+    }
+}
--- /dev/null
+++ b/crates/gentianlane/src/fleet/dispatch/setup.rs
@@ -0,0 +1,32 @@
+//! What the dispatch of tasks is given.
+
+use crate::unit::Span;
+
+/// How long things take.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Setup {
+    /// How far ahead of a worker's clock its lease ends. Longer than the
+    /// change of a leader takes, and at most what workers grant.
+    pub lease: Span,
+    /// How long a worker holds an answer back while nothing ends.
+    pub hold: Span,
+    /// How long the answer to an order may take beyond that.
+    pub answer: Span,
+    /// How long a stop may take at a worker.
+    pub stop: Span,
+    /// How much longer a task runs away from its data or its gang, in
+    /// thousandths.
+    pub far: u64,
+}
+
+impl Default for Setup {
+    fn default() -> Self {
+        Self {
+            lease: Span::from_millis(5_000),
+            hold: Span::from_millis(1_000),
+            answer: Span::from_millis(600),
+            stop: Span::from_millis(1_000),
+            far: 2_000,
+        }
+    }
+}
--- /dev/null
+++ b/crates/gentianlane/src/fleet/dispatch/stage.rs
@@ -0,0 +1,150 @@
+//! One step that is ready to run: what of it still has to be placed.
+
+use indexmap::IndexMap;
+use std::collections::BTreeSet;
+
+use crate::fleet::job::{Stage as Id, Step};
+use crate::fleet::order::Number;
+use crate::fleet::plan::Queue;
+use crate::id;
+use crate::unit::{Span, Time};
+
+/// How much of a ticket's life is left unused, for the way to the worker.
+const TICKET_MARGIN: Span = Span::from_millis(120);
+
+/// A step whose predecessors are done.
+#[derive(Debug, Clone)]
+pub(crate) struct Stage {
+    pub(crate) id: Id,
+    pub(crate) step: Step,
+    pub(crate) queue: Queue,
+    pub(crate) payload: String,
+    /// When the job came to this leader, or its occurrence was due.
+    pub(crate) since: Time,
+    /// The work of the job's longest chain.
+    pub(crate) chain: Span,
+    /// The work of the chain from this step on.
+    pub(crate) rest: Span,
+    /// The job's whole work, in core-milliseconds.
+    pub(crate) work: u64,
+    /// The tasks that wait for a worker.
+    pub(crate) pending: BTreeSet<u32>,
+    /// The tasks that have ended well, as far as workers have told.
+    pub(crate) done: BTreeSet<u32>,
+    /// Whether tasks may run that an earlier leader started and this one
+    /// hasn't found yet.
+    pub(crate) doubtful: bool,
+    /// How many starts this leader has given to the step.
+    starts: u64,
+    /// The newest checkpoint of each task, or of the gang under zero.
+    pub(crate) saved: IndexMap<u32, String>,
+    /// Nothing is placed before this.
+    pub(crate) not_before: Time,
+    /// The workers on which tasks of this step have failed.
+    pub(crate) failed_on: IndexMap<id::Worker, u32>,
+    /// What advice has said; none if it wasn't asked or isn't needed.
+    pub(crate) eligible: Option<IndexMap<id::Worker, Pass>>,
+    /// The question that is under way.
+    pub(crate) asking: Option<Number>,
+    /// The workers that were asked about.
+    pub(crate) asked: BTreeSet<id::Worker>,
+}
+
+/// A worker that may run the step.
+#[derive(Debug, Clone)]
+pub(crate) struct Pass {
+    /// The ticket; it's void for another life of the worker.
+    pub(crate) ticket: String,
+    /// Until when the ticket is good.
+    pub(crate) until: Time,
+}
+
+impl Pass {
+    /// Whether a start that leaves now arrives while the ticket is good.
+    pub(crate) fn is_good(&self, now: Time) -> bool {
+        now.after(TICKET_MARGIN) < self.until
+    }
+}
+
+/// How starts are numbered: the leadership first, so that runs rise from one
+/// leader to the next.
+const STARTS_PER_TERM: u64 = 1 << 12;
+
+impl Stage {
+    pub(crate) fn new(
+        id: Id,
+        step: Step,
+        queue: Queue,
+        payload: String,
+        now: Time,
+    ) -> Self {
+        Self {
+            id,
+            step,
+            queue,
+            payload,
+            since: now,
+            chain: Span::ZERO,
+            rest: Span::ZERO,
+            work: 0,
+            pending: BTreeSet::new(),
+            done: BTreeSet::new(),
+            doubtful: false,
+            starts: 0,
+            saved: IndexMap::new(),
+            not_before: now,
+            failed_on: IndexMap::new(),
+            eligible: None,
+            asking: None,
+            asked: BTreeSet::new(),
+        }
+    }
+
+    /// The number of the next run, higher than all before.
+    pub(crate) fn next_run(&mut self, fence: u64) -> u64 {
+        self.starts += 1;
+        fence.saturating_sub(1) * STARTS_PER_TERM + self.starts
+    }
+
+    /// Whether a worker may run the step, as far as is known; with advice,
+    /// only with a good ticket.
+    pub(crate) fn pass(&self, worker: &id::Worker) -> Option<&Pass> {
+        self.eligible.as_ref()?.get(worker)
+    }
+
+    /// Whether only advice can tell which workers may run the step.
+    pub(crate) fn needs_advice(&self) -> bool {
+        self.queue.advice.is_some()
+    }
+
+    /// Whether enough tasks wait to place any.
+    pub(crate) fn is_placeable(&self, now: Time) -> bool {
+        let enough = match self.step.gang {
+            true => self.pending.len() == self.step.count as usize,
+            false => !self.pending.is_empty(),
+        };
+        enough && !self.doubtful && self.not_before <= now
+    }
+
+    /// The key under which a task's checkpoint is kept.
+    pub(crate) fn save_key(&self, index: u32) -> u32 {
+        if self.step.gang { 0 } else { index }
+    }
+
+    /// When the job has to be over to be worth its whole value.
+    pub(crate) fn goal(&self) -> Time {
+        let stretched = self.chain.as_millis() * self.queue.stretch / 1_000;
+        let whole = Span::from_millis(stretched + self.queue.target.as_millis());
+        self.since.after(whole)
+    }
+
+    /// When the job has to be over to be worth anything.
+    pub(crate) fn last_call(&self) -> Time {
+        let goal = self.goal().since(self.since);
+        self.since.after(goal.times(LATE_FACTOR))
+    }
+}
+
+/// How many times its goal a late job may take and still be worth something,
+/// by the users' rules.
+const LATE_FACTOR: u64 = 3;
--- /dev/null
+++ b/crates/gentianlane/src/fleet/node.rs
@@ -0,0 +1,578 @@
+//! One node of a fleet: the agreement, the state and, while it leads, the
+//! dispatch of tasks.
+
+use indexmap::IndexMap;
+
+use crate::agree::{self, Entry, Index, Message, Payload, Role};
+pub use crate::cell::Ticket;
+use crate::fleet::call::{Call, Place, Refusal, Reply};
+use crate::fleet::decision::Decision;
+use crate::fleet::dispatch::{self, Helper, Lead, Work};
+use crate::fleet::job::{Id, Phase, Spec};
+use crate::fleet::order::{Answer, Number, Opinion, Order, Question};
+use crate::fleet::plan::Plan;
+use crate::fleet::worker::{Life, Report};
+use crate::fleet::{Command, State};
+use crate::id;
+use crate::unit::{Span, Time, Wall};
+
+/// How many bytes of applied commands a snapshot takes the place of.
+const SNAPSHOT_BYTES: usize = 4 << 20;
+
+/// How many rounds of commit and planning one flush does.
+const ROUNDS: usize = 8;
+
+/// When to come back while no plan is in force.
+const NO_PLAN_RETRY: Span = Span::from_millis(1_000);
+
+/// How long a job that is over is remembered; several times what callers are
+/// promised.
+const REMEMBER: Span = Span::from_secs(600);
+
+/// How often jobs that are over are forgotten.
+const EXPIRE_STEP: Span = Span::from_secs(60);
+
+/// What a node is given when it starts.
+#[derive(Debug, Clone)]
+pub struct Setup {
+    /// The agreement's part.
+    pub agree: agree::Setup,
+    /// The dispatch's part.
+    pub dispatch: dispatch::Setup,
+}
+
+/// What has to be done, in order.
+#[derive(Debug, Clone)]
+pub enum Output {
+    /// Write the promise and sync before anything that follows.
+    Save(agree::Ballot),
+    /// Drop what is stored from the first entry's index on, write these, and
+    /// sync before anything that follows.
+    Store(Vec<Entry>),
+    /// Write the snapshot and sync; then the entries up to its last may go.
+    Snapshot(agree::Snapshot),
+    /// Send a message to another node.
+    Send(id::Node, Message),
+    /// Answer a call, unless the clock has passed the time given: then the
+    /// node may no longer lead, and the call has to be made again.
+    Reply(Ticket, Reply, Option<Time>),
+    /// Give a worker an order, unless the clock has passed the time given.
+    Order(Order, Option<Time>),
+    /// Let a helper put a question.
+    Ask(Helper, Question),
+    /// The node's part has changed.
+    Role(Role),
+    /// What was decided, for the log.
+    Decided(Decision),
+}
+
+/// One node of a fleet, without I/O.
+#[derive(Debug, Clone)]
+pub struct Node {
+    agree: agree::Node,
+    setup: Setup,
+    state: State,
+    lead: Option<Lead>,
+    helpers: Vec<Helper>,
+    proposals: Vec<(Command, Option<Ticket>)>,
+    asked: IndexMap<Index, Ticket>,
+    /// How many bytes of commands were applied since the last snapshot.
+    unsaved: usize,
+    /// Whether a snapshot couldn't be read.
+    broken: bool,
+    expire_at: Time,
+    outputs: Vec<Output>,
+}
+
+impl Node {
+    /// A node with what its disk holds.
+    ///
+    /// If its snapshot can't be read, [`Node::is_broken`] says so.
+    #[must_use]
+    pub fn new(setup: Setup, saved: agree::Saved, now: Time) -> Self {
+        let state = match &saved.snapshot {
+            Some(snapshot) => postcard::from_bytes(&snapshot.data).ok(),
+            None => Some(State::default()),
+        };
+        Self {
+            agree: agree::Node::new(setup.agree.clone(), saved, now),
+            setup,
+            broken: state.is_none(),
+            state: state.unwrap_or_default(),
+            lead: None,
+            helpers: Vec::new(),
+            proposals: Vec::new(),
+            asked: IndexMap::new(),
+            unsaved: 0,
+            expire_at: now.after(EXPIRE_STEP),
+            outputs: Vec::new(),
+        }
+    }
+
+    /// Says where the node stands; see [`agree::Node::located`].
+    #[must_use]
+    pub fn located(mut self, site: agree::Site) -> Self {
+        self.agree = self.agree.located(site);
+        self
+    }
+
+    /// Says that the fleet isn't new; see [`agree::Node::returning`].
+    #[must_use]
+    pub fn returning(mut self) -> Self {
+        self.agree = self.agree.returning();
+        self
+    }
+
+    /// Says how many voters there should be; see [`agree::Node::sized`].
+    #[must_use]
+    pub fn sized(mut self, voters: usize) -> Self {
+        self.agree = self.agree.sized(voters);
+        self
+    }
+
+    /// Whether a snapshot couldn't be read; the node should end.
+    #[must_use]
+    pub fn is_broken(&self) -> bool {
+        self.broken
+    }
+
+    /// The agreement's part.
+    #[must_use]
+    pub fn agree(&self) -> &agree::Node {
+        &self.agree
+    }
+
+    /// The state as far as this node has applied the log.
+    #[must_use]
+    pub fn state(&self) -> &State {
+        &self.state
+    }
+
+    /// When [`Node::tick`] is due.
+    #[must_use]
+    pub fn due(&self) -> Time {
+        let lead = self.lead.as_ref().map(Lead::due);
+        lead.map_or(self.agree.due(), |due| due.min(self.agree.due()))
+    }
+
+    /// Takes a message from another node.
+    pub fn receive(&mut self, from: id::Node, message: Message, now: Time) {
+        if !self.broken {
+            self.agree.receive(from, message, now);
+        }
+    }
+
+    /// Takes in a helper that can put questions for the leader.
+    pub fn helper_joined(&mut self, helper: Helper) {
+        self.helpers.push(helper);
+        if let Some(lead) = &mut self.lead {
+            lead.helper_joined(helper);
+        }
+    }
+
+    /// Drops a helper.
+    pub fn helper_left(&mut self, helper: Helper) {
+        self.helpers.retain(|&held| held != helper);
+        if let Some(lead) = &mut self.lead {
+            lead.helper_left(helper);
+        }
+    }
+
+    /// Takes the answer to a question.
+    pub fn advised(&mut self, helper: Helper, opinion: Opinion, now: Time) {
+        if let Some(lead) = &mut self.lead {
+            lead.advised(helper, opinion, now);
+        }
+    }
+
+    /// Takes a worker's answer to an order.
+    pub fn answered(&mut self, number: Number, answer: Answer, now: Time, wall: Wall) {
+        if let Some(lead) = &mut self.lead {
+            lead.answered(&self.state, number, answer, now, wall);
+        }
+    }
+
+    /// Takes a call; its reply comes as an [`Output::Reply`] some time later.
+    ///
+    /// A ticket may be used again only after its reply.
+    pub fn call(&mut self, ticket: Ticket, call: Call, now: Time, wall: Wall) {
+        if !self.agree.leads(now) || self.lead.is_none() {
+            let leader = self.agree.leader();
+            let other = leader.filter(|&leader| leader != self.agree.id());
+            return self.outputs.push(Output::Reply(
+                ticket,
+                Reply::NotLeader(other),
+                None,
+            ));
+        }
+        match call {
+            Call::Submit { place, spec } => self.submit(&place, *spec, ticket, wall),
+            Call::Show(place) => {
+                let reply = self.show(&place);
+                self.reply(ticket, reply);
+            }
+            Call::Cancel(place) => self.cancel(&place, ticket, wall),
+            Call::Plan(plan) => self.plan(*plan, ticket),
+            Call::ReadPlan => {
+                let text = self.state.plan().map(|plan| plan.text.clone());
+                let reply = text.map_or(no_plan(), Reply::Plan);
+                self.reply(ticket, reply);
+            }
+            Call::Report(report) => self.report(&report, ticket, now),
+            Call::Leave(life) => self.leave(life, ticket),
+            Call::Overview => {
+                let reply = Reply::Overview(self.overview());
+                self.reply(ticket, reply);
+            }
+        }
+    }
+
+    fn propose(&mut self, command: Command, ticket: Option<Ticket>) {
+        self.proposals.push((command, ticket));
+    }
+
+    fn reply(&mut self, ticket: Ticket, reply: Reply) {
+        let until = self.agree.leads_until();
+        self.outputs.push(Output::Reply(ticket, reply, until));
+    }
+
+    fn submit(&mut self, place: &Place, spec: Spec, ticket: Ticket, wall: Wall) {
+        let Some(plan) = self.state.plan() else {
+            return self.reply(ticket, no_plan());
+        };
+        let version = plan.version;
+        let Some((name, queue, rest)) = plan.find(&place.host, &place.path) else {
+            return self.reply(ticket, Reply::NoQueue);
+        };
+        let Some(job) = job_id(rest) else {
+            let detail = "the path doesn't end with a job's identity".to_owned();
+            return self.reply(ticket, Reply::Malformed(detail));
+        };
+        if self.state.job(&job).is_some() {
+            return self.reply(ticket, Reply::Done);
+        }
+        if !spec.is_sound() {
+            let detail = "the steps don't make up a job".to_owned();
+            return self.reply(ticket, Reply::Malformed(detail));
+        }
+        let Some(lead) = &self.lead else {
+            return;
+        };
+        let (name, queue) = (name.to_owned(), queue.clone());
+        if let Some(refused) = lead.turn_away(&name, &queue, &spec) {
+            let (reason, retry, backlog) = refused;
+            self.outputs.push(Output::Decided(Decision::Refused {
+                job,
+                queue: name,
+                reason,
+                retry,
+                backlog,
+            }));
+            return self.reply(ticket, Reply::Refused { retry, reason });
+        }
+        self.outputs.push(Output::Decided(Decision::Accepted {
+            job,
+            queue: name.clone(),
+            tasks: spec.steps.iter().map(|step| step.count).sum(),
+            plan: version,
+            waiting: lead.open_jobs(),
+        }));
+        let command = Command::Submit {
+            at: wall,
+            job,
+            queue: name,
+            spec: Box::new(spec),
+        };
+        self.propose(command, Some(ticket));
+    }
+
+    fn show(&self, place: &Place) -> Reply {
+        let Some(plan) = self.state.plan() else {
+            return no_plan();
+        };
+        let Some((name, _, rest)) = plan.find(&place.host, &place.path) else {
+            return Reply::NoQueue;
+        };
+        let Some(lead) = &self.lead else {
+            return no_plan();
+        };
+        if rest.is_empty() {
+            return Reply::Waiting(lead.waiting(&self.state, name));
+        }
+        let job = job_id(rest);
+        let known = job.and_then(|id| Some((id, self.state.job(&id)?)));
+        let Some((id, job)) = known else {
+            return Reply::NoJob;
+        };
+        let phase = match job.over {
+            Some((phase, _)) => phase,
+            None if job.has_ends() || lead.has_begun(&id) => Phase::Running,
+            None => Phase::Pending,
+        };
+        Reply::Phase(phase)
+    }
+
+    fn cancel(&mut self, place: &Place, ticket: Ticket, wall: Wall) {
+        let Some(plan) = self.state.plan() else {
+            return self.reply(ticket, no_plan());
+        };
+        let Some((_, _, rest)) = plan.find(&place.host, &place.path) else {
+            return self.reply(ticket, Reply::NoQueue);
+        };
+        let job = job_id(rest);
+        let known = job.and_then(|id| Some((id, self.state.job(&id)?)));
+        match known {
+            Some((job, held)) if held.is_open() => {
+                self.propose(Command::Cancel { at: wall, job }, Some(ticket));
+            }
+            Some(_) => self.reply(ticket, Reply::Done),
+            None => self.reply(ticket, Reply::NoJob),
+        }
+    }
+
+    fn plan(&mut self, plan: Plan, ticket: Ticket) {
+        if let Err(fault) = plan.check() {
+            return self.reply(ticket, Reply::Malformed(fault.to_string()));
+        }
+        let held = self.state.plan().map_or(0, |plan| plan.version);
+        match plan.version > held {
+            true => self.propose(Command::Plan(Box::new(plan)), Some(ticket)),
+            false => self.reply(ticket, Reply::Done),
+        }
+    }
+
+    fn report(&mut self, report: &Report, ticket: Ticket, now: Time) {
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        match lead.report(&self.state, report, now) {
+            Some(command) => self.propose(command, Some(ticket)),
+            None => self.reply(ticket, Reply::Done),
+        }
+    }
+
+    fn leave(&mut self, life: Life, ticket: Ticket) {
+        let held = self
+            .state
+            .life(&life.worker)
+            .map(|member| member.life.clone());
+        match held {
+            // A worker that says no birth means the life that is known.
+            Some(held) if life.born == Wall::default() || held == life => {
+                self.propose(Command::Leave { life: held }, Some(ticket));
+            }
+            _ => self.reply(ticket, Reply::Done),
+        }
+    }
+
+    /// Does what the time asks for.
+    pub fn tick(&mut self, now: Time, wall: Wall) {
+        if self.broken {
+            return;
+        }
+        self.agree.tick(now);
+        if now >= self.expire_at && self.lead.is_some() {
+            self.expire_at = now.after(EXPIRE_STEP);
+            let before = wall.as_millis().saturating_sub(REMEMBER.as_millis());
+            let before = Wall::from_millis(before);
+            self.propose(Command::Expire { before }, None);
+        }
+    }
+
+    /// Asks another node to lead, as this one leaves.
+    pub fn hand_over(&mut self) {
+        self.agree.hand_over();
+    }
+
+    /// Proposes all that has gathered in one batch, and gives what has to be
+    /// done, in order.
+    pub fn flush(&mut self, now: Time, wall: Wall) -> Vec<Output> {
+        for _ in 0..ROUNDS {
+            self.dispatch(now, wall);
+            self.propose_all(now);
+            if !self.drain(now, wall) && self.proposals.is_empty() {
+                break;
+            }
+        }
+        if self.unsaved >= SNAPSHOT_BYTES && self.compact() {
+            self.drain(now, wall);
+        }
+        std::mem::take(&mut self.outputs)
+    }
+
+    /// Lets the state stand in place of the log up to here.
+    fn compact(&mut self) -> bool {
+        let Ok(data) = postcard::to_allocvec(&self.state) else {
+            return false;
+        };
+        let done = self.agree.compact(self.agree.applied(), data);
+        if done {
+            self.unsaved = 0;
+        }
+        done
+    }
+
+    /// Lets the leader's part work, as long as no other node can lead.
+    fn dispatch(&mut self, now: Time, wall: Wall) {
+        if !self.agree.leads(now) {
+            return;
+        }
+        let until = self.agree.leads_until();
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        lead.step(&self.state, now, wall);
+        let Work {
+            orders,
+            questions,
+            commands,
+            decisions,
+        } = lead.take();
+        let decided = decisions.into_iter().map(Output::Decided);
+        self.outputs.extend(decided);
+        let orders = orders.into_iter().map(|order| Output::Order(order, until));
+        self.outputs.extend(orders);
+        let asks = questions
+            .into_iter()
+            .map(|(helper, question)| Output::Ask(helper, question));
+        self.outputs.extend(asks);
+        self.proposals
+            .extend(commands.into_iter().map(|command| (command, None)));
+    }
+
+    fn propose_all(&mut self, now: Time) {
+        if self.proposals.is_empty() {
+            return;
+        }
+        let mut commands = Vec::new();
+        let mut tickets = Vec::new();
+        for (command, ticket) in std::mem::take(&mut self.proposals) {
+            match (command.encode(), ticket) {
+                (Ok(bytes), ticket) => {
+                    commands.push(bytes);
+                    tickets.push(ticket);
+                }
+                (Err(garbled), Some(ticket)) => {
+                    self.reply(ticket, Reply::Malformed(garbled.to_string()));
+                }
+                (Err(_), None) => {}
+            }
+        }
+        match self.agree.propose(commands, now) {
+            Ok(indexes) => {
+                let asked = indexes.into_iter().zip(tickets);
+                self.asked
+                    .extend(asked.filter_map(|(index, ticket)| Some((index, ticket?))));
+            }
+            Err(other) => {
+                for ticket in tickets.into_iter().flatten() {
+                    let reply = Reply::NotLeader(other.leader);
+                    self.outputs.push(Output::Reply(ticket, reply, None));
+                }
+            }
+        }
+    }
+
+    /// Carries out what the agreement has given; false if there was nothing.
+    fn drain(&mut self, now: Time, wall: Wall) -> bool {
+        let outputs = self.agree.take();
+        let any = !outputs.is_empty();
+        for output in outputs {
+            match output {
+                agree::Output::Save(ballot) => self.outputs.push(Output::Save(ballot)),
+                agree::Output::Store(entries) => {
+                    self.outputs.push(Output::Store(entries));
+                }
+                agree::Output::Snapshot(snapshot) => {
+                    self.outputs.push(Output::Snapshot(snapshot));
+                }
+                agree::Output::Restore(data) => self.restore(&data),
+                agree::Output::Send(to, message) => {
+                    self.outputs.push(Output::Send(to, message));
+                }
+                agree::Output::Apply(entries) => self.apply(entries, now, wall),
+                agree::Output::Role(role) => self.change_role(role),
+            }
+        }
+        if self.lead.is_none() && self.agree.leads_until().is_some() {
+            self.begin_lead(now, wall);
+            return true;
+        }
+        any
+    }
+
+    fn begin_lead(&mut self, now: Time, wall: Wall) {
+        let fence = self.agree.term().0;
+        let mut lead = Lead::new(&self.state, fence, self.setup.dispatch, now, wall);
+        for &helper in &self.helpers {
+            lead.helper_joined(helper);
+        }
+        self.lead = Some(lead);
+    }
+
+    fn restore(&mut self, data: &[u8]) {
+        match postcard::from_bytes(data) {
+            Ok(state) => self.state = state,
+            Err(_) => self.broken = true,
+        }
+        self.unsaved = 0;
+    }
+
+    fn change_role(&mut self, role: Role) {
+        self.outputs.push(Output::Role(role));
+        if role == Role::Leader {
+            return;
+        }
+        self.lead = None;
+        for ticket in std::mem::take(&mut self.asked).into_values() {
+            self.outputs
+                .push(Output::Reply(ticket, Reply::Unsure, None));
+        }
+    }
+
+    fn apply(&mut self, entries: Vec<Entry>, now: Time, wall: Wall) {
+        for entry in entries {
+            let Payload::Command(bytes) = entry.payload else {
+                continue;
+            };
+            self.unsaved += bytes.len();
+            let Ok(command) = Command::decode(&bytes) else {
+                // An entry that no version of ours wrote: the state can't be
+                // what the others have.
+                self.broken = true;
+                return;
+            };
+            let events = self.state.apply(command);
+            if let Some(ticket) = self.asked.swap_remove(&entry.index) {
+                self.reply(ticket, Reply::Done);
+            }
+            let Some(lead) = &mut self.lead else {
+                continue;
+            };
+            for event in &events {
+                lead.follow(&self.state, event, now, wall);
+            }
+        }
+    }
+
+    /// What the node holds, as JSON for an operator.
+    fn overview(&self) -> String {
+        let lead = self.lead.as_ref();
+        let overview = lead.map(|lead| lead.overview(&self.state));
+        overview.unwrap_or_default()
+    }
+}
+
+fn no_plan() -> Reply {
+    Reply::Refused {
+        retry: NO_PLAN_RETRY,
+        reason: Refusal::NoPlan,
+    }
+}
+
+/// The job that the rest of a path names: sixteen hexadecimal digits.
+fn job_id(rest: &str) -> Option<Id> {
+    let hex = rest.len() == 16 && rest.bytes().all(|byte| byte.is_ascii_hexdigit());
+    let number = hex.then(|| u64::from_str_radix(rest, 16).ok())?;
+    number.map(Id)
+}
--- /dev/null
+++ b/crates/gentianlane/src/fleet/worker.rs
@@ -0,0 +1,62 @@
+//! What a worker says of itself.
+
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+use crate::fleet::job::Size;
+use crate::id;
+use crate::unit::{Span, Wall};
+
+/// One life of a worker's process.
+///
+/// The same worker may come back under its name; then it has been born later
+/// and remembers nothing.
+#[derive(
+    Debug,
+    Clone,
+    PartialEq,
+    Eq,
+    Hash,
+    PartialOrd,
+    Ord,
+    Serialize,
+    Deserialize,
+    derive_more::Display,
+)]
+#[display("{worker}/{born}")]
+pub struct Life {
+    /// The worker's name.
+    pub worker: id::Worker,
+    /// When the process began, by its own civil clock.
+    pub born: Wall,
+}
+
+/// A worker as it announces itself.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Site {
+    /// The pool that it serves.
+    pub pool: String,
+    /// Where it takes orders.
+    pub address: SocketAddr,
+    /// Its failure domain.
+    pub domain: String,
+    /// All that it has.
+    pub capacity: Size,
+    /// Its labels, its rack among them.
+    pub labels: Vec<String>,
+}
+
+/// One report of a worker about itself.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    /// Who reports.
+    pub life: Life,
+    /// Where it is and what it has.
+    pub site: Site,
+    /// Counts the life's reports, so that a late one is recognised.
+    pub number: u64,
+    /// Whether the worker is being emptied.
+    pub draining: bool,
+    /// The least time that a draining worker still has.
+    pub remaining: Option<Span>,
+}
--- a/crates/gentianlane/src/id.rs
+++ b/crates/gentianlane/src/id.rs
@@ -3,6 +3,7 @@
 use derive_more::{Display, From, Into};
 use serde::{Deserialize, Serialize};
 use std::fmt;
+use std::net::Ipv4Addr;
 use uuid::Uuid;
 
 use crate::unit::Wall;
@@ -52,6 +53,32 @@
     /// A node whose disk was wiped comes back under another number.
     Node, "n"
 );
+impl Node {
+    /// The number of a node that stands on the VM with this address.
+    ///
+    /// A disk that was wiped is another generation: the same VM comes back as
+    /// another node. Founders are of generation zero.
+    ///
+    /// ```
+    /// use gentianlane::id::Node;
+    /// let node = Node::on([10, 1, 0, 30].into(), 7);
+    /// assert_eq!(node.seat(), Some([10, 1, 0, 30].into()));
+    /// assert_eq!(Node(3).seat(), None);
+    /// ```
+    #[must_use]
+    pub fn on(address: Ipv4Addr, generation: u32) -> Self {
+        let seat = u64::from(u32::from(address));
+        Self(seat << u32::BITS | u64::from(generation))
+    }
+
+    /// The address of the VM that the node stands on, if its number tells.
+    #[must_use]
+    pub fn seat(self) -> Option<Ipv4Addr> {
+        let seat = u32::try_from(self.0 >> u32::BITS).ok()?;
+        (seat != 0).then(|| Ipv4Addr::from(seat))
+    }
+}
+
 number!(
     /// A job: what one accepted request or one replica of a service asks for.
     Job, "j"
--- a/crates/gentianlane/src/lib.rs
+++ b/crates/gentianlane/src/lib.rs
@@ -7,6 +7,7 @@
 //!
 //! - [`agree`] replicates a log of commands among the voters.
 //! - [`cell`] is the state that the log builds, and the leader's work upon it.
+//! - [`fleet`] runs graphs of steps on workers that the leader calls.
 //! - [`place`] decides which worker runs what.
 //! - [`admit`] refuses early what can't be served in time.
 //! - [`route`] takes calls to the leader and to the instances of services.
@@ -19,6 +20,7 @@
 pub mod api;
 pub mod cell;
 pub mod digest;
+pub mod fleet;
 pub mod id;
 pub mod lease;
 pub mod note;
