--- a/crates/gentianlane/tests/fleet/dispatch.rs
+++ b/crates/gentianlane/tests/fleet/dispatch.rs
@@ -58,7 +58,7 @@
     let mut world = World::new(2, 1).ready(plan(1, false));
     world.trouble.answers_lost = 1_000;
     world.submit(7, &job(1, 500));
-    world.run(700);
+    world.run(500);
     world.trouble = Trouble::default();
     world.run(2_000);
     assert_eq!(world.starts(&task(7, 0)), 1);
@@ -91,12 +91,15 @@
     spec.steps[0].lasts = true;
     world.submit(7, &spec);
     world.run(500);
+    world.submit(8, &job(1, 3_500));
+    world.run(100);
     let leader = world.leader().expect("a leader");
+    let worker = world.seen[0].worker.clone();
+    world.dark.insert(worker);
     world.call(Call::Cancel(place(7)));
-    world.run(8);
+    world.run(30);
     world.kill(leader);
-    world.run(1_800);
-    world.submit(8, &job(1, 3_500));
+    world.dark.clear();
     // The oracle checks the room at every start.
     world.run(6_000);
     assert_eq!(phase(&mut world, 8), Some(Phase::Completed));
--- a/crates/gentianlane/tests/fleet/world.rs
+++ b/crates/gentianlane/tests/fleet/world.rs
@@ -309,6 +309,11 @@
         let answer = self.carry_out(at, &order);
         let told = matches!(&answer, Answer::State(state) if !state.ended.is_empty());
         let whole = matches!(answer, Answer::State(_));
+        let ends = !whole || told || self.now >= until;
+        if ends && self.chance(self.trouble.answers_lost) {
+            let timeout = order.timeout.as_millis();
+            return self.send(timeout, Parcel::Answer(from, order.number, Answer::Lost));
+        }
         match whole && !told && self.now < until {
             true => self.send(5, Parcel::Held(from, order, until)),
             false => self.send(HOP, Parcel::Answer(from, order.number, answer)),
