Let entries that are cut off from the cores go by another entry

Ruled out: the cores' side (calm through the cut) and readiness (a zone whose entries are all out is still sent callers). Callers with little patience left were given up at once as the reserve was longer than what they had.

Entries now learn of one another from the leader, pass calls on for each other and go back once the leader answers a dial. Silence on a link is found in 650 ms instead of 800.

--- a/crates/gentianlane-daemon/src/fleet/control.rs
+++ b/crates/gentianlane-daemon/src/fleet/control.rs
@@ -255,6 +255,7 @@
             leads: agree.role() == Role::Leader && agree.leads_until().is_some(),
             leader: agree.leader().and_then(id::Node::seat),
             voters: agree.voters().iter().filter_map(id::Node::seat).collect(),
+            entries: Vec::new(),
         };
         (guide != self.guide).then(|| {
             self.guide.clone_from(&guide);
--- a/crates/gentianlane-daemon/src/fleet/core.rs
+++ b/crates/gentianlane-daemon/src/fleet/core.rs
@@ -1,8 +1,9 @@
 //! A core: holds the log, takes workers' and operators' calls and, while it
 //! leads, calls the workers.
 
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::Path;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 use std::time::Duration;
@@ -79,12 +80,42 @@
     client: Client,
     adviser: Arc<Mutex<Option<SocketAddr>>>,
     guide: Arc<Mutex<Guide>>,
-    /// The connections that other processes have made, by number.
-    links: Arc<Mutex<IndexMap<Helper, Sender<Packet>>>>,
+    /// The connections that entries have made, by number.
+    links: Arc<Mutex<IndexMap<Helper, Link>>>,
+    /// Whether entries have come or gone since all were told of them.
+    entries_changed: Arc<AtomicBool>,
     metrics: Metrics,
     log: Logger,
 }
 
+/// An entry's connection.
+#[derive(Clone)]
+struct Link {
+    vm: Option<Ipv4Addr>,
+    sender: Sender<Packet>,
+}
+
+impl Shared {
+    /// The way to the leader, and the entries that reach this node.
+    fn guide(&self) -> Guide {
+        let mut guide = lock(&self.guide).clone();
+        if guide.leads {
+            let links = lock(&self.links);
+            guide.entries = links.values().filter_map(|link| link.vm).collect();
+        }
+        guide
+    }
+
+    /// Tells every entry the way to the leader.
+    fn tell_guide(&self) {
+        let guide = self.guide();
+        for link in lock(&self.links).values() {
+            // An entry whose connection is full is told the next time.
+            let _ = link.sender.try_send(Packet::Guide(guide.clone()));
+        }
+    }
+}
+
 /// Runs a core until it is told to stop.
 pub(crate) fn run(path: &Path) -> Result<()> {
     let settings = Settings::read(path)?;
@@ -134,6 +165,7 @@
         adviser: Arc::new(Mutex::new(settings.adviser())),
         guide: Arc::default(),
         links: Arc::default(),
+        entries_changed: Arc::default(),
         metrics,
         log,
     };
@@ -266,9 +298,24 @@
             },
             () = tokio::time::sleep(SETTINGS_STEP) => reload(path, &mut known, &shared),
         }
+        if shared.entries_changed.swap(false, Ordering::Relaxed) {
+            tell_later(&shared);
+        }
     }
 }
 
+/// Tells the entries of one another, once for all that come at the same time.
+fn tell_later(shared: &Shared) {
+    let shared = shared.clone();
+    tokio::spawn(async move {
+        tokio::time::sleep(TELL_PAUSE).await;
+        shared.tell_guide();
+    });
+}
+
+/// How long changes among the entries are gathered.
+const TELL_PAUSE: Duration = Duration::from_millis(400);
+
 /// Takes up what has changed in the settings file.
 fn reload(path: &Path, known: &mut Settings, shared: &Shared) {
     match Settings::read(path) {
@@ -342,14 +389,20 @@
     if stream.set_nodelay(true).is_err() {
         return;
     }
+    let vm = match stream.peer_addr().map(|address| address.ip()) {
+        Ok(IpAddr::V4(vm)) => Some(vm),
+        _ => None,
+    };
     let (sender, outgoing) = flume::bounded(link::WAITING_LIMIT);
     let mut helps = false;
     let take = |packet| match packet {
         Packet::Hello { helps: true, .. } => {
             helps = true;
-            let guide = lock(&shared.guide).clone();
-            let _ = sender.try_send(Packet::Guide(guide));
-            lock(&shared.links).insert(number, sender.clone());
+            let sender = sender.clone();
+            // The connection's first packet finds room.
+            let _ = sender.try_send(Packet::Guide(shared.guide()));
+            lock(&shared.links).insert(number, Link { vm, sender });
+            shared.entries_changed.store(true, Ordering::Relaxed);
             hand_in(&shared, Input::Helper(number, true));
         }
         Packet::Peer(frame) if is_for(&frame, node) => {
@@ -377,6 +430,7 @@
             .unwrap_or_default();
         info!(shared.log, "link_closed"; "link" => number, "error" => error);
         lock(&shared.links).swap_remove(&number);
+        shared.entries_changed.store(true, Ordering::Relaxed);
         let _ = shared.inputs.send_async(Input::Helper(number, false)).await;
     }
 }
@@ -429,9 +483,7 @@
             Effect::Ask(helper, question) => self.ask(helper, question),
             Effect::Guide(guide) => {
                 lock(&self.shared.guide).clone_from(&guide);
-                for link in lock(&self.shared.links).values() {
-                    let _ = link.try_send(Packet::Guide(guide.clone()));
-                }
+                self.shared.tell_guide();
             }
             Effect::Stopped => {}
         }
@@ -442,7 +494,7 @@
         let number = question.number;
         let sent = links
             .get(&helper)
-            .is_some_and(|link| link.try_send(Packet::Ask(question)).is_ok());
+            .is_some_and(|link| link.sender.try_send(Packet::Ask(question)).is_ok());
         if !sent {
             let opinion = gentianlane::fleet::order::Opinion {
                 number,
@@ -462,9 +514,9 @@
             }
             Asker::Link(helper, number) => {
                 let links = lock(&self.shared.links);
-                let sent = links
-                    .get(&helper)
-                    .map(|link| link.try_send(Packet::Reply(number, reply)).is_ok());
+                let sent = links.get(&helper).map(|link| {
+                    link.sender.try_send(Packet::Reply(number, reply)).is_ok()
+                });
                 if sent == Some(false) {
                     self.shared.metrics.count("dropped_replies", 1);
                 }
--- a/crates/gentianlane-daemon/src/fleet/entry.rs
+++ b/crates/gentianlane-daemon/src/fleet/entry.rs
@@ -14,6 +14,7 @@
 use indexmap::IndexMap;
 use miette::{IntoDiagnostic, Result};
 use slog::{Logger, info, warn};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, oneshot};
 use tokio::time::{Instant, sleep, timeout};
 
@@ -32,7 +33,8 @@
 /// How long a caller is taken to wait if it doesn't say.
 const PATIENCE: Duration = Duration::from_millis(3_000);
 
-/// What is left of a caller's patience when it is answered at the latest.
+/// What is left of a caller's patience when it is answered at the latest, and
+/// at most a quarter of it.
 const ANSWER_RESERVE: Duration = Duration::from_millis(250);
 
 /// How long a call waits for a leader before it is turned away: about as long
@@ -51,6 +53,9 @@
 /// The pause before another core is tried.
 const RECONNECT: Duration = Duration::from_millis(50);
 
+/// How often an entry that goes by another one tries to reach the leader.
+const PROBE_STEP: Duration = Duration::from_millis(500);
+
 /// How often the settings file is looked at.
 const SETTINGS_STEP: Duration = Duration::from_secs(1);
 
@@ -72,8 +77,8 @@
 struct Shared {
     clock: Clock,
     calls: Arc<Mutex<Calls>>,
-    /// Wakes the link when a call has come.
-    waiting: Arc<Notify>,
+    /// The entry's own VM.
+    own: Ipv4Addr,
     adviser: Arc<Mutex<Option<SocketAddr>>>,
     known: Arc<Mutex<Known>>,
     client: Client,
@@ -88,6 +93,8 @@
     open: IndexMap<u64, Open>,
     /// The way to the leader, while there is one.
     link: Option<Sender<Packet>>,
+    /// Whether that way leads to the leader itself, not to another entry.
+    direct: bool,
     /// When there last was one.
     linked: Time,
 }
@@ -113,7 +120,7 @@
     let shared = Shared {
         clock: Clock::start(),
         calls: Arc::default(),
-        waiting: Arc::default(),
+        own: settings.ip,
         adviser: Arc::new(Mutex::new(settings.adviser())),
         known: Arc::new(Mutex::new(known)),
         client: Client::default(),
@@ -133,6 +140,8 @@
     let mut signals = Signals::listen().into_diagnostic()?;
     let server = Server::new();
     tokio::spawn(keep_link(shared.clone(), settings.link_port));
+    let relay = TcpListener::bind(settings.link()).await.into_diagnostic()?;
+    tokio::spawn(accept(relay, shared.clone()));
     let caller = shared.clone();
     server
         .listen(front, move |asked| serve_caller(caller.clone(), asked))
@@ -264,7 +273,7 @@
         shared.metrics.count("busy", 1);
         return Response::unavailable("the entry is full", BUSY_RETRY);
     };
-    let limit = patience.saturating_sub(ANSWER_RESERVE);
+    let limit = patience.saturating_sub(ANSWER_RESERVE.min(patience / 4));
     tokio::pin!(reply);
     let first = timeout(limit.min(LEADER_WAIT), reply.as_mut()).await;
     let replied = match first {
@@ -327,42 +336,47 @@
     Some((number, receiver))
 }
 
-/// Keeps a connection to the core that leads.
+/// Keeps a connection to the core that leads, or to an entry that reaches it.
 async fn keep_link(shared: Shared, port: u16) {
     loop {
-        let Some(core) = lock(&shared.known).choose() else {
+        let now = shared.clock.now();
+        let Some(vm) = lock(&shared.known).choose(shared.own, now) else {
             sleep(SETTINGS_STEP).await;
             continue;
         };
-        let ended = match link::dial((core, port).into(), true).await {
-            Ok(stream) => use_link(&shared, core, stream).await,
+        let ended = match link::dial((vm, port).into(), true).await {
+            Ok(stream) => use_link(&shared, vm, port, stream).await,
             Err(error) => Err(error),
         };
         let lost = unlink(&shared);
-        if let Err(error) = ended
+        if let Err(error) = &ended
             && lost
         {
-            warn!(shared.log, "leader_lost"; "core" => %core, "error" => %error);
+            warn!(shared.log, "leader_lost"; "by" => %vm, "error" => %error);
+        }
+        if ended.is_err() || !lost {
+            let now = shared.clock.now();
+            lock(&shared.known).fail(vm, now);
         }
-        lock(&shared.known).doubt(core);
         sleep(RECONNECT).await;
     }
 }
 
-/// Uses a connection to a core for as long as that core leads.
+/// Uses a connection for as long as it leads to the leader.
 async fn use_link(
     shared: &Shared,
-    core: Ipv4Addr,
-    stream: tokio::net::TcpStream,
+    vm: Ipv4Addr,
+    port: u16,
+    stream: TcpStream,
 ) -> std::io::Result<()> {
     let (sender, outgoing): (Sender<Packet>, Receiver<Packet>) =
         flume::bounded(link::WAITING_LIMIT);
     let moved = Notify::new();
     let take = |packet| match packet {
         Packet::Guide(guide) => {
-            lock(&shared.known).learn(core, &guide);
+            lock(&shared.known).learn(vm, &guide);
             match guide.leads {
-                true => relink(shared, core, &sender),
+                true => relink(shared, vm, &sender),
                 false => moved.notify_one(),
             }
         }
@@ -370,29 +384,94 @@
             take_back(shared, number);
             moved.notify_one();
         }
-        Packet::Reply(
-            number,
-            Reply::Refused {
-                reason: Refusal::Busy,
-                ..
-            },
-        ) => {
-            answer(shared, number, busy());
-        }
         Packet::Reply(number, reply) => answer(shared, number, reply),
         Packet::Ask(question) => {
             let (shared, sender) = (shared.clone(), sender.clone());
             tokio::spawn(async move {
                 let adviser = *lock(&shared.adviser);
                 let opinion = ask(&shared.client, adviser, &question).await;
+                // Without an answer the leader asks elsewhere.
                 let _ = sender.try_send(Packet::Opinion(opinion));
             });
         }
         _ => {}
     };
+    let is_core = lock(&shared.known).is_core(vm);
     tokio::select! {
         ended = link::carry(stream, &outgoing, true, take) => ended,
         () = moved.notified() => Ok(()),
+        () = find_leader(shared, port), if !is_core => Ok(()),
+    }
+}
+
+/// Waits until the leader itself can be reached again.
+async fn find_leader(shared: &Shared, port: u16) {
+    loop {
+        sleep(PROBE_STEP).await;
+        let leader = lock(&shared.known).leader();
+        if let Some(leader) = leader
+            && link::dial((leader, port).into(), false).await.is_ok()
+        {
+            return;
+        }
+    }
+}
+
+/// Takes the connections of entries that don't reach the leader.
+async fn accept(listener: TcpListener, shared: Shared) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::spawn(relay(stream, shared.clone()));
+            }
+            Err(error) => {
+                warn!(shared.log, "accept"; "error" => %error);
+                sleep(SETTINGS_STEP).await;
+            }
+        }
+    }
+}
+
+/// Passes another entry's calls on, as long as this one reaches the leader.
+async fn relay(stream: TcpStream, shared: Shared) {
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let (sender, outgoing) = flume::bounded(link::WAITING_LIMIT);
+    let take = |packet| match packet {
+        Packet::Hello { .. } => {
+            let direct = lock(&shared.calls).direct;
+            let guide = lock(&shared.known).guide(direct);
+            // The connection's first packet finds room.
+            let _ = sender.try_send(Packet::Guide(guide));
+        }
+        Packet::Call(number, call) => {
+            let (shared, sender) = (shared.clone(), sender.clone());
+            tokio::spawn(async move {
+                if let Some(reply) = pass_relayed(&shared, *call).await {
+                    // The other entry asks again if its connection is full.
+                    let _ = sender.try_send(Packet::Reply(number, reply));
+                }
+            });
+        }
+        _ => {}
+    };
+    // The other side reconnects by itself.
+    let _ = link::carry(stream, &outgoing, false, take).await;
+}
+
+/// Takes another entry's call to the leader; no reply if none came.
+async fn pass_relayed(shared: &Shared, call: Call) -> Option<Reply> {
+    shared.metrics.count("relayed", 1);
+    let Some((number, reply)) = open(shared, call) else {
+        return Some(busy());
+    };
+    match timeout(PATIENCE, reply).await {
+        Ok(reply) => reply.ok(),
+        Err(_) => {
+            lock(&shared.calls).open.swap_remove(&number);
+            None
+        }
     }
 }
 
@@ -403,13 +482,16 @@
     }
 }
 
-/// A core says that it leads: it gets every call that waits.
-fn relink(shared: &Shared, core: Ipv4Addr, link: &Sender<Packet>) {
+/// The other side leads, or reaches the leader: it gets every call that waits.
+fn relink(shared: &Shared, vm: Ipv4Addr, link: &Sender<Packet>) {
+    let direct = lock(&shared.known).is_core(vm);
     let mut calls = lock(&shared.calls);
     if calls.link.is_none() {
-        info!(shared.log, "leader_found"; "core" => %core, "waiting" => calls.open.len());
+        info!(shared.log, "leader_found"; "by" => %vm, "direct" => direct,
+            "waiting" => calls.open.len());
     }
     calls.link = Some(link.clone());
+    calls.direct = direct;
     calls.linked = shared.clock.now();
     for (&number, open) in &mut calls.open {
         if !open.sent {
@@ -427,6 +509,7 @@
         open.doubtful = true;
     }
     let lost = calls.link.take().is_some();
+    calls.direct = false;
     if lost {
         calls.linked = shared.clock.now();
     }
--- a/crates/gentianlane-daemon/src/fleet/guide.rs
+++ b/crates/gentianlane-daemon/src/fleet/guide.rs
@@ -1,57 +1,91 @@
-//! Which core leads, as a process of the fleet knows it, and which to try.
+//! Which core leads, as an entry knows it, and whom to try next.
 
 use std::net::Ipv4Addr;
 
 use gentianlane::fleet::link::Guide;
-use indexmap::IndexSet;
+use gentianlane::unit::{Span, Time};
+use indexmap::{IndexMap, IndexSet};
 
-/// The cores that are known, and the one that leads.
+/// The cores and entries that are known, and the core that leads.
 #[derive(Debug, Default)]
 pub(crate) struct Known {
-    /// The core that leads, by its own or another core's word.
+    /// The core that leads, by its own or another's word.
     leader: Option<Ipv4Addr>,
     cores: IndexSet<Ipv4Addr>,
-    next: usize,
+    /// The entries that reach the leader.
+    entries: IndexSet<Ipv4Addr>,
+    /// The processes that couldn't help, and when that was.
+    failed: IndexMap<Ipv4Addr, Time>,
 }
 
-/// The most cores that are kept in mind.
-const CORE_LIMIT: usize = 32;
+/// The most processes of a kind that are kept in mind.
+const LIMIT: usize = 64;
+
+/// How long a process that couldn't help isn't tried again while there are
+/// others.
+const REST: Span = Span::from_millis(900);
 
 impl Known {
     /// Takes in what the settings say.
     pub(crate) fn seed(&mut self, seeds: impl IntoIterator<Item = Ipv4Addr>) {
         for seed in seeds {
-            if self.cores.len() < CORE_LIMIT {
+            if self.cores.len() < LIMIT {
                 self.cores.insert(seed);
             }
         }
     }
 
-    /// Takes in what a core says.
+    /// Takes in what a core or an entry says.
     pub(crate) fn learn(&mut self, from: Ipv4Addr, guide: &Guide) {
-        self.leader = match guide.leads {
-            true => Some(from),
-            false => guide.leader.filter(|&leader| leader != from),
-        };
+        if guide.leads && self.cores.contains(&from) {
+            self.leader = Some(from);
+        } else if let Some(leader) = guide.leader.filter(|&leader| leader != from) {
+            self.leader = Some(leader);
+        }
         self.seed(guide.voters.iter().copied());
+        if !guide.entries.is_empty() {
+            self.entries = guide.entries.iter().copied().take(LIMIT).collect();
+        }
     }
 
-    /// A core that was tried didn't answer, or doesn't lead any more.
-    pub(crate) fn doubt(&mut self, core: Ipv4Addr) {
-        if self.leader == Some(core) {
-            self.leader = None;
+    /// What is known, for another entry.
+    pub(crate) fn guide(&self, leads: bool) -> Guide {
+        Guide {
+            leads,
+            leader: self.leader,
+            voters: self.cores.iter().copied().collect(),
+            entries: Vec::new(),
         }
     }
 
-    /// The core to try next: the leader, or each in turn.
-    pub(crate) fn choose(&mut self) -> Option<Ipv4Addr> {
-        if self.leader.is_some() {
-            return self.leader;
-        }
-        if self.cores.is_empty() {
-            return None;
+    /// The core that leads, if it is known.
+    pub(crate) fn leader(&self) -> Option<Ipv4Addr> {
+        self.leader
+    }
+
+    /// Whether this is a core.
+    pub(crate) fn is_core(&self, vm: Ipv4Addr) -> bool {
+        self.cores.contains(&vm)
+    }
+
+    /// A process that was tried couldn't help.
+    pub(crate) fn fail(&mut self, vm: Ipv4Addr, now: Time) {
+        self.failed.insert(vm, now);
+        if self.failed.len() > 2 * LIMIT {
+            self.failed.shift_remove_index(0);
         }
-        self.next = (self.next + 1) % self.cores.len();
-        self.cores.get_index(self.next).copied()
+    }
+
+    /// Whom to try next: the leader, the cores, then the entries that may
+    /// reach it; of those that couldn't help lately the one longest ago.
+    pub(crate) fn choose(&mut self, own: Ipv4Addr, now: Time) -> Option<Ipv4Addr> {
+        self.failed.retain(|_, at| now.since(*at) < REST);
+        let leader = self.leader.into_iter();
+        let all = leader
+            .chain(self.cores.iter().copied())
+            .chain(self.entries.iter().copied())
+            .filter(|&vm| vm != own);
+        let fresh = all.clone().find(|vm| !self.failed.contains_key(vm));
+        fresh.or_else(|| all.min_by_key(|vm| self.failed.get(vm).copied()))
     }
 }
--- a/crates/gentianlane-daemon/src/fleet/link.rs
+++ b/crates/gentianlane-daemon/src/fleet/link.rs
@@ -13,14 +13,14 @@
 use tokio::time::{Instant, timeout};
 
 /// How long a connection may take to come about.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// How often the side that connected pings.
-const PING_STEP: Duration = Duration::from_millis(250);
+const PING_STEP: Duration = Duration::from_millis(200);
 
 /// A connection on which nothing came for this long is given up; several
 /// pings, so that a short stall of the processor is no loss.
-const SILENCE: Duration = Duration::from_millis(800);
+const SILENCE: Duration = Duration::from_millis(650);
 
 /// How long one write may take.
 const WRITE_TIMEOUT: Duration = Duration::from_millis(1_000);
--- a/crates/gentianlane/src/fleet/link.rs
+++ b/crates/gentianlane/src/fleet/link.rs
@@ -45,10 +45,13 @@
 /// The way to the leader.
 #[derive(Debug, Default, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Guide {
-    /// Whether the sender leads.
+    /// Whether the sender leads, or is an entry that reaches the leader and
+    /// passes calls on to it.
     pub leads: bool,
     /// The VM of the node that leads, if it is known.
     pub leader: Option<Ipv4Addr>,
     /// The VMs of the nodes that vote.
     pub voters: Vec<Ipv4Addr>,
+    /// The VMs of the entries that reach the leader.
+    pub entries: Vec<Ipv4Addr>,
 }
