Shorten elections, and keep entries with a core while no leader is known

Ruled out: taking over what runs (30 ms). An election waits 500 instead of 700 ms, a silent link is found in 500 ms, an entry hears of the new leader on the link that it has, and calls whose leader lost the lead are sent again instead of answered 504.

--- a/crates/gentianlane-daemon/src/fleet/core.rs
+++ b/crates/gentianlane-daemon/src/fleet/core.rs
@@ -62,12 +62,12 @@
 /// This process as a helper of its own leader.
 const OWN: Helper = 0;
 
-/// What agreement takes: half a second of silence is several heartbeats, and
-/// more than a stall of the processor's quota.
+/// What agreement takes: half a second of silence is six heartbeats, more than
+/// a stall of the processor's quota and than the slowest sync of a sound disk.
 const TIMING: agree::Timing = agree::Timing {
-    heartbeat: Span::from_millis(120),
-    election: Span::from_millis(700),
-    drift: Span::from_millis(70),
+    heartbeat: Span::from_millis(80),
+    election: Span::from_millis(500),
+    drift: Span::from_millis(50),
     repair: Span::from_millis(3_000),
 };
 
--- a/crates/gentianlane-daemon/src/fleet/entry.rs
+++ b/crates/gentianlane-daemon/src/fleet/entry.rs
@@ -53,6 +53,9 @@
 /// The pause before another core is tried.
 const RECONNECT: Duration = Duration::from_millis(50);
 
+/// How often calls that were taken back are sent again.
+const RESEND_STEP: Duration = Duration::from_millis(150);
+
 /// How often an entry that goes by another one tries to reach the leader.
 const PROBE_STEP: Duration = Duration::from_millis(500);
 
@@ -372,18 +375,21 @@
     let (sender, outgoing): (Sender<Packet>, Receiver<Packet>) =
         flume::bounded(link::WAITING_LIMIT);
     let moved = Notify::new();
+    let is_core = lock(&shared.known).is_core(vm);
     let take = |packet| match packet {
         Packet::Guide(guide) => {
             lock(&shared.known).learn(vm, &guide);
-            match guide.leads {
-                true => relink(shared, vm, &sender),
-                false => moved.notify_one(),
+            // A core that knows of no leader tells as soon as there is one.
+            match (guide.leads, guide.leader) {
+                (true, _) => relink(shared, vm, &sender),
+                (false, None) if is_core => park(shared),
+                (false, _) => moved.notify_one(),
             }
         }
         Packet::Reply(number, Reply::NotLeader(_)) => {
-            take_back(shared, number);
-            moved.notify_one();
+            take_back(shared, number, false);
         }
+        Packet::Reply(number, Reply::Unsure) => take_back(shared, number, true),
         Packet::Reply(number, reply) => answer(shared, number, reply),
         Packet::Ask(question) => {
             let (shared, sender) = (shared.clone(), sender.clone());
@@ -396,10 +402,10 @@
         }
         _ => {}
     };
-    let is_core = lock(&shared.known).is_core(vm);
     tokio::select! {
         ended = link::carry(stream, &outgoing, true, take) => ended,
         () = moved.notified() => Ok(()),
+        () = send_again(shared) => Ok(()),
         () = find_leader(shared, port), if !is_core => Ok(()),
     }
 }
@@ -493,12 +499,7 @@
     calls.link = Some(link.clone());
     calls.direct = direct;
     calls.linked = shared.clock.now();
-    for (&number, open) in &mut calls.open {
-        if !open.sent {
-            let packet = Packet::Call(number, Box::new(open.call.clone()));
-            open.sent = link.try_send(packet).is_ok();
-        }
-    }
+    send_waiting(&mut calls);
 }
 
 /// The connection is gone: what was sent over it may or may not have arrived.
@@ -516,10 +517,41 @@
     lost
 }
 
-/// The core says that it did nothing about a call.
-fn take_back(shared: &Shared, number: u64) {
+/// The core doesn't lead any more; replies to what it was sent may still come.
+fn park(shared: &Shared) {
+    let mut calls = lock(&shared.calls);
+    if calls.link.take().is_some() {
+        calls.linked = shared.clock.now();
+    }
+    calls.direct = false;
+}
+
+/// Sends a call again some time, since the core did nothing about it or, in
+/// doubt, may not know what became of it: the leader takes a job once.
+fn take_back(shared: &Shared, number: u64, doubtful: bool) {
     if let Some(open) = lock(&shared.calls).open.get_mut(&number) {
         open.sent = false;
+        open.doubtful |= doubtful;
+    }
+}
+
+/// Sends the calls again that were taken back.
+async fn send_again(shared: &Shared) {
+    loop {
+        sleep(RESEND_STEP).await;
+        send_waiting(&mut lock(&shared.calls));
+    }
+}
+
+/// Sends every call that waits, if there is a way to the leader.
+fn send_waiting(calls: &mut Calls) {
+    let Some(link) = calls.link.clone() else {
+        return;
+    };
+    let waiting = calls.open.iter_mut().filter(|(_, open)| !open.sent);
+    for (&number, open) in waiting {
+        let packet = Packet::Call(number, Box::new(open.call.clone()));
+        open.sent = link.try_send(packet).is_ok();
     }
 }
 
--- a/crates/gentianlane-daemon/src/fleet/link.rs
+++ b/crates/gentianlane-daemon/src/fleet/link.rs
@@ -16,11 +16,11 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// How often the side that connected pings.
-const PING_STEP: Duration = Duration::from_millis(200);
+const PING_STEP: Duration = Duration::from_millis(150);
 
 /// A connection on which nothing came for this long is given up; several
 /// pings, so that a short stall of the processor is no loss.
-const SILENCE: Duration = Duration::from_millis(650);
+const SILENCE: Duration = Duration::from_millis(500);
 
 /// How long one write may take.
 const WRITE_TIMEOUT: Duration = Duration::from_millis(1_000);
