--- a/crates/gentianlane-daemon/src/fleet/control.rs
+++ b/crates/gentianlane-daemon/src/fleet/control.rs
@@ -196,6 +196,8 @@
             self.held = self.node.flush(self.clock.now(), Clock::wall());
         }
         if self.held.is_empty() {
+            let guide = self.new_guide();
+            self.tell(guide.into_iter().collect());
             return Ok(());
         }
         match self.store() {
@@ -251,9 +253,13 @@
     /// The way to the leader, if it has changed.
     fn new_guide(&mut self) -> Option<Effect> {
         let agree = self.node.agree();
+        // A leader that no majority follows any more may not know it yet.
+        let leads = agree.leads(self.clock.now());
+        let other = agree.leader().filter(|&leader| leader != agree.id());
+        let leader = if leads { agree.leader() } else { other };
         let guide = Guide {
-            leads: agree.role() == Role::Leader && agree.leads_until().is_some(),
-            leader: agree.leader().and_then(id::Node::seat),
+            leads,
+            leader: leader.and_then(id::Node::seat),
             voters: agree.voters().iter().filter_map(id::Node::seat).collect(),
             entries: Vec::new(),
         };
--- a/crates/gentianlane-daemon/src/fleet/core.rs
+++ b/crates/gentianlane-daemon/src/fleet/core.rs
@@ -550,19 +550,24 @@
 
 /// Keeps a connection to another core.
 async fn keep_peer(address: SocketAddr, outgoing: Receiver<Packet>, log: Logger) {
+    let mut connected = true;
     loop {
         let ended = match link::dial(address, false).await {
             Ok(stream) => {
                 info!(log, "peer_connected"; "peer" => %address);
+                connected = true;
                 link::carry(stream, &outgoing, true, |_| {}).await
             }
             Err(error) => Err(error),
         };
         match ended {
             Ok(()) => return,
-            Err(error) => {
+            Err(error) if connected => {
+                connected = false;
                 warn!(log, "peer_lost"; "peer" => %address, "error" => %error);
             }
+            // The loss was told; the next line is that the peer is back.
+            Err(_) => {}
         }
         tokio::time::sleep(RECONNECT).await;
         // What has waited meanwhile is old; the protocol sends it again.
--- a/crates/gentianlane-daemon/src/fleet/entry.rs
+++ b/crates/gentianlane-daemon/src/fleet/entry.rs
@@ -8,7 +8,7 @@
 
 use flume::{Receiver, Sender};
 use gentianlane::fleet::call::{Call, Refusal, Reply};
-use gentianlane::fleet::link::Packet;
+use gentianlane::fleet::link::{Guide, Packet};
 use gentianlane::unit::{Span, Time};
 use gentianlane_platform::{self as platform, Response};
 use indexmap::IndexMap;
@@ -56,6 +56,13 @@
 /// How often calls that were taken back are sent again.
 const RESEND_STEP: Duration = Duration::from_millis(150);
 
+/// How often an entry looks whether its core leads.
+const PARKED_STEP: Duration = Duration::from_millis(100);
+
+/// After how many looks it asks another core: about half an election, so that
+/// all are asked while a leader is being elected.
+const PARKED_STEPS: u32 = 3;
+
 /// How often an entry that goes by another one tries to reach the leader.
 const PROBE_STEP: Duration = Duration::from_millis(500);
 
@@ -83,6 +90,8 @@
     /// The entry's own VM.
     own: Ipv4Addr,
     adviser: Arc<Mutex<Option<SocketAddr>>>,
+    /// The entries that go by this one, by number.
+    relayed: Arc<Mutex<IndexMap<u64, Sender<Packet>>>>,
     known: Arc<Mutex<Known>>,
     client: Client,
     metrics: Metrics,
@@ -125,6 +134,7 @@
         calls: Arc::default(),
         own: settings.ip,
         adviser: Arc::new(Mutex::new(settings.adviser())),
+        relayed: Arc::default(),
         known: Arc::new(Mutex::new(known)),
         client: Client::default(),
         metrics: Metrics::default(),
@@ -406,6 +416,7 @@
         ended = link::carry(stream, &outgoing, true, take) => ended,
         () = moved.notified() => Ok(()),
         () = send_again(shared) => Ok(()),
+        () = tire(shared) => Err(std::io::Error::other("the core knows no leader")),
         () = find_leader(shared, port), if !is_core => Ok(()),
     }
 }
@@ -425,10 +436,12 @@
 
 /// Takes the connections of entries that don't reach the leader.
 async fn accept(listener: TcpListener, shared: Shared) {
+    let mut last = 0;
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                tokio::spawn(relay(stream, shared.clone()));
+                last += 1;
+                tokio::spawn(relay(stream, last, shared.clone()));
             }
             Err(error) => {
                 warn!(shared.log, "accept"; "error" => %error);
@@ -439,17 +452,16 @@
 }
 
 /// Passes another entry's calls on, as long as this one reaches the leader.
-async fn relay(stream: TcpStream, shared: Shared) {
+async fn relay(stream: TcpStream, number: u64, shared: Shared) {
     if stream.set_nodelay(true).is_err() {
         return;
     }
     let (sender, outgoing) = flume::bounded(link::WAITING_LIMIT);
     let take = |packet| match packet {
         Packet::Hello { .. } => {
-            let direct = lock(&shared.calls).direct;
-            let guide = lock(&shared.known).guide(direct);
             // The connection's first packet finds room.
-            let _ = sender.try_send(Packet::Guide(guide));
+            let _ = sender.try_send(Packet::Guide(own_guide(&shared)));
+            lock(&shared.relayed).insert(number, sender.clone());
         }
         Packet::Call(number, call) => {
             let (shared, sender) = (shared.clone(), sender.clone());
@@ -464,6 +476,22 @@
     };
     // The other side reconnects by itself.
     let _ = link::carry(stream, &outgoing, false, take).await;
+    lock(&shared.relayed).swap_remove(&number);
+}
+
+/// The way to the leader, for the entries that go by this one.
+fn own_guide(shared: &Shared) -> Guide {
+    let direct = lock(&shared.calls).direct;
+    lock(&shared.known).guide(direct)
+}
+
+/// Tells the entries that go by this one that its way has changed.
+fn tell_relayed(shared: &Shared) {
+    let guide = own_guide(shared);
+    for sender in lock(&shared.relayed).values() {
+        // An entry whose connection is full finds out by its own pings.
+        let _ = sender.try_send(Packet::Guide(guide.clone()));
+    }
 }
 
 /// Takes another entry's call to the leader; no reply if none came.
@@ -500,6 +528,8 @@
     calls.direct = direct;
     calls.linked = shared.clock.now();
     send_waiting(&mut calls);
+    drop(calls);
+    tell_relayed(shared);
 }
 
 /// The connection is gone: what was sent over it may or may not have arrived.
@@ -514,6 +544,8 @@
     if lost {
         calls.linked = shared.clock.now();
     }
+    drop(calls);
+    tell_relayed(shared);
     lost
 }
 
@@ -524,6 +556,8 @@
         calls.linked = shared.clock.now();
     }
     calls.direct = false;
+    drop(calls);
+    tell_relayed(shared);
 }
 
 /// Sends a call again some time, since the core did nothing about it or, in
@@ -535,6 +569,18 @@
     }
 }
 
+/// Waits until the core hasn't led for so long that another may know more.
+async fn tire(shared: &Shared) {
+    let mut idle = 0;
+    while idle < PARKED_STEPS {
+        sleep(PARKED_STEP).await;
+        idle = match lock(&shared.calls).link {
+            Some(_) => 0,
+            None => idle + 1,
+        };
+    }
+}
+
 /// Sends the calls again that were taken back.
 async fn send_again(shared: &Shared) {
     loop {
--- a/crates/gentianlane/src/fleet/dispatch/answer.rs
+++ b/crates/gentianlane/src/fleet/dispatch/answer.rs
@@ -372,7 +372,9 @@
                     stage.pending.remove(&task.index);
                 }
                 How::Failed => {
-                    *stage.failed_on.entry(worker.clone()).or_insert(0) += 1;
+                    let key = stage.save_key(task.index);
+                    let failed = stage.failed_on.entry(key).or_default();
+                    failed.insert(worker.clone());
                 }
                 _ => {}
             }
@@ -380,10 +382,7 @@
                 && ended.saved.is_empty()
             {
                 let took = now.since(began);
-                let name = state.job(&task.stage.job).map(|job| job.queue.clone());
-                if let Some(name) = name {
-                    self.learn.observe(&name, &stage.step.image, took);
-                }
+                self.learn.observe(&stage.name, &stage.step.image, took);
             }
         }
         self.blame(worker, &task, ended.how, now);
@@ -399,17 +398,29 @@
 
     /// Weighs an end for or against its worker.
     fn blame(&mut self, worker: &id::Worker, task: &Task, how: How, now: Time) {
-        let elsewhere = self
-            .stages
-            .get(&task.stage)
-            .is_some_and(|stage| stage.failed_on.len() > 1);
+        let stage = self.stages.get(&task.stage);
+        let failed_on: Vec<id::Worker> = stage
+            .and_then(|stage| stage.failed_on.get(&stage.save_key(task.index)))
+            .map(|workers| workers.iter().cloned().collect())
+            .unwrap_or_default();
+        // A task that fails elsewhere too speaks against the task, and its
+        // first worker was blamed for nothing.
+        if how == How::Failed && failed_on.len() > 1 {
+            for name in failed_on.iter().filter(|name| *name != worker) {
+                if let Some(session) = self.sessions.get_mut(name) {
+                    session.blame = session.blame.saturating_sub(1);
+                }
+            }
+        }
         let Some(session) = self.sessions.get_mut(worker) else {
             return;
         };
         match how {
             How::Done => session.blame = 0,
-            // A task that fails elsewhere too speaks against the task.
-            How::Failed if !elsewhere => session.blame += 1,
+            How::Failed if failed_on.len() <= 1 => {
+                session.blame += 1;
+                session.failed_at = now;
+            }
             _ => {}
         }
         if how == How::Failed && session.blame >= BLAME_LIMIT {
--- a/crates/gentianlane/src/fleet/dispatch/follow.rs
+++ b/crates/gentianlane/src/fleet/dispatch/follow.rs
@@ -88,6 +88,7 @@
                 }
                 let mut ready = open(job, stage, step, now);
                 ready.queue = queue.clone();
+                ready.name.clone_from(&job.queue);
                 ready.chain = chain;
                 ready.rest = chains[at];
                 ready.work = job.spec.work();
--- a/crates/gentianlane/src/fleet/dispatch/place.rs
+++ b/crates/gentianlane/src/fleet/dispatch/place.rs
@@ -8,7 +8,8 @@
 
 use crate::fleet::State;
 use crate::fleet::dispatch::Lead;
-use crate::fleet::dispatch::rank::rank;
+use crate::fleet::dispatch::rank::{Hope, rank};
+use crate::fleet::dispatch::reserve::Kept;
 use crate::fleet::dispatch::session::{Doing, Run, Session};
 use crate::fleet::dispatch::stage::Stage;
 use crate::fleet::job::{self, Size, Task};
@@ -31,8 +32,8 @@
     slots: u32,
     /// Whether the data is elsewhere.
     far: bool,
-    /// Whether a task of the step has failed there.
-    failed: bool,
+    /// Whether runs have failed there and none has ended well since.
+    suspect: bool,
     ticket: Option<String>,
 }
 
@@ -52,7 +53,7 @@
     /// What is left over after a task; less is better.
     fn cost(&self, size: &Size) -> (bool, bool, u64, u64) {
         let left = self.free.less(size);
-        (self.failed, self.far, left.accelerators, left.millicores)
+        (self.suspect, self.far, left.accelerators, left.millicores)
     }
 }
 
@@ -62,6 +63,7 @@
         if state.plan().is_none() {
             return;
         }
+        let mut kept = Kept::default();
         for id in self.in_order(now) {
             let Some(stage) = self.stages.get(&id) else {
                 continue;
@@ -69,15 +71,36 @@
             if !stage.is_placeable(now) {
                 continue;
             }
-            let candidates = self.candidates(stage, now);
-            if candidates.is_empty() {
-                continue;
-            }
+            let candidates = self.candidates(stage, &kept, now);
             match stage.step.gang {
+                _ if candidates.is_empty() => {}
                 true => self.place_gang(&id, candidates, now),
                 false => self.place_each(&id, candidates, now),
             }
+            self.left_over(&id, &mut kept, now);
+        }
+    }
+
+    /// Sees to what found no room: room is kept or made for it.
+    fn left_over(&mut self, id: &job::Stage, kept: &mut Kept, now: Time) {
+        let Some(stage) = self.stages.get_mut(id) else {
+            return;
+        };
+        if stage.pending.is_empty() {
+            stage.blocked = None;
+            return;
+        }
+        let answered = !stage.needs_advice() || stage.eligible.is_some();
+        if !answered {
+            return;
+        }
+        stage.blocked.get_or_insert(now);
+        if let Some(stage) = self.stages.get(id)
+            && rank(stage, now).0 != Hope::Lost
+        {
+            self.keep_room(kept, stage, now);
         }
+        self.make_room(id, now);
     }
 
     /// The steps with tasks to place, the most urgent first.
@@ -92,15 +115,16 @@
     }
 
     /// The workers that could take a task of a step now.
-    fn candidates(&self, stage: &Stage, now: Time) -> Vec<Candidate> {
+    fn candidates(&self, stage: &Stage, kept: &Kept, now: Time) -> Vec<Candidate> {
         let size = stage.step.room();
+        let span = self.expected(stage);
         let mut candidates = Vec::new();
         for (name, session) in &self.sessions {
             if !may_run(stage, session) || !session.is_usable(now) {
                 continue;
             }
             let free = session.free();
-            if !size.fits(&free) {
+            if !size.fits(&free) || !kept.allows(name, span, now) {
                 continue;
             }
             let ticket = match stage.needs_advice() {
@@ -114,6 +138,11 @@
                 Some(limit) => limit.saturating_sub(session.count_of(&stage.id)),
                 None => u32::MAX,
             };
+            // One task at a time tries a suspect worker.
+            let slots = match session.blame {
+                0 => slots,
+                _ => slots.min(u32::from(!session.is_tried())),
+            };
             if slots == 0 {
                 continue;
             }
@@ -124,7 +153,7 @@
                 free,
                 slots,
                 far: near.is_some_and(|near| !session.site.labels.contains(near)),
-                failed: stage.failed_on.contains_key(name),
+                suspect: session.blame > 0,
                 ticket,
             });
         }
@@ -137,13 +166,20 @@
         };
         let size = stage.step.room();
         let pending: Vec<u32> = stage.pending.iter().copied().collect();
+        let able = self.able(stage);
         for index in pending {
+            let Some(stage) = self.stages.get(id) else {
+                return;
+            };
             let best = at
                 .iter_mut()
-                .filter(|candidate| candidate.room_for(&size) > 0)
+                .filter(|candidate| {
+                    candidate.room_for(&size) > 0
+                        && !stage.shuns(index, &candidate.worker, able)
+                })
                 .min_by_key(|candidate| candidate.cost(&size));
             let Some(best) = best else {
-                return;
+                continue;
             };
             best.free = best.free.less(&size);
             best.slots = best.slots.saturating_sub(1);
@@ -156,13 +192,31 @@
         }
     }
 
+    /// How many workers could run a step at all.
+    fn able(&self, stage: &Stage) -> usize {
+        let able = self.sessions.iter().filter(|(name, session)| {
+            may_run(stage, session)
+                && !session.draining
+                && session.silent == 0
+                && (!stage.needs_advice() || stage.pass(name).is_some())
+        });
+        able.count()
+    }
+
     fn place_gang(&mut self, id: &job::Stage, at: Vec<Candidate>, now: Time) {
         let Some(stage) = self.stages.get_mut(id) else {
             return;
         };
         let size = stage.step.room();
         let count = stage.step.count;
-        let Some(chosen) = choose_gang(at, &size, count, stage.step.one_rack) else {
+        let sound =
+            |candidate: &Candidate| !stage.shuns(0, &candidate.worker, usize::MAX);
+        // A gang that failed goes elsewhere if it can.
+        let (elsewhere, rest): (Vec<_>, Vec<_>) = at.into_iter().partition(sound);
+        let one_rack = stage.step.one_rack;
+        let chosen = choose_gang(elsewhere.clone(), &size, count, one_rack)
+            .or_else(|| choose_gang([elsewhere, rest].concat(), &size, count, one_rack));
+        let Some(chosen) = chosen else {
             return;
         };
         let number = stage.next_run(self.fence);
@@ -313,7 +367,7 @@
 const REFRESH_LEAD: Span = Span::from_millis(100);
 
 /// Whether a worker is of the step's pool and has its label.
-fn may_run(stage: &Stage, session: &Session) -> bool {
+pub(super) fn may_run(stage: &Stage, session: &Session) -> bool {
     let labels = &session.site.labels;
     let label = stage.step.label.as_ref();
     session.site.pool == stage.queue.pool
--- a/crates/gentianlane/src/fleet/dispatch/session.rs
+++ b/crates/gentianlane/src/fleet/dispatch/session.rs
@@ -52,6 +52,8 @@
     pub(crate) shunned: Time,
     /// How many failures of unlike jobs stand against the worker.
     pub(crate) blame: u32,
+    /// When a run last failed here.
+    pub(crate) failed_at: Time,
     /// What runs, may run or is being stopped there.
     pub(crate) runs: IndexMap<Task, Run>,
     /// The room that these take.
@@ -139,6 +141,7 @@
             unreachable: 0,
             shunned: now,
             blame: 0,
+            failed_at: now,
             runs: IndexMap::new(),
             used: Size::default(),
             seen: 0,
@@ -256,6 +259,11 @@
         u32::try_from(of.count()).unwrap_or(u32::MAX)
     }
 
+    /// Whether a task is under way that began since the last failure.
+    pub(crate) fn is_tried(&self) -> bool {
+        self.runs.values().any(|run| run.began >= self.failed_at)
+    }
+
     /// Whether the worker may get new work.
     pub(crate) fn is_usable(&self, now: Time) -> bool {
         self.resolved
--- a/crates/gentianlane/src/fleet/dispatch/stage.rs
+++ b/crates/gentianlane/src/fleet/dispatch/stage.rs
@@ -18,6 +18,8 @@
     pub(crate) id: Id,
     pub(crate) step: Step,
     pub(crate) queue: Queue,
+    /// The queue's name.
+    pub(crate) name: String,
     pub(crate) payload: String,
     /// When the job came to this leader, or its occurrence was due.
     pub(crate) since: Time,
@@ -40,8 +42,10 @@
     pub(crate) saved: IndexMap<u32, String>,
     /// Nothing is placed before this.
     pub(crate) not_before: Time,
-    /// The workers on which tasks of this step have failed.
-    pub(crate) failed_on: IndexMap<id::Worker, u32>,
+    /// The workers on which each task has failed, or the gang under zero.
+    pub(crate) failed_on: IndexMap<u32, BTreeSet<id::Worker>>,
+    /// Since when the step finds no room.
+    pub(crate) blocked: Option<Time>,
     /// What advice has said; none if it wasn't asked or isn't needed.
     pub(crate) eligible: Option<IndexMap<id::Worker, Pass>>,
     /// The question that is under way.
@@ -82,6 +86,7 @@
             id,
             step,
             queue,
+            name: String::new(),
             payload,
             since: now,
             chain: Span::ZERO,
@@ -94,6 +99,7 @@
             saved: IndexMap::new(),
             not_before: now,
             failed_on: IndexMap::new(),
+            blocked: None,
             eligible: None,
             asking: None,
             asked: BTreeSet::new(),
@@ -112,6 +118,14 @@
         self.eligible.as_ref()?.get(worker)
     }
 
+    /// Whether a task has failed on a worker, and others are left to try.
+    ///
+    /// `others` is how many workers could run it at all.
+    pub(crate) fn shuns(&self, index: u32, worker: &id::Worker, others: usize) -> bool {
+        let failed = self.failed_on.get(&self.save_key(index));
+        failed.is_some_and(|failed| failed.contains(worker) && failed.len() < others)
+    }
+
     /// Whether only advice can tell which workers may run the step.
     pub(crate) fn needs_advice(&self) -> bool {
         self.queue.advice.is_some()
