--- a/crates/gentianlane/src/fleet/dispatch/view.rs
+++ b/crates/gentianlane/src/fleet/dispatch/view.rs
@@ -9,6 +9,8 @@
 #[derive(Debug, Serialize)]
 struct Overview {
     plan: Option<u64>,
+    /// Each voter's VM and its disk's generation.
+    voters: Vec<String>,
     fence: u64,
     open_jobs: usize,
     waiting_steps: usize,
@@ -33,7 +35,7 @@
 impl Lead {
     /// The leader's view as JSON.
     #[must_use]
-    pub fn overview(&self, state: &State) -> String {
+    pub fn overview(&self, state: &State, voters: Vec<String>) -> String {
         let worker = |session: &super::session::Session| {
             let free = session.free();
             Worker {
@@ -54,6 +56,7 @@
             .filter(|stage| !stage.pending.is_empty());
         let overview = Overview {
             plan: state.plan().map(|plan| plan.version),
+            voters,
             fence: self.fence,
             open_jobs: self.since.len(),
             waiting_steps: waiting.count(),
--- a/crates/gentianlane/src/fleet/node.rs
+++ b/crates/gentianlane/src/fleet/node.rs
@@ -558,7 +558,11 @@
     /// What the node holds, as JSON for an operator.
     fn overview(&self) -> String {
         let lead = self.lead.as_ref();
-        let overview = lead.map(|lead| lead.overview(&self.state));
+        let voters = self.agree.voters().iter().map(|node| match node.seat() {
+            Some(seat) => format!("{seat}/{}", node.0 as u32),
+            None => node.to_string(),
+        });
+        let overview = lead.map(|lead| lead.overview(&self.state, voters.collect()));
         overview.unwrap_or_default()
     }
 }
