Pass workers' and operators' calls on at cores that don't lead

Ruled out: slow commits (15 to 25 ms). A core that doesn't lead now keeps a way to the leader, as entries do, and helps with questions for advice; it redirects only when it has no way. The way to the leader is one module for both processes.

--- a/crates/gentianlane-daemon/src/fleet/client.rs
+++ b/crates/gentianlane-daemon/src/fleet/client.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use gentianlane::fleet::order::{Opinion, Question};
 use gentianlane_platform::Outgoing;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Bytes;
@@ -139,3 +140,25 @@
     }
     request.body(Full::new(Bytes::from(outgoing.body))).ok()
 }
+
+/// Puts a question to the adviser.
+pub(crate) async fn ask(
+    client: &Client,
+    adviser: Option<SocketAddr>,
+    question: &Question,
+) -> Opinion {
+    let outgoing = gentianlane_platform::adviser::request(question);
+    let limit = question.timeout.into();
+    let outcome = match adviser {
+        Some(address) => client.send(address, outgoing, limit).await,
+        None => Outcome::Lost,
+    };
+    match outcome {
+        Outcome::Answered(status, body) => {
+            gentianlane_platform::adviser::opinion(question, status, &body)
+        }
+        Outcome::Refused | Outcome::Lost => {
+            gentianlane_platform::adviser::opinion(question, 0, b"")
+        }
+    }
+}
--- a/crates/gentianlane-daemon/src/fleet/core.rs
+++ b/crates/gentianlane-daemon/src/fleet/core.rs
@@ -4,7 +4,7 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
 
@@ -28,14 +28,15 @@
 
 use crate::clock::Clock;
 use crate::fleet::Settings;
-use crate::fleet::client::{Client, Outcome};
+use crate::fleet::client::{Outcome, ask};
 use crate::fleet::control::{
     Asker, Control, EFFECT_LIMIT, Effect, INPUT_LIMIT, Input, control_address,
 };
+use crate::fleet::forward::{self, Forward, Passed, lock};
 use crate::fleet::link;
 use crate::fleet::log::Lines;
 use crate::fleet::metrics::Metrics;
-use crate::fleet::server::{Asked, Server};
+use crate::fleet::server::{self, Asked, Server};
 use crate::fleet::settings::Fault;
 use crate::fleet::stop::{Request, Signals};
 
@@ -77,8 +78,8 @@
     own: SocketAddr,
     clock: Clock,
     inputs: Sender<Input>,
-    client: Client,
-    adviser: Arc<Mutex<Option<SocketAddr>>>,
+    /// The way to the leader while this node doesn't lead.
+    forward: Forward,
     guide: Arc<Mutex<Guide>>,
     /// The connections that entries have made, by number.
     links: Arc<Mutex<IndexMap<Helper, Link>>>,
@@ -161,8 +162,7 @@
         own,
         clock,
         inputs,
-        client: Client::default(),
-        adviser: Arc::new(Mutex::new(settings.adviser())),
+        forward: Forward::new(&settings, clock, metrics.clone(), log.clone()),
         guide: Arc::default(),
         links: Arc::default(),
         entries_changed: Arc::default(),
@@ -249,13 +249,19 @@
     let server = Server::new();
     let listener = TcpListener::bind(settings.link()).await.into_diagnostic()?;
     tokio::spawn(accept(listener, node, shared.clone()));
+    tokio::spawn(forward::keep_link(
+        shared.forward.clone(),
+        settings.link_port,
+    ));
     let front = shared.clone();
     let handler = move |asked| serve_control(front.clone(), asked);
     server.listen(shared.own, handler).await.into_diagnostic()?;
     if let Some(port) = settings.metrics_port {
         let metrics = shared.metrics.clone();
         let address = (settings.ip, port).into();
-        let served = server.listen(address, move |_| text(metrics.clone())).await;
+        let served = server
+            .listen(address, move |_| server::text(metrics.clone()))
+            .await;
         if let Err(error) = served {
             warn!(shared.log, "no_metrics"; "error" => %error);
         }
@@ -322,7 +328,7 @@
         Ok(settings) if settings == *known => {}
         Ok(settings) => {
             info!(shared.log, "reload"; "seeds" => ?settings.seeds);
-            *lock(&shared.adviser) = settings.adviser();
+            shared.forward.reload(&settings);
             *known = settings;
         }
         // The old settings stay in force; the file may be half written.
@@ -330,19 +336,6 @@
     }
 }
 
-async fn text(metrics: Metrics) -> Response {
-    Response {
-        status: 200,
-        retry_after: None,
-        location: None,
-        body: metrics.text().into_bytes(),
-    }
-}
-
-fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 /// Serves a worker's or an operator's call.
 async fn serve_control(shared: Shared, asked: Asked) -> Response {
     let call = match platform::control::decode(&asked.method, &asked.path, &asked.body) {
@@ -353,19 +346,33 @@
         }
     };
     let is_report = matches!(call, Call::Report(_));
+    let reply = match ask_own(&shared, call.clone()).await {
+        None => {
+            shared.metrics.count("busy", 1);
+            return Response::unavailable("the node is busy", BUSY_RETRY);
+        }
+        Some(Reply::NotLeader(_)) => match shared.forward.pass(call, CALL_LIMIT).await {
+            Passed::Answered(reply) => reply,
+            // Whoever asks may reach a leader that this node doesn't.
+            Passed::Unmade => Reply::NotLeader(None),
+            Passed::Unsure => Reply::Unsure,
+        },
+        Some(reply) => reply,
+    };
+    let guide = lock(&shared.guide).clone();
+    let leader = guide.leader.map(|vm| control_address(shared.own, vm));
+    platform::control::encode(is_report, &asked.path, &reply, shared.own, leader)
+}
+
+/// Makes a call at this process's own node; none if it has no room.
+async fn ask_own(shared: &Shared, call: Call) -> Option<Reply> {
     let (sender, receiver) = oneshot::channel();
     let input = Input::Call(call, Asker::Local(sender));
-    if shared.inputs.try_send(input).is_err() {
-        shared.metrics.count("busy", 1);
-        return Response::unavailable("the node is busy", BUSY_RETRY);
+    shared.inputs.try_send(input).ok()?;
+    match tokio::time::timeout(CALL_LIMIT, receiver).await {
+        Ok(Ok(reply)) => Some(reply),
+        Ok(Err(_)) | Err(_) => Some(Reply::Unsure),
     }
-    let reply = match tokio::time::timeout(CALL_LIMIT, receiver).await {
-        Ok(Ok(reply)) => reply,
-        Ok(Err(_)) | Err(_) => Reply::Unsure,
-    };
-    let leader = lock(&shared.guide).leader;
-    let leader = leader.map(|vm| control_address(shared.own, vm));
-    platform::control::encode(is_report, &asked.path, &reply, shared.own, leader)
 }
 
 /// Takes the connections of other processes of the fleet.
@@ -474,8 +481,8 @@
             Effect::Ask(OWN, question) => {
                 let shared = self.shared.clone();
                 tokio::spawn(async move {
-                    let adviser = *lock(&shared.adviser);
-                    let opinion = ask(&shared.client, adviser, &question).await;
+                    let adviser = *lock(&shared.forward.adviser);
+                    let opinion = ask(&shared.forward.client, adviser, &question).await;
                     let input = Input::Opinion(OWN, opinion);
                     let _ = shared.inputs.send_async(input).await;
                 });
@@ -483,6 +490,10 @@
             Effect::Ask(helper, question) => self.ask(helper, question),
             Effect::Guide(guide) => {
                 lock(&self.shared.guide).clone_from(&guide);
+                self.shared.forward.set_leads(guide.leads);
+                if let Some(seat) = self.node.seat() {
+                    lock(&self.shared.forward.known).learn(seat, &guide);
+                }
                 self.shared.tell_guide();
             }
             Effect::Stopped => {}
@@ -584,7 +595,11 @@
             let is_hold = matches!(order.action, Action::Hold { .. });
             let outgoing = platform::worker::request(&order);
             let limit = order.timeout.into();
-            let outcome = shared.client.send(order.address, outgoing, limit).await;
+            let outcome = shared
+                .forward
+                .client
+                .send(order.address, outgoing, limit)
+                .await;
             let took = shared.clock.now().since(began);
             if !is_hold {
                 shared.metrics.time("order", took.into());
@@ -604,23 +619,3 @@
         .send_async(Input::Answer(number, answer))
         .await;
 }
-
-/// Puts a question to the adviser.
-pub(crate) async fn ask(
-    client: &Client,
-    adviser: Option<SocketAddr>,
-    question: &Question,
-) -> gentianlane::fleet::order::Opinion {
-    let outgoing = platform::adviser::request(question);
-    let limit = question.timeout.into();
-    let outcome = match adviser {
-        Some(address) => client.send(address, outgoing, limit).await,
-        None => Outcome::Lost,
-    };
-    match outcome {
-        Outcome::Answered(status, body) => {
-            platform::adviser::opinion(question, status, &body)
-        }
-        Outcome::Refused | Outcome::Lost => platform::adviser::opinion(question, 0, b""),
-    }
-}
--- a/crates/gentianlane-daemon/src/fleet/mod.rs
+++ b/crates/gentianlane-daemon/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 mod control;
 mod core;
 mod entry;
+mod forward;
 mod link;
 mod log;
 mod metrics;
--- a/crates/gentianlane-daemon/src/fleet/server.rs
+++ b/crates/gentianlane-daemon/src/fleet/server.rs
@@ -18,6 +18,8 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
+use crate::fleet::metrics::Metrics;
+
 /// How long a connection may take to send a request's head, and be idle before
 /// the next one.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(15);
@@ -218,3 +220,13 @@
     }
     response
 }
+
+/// Serves the figures of a process.
+pub(crate) async fn text(metrics: Metrics) -> Answer {
+    Answer {
+        status: 200,
+        retry_after: None,
+        location: None,
+        body: metrics.text().into_bytes(),
+    }
+}
--- a/crates/gentianlane/src/fleet/dispatch/preempt.rs
+++ b/crates/gentianlane/src/fleet/dispatch/preempt.rs
@@ -77,10 +77,10 @@
 
     /// The cheapest task on a worker that can give way to one of a step's.
     fn victim(&self, stage: &Stage, name: &id::Worker, now: Time) -> Option<Task> {
-        let session = self
-            .sessions
-            .get(name)
-            .filter(|session| session.is_usable(now))?;
+        let session = self.sessions.get(name)?;
+        if !may_run(stage, session) || !session.is_usable(now) {
+            return None;
+        }
         let size = stage.step.room();
         let free = session.free();
         let able = session.runs.iter().filter(|(task, run)| {
