--- a/crates/gentianlane-cli/src/command/line.rs
+++ b/crates/gentianlane-cli/src/command/line.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
-use crate::command::data;
+use crate::command::{data, fleet};
 use crate::load;
 
 /// What the exit codes mean, below the help.
@@ -68,6 +68,7 @@
         )
         .subcommand(Command::new("top").about("Shows the cell at a glance"))
         .subcommand(data::command())
+        .subcommand(fleet::command())
         .subcommand(load::command())
         .subcommand(
             Command::new("completions")
--- a/crates/gentianlane-cli/src/command/mod.rs
+++ b/crates/gentianlane-cli/src/command/mod.rs
@@ -2,6 +2,7 @@
 
 mod call;
 mod data;
+mod fleet;
 mod line;
 mod overview;
 mod wait;
@@ -33,6 +34,7 @@
     match matches.subcommand() {
         Some(("completions", matches)) => Ok(completions(matches)),
         Some(("data", matches)) => data::run(matches, json),
+        Some(("fleet", matches)) => fleet::run(matches, json),
         Some(("load", matches)) => load::run(matches, &entries, json),
         Some(("top", _)) => overview::run(&mut client, json),
         Some(("submit", matches)) => wait::submit(&mut client, matches, json),
--- a/crates/gentianlane-daemon/src/fleet/core.rs
+++ b/crates/gentianlane-daemon/src/fleet/core.rs
@@ -454,7 +454,10 @@
 fn is_for(frame: &Frame, node: id::Node) -> bool {
     let asks = matches!(
         frame.message.body,
-        Body::Announce(_) | Body::Redirect { .. } | Body::Blank { .. }
+        Body::Announce(_)
+            | Body::AskPreVote { .. }
+            | Body::Redirect { .. }
+            | Body::Blank { .. }
     );
     let same_vm = frame.to.seat() == node.seat();
     frame.cell.as_str() == CELL && (frame.to == node || (asks && same_vm))
--- a/crates/gentianlane/src/agree/message.rs
+++ b/crates/gentianlane/src/agree/message.rs
@@ -44,8 +44,7 @@
         /// Whether the vote would be given.
         granted: bool,
         /// Whether the sender has followed nobody and hasn't led since its
-        /// process began, and would give its vote but for a leader that it may
-        /// have followed before.
+        /// process began.
         unled: bool,
     },
     /// Vote for me in this term.
--- a/crates/gentianlane/src/agree/node/election.rs
+++ b/crates/gentianlane/src/agree/node/election.rs
@@ -80,10 +80,8 @@
             && self.may_vote()
             && !self.hears_leader(now)
             && last.covers(&self.log.last());
-        let unled = self.unled
-            && term > self.ballot.term
-            && self.may_vote()
-            && last.covers(&self.log.last());
+        let unled =
+            self.unled && term > self.ballot.term && last.covers(&self.log.last());
         let told = granted || unled;
         let message = Message {
             term: if told { term } else { self.ballot.term },
@@ -132,11 +130,17 @@
     /// An earlier leader may count on those that followed it not to help
     /// another for a while, and one that was restarted doesn't know whom it
     /// followed. But that leader is a voter too: once all say that they have
-    /// neither led nor followed since they began, there is none.
+    /// neither led nor followed since they began, there is none. A node whose
+    /// disk is new speaks for the one that stood on its VM before.
     fn nobody_leads(&self) -> bool {
         let me = self.setup.node;
-        let mut voters = self.voters().iter();
-        self.unled && voters.all(|node| node == me || self.all_unled.contains(&node))
+        let told = |node: id::Node| {
+            let mut all = self.all_unled.iter();
+            all.any(|&other| {
+                other == node || (node.seat().is_some() && other.seat() == node.seat())
+            })
+        };
+        self.unled && self.voters().iter().all(|node| node == me || told(node))
     }
 
     pub(super) fn answer_vote(
--- a/crates/gentianlane/src/fleet/decision.rs
+++ b/crates/gentianlane/src/fleet/decision.rs
@@ -142,6 +142,23 @@
         /// How long the answer took.
         took: Span,
     },
+    /// Tasks of a step wait, as no worker that may run them has room.
+    #[display("event=blocked stage={stage} pending={pending} able={able} eligible={eligible} waited_ms={} slack_ms={slack}", waited.as_millis())]
+    Blocked {
+        /// The step.
+        stage: Stage,
+        /// How many tasks wait.
+        pending: usize,
+        /// How many sound workers may run them.
+        able: usize,
+        /// How many workers advice allows; zero where none is needed.
+        eligible: usize,
+        /// How long the job's caller has waited.
+        waited: Span,
+        /// How long the step can still wait for the job to be in time, in
+        /// milliseconds.
+        slack: i64,
+    },
     /// A question for advice found no answer.
     #[display("event=advice_lost stage={stage} took_ms={}", took.as_millis())]
     AdviceLost {
--- a/crates/gentianlane/src/fleet/dispatch/place.rs
+++ b/crates/gentianlane/src/fleet/dispatch/place.rs
@@ -7,6 +7,7 @@
 use indexmap::IndexMap;
 
 use crate::fleet::State;
+use crate::fleet::decision::Decision;
 use crate::fleet::dispatch::Lead;
 use crate::fleet::dispatch::rank::{Hope, rank};
 use crate::fleet::dispatch::reserve::Kept;
@@ -94,11 +95,24 @@
         if !answered {
             return;
         }
+        let first = stage.blocked.is_none();
         stage.blocked.get_or_insert(now);
-        if let Some(stage) = self.stages.get(id)
-            && rank(stage, now).0 != Hope::Lost
-        {
-            self.keep_room(kept, stage, now);
+        if let Some(stage) = self.stages.get(id) {
+            let (hope, _, slack) = rank(stage, now);
+            if first {
+                let blocked = Decision::Blocked {
+                    stage: *id,
+                    pending: stage.pending.len(),
+                    able: self.able(stage),
+                    eligible: stage.eligible.as_ref().map_or(0, IndexMap::len),
+                    waited: now.since(stage.since),
+                    slack,
+                };
+                self.work.decisions.push(blocked);
+            }
+            if hope != Hope::Lost {
+                self.keep_room(kept, stage, now);
+            }
         }
         self.make_room(id, now);
     }
--- a/crates/gentianlane/tests/agree/election.rs
+++ b/crates/gentianlane/tests/agree/election.rs
@@ -349,3 +349,32 @@
     net.run(5_000);
     assert!(net.leader().is_some_and(|at| at != leader));
 }
+
+#[test]
+fn a_new_disk_speaks_for_the_node_that_stood_on_its_vm() {
+    // Found at norrvik-panna, incident inc-9843: after a loss of power one disk
+    // was gone, and the two others waited for a leader that couldn't live.
+    let on = |host: u8, generation| id::Node::on([10, 0, 0, host].into(), generation);
+    let setup = Setup {
+        node: on(1, 0),
+        voters: [on(1, 0), on(2, 0), on(3, 0)].into_iter().collect(),
+        learners: Vec::new(),
+        timing: Timing::default(),
+        seed: SEED,
+    };
+    let answer = |term| Message {
+        term,
+        body: Body::PreVote {
+            granted: false,
+            unled: true,
+        },
+    };
+    let mut node = Node::new(setup, Saved::default(), Time::default());
+    let now = node.due();
+    node.tick(now);
+    assert_eq!(node.role(), Role::PreCandidate);
+    node.receive(on(2, 0), answer(Term(1)), now);
+    assert_eq!(node.role(), Role::PreCandidate, "the third hasn't spoken");
+    node.receive(on(3, 9), answer(Term(1)), now);
+    assert_eq!(node.role(), Role::Candidate);
+}
