--- a/crates/gentianlane/src/fleet/dispatch/advice.rs
+++ b/crates/gentianlane/src/fleet/dispatch/advice.rs
@@ -57,6 +57,11 @@
             .map(|(&helper, _)| helper)
     }
 
+    /// How many helpers there are.
+    pub(crate) fn count(&self) -> usize {
+        self.helpers.len()
+    }
+
     /// How many helpers are free.
     pub(crate) fn free_count(&self, now: Time) -> usize {
         let idle =
--- a/crates/gentianlane/src/fleet/dispatch/answer.rs
+++ b/crates/gentianlane/src/fleet/dispatch/answer.rs
@@ -4,6 +4,7 @@
 use crate::fleet::dispatch::Lead;
 use crate::fleet::dispatch::advice::Helper;
 use crate::fleet::dispatch::lead::{About, Sent};
+use crate::fleet::dispatch::learn::worker_pace;
 use crate::fleet::dispatch::session::{Doing, Run};
 use crate::fleet::dispatch::stage::Pass;
 use crate::fleet::job::Task;
@@ -162,23 +163,13 @@
         answer: &Answer,
         now: Time,
     ) {
-        let lost = matches!(answer, Answer::Lost);
         let Some(held) = self.run_mut(&sent.worker, task, run) else {
             return;
         };
-        let size = held.size;
-        if held.state == Doing::Starting {
-            held.order = None;
-            held.retry = now.after(ORDER_RETRY);
-        }
-        let starting = held.state == Doing::Starting;
-        if lost {
-            self.doubts.add(&sent.worker, *task, run, size, sent.at);
-        }
-        let Some(held) = self.run_mut(&sent.worker, task, run).filter(|_| starting)
-        else {
+        if held.state != Doing::Starting {
             return;
-        };
+        }
+        held.order = None;
         match answer {
             Answer::Done { .. } => {
                 held.state = Doing::Up;
@@ -396,6 +387,11 @@
             {
                 let took = now.since(began);
                 self.learn.observe(&stage.name, &stage.step.image, took);
+                if let Some(session) = self.sessions.get_mut(worker) {
+                    let kind = session.kind().to_owned();
+                    let ratio = self.learn.observe_kind(&stage.name, &kind, took);
+                    session.pace = worker_pace(session.pace, ratio);
+                }
             }
         }
         self.blame(worker, &task, ended.how, now);
@@ -512,8 +508,9 @@
             return;
         };
         // Nobody remembers the size of what a job that is over left behind, so
-        // it takes all the room there is until it has ended.
-        let (size, fills, tail) = step.unwrap_or((session.free(), false, None));
+        // the worker gets nothing until it has ended.
+        let unknown = step.is_none();
+        let (size, fills, tail) = step.unwrap_or_default();
         let run = Run {
             number: running.run,
             size,
@@ -529,6 +526,7 @@
             gauge: running.gauge,
             idle_since: None,
             percent: running.percent,
+            unknown,
             ticket: None,
         };
         session.insert(task, run);
--- a/crates/gentianlane/src/fleet/dispatch/doubt.rs
+++ b/crates/gentianlane/src/fleet/dispatch/doubt.rs
@@ -25,7 +25,8 @@
 struct Start {
     task: Task,
     run: u64,
-    size: Size,
+    /// What room it takes, if that is known.
+    size: Option<Size>,
     at: Time,
 }
 
@@ -36,7 +37,7 @@
         worker: &id::Worker,
         task: Task,
         run: u64,
-        size: Size,
+        size: Option<Size>,
         at: Time,
     ) {
         let starts = self.starts.entry(worker.clone()).or_default();
@@ -76,10 +77,11 @@
 
 impl Run {
     /// A run that has to be stopped, wherever it is.
-    pub(crate) fn stopping(number: u64, size: Size, now: Time) -> Self {
+    pub(crate) fn stopping(number: u64, size: Option<Size>, now: Time) -> Self {
         Self {
             number,
-            size,
+            size: size.unwrap_or_default(),
+            unknown: size.is_none(),
             state: Doing::Stopping,
             order: None,
             tries: 0,
--- a/crates/gentianlane/src/fleet/dispatch/follow.rs
+++ b/crates/gentianlane/src/fleet/dispatch/follow.rs
@@ -243,7 +243,6 @@
         let size = held
             .map(|run| run.size)
             .or_else(|| stage.map(|stage| stage.step.room()));
-        let size = size.unwrap_or_default();
         self.doubts.add(&sent.worker, task, run, size, sent.at);
     }
 
--- a/crates/gentianlane/src/fleet/dispatch/learn.rs
+++ b/crates/gentianlane/src/fleet/dispatch/learn.rs
@@ -11,6 +11,20 @@
 /// How much one observation counts, in thousandths.
 const GAIN: u64 = 60;
 
+/// How much one observation of a kind of worker counts, in thousandths; run
+/// times of one queue differ by half of themselves.
+const KIND_GAIN: u64 = 20;
+
+/// How much one observation of a single worker counts, in thousandths: three
+/// slow runs in a row tell.
+const WORKER_GAIN: u64 = 250;
+
+/// An even pace, in thousandths.
+pub(crate) const EVEN: u64 = 1_000;
+
+/// The highest ratio that one run counts with, in thousandths.
+const RATIO_LIMIT: u64 = 8_000;
+
 /// The most images that are kept in mind.
 const IMAGE_LIMIT: usize = 1_024;
 
@@ -19,6 +33,8 @@
 pub(crate) struct Learn {
     queues: IndexMap<String, u64>,
     images: IndexMap<String, u64>,
+    /// How long runs take on each kind of worker, in thousandths of the mean.
+    kinds: IndexMap<String, u64>,
 }
 
 impl Learn {
@@ -31,6 +47,29 @@
         }
     }
 
+    /// Takes how long a run of a queue took on a kind of worker; gives how that
+    /// compares with other workers of the kind, in thousandths.
+    pub(crate) fn observe_kind(&mut self, queue: &str, kind: &str, took: Span) -> u64 {
+        let mean = self.queues.get(queue).copied().unwrap_or_default().max(1);
+        let ratio = (took.as_millis() * EVEN / mean).min(RATIO_LIMIT);
+        let pace = match self.kinds.get_mut(kind) {
+            Some(pace) => {
+                *pace = (*pace * (1_000 - KIND_GAIN) + ratio * KIND_GAIN) / 1_000;
+                *pace
+            }
+            None => {
+                self.kinds.insert(kind.to_owned(), EVEN);
+                EVEN
+            }
+        };
+        ratio * EVEN / pace.max(1)
+    }
+
+    /// How long runs take on a kind of worker, in thousandths of the mean.
+    pub(crate) fn pace(&self, kind: &str) -> u64 {
+        self.kinds.get(kind).copied().unwrap_or(EVEN)
+    }
+
     /// How long a task of a step is likely to run.
     pub(crate) fn expect(&self, queue: &str, step: &Step) -> Span {
         let image = self.images.get(&step.image);
@@ -43,6 +82,11 @@
     }
 }
 
+/// A worker's own pace after one more run, both in thousandths.
+pub(crate) fn worker_pace(pace: u64, ratio: u64) -> u64 {
+    (pace * (1_000 - WORKER_GAIN) + ratio * WORKER_GAIN) / 1_000
+}
+
 fn mix(known: &mut IndexMap<String, u64>, key: &str, took: u64) {
     match known.get_mut(key) {
         Some(mean) => *mean = (*mean * (1_000 - GAIN) + took * GAIN) / 1_000,
--- a/crates/gentianlane/src/fleet/dispatch/place.rs
+++ b/crates/gentianlane/src/fleet/dispatch/place.rs
@@ -9,6 +9,7 @@
 use crate::fleet::State;
 use crate::fleet::decision::Decision;
 use crate::fleet::dispatch::Lead;
+use crate::fleet::dispatch::learn::EVEN;
 use crate::fleet::dispatch::rank::{Hope, rank};
 use crate::fleet::dispatch::reserve::Kept;
 use crate::fleet::dispatch::session::{Doing, Run, Session};
@@ -20,7 +21,8 @@
 /// The most workers that one question names, by the platform's protocol.
 const QUESTION_LIMIT: usize = 100;
 
-/// How many free helpers are kept for steps that nothing is known of yet.
+/// How many free helpers are kept for steps that nothing is known of yet, as
+/// long as one is left for the others.
 const HELPER_RESERVE: usize = 2;
 
 /// A worker that could take tasks of a step.
@@ -33,6 +35,8 @@
     slots: u32,
     /// Whether the data is elsewhere.
     far: bool,
+    /// How unsuited the worker's speed is; zero is best.
+    speed: u64,
     /// Whether runs have failed there and none has ended well since.
     suspect: bool,
     ticket: Option<String>,
@@ -52,9 +56,15 @@
     }
 
     /// What is left over after a task; less is better.
-    fn cost(&self, size: &Size) -> (bool, bool, u64, u64) {
+    fn cost(&self, size: &Size) -> (bool, bool, u64, u64, u64) {
         let left = self.free.less(size);
-        (self.suspect, self.far, left.accelerators, left.millicores)
+        (
+            self.suspect,
+            self.far,
+            self.speed,
+            left.accelerators,
+            left.millicores,
+        )
     }
 }
 
@@ -168,12 +178,28 @@
                 slots,
                 far: near.is_some_and(|near| !session.site.labels.contains(near)),
                 suspect: session.blame > 0,
+                speed: self.unsuited(stage, session),
                 ticket,
             });
         }
         candidates
     }
 
+    /// How unsuited a worker's speed is for a step, in steps of a tenth.
+    ///
+    /// Tight steps get the fast kinds, and leave the slow ones to those that
+    /// have time; a worker that is slow for its kind is everyone's last choice.
+    fn unsuited(&self, stage: &Stage, session: &Session) -> u64 {
+        if session.pace >= SLOW_PACE {
+            return session.pace;
+        }
+        let pace = self.learn.pace(session.kind());
+        match stage.queue.stretch <= TIGHT_STRETCH {
+            true => pace / PACE_STEP,
+            false => (2 * EVEN).saturating_sub(pace) / PACE_STEP,
+        }
+    }
+
     fn place_each(&mut self, id: &job::Stage, mut at: Vec<Candidate>, now: Time) {
         let Some(stage) = self.stages.get(id) else {
             return;
@@ -288,6 +314,7 @@
             gauge: None,
             idle_since: None,
             percent: 100,
+            unknown: false,
             ticket,
         };
         session.insert(task, run);
@@ -298,7 +325,8 @@
     /// Puts the questions that steps wait for, while helpers are free.
     pub(super) fn ask(&mut self, now: Time) {
         let order = self.in_order(now);
-        for (fresh, reserve) in [(true, 0), (false, HELPER_RESERVE)] {
+        let reserve = HELPER_RESERVE.min(self.desk.count().saturating_sub(1));
+        for (fresh, reserve) in [(true, 0), (false, reserve)] {
             for id in &order {
                 if self.desk.free_count(now) <= reserve {
                     break;
@@ -383,6 +411,16 @@
     }
 }
 
+/// From this stretch on a job has time for a slow worker, in thousandths.
+const TIGHT_STRETCH: u64 = 2_000;
+
+/// A worker that takes this much longer than others of its kind is avoided, in
+/// thousandths; single runs differ by half of themselves.
+const SLOW_PACE: u64 = 2_500;
+
+/// Paces are told apart in steps of a tenth, in thousandths.
+const PACE_STEP: u64 = 100;
+
 /// How long before its tickets end a step asks again, beyond the time that the
 /// question takes.
 const REFRESH_LEAD: Span = Span::from_millis(100);
--- a/crates/gentianlane/src/fleet/dispatch/session.rs
+++ b/crates/gentianlane/src/fleet/dispatch/session.rs
@@ -5,6 +5,7 @@
 use std::collections::VecDeque;
 
 use crate::fleet::Member;
+use crate::fleet::dispatch::learn::EVEN;
 use crate::fleet::job::{Size, Task};
 use crate::fleet::order::Number;
 use crate::fleet::worker::{Life, Site};
@@ -52,6 +53,9 @@
     pub(crate) shunned: Time,
     /// How many failures of unlike jobs stand against the worker.
     pub(crate) blame: u32,
+    /// How long runs take here against other workers of the kind, in
+    /// thousandths.
+    pub(crate) pace: u64,
     /// When a run last failed here.
     pub(crate) failed_at: Time,
     /// What runs, may run or is being stopped there.
@@ -103,7 +107,9 @@
     pub(crate) idle_since: Option<Time>,
     /// The share at which the task works.
     pub(crate) percent: u8,
-    /// The order to start, for sending it again.
+    /// Whether nobody remembers what room the run takes.
+    pub(crate) unknown: bool,
+    /// The ticket that its start carries.
     pub(crate) ticket: Option<String>,
 }
 
@@ -141,6 +147,7 @@
             unreachable: 0,
             shunned: now,
             blame: 0,
+            pace: EVEN,
             failed_at: now,
             runs: IndexMap::new(),
             used: Size::default(),
@@ -181,6 +188,14 @@
         self.expires.since(now)
     }
 
+    /// The kind of worker: its labels but for the rack.
+    pub(crate) fn kind(&self) -> &str {
+        match self.site.labels.as_slice() {
+            [kind, _, ..] => kind,
+            _ => "",
+        }
+    }
+
     /// The room that nothing has.
     pub(crate) fn free(&self) -> Size {
         self.site.capacity.less(&self.used)
@@ -272,5 +287,6 @@
             && self.unreachable == 0
             && self.clock.is_some()
             && self.shunned <= now
+            && !self.runs.values().any(|run| run.unknown)
     }
 }
--- a/crates/gentianlane/tests/fleet/dispatch.rs
+++ b/crates/gentianlane/tests/fleet/dispatch.rs
@@ -109,6 +109,42 @@
     assert_eq!(phase(&mut world, 8), Some(Phase::Completed));
 }
 
+#[test]
+fn each_run_that_a_job_left_behind_keeps_its_room() {
+    // Found at norrvik-panna, hunt-fe82-51: the first such run stood for all
+    // room, and its end freed what the others still had.
+    let mut world = World::new(1, 1).ready(plan(1, false));
+    let mut spec = job(2, 1_700);
+    spec.steps[0].lasts = true;
+    world.submit(7, &spec);
+    world.run(500);
+    world.submit(8, &job(1, 3_000));
+    world.run(100);
+    let leader = world.leader().expect("a leader");
+    let worker = world.seen[0].worker.clone();
+    world.dark.insert(worker);
+    world.call(Call::Cancel(place(7)));
+    world.run(30);
+    world.kill(leader);
+    world.dark.clear();
+    // The oracle checks the room at every start.
+    world.run(6_000);
+    assert_eq!(phase(&mut world, 8), Some(Phase::Completed));
+}
+
+#[test]
+fn tickets_are_renewed_with_a_single_helper() {
+    // Found by the random histories: helpers that were kept for new steps left
+    // none for a step whose tickets had run out.
+    let mut world = World::new(1, 1).ready(plan(1, true));
+    world.fates.insert(task(7, 0), vec![(4_000, How::Done)]);
+    world.submit(7, &job(1, 4_000));
+    world.run(200);
+    world.submit(8, &job(1, 4_000));
+    world.run(6_000);
+    assert_eq!(phase(&mut world, 8), Some(Phase::Completed));
+}
+
 #[test]
 fn a_new_leader_adopts_what_runs() {
     let mut world = World::new(3, 1).ready(plan(1, false));
--- a/crates/gentianlane/tests/fleet/standin.rs
+++ b/crates/gentianlane/tests/fleet/standin.rs
@@ -187,7 +187,8 @@
             Action::Stop { task, run } => {
                 match self.runs.get_mut(task).filter(|held| held.run == *run) {
                     Some(held) => {
-                        held.stops.get_or_insert(now + STOP);
+                        held.stops
+                            .get_or_insert(now + STOP + 80 * u64::from(task.index));
                     }
                     None => {
                         let over = self.over.entry(*task).or_insert(0);
