--- a/crates/gentianlane-daemon/src/fleet/forward.rs
+++ b/crates/gentianlane-daemon/src/fleet/forward.rs
@@ -267,9 +267,16 @@
     let is_core = lock(&shared.known).is_core(vm);
     let take = |packet| match packet {
         Packet::Guide(guide) => {
-            lock(&shared.known).learn(vm, &guide);
-            // A core that knows of no leader tells as soon as there is one.
-            match (guide.leads, guide.leader) {
+            let mut known = lock(&shared.known);
+            known.learn(vm, &guide);
+            let now = shared.clock.now();
+            let other = guide
+                .leader
+                .filter(|&leader| !known.has_failed(leader, now));
+            drop(known);
+            // A core that knows of no leader, or only of the one that was
+            // lost, tells as soon as there is another.
+            match (guide.leads, other) {
                 (true, _) => relink(shared, vm, &sender),
                 (false, None) if is_core => park(shared),
                 (false, _) => moved.notify_one(),
--- a/crates/gentianlane-daemon/tests/fleet.rs
+++ b/crates/gentianlane-daemon/tests/fleet.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeMap;
 use std::fs;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -81,7 +81,7 @@
         self.folder.path().join(format!("core-{at}"))
     }
 
-    fn settings(&self, name: &str, ip: Ipv4Addr, own: Value) -> PathBuf {
+    fn settings(&self, name: &str, ip: Ipv4Addr, own: &Value) -> PathBuf {
         let seeds: Vec<String> = (0..3).map(|at| self.control(at).to_string()).collect();
         let mut settings = json!({
             "node": name,
@@ -104,7 +104,7 @@
         path
     }
 
-    fn run(&self, role: &str, name: &str, settings: &PathBuf) -> Process {
+    fn run(&self, role: &str, name: &str, settings: &Path) -> Process {
         let said = self.folder.path().join(format!("{name}.log"));
         Process::start(&[role, "--settings", settings.to_str().unwrap()], &said)
     }
@@ -116,7 +116,7 @@
             "bootstrap": bootstrap,
             "data": self.data(at),
         });
-        let settings = self.settings(&name, self.core_ip(at), own);
+        let settings = self.settings(&name, self.core_ip(at), &own);
         self.cores[at] = Some(self.run("core", &name, &settings));
     }
 
@@ -124,7 +124,7 @@
         let name = format!("entry-{at}");
         let ready: SocketAddr = (self.entry_ip(at), self.ready_port).into();
         let own = json!({ "front": self.front(at), "ready": ready });
-        let settings = self.settings(&name, self.entry_ip(at), own);
+        let settings = self.settings(&name, self.entry_ip(at), &own);
         self.entries[at] = Some(self.run("entry", &name, &settings));
     }
 
--- a/crates/gentianlane/src/fleet/dispatch/answer.rs
+++ b/crates/gentianlane/src/fleet/dispatch/answer.rs
@@ -104,7 +104,7 @@
         self.stirred = true;
         match (sent.about, answer) {
             (About::Hold, Answer::State(told)) => {
-                self.told(state, &sent, told, now, wall);
+                self.told(state, &sent, &told, now, wall);
             }
             (About::Hold, Answer::Refused { reason, .. }) => {
                 self.hold_refused(&sent, reason, now);
@@ -293,7 +293,7 @@
     }
 
     /// Takes what a worker tells in answer to a hold.
-    fn told(&mut self, state: &State, sent: &Sent, told: Told, now: Time, wall: Wall) {
+    fn told(&mut self, state: &State, sent: &Sent, told: &Told, now: Time, wall: Wall) {
         let worker = &sent.worker;
         let Some(session) = self.sessions.get_mut(worker) else {
             return;
@@ -317,7 +317,7 @@
         for running in &told.running {
             self.run_goes_on(state, worker, running, now);
         }
-        self.drop_unlisted(worker, &told, sent.at, now);
+        self.drop_unlisted(worker, told, sent.at, now);
     }
 
     /// Takes a run's end.
--- a/crates/gentianlane/src/fleet/dispatch/follow.rs
+++ b/crates/gentianlane/src/fleet/dispatch/follow.rs
@@ -107,7 +107,7 @@
         let mut chains = vec![Span::ZERO; spec.steps.len()];
         for (at, step) in spec.steps.iter().enumerate().rev() {
             let own = self.learn.expect(queue, step);
-            chains[at] = chains[at] + own;
+            chains[at] += own;
             let from = chains[at];
             for &before in &step.after {
                 if let Some(slot) = chains.get_mut(usize::from(before)) {
--- a/crates/gentianlane/src/fleet/guide.rs
+++ b/crates/gentianlane/src/fleet/guide.rs
@@ -72,6 +72,13 @@
         self.cores.contains(&vm)
     }
 
+    /// Whether a process couldn't help lately.
+    #[must_use]
+    pub fn has_failed(&self, vm: Ipv4Addr, now: Time) -> bool {
+        let failed = self.failed.get(&vm);
+        failed.is_some_and(|at| now.since(*at) < REST)
+    }
+
     /// A process that was tried couldn't help.
     pub fn fail(&mut self, vm: Ipv4Addr, now: Time) {
         self.failed.insert(vm, now);
--- a/crates/gentianlane/src/fleet/node.rs
+++ b/crates/gentianlane/src/fleet/node.rs
@@ -219,7 +219,7 @@
                 self.reply(ticket, reply);
             }
             Call::Report(report) => self.report(&report, ticket, now),
-            Call::Leave(life) => self.leave(life, ticket),
+            Call::Leave(life) => self.leave(&life, ticket),
             Call::Overview => {
                 let reply = Reply::Overview(self.overview());
                 self.reply(ticket, reply);
@@ -351,14 +351,14 @@
         }
     }
 
-    fn leave(&mut self, life: Life, ticket: Ticket) {
+    fn leave(&mut self, life: &Life, ticket: Ticket) {
         let held = self
             .state
             .life(&life.worker)
             .map(|member| member.life.clone());
         match held {
             // A worker that says no birth means the life that is known.
-            Some(held) if life.born == Wall::default() || held == life => {
+            Some(held) if life.born == Wall::default() || held == *life => {
                 self.propose(Command::Leave { life: held }, Some(ticket));
             }
             _ => self.reply(ticket, Reply::Done),
--- a/crates/gentianlane/tests/fleet/world.rs
+++ b/crates/gentianlane/tests/fleet/world.rs
@@ -431,7 +431,7 @@
             match output {
                 Output::Save(ballot) => self.cores[at].saved.ballot = ballot,
                 Output::Store(entries) => {
-                    store(&mut self.cores[at].saved.entries, entries)
+                    store(&mut self.cores[at].saved.entries, entries);
                 }
                 Output::Snapshot(snapshot) => {
                     self.cores[at].saved.snapshot = Some(snapshot);
