--- a/crates/gentianlane-daemon/src/fleet/forward.rs
+++ b/crates/gentianlane-daemon/src/fleet/forward.rs
@@ -302,7 +302,7 @@
         ended = link::carry(stream, &outgoing, true, take) => ended,
         () = moved.notified() => Ok(()),
         () = send_again(shared) => Ok(()),
-        () = tire(shared) => Err(std::io::Error::other("the core knows no leader")),
+        () = wait_parked(shared) => Err(std::io::Error::other("the core knows no leader")),
         () = find_leader(shared, port), if !is_core => Ok(()),
     }
 }
@@ -456,7 +456,7 @@
 }
 
 /// Waits until the core hasn't led for so long that another may know more.
-async fn tire(shared: &Forward) {
+async fn wait_parked(shared: &Forward) {
     let mut idle = 0;
     while idle < PARKED_STEPS {
         sleep(PARKED_STEP).await;
--- a/crates/gentianlane/src/agree/node/member.rs
+++ b/crates/gentianlane/src/agree/node/member.rs
@@ -24,12 +24,12 @@
             peer.site = Some(site);
             peer.heard = now;
         }
-        self.unseat(from, now);
+        self.lose_predecessors(from, now);
     }
 
     /// Takes the silent predecessors on a node's VM for lost: their disk is the
     /// one that the node found empty.
-    fn unseat(&mut self, by: id::Node, now: Time) {
+    fn lose_predecessors(&mut self, by: id::Node, now: Time) {
         let Some(seat) = by.seat() else {
             return;
         };
--- a/crates/gentianlane/src/fleet/decision.rs
+++ b/crates/gentianlane/src/fleet/decision.rs
@@ -192,8 +192,8 @@
         why: Why,
     },
     /// A worker gets no work for a while.
-    #[display("event=worker_shunned worker={worker} why={why} for_ms={}", span.as_millis())]
-    Shunned {
+    #[display("event=worker_avoided worker={worker} why={why} for_ms={}", span.as_millis())]
+    Avoided {
         /// The worker.
         worker: id::Worker,
         /// Why.
--- a/crates/gentianlane/src/fleet/dispatch/answer.rs
+++ b/crates/gentianlane/src/fleet/dispatch/answer.rs
@@ -89,7 +89,7 @@
                 session.unreachable = 0;
             }
         }
-        self.stirred = true;
+        self.changed = true;
         match (sent.about, answer) {
             (About::Hold, Answer::State(told)) => {
                 self.told(state, &sent, &told, now, wall);
@@ -121,14 +121,14 @@
         };
         session.silent += 1;
         session.hold_at = now.after(UNHEALTHY_REST);
-        self.work.decisions.push(Decision::Shunned {
+        self.work.decisions.push(Decision::Avoided {
             worker: sent.worker.clone(),
             why: Why::Refusals,
             span: UNHEALTHY_REST,
         });
         // A later leadership is known there, so this one is over.
         if reason == Reason::Fence {
-            session.shunned = now.after(self.setup.lease);
+            session.avoid_until = now.after(self.setup.lease);
         }
     }
 
@@ -203,7 +203,7 @@
         if let Some(rest) = rest
             && let Some(session) = self.sessions.get_mut(worker)
         {
-            session.shunned = session.shunned.max(now.after(rest));
+            session.avoid_until = session.avoid_until.max(now.after(rest));
         }
         if let Some(stage) = self.stages.get_mut(&task.stage) {
             match reason {
@@ -285,7 +285,7 @@
         let Some(asked) = self.desk.answered(helper, opinion.number) else {
             return;
         };
-        self.stirred = true;
+        self.changed = true;
         let took = now.since(asked.since);
         let stage_id = asked.stage;
         let Some(eligible) = opinion.eligible else {
--- a/crates/gentianlane/src/fleet/dispatch/doubt.rs
+++ b/crates/gentianlane/src/fleet/dispatch/doubt.rs
@@ -60,7 +60,7 @@
 
     /// Puts all starts that a new life may still take among its runs, to be
     /// stopped.
-    pub(crate) fn haunt(&self, session: &mut Session, now: Time) {
+    pub(crate) fn add_stopping(&self, session: &mut Session, now: Time) {
         let starts = self.starts.get(&session.life.worker);
         for start in starts.into_iter().flatten() {
             let run = Run::stopping(start.run, start.size, now);
--- a/crates/gentianlane/src/fleet/dispatch/follow.rs
+++ b/crates/gentianlane/src/fleet/dispatch/follow.rs
@@ -19,7 +19,7 @@
 impl Lead {
     /// Takes note of a change of the state.
     pub fn follow(&mut self, state: &State, event: &Event, now: Time, wall: Wall) {
-        self.stirred = true;
+        self.changed = true;
         match event {
             Event::Planned => self.replan(state),
             Event::Submitted(job) => {
@@ -203,7 +203,7 @@
         }
         self.doubt_orders(name);
         let mut fresh = Session::new(member, self.setup.lease, now);
-        self.doubts.haunt(&mut fresh, now);
+        self.doubts.add_stopping(&mut fresh, now);
         let Some(held) = self.sessions.get_mut(name) else {
             self.sessions.insert(name.clone(), fresh);
             return;
@@ -320,7 +320,7 @@
             && let Some(stage) = self.stages.get_mut(&asked.stage)
         {
             stage.asking = None;
-            self.stirred = true;
+            self.changed = true;
         }
     }
 }
--- a/crates/gentianlane/src/fleet/dispatch/hold.rs
+++ b/crates/gentianlane/src/fleet/dispatch/hold.rs
@@ -65,7 +65,7 @@
     }
 
     /// Sends an order to stop a run that isn't its task's present one.
-    pub(super) fn stop_stray(&mut self, name: &id::Worker, task: &Task, now: Time) {
+    pub(super) fn stop_superseded(&mut self, name: &id::Worker, task: &Task, now: Time) {
         let Some(session) = self.sessions.get_mut(name) else {
             return;
         };
@@ -263,7 +263,7 @@
             for stage in self.stages.values_mut() {
                 stage.doubtful = false;
             }
-            self.stirred = true;
+            self.changed = true;
         }
     }
 }
--- a/crates/gentianlane/src/fleet/dispatch/lead.rs
+++ b/crates/gentianlane/src/fleet/dispatch/lead.rs
@@ -73,7 +73,7 @@
     /// Whether some steps wait for what runs from before.
     pub(super) doubtful: bool,
     /// Whether anything changed that placement depends on.
-    pub(super) stirred: bool,
+    pub(super) changed: bool,
     /// When tickets and refusals are looked at again.
     pub(super) look_at: Time,
     pub(super) work: Work,
@@ -103,7 +103,7 @@
             learn: Learn::default(),
             doubt_until: now.after(Span::from_millis(longest)),
             doubtful: true,
-            stirred: true,
+            changed: true,
             look_at: now,
             work: Work::default(),
         };
@@ -157,7 +157,7 @@
     /// Takes in a helper that can put questions for this leader.
     pub fn helper_joined(&mut self, helper: Helper) {
         self.desk.join(helper);
-        self.stirred = true;
+        self.changed = true;
     }
 
     /// Does what the time asks for, then places what can be placed.
@@ -172,8 +172,8 @@
             self.settle_doubt(now);
             self.pace_fillers(now);
         }
-        if looks || self.stirred {
-            self.stirred = false;
+        if looks || self.changed {
+            self.changed = false;
             self.hold_due(now);
             self.place(state, now);
             self.ask(now);
@@ -260,7 +260,7 @@
         let Some(run) = session.remove(task) else {
             return;
         };
-        self.stirred = true;
+        self.changed = true;
         if self.placed.get(task) == Some(worker) {
             self.placed.swap_remove(task);
         }
--- a/crates/gentianlane/src/fleet/dispatch/place.rs
+++ b/crates/gentianlane/src/fleet/dispatch/place.rs
@@ -215,7 +215,7 @@
                 .iter_mut()
                 .filter(|candidate| {
                     candidate.room_for(&size) > 0
-                        && !stage.shuns(index, &candidate.worker, able)
+                        && !stage.avoids(index, &candidate.worker, able)
                         && !self.holds(&candidate.worker, Task { stage: *id, index })
                 })
                 .min_by_key(|candidate| candidate.cost(&size));
@@ -257,7 +257,7 @@
         let size = stage.step.room();
         let count = stage.step.count;
         let sound =
-            |candidate: &Candidate| !stage.shuns(0, &candidate.worker, usize::MAX);
+            |candidate: &Candidate| !stage.avoids(0, &candidate.worker, usize::MAX);
         // A gang that failed goes elsewhere if it can.
         let (elsewhere, rest): (Vec<_>, Vec<_>) = at.into_iter().partition(sound);
         let one_rack = stage.step.one_rack;
--- a/crates/gentianlane/src/fleet/dispatch/session.rs
+++ b/crates/gentianlane/src/fleet/dispatch/session.rs
@@ -50,7 +50,7 @@
     /// How many times in a row nothing listened.
     pub(crate) unreachable: u32,
     /// No new work before this.
-    pub(crate) shunned: Time,
+    pub(crate) avoid_until: Time,
     /// How many failures of unlike jobs stand against the worker.
     pub(crate) blame: u32,
     /// How long runs take here against other workers of the kind, in
@@ -145,7 +145,7 @@
             report: 0,
             silent: 0,
             unreachable: 0,
-            shunned: now,
+            avoid_until: now,
             blame: 0,
             pace: EVEN,
             failed_at: now,
@@ -286,7 +286,7 @@
             && self.silent == 0
             && self.unreachable == 0
             && self.clock.is_some()
-            && self.shunned <= now
+            && self.avoid_until <= now
             && !self.runs.values().any(|run| run.unknown)
     }
 }
--- a/crates/gentianlane/src/fleet/dispatch/stage.rs
+++ b/crates/gentianlane/src/fleet/dispatch/stage.rs
@@ -121,7 +121,7 @@
     /// Whether a task has failed on a worker, and others are left to try.
     ///
     /// `others` is how many workers could run it at all.
-    pub(crate) fn shuns(&self, index: u32, worker: &id::Worker, others: usize) -> bool {
+    pub(crate) fn avoids(&self, index: u32, worker: &id::Worker, others: usize) -> bool {
         let failed = self.failed_on.get(&self.save_key(index));
         failed.is_some_and(|failed| failed.contains(worker) && failed.len() < others)
     }
--- a/crates/gentianlane/src/fleet/dispatch/told.rs
+++ b/crates/gentianlane/src/fleet/dispatch/told.rs
@@ -173,8 +173,8 @@
         if how == How::Failed && session.blame >= BLAME_LIMIT {
             let doubled = (session.blame - BLAME_LIMIT).min(2);
             let span = BLAME_REST.times(1 << doubled);
-            session.shunned = now.after(span);
-            self.work.decisions.push(Decision::Shunned {
+            session.avoid_until = now.after(span);
+            self.work.decisions.push(Decision::Avoided {
                 worker: worker.clone(),
                 why: Why::Failures,
                 span,
@@ -223,7 +223,7 @@
             .is_none_or(|stage| stage.step.gang);
         if now.since(since) >= STUCK && !gang {
             if let Some(session) = self.sessions.get_mut(worker) {
-                session.shunned = session.shunned.max(now.after(BLAME_REST));
+                session.avoid_until = session.avoid_until.max(now.after(BLAME_REST));
             }
             self.stop(&task, Why::Stuck, now);
         }
@@ -282,7 +282,7 @@
             });
             return;
         }
-        self.stop_stray(worker, &task, now);
+        self.stop_superseded(worker, &task, now);
     }
 
     /// Drops the runs that a worker doesn't list any more.
