Don't take refused connections for a worker's end

Cause: after three refused connections in a row a life counted as over and its tasks started elsewhere. A cut can refuse connections just as a dead process does, while the worker runs on: eleven tasks ran twice.

Ruled out: the lease (5.2 s were left at each second start) and late orders (none).

A worker that refuses is now silent like any other, and asked again every 250 ms; its tasks start elsewhere once its lease has ended, or another life answers or reports. A start whose connection was refused is still void at once, as it was never sent. Both tests fail without the change.

--- a/crates/gentianlane/src/fleet/dispatch/answer.rs
+++ b/crates/gentianlane/src/fleet/dispatch/answer.rs
@@ -22,8 +22,9 @@
 /// The pause before an order without an answer is sent again.
 const ORDER_RETRY: Span = Span::from_millis(60);
 
-/// After this many refused connections in a row the process has ended.
-const UNREACHABLE_LIMIT: u32 = 3;
+/// The pause before a worker that refused a connection is asked again; it is
+/// told at once, so without a pause each would be asked hundreds of times.
+const REFUSED_RETRY: Span = Span::from_millis(250);
 
 impl Lead {
     /// Takes a worker's answer to an order.
@@ -54,17 +55,18 @@
         }
         match &answer {
             Answer::OtherLife => return self.ended_life(&life, Why::OtherLife),
-            Answer::Unreachable => {
-                session.unreachable += 1;
-                session.hold_at = now.after(ORDER_RETRY);
-                if session.unreachable >= UNREACHABLE_LIMIT {
-                    return self.ended_life(&life, Why::Unreachable);
+            // A cut may refuse connections just as a dead process does, so only
+            // the lease's end tells that nothing runs there any more.
+            Answer::Unreachable | Answer::Lost => {
+                if answer == Answer::Unreachable {
+                    session.unreachable += 1;
                 }
-            }
-            Answer::Lost => {
                 if sent.about == About::Hold {
                     session.silent += 1;
-                    session.hold_at = now.after(ORDER_RETRY);
+                    session.hold_at = now.after(match answer {
+                        Answer::Unreachable => REFUSED_RETRY,
+                        _ => ORDER_RETRY,
+                    });
                     if session.silent == 1 {
                         let lease = session.lease_left(now);
                         self.work.decisions.push(Decision::Silent { life, lease });
--- a/crates/gentianlane/tests/fleet/dispatch.rs
+++ b/crates/gentianlane/tests/fleet/dispatch.rs
@@ -108,6 +108,38 @@
     assert_ne!(world.seen[1].worker, worker);
 }
 
+#[test]
+fn a_worker_that_refuses_connections_may_run_on() {
+    // Found at norrvik-panna, workers-cut-off with seed 1: a cut that refuses
+    // connections was taken for the worker's end, and its tasks ran twice.
+    let mut world = World::new(2, 1).ready(plan(1, false));
+    world.fates.insert(task(7, 0), vec![(3_000, How::Done)]);
+    world.submit(7, &job(1, 3_000));
+    world.run(500);
+    let worker = world.seen[0].worker.clone();
+    world.refusing.insert(worker.clone());
+    // The oracle finds a second run beside the first.
+    world.run(1_500);
+    world.refusing.clear();
+    world.run(3_000);
+    assert_eq!(world.starts(&task(7, 0)), 1);
+    assert_eq!(phase(&mut world, 7), Some(Phase::Completed));
+}
+
+#[test]
+fn tasks_of_a_worker_that_refuses_for_good_start_elsewhere_after_its_lease() {
+    let mut world = World::new(2, 1).ready(plan(1, false));
+    let mut spec = job(1, 3_000);
+    spec.steps[0].lasts = true;
+    world.submit(7, &spec);
+    world.run(500);
+    let worker = world.seen[0].worker.clone();
+    world.refusing.insert(worker.clone());
+    world.run(9_000);
+    assert_eq!(world.starts(&task(7, 0)), 2);
+    assert_ne!(world.seen[1].worker, worker);
+}
+
 #[test]
 fn what_a_job_that_is_over_left_behind_keeps_its_room() {
     // Found at hanafy-yard, scale-1 with seed 379412820395: a new leader took
--- a/crates/gentianlane/tests/fleet/world.rs
+++ b/crates/gentianlane/tests/fleet/world.rs
@@ -31,8 +31,8 @@
     Order(id::Node, Order),
     Answer(id::Node, Number, Answer),
     Opinion(id::Node, Opinion),
-    /// A hold that waits at its worker until the second time.
-    Held(id::Node, Order, u64),
+    /// A hold that waits at one life of its worker until a time.
+    Held(id::Node, Order, Wall, u64),
 }
 
 /// What goes wrong with orders, in thousandths of them.
@@ -69,6 +69,8 @@
     pub(crate) cut: BTreeSet<usize>,
     /// The workers that can't be reached.
     pub(crate) dark: BTreeSet<id::Worker>,
+    /// The workers that run on while connections to them are refused.
+    pub(crate) refusing: BTreeSet<id::Worker>,
     /// The workers that fail all that they start.
     pub(crate) grey: BTreeSet<id::Worker>,
     pub(crate) trouble: Trouble,
@@ -107,6 +109,7 @@
             workers: Vec::new(),
             cut: BTreeSet::new(),
             dark: BTreeSet::new(),
+            refusing: BTreeSet::new(),
             grey: BTreeSet::new(),
             trouble: Trouble::default(),
             hop: HOP,
@@ -237,7 +240,8 @@
         self.next_report = self.now + 500;
         for at in 0..self.workers.len() {
             let worker = &mut self.workers[at];
-            if !worker.up || self.dark.contains(&worker.life.worker) {
+            let name = &worker.life.worker;
+            if !worker.up || self.dark.contains(name) || self.refusing.contains(name) {
                 continue;
             }
             let report = worker.report();
@@ -278,7 +282,9 @@
                 }
             }
             Parcel::Order(from, order) => self.order(from, order),
-            Parcel::Held(from, order, until) => self.hold(from, order, until),
+            Parcel::Held(from, order, born, until) => {
+                self.hold(from, order, born, until);
+            }
         }
     }
 
@@ -294,6 +300,7 @@
             .workers
             .iter()
             .position(|worker| worker.up && worker.site.address == order.address);
+        let at = at.filter(|_| !self.refusing.contains(&order.worker));
         let Some(at) = at else {
             let answer = Parcel::Answer(from, order.number, Answer::Unreachable);
             return self.send(self.hop, answer);
@@ -306,7 +313,8 @@
         }
         if let Action::Hold { wait, .. } = order.action {
             let until = self.now + wait.as_millis();
-            return self.hold(from, order, until);
+            let born = self.workers[at].life.born;
+            return self.hold(from, order, born, until);
         }
         let answer = self.carry_out(at, &order);
         match lost {
@@ -316,11 +324,14 @@
     }
 
     /// Answers a hold at once if there is an end to tell, else in time.
-    fn hold(&mut self, from: id::Node, order: Order, until: u64) {
-        let at = self
-            .workers
-            .iter()
-            .position(|worker| worker.up && worker.site.address == order.address);
+    ///
+    /// It ends with the life at which it waits.
+    fn hold(&mut self, from: id::Node, order: Order, born: Wall, until: u64) {
+        let at = self.workers.iter().position(|worker| {
+            worker.up
+                && worker.site.address == order.address
+                && worker.life.born == born
+        });
         let Some(at) = at else {
             let timeout = order.timeout.as_millis();
             return self.send(timeout, Parcel::Answer(from, order.number, Answer::Lost));
@@ -334,7 +345,7 @@
             return self.send(timeout, Parcel::Answer(from, order.number, Answer::Lost));
         }
         match whole && !told && self.now < until {
-            true => self.send(5, Parcel::Held(from, order, until)),
+            true => self.send(5, Parcel::Held(from, order, born, until)),
             false => {
                 let lag = self.hop + self.hold_lag;
                 self.send(lag, Parcel::Answer(from, order.number, answer));
