Turn calls away at once while an outage outlasts the change of a leader

Cause: each call waited two seconds for a leader, also in the tenth second of an outage, and was then told to come back in one.

A call now waits for what is left of two seconds since the leader was lost, and its caller is told to come back after about as long as the outage has lasted, one to four seconds. The rule is a function of the guide, with its example as the test.

--- a/crates/gentianlane-daemon/src/fleet/core.rs
+++ b/crates/gentianlane-daemon/src/fleet/core.rs
@@ -347,7 +347,7 @@
         Some(Reply::NotLeader(_)) => match shared.forward.pass(call, CALL_LIMIT).await {
             Passed::Answered(reply) => reply,
             // Whoever asks may reach a leader that this node doesn't.
-            Passed::Unmade => Reply::NotLeader(None),
+            Passed::Unmade(_) => Reply::NotLeader(None),
             Passed::Unsure => Reply::Unsure,
         },
         Some(reply) => reply,
--- a/crates/gentianlane-daemon/src/fleet/entry.rs
+++ b/crates/gentianlane-daemon/src/fleet/entry.rs
@@ -28,8 +28,9 @@
 /// at most a quarter of it.
 const ANSWER_RESERVE: Duration = Duration::from_millis(250);
 
-/// When to come back while no leader is known.
-const NO_LEADER_RETRY: Span = Span::from_millis(1_000);
+/// When the balancer may ask again whether the entry is ready; it asks each
+/// second anyway.
+const NOT_READY_RETRY: Span = Span::from_millis(1_000);
 
 /// How often the settings file is looked at.
 const SETTINGS_STEP: Duration = Duration::from_secs(1);
@@ -144,7 +145,7 @@
             location: None,
             body: b"{}".to_vec(),
         },
-        false => Response::unavailable("not ready", NO_LEADER_RETRY),
+        false => Response::unavailable("not ready", NOT_READY_RETRY),
     }
 }
 
@@ -183,7 +184,7 @@
         Passed::Answered(reply) => platform::front::encode(&reply).unwrap_or_else(|| {
             Response::unsure("the leader's answer is of another kind")
         }),
-        Passed::Unmade => Response::unavailable("no leader is known", NO_LEADER_RETRY),
+        Passed::Unmade(retry) => Response::unavailable("no leader is known", retry),
         Passed::Unsure => Response::unsure("the leader hasn't answered"),
     }
 }
--- a/crates/gentianlane-daemon/src/fleet/forward.rs
+++ b/crates/gentianlane-daemon/src/fleet/forward.rs
@@ -8,7 +8,7 @@
 
 use flume::{Receiver, Sender};
 use gentianlane::fleet::call::{Call, Refusal, Reply};
-use gentianlane::fleet::guide::Known;
+use gentianlane::fleet::guide::{Known, patience};
 use gentianlane::fleet::link::{Guide, Packet};
 use gentianlane::unit::{Span, Time};
 use indexmap::IndexMap;
@@ -23,10 +23,6 @@
 use crate::fleet::link;
 use crate::fleet::metrics::Metrics;
 
-/// How long a call waits for a leader before it is turned away: about as long
-/// as the change of a leader takes.
-const LEADER_WAIT: Duration = Duration::from_millis(2_000);
-
 /// How long a call of another entry is kept.
 const RELAYED_LIMIT: Duration = Duration::from_millis(3_000);
 
@@ -100,8 +96,9 @@
 pub(crate) enum Passed {
     /// The leader has answered.
     Answered(Reply),
-    /// No leader can have acted on it, and none will.
-    Unmade,
+    /// No leader can have acted on it, and none will; the caller may come back
+    /// after a time.
+    Unmade(Span),
     /// A leader may have acted on it.
     Unsure,
 }
@@ -154,16 +151,19 @@
     /// Takes a call to the leader, again to the next one until the time is up.
     pub(crate) async fn pass(&self, call: Call, limit: Duration) -> Passed {
         let changes = !call.only_reads();
+        let missing = self.unlinked().unwrap_or_default();
         let Some((number, reply)) = open(self, call) else {
             self.metrics.count("busy", 1);
             return Passed::Answered(busy());
         };
         tokio::pin!(reply);
-        let first = timeout(limit.min(LEADER_WAIT), reply.as_mut()).await;
+        let (wait, retry) = patience(missing);
+        let wait = limit.min(wait.into());
+        let first = timeout(wait, reply.as_mut()).await;
         let replied = match first {
             Ok(replied) => Some(replied),
-            Err(_) if withdraw(self, number) => return Passed::Unmade,
-            Err(_) => timeout(limit.saturating_sub(LEADER_WAIT), reply).await.ok(),
+            Err(_) if withdraw(self, number) => return Passed::Unmade(retry),
+            Err(_) => timeout(limit.saturating_sub(wait), reply).await.ok(),
         };
         if let Some(Ok(reply)) = replied {
             return Passed::Answered(reply);
@@ -174,7 +174,7 @@
             .is_none_or(|open| open.sent || open.doubtful);
         match doubtful && changes {
             true => Passed::Unsure,
-            false => Passed::Unmade,
+            false => Passed::Unmade(retry),
         }
     }
 }
--- a/crates/gentianlane/src/fleet/guide.rs
+++ b/crates/gentianlane/src/fleet/guide.rs
@@ -7,6 +7,42 @@
 use crate::fleet::link::Guide;
 use crate::unit::{Span, Time};
 
+/// How long the change of a leader takes at the most, by the bench's runs with
+/// two leaders lost in a row; a call waits for that.
+const CHANGE: Span = Span::from_millis(2_000);
+
+/// When to come back while no leader is known, at the least: about as long as
+/// the change of a leader takes.
+const RETRY: Span = Span::from_millis(1_000);
+
+/// When to come back at the latest, so that callers are back soon after a long
+/// outage.
+const LATEST_RETRY: Span = Span::from_millis(4_000);
+
+/// How long a call may wait for a leader that has been missing for a time, and
+/// when its caller is to come back if there is none by then.
+///
+/// Answers an outage that outlasts the change of a leader: whoever calls then
+/// is told at once, and to come back after about as long as the outage has
+/// lasted.
+///
+/// ```
+/// use gentianlane::fleet::guide::patience;
+/// use gentianlane::unit::Span;
+/// let (wait, retry) = patience(Span::ZERO);
+/// assert_eq!(wait, Span::from_millis(2_000));
+/// assert_eq!(retry, Span::from_millis(2_000));
+/// let (wait, retry) = patience(Span::from_millis(3_000));
+/// assert_eq!(wait, Span::ZERO);
+/// assert_eq!(retry, Span::from_millis(3_000));
+/// ```
+#[must_use]
+pub fn patience(missing: Span) -> (Span, Span) {
+    let wait = CHANGE.less(missing);
+    let lasted = missing + wait;
+    (wait, lasted.max(RETRY).min(LATEST_RETRY))
+}
+
 /// The cores and entries that are known, and the core that leads.
 #[derive(Debug, Default, Clone)]
 pub struct Known {
