Remove settings and fields that change nothing

`far_factor` was read and never used, a worker's remaining time was decoded and kept, and `Plan::used_pools` had no caller.

--- a/crates/gentianlane-daemon/src/fleet/settings.rs
+++ b/crates/gentianlane-daemon/src/fleet/settings.rs
@@ -61,8 +61,6 @@
     pub(crate) lease_limit_ms: u64,
     /// How long a stop may take at a worker, in milliseconds.
     pub(crate) stop_ms: u64,
-    /// How much longer tasks run away from their data.
-    pub(crate) far_factor: f64,
     /// How long after SIGTERM the process is killed, in seconds.
     pub(crate) grace_s: f64,
 }
@@ -146,8 +144,6 @@
         dispatch::Setup {
             lease: granted.min(LEASE_LIMIT),
             stop: Span::from_millis(self.stop_ms),
-            // A cast from a float saturates.
-            far: (self.far_factor * 1_000.0) as u64,
             ..dispatch::Setup::default()
         }
     }
--- a/crates/gentianlane-daemon/tests/fleet.rs
+++ b/crates/gentianlane-daemon/tests/fleet.rs
@@ -93,7 +93,6 @@
             "adviser": "",
             "lease_limit_ms": 6_000,
             "stop_ms": 200,
-            "far_factor": 2.0,
             "grace_s": 6,
         });
         for (key, value) in own.as_object().unwrap() {
--- a/crates/gentianlane/src/fleet/dispatch/setup.rs
+++ b/crates/gentianlane/src/fleet/dispatch/setup.rs
@@ -17,9 +17,6 @@
     pub order: Span,
     /// How long a stop may take at a worker.
     pub stop: Span,
-    /// How much longer a task runs away from its data or its gang, in
-    /// thousandths.
-    pub far: u64,
 }
 
 impl Default for Setup {
@@ -30,7 +27,6 @@
             answer: Span::from_millis(600),
             order: Span::from_millis(250),
             stop: Span::from_millis(1_000),
-            far: 2_000,
         }
     }
 }
--- a/crates/gentianlane/src/fleet/plan.rs
+++ b/crates/gentianlane/src/fleet/plan.rs
@@ -1,6 +1,6 @@
 //! Complete configurations: queues, the pools that serve them, and limits.
 
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
 use crate::unit::Span;
@@ -156,13 +156,4 @@
         let (name, queue) = found.max_by_key(|(_, queue)| queue.prefix.len())?;
         Some((name, queue, &path[queue.prefix.len()..]))
     }
-
-    /// The pools that some queue names.
-    #[must_use]
-    pub fn used_pools(&self) -> IndexSet<&str> {
-        self.queues
-            .values()
-            .map(|queue| queue.pool.as_str())
-            .collect()
-    }
 }
--- a/crates/gentianlane/src/fleet/worker.rs
+++ b/crates/gentianlane/src/fleet/worker.rs
@@ -5,7 +5,7 @@
 
 use crate::fleet::job::Size;
 use crate::id;
-use crate::unit::{Span, Wall};
+use crate::unit::Wall;
 
 /// One life of a worker's process.
 ///
@@ -57,6 +57,4 @@
     pub number: u64,
     /// Whether the worker is being emptied.
     pub draining: bool,
-    /// The least time that a draining worker still has.
-    pub remaining: Option<Span>,
 }
