Elect after 350 ms of silence, and dial a core back that dials

After all power was lost 0.2 s went by from the last core's start to the election, as the others still waited for a dial that began while it was down.

Elections now begin after 350 to 700 ms (heartbeats 70 ms), and a connection from another core has this one dial it anew at once.

--- a/crates/gentianlane-daemon/src/fleet/core.rs
+++ b/crates/gentianlane-daemon/src/fleet/core.rs
@@ -23,7 +23,7 @@
 use miette::{IntoDiagnostic, Result};
 use slog::{Logger, crit, info, warn};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::oneshot;
+use tokio::sync::{Notify, oneshot};
 
 use crate::clock::Clock;
 use crate::fleet::Settings;
@@ -62,12 +62,12 @@
 /// This process as a helper of its own leader.
 pub(super) const OWN: Helper = 0;
 
-/// What agreement takes: half a second of silence is six heartbeats, more than
-/// a stall of the processor's quota and than the slowest sync of a sound disk.
+/// What agreement takes: 350 ms of silence are five heartbeats, more than a
+/// stall of the processor's quota and than the slowest sync of a sound disk.
 const TIMING: agree::Timing = agree::Timing {
-    heartbeat: Span::from_millis(80),
-    election: Span::from_millis(500),
-    drift: Span::from_millis(50),
+    heartbeat: Span::from_millis(70),
+    election: Span::from_millis(350),
+    drift: Span::from_millis(40),
     repair: Span::from_millis(3_000),
 };
 
@@ -82,6 +82,8 @@
     pub(super) guide: Arc<Mutex<Guide>>,
     /// The connections that entries have made, by number.
     pub(super) links: Arc<Mutex<IndexMap<Helper, Link>>>,
+    /// Wakes whoever dials another core, by its VM.
+    pub(super) wakes: Arc<Mutex<IndexMap<Ipv4Addr, Arc<Notify>>>>,
     /// Whether entries have come or gone since all were told of them.
     pub(super) entries_changed: Arc<AtomicBool>,
     pub(super) metrics: Metrics,
@@ -164,6 +166,7 @@
         forward: Forward::new(&settings, clock, metrics.clone(), log.clone()),
         guide: Arc::default(),
         links: Arc::default(),
+        wakes: Arc::default(),
         entries_changed: Arc::default(),
         metrics,
         log,
@@ -393,6 +396,9 @@
         Ok(IpAddr::V4(vm)) => Some(vm),
         _ => None,
     };
+    if let Some(wake) = vm.and_then(|vm| lock(&shared.wakes).get(&vm).cloned()) {
+        wake.notify_one();
+    }
     let (sender, outgoing) = flume::bounded(link::WAITING_LIMIT);
     let mut helps = false;
     let take = |packet| match packet {
--- a/crates/gentianlane-daemon/src/fleet/traffic.rs
+++ b/crates/gentianlane-daemon/src/fleet/traffic.rs
@@ -2,6 +2,7 @@
 //! other cores, replies, orders to workers and questions for advice.
 
 use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
 
 use flume::{Receiver, Sender};
 use gentianlane::agree;
@@ -15,6 +16,7 @@
 use gentianlane_platform as platform;
 use indexmap::IndexMap;
 use slog::{Logger, info, warn};
+use tokio::sync::Notify;
 
 use crate::clock::Clock;
 use crate::fleet::client::{Outcome, ask};
@@ -125,7 +127,9 @@
         let log = self.shared.log.clone();
         let peer = self.peers.entry(vm).or_insert_with(|| {
             let (sender, receiver) = flume::bounded(link::WAITING_LIMIT);
-            tokio::spawn(keep_peer(address, receiver, log));
+            let wake = Arc::new(Notify::new());
+            lock(&self.shared.wakes).insert(vm, wake.clone());
+            tokio::spawn(keep_peer(address, receiver, wake, log));
             sender
         });
         // The protocol sends again what is dropped here.
@@ -134,10 +138,22 @@
 }
 
 /// Keeps a connection to another core.
-async fn keep_peer(address: SocketAddr, outgoing: Receiver<Packet>, log: Logger) {
+///
+/// A core that has been down is dialled as soon as it dials itself: a dial that
+/// began while it was down would still wait for its first packet's repetition.
+async fn keep_peer(
+    address: SocketAddr,
+    outgoing: Receiver<Packet>,
+    wake: Arc<Notify>,
+    log: Logger,
+) {
     let mut connected = true;
     loop {
-        let ended = match link::dial(address, false).await {
+        let dialled = tokio::select! {
+            dialled = link::dial(address, false) => dialled,
+            () = wake.notified() => continue,
+        };
+        let ended = match dialled {
             Ok(stream) => {
                 info!(log, "peer_connected"; "peer" => %address);
                 connected = true;
@@ -154,9 +170,12 @@
             // The loss was told; the next line is that the peer is back.
             Err(_) => {}
         }
-        tokio::time::sleep(RECONNECT).await;
         // What has waited meanwhile is old; the protocol sends it again.
         outgoing.drain();
+        tokio::select! {
+            () = tokio::time::sleep(RECONNECT) => {}
+            () = wake.notified() => {}
+        }
     }
 }
 
