Show queues and what each waiting step waits for

`gentianlane fleet CORE` lists each queue with its jobs, waiting and running tasks, and the steps that wait in the order of their turns: for advice, for room, for a worker at all, for what an earlier leader started, or after an order that was refused; also as JSON.

--- a/crates/gentianlane-cli/src/command/fleet.rs
+++ b/crates/gentianlane-cli/src/command/fleet.rs
@@ -15,7 +15,7 @@
 
 pub(super) fn command() -> Command {
     Command::new("fleet")
-        .about("Shows a fleet's plan, voters, workers and what waits")
+        .about("Shows a fleet's plan, voters, queues, waiting steps and workers")
         .arg(
             Arg::new("CORE")
                 .required(true)
@@ -57,6 +57,29 @@
         "jobs      {} open, {} steps wait, {} runs",
         overview.open_jobs, overview.waiting_steps, overview.runs
     );
+    for queue in &overview.queues {
+        println!(
+            "queue     {:<16} {:<12} urgency {}, {:>4} jobs, {:>4} tasks wait, {:>4} run",
+            queue.name,
+            queue.pool,
+            queue.priority,
+            queue.jobs,
+            queue.waiting,
+            queue.running
+        );
+    }
+    for step in &overview.steps {
+        println!(
+            "step      {:<24} {:<12} {:>3} tasks wait for {}, {:>3} run, waited {} ms, slack {} ms",
+            step.name,
+            step.queue,
+            step.waiting,
+            step.cause,
+            step.running,
+            step.waited_ms,
+            step.slack_ms
+        );
+    }
     for worker in &overview.workers {
         let state = match (worker.draining, worker.silent) {
             (true, _) => "draining",
--- a/crates/gentianlane/src/fleet/dispatch/mod.rs
+++ b/crates/gentianlane/src/fleet/dispatch/mod.rs
@@ -31,4 +31,4 @@
 pub use advice::Helper;
 pub use lead::{Lead, Work};
 pub use setup::Setup;
-pub use view::{Overview, Worker};
+pub use view::{Cause, Overview, Queue, Step, Worker};
--- a/crates/gentianlane/src/fleet/dispatch/place.rs
+++ b/crates/gentianlane/src/fleet/dispatch/place.rs
@@ -235,7 +235,7 @@
     }
 
     /// How many workers could run a step at all.
-    fn able(&self, stage: &Stage) -> usize {
+    pub(super) fn able(&self, stage: &Stage) -> usize {
         let able = self.sessions.iter();
         able.filter(|(name, session)| is_able(stage, name, session))
             .count()
--- a/crates/gentianlane/src/fleet/node.rs
+++ b/crates/gentianlane/src/fleet/node.rs
@@ -221,7 +221,7 @@
             Call::Report(report) => self.report(&report, ticket, now),
             Call::Leave(life) => self.leave(&life, ticket),
             Call::Overview => {
-                let reply = Reply::Overview(self.overview());
+                let reply = Reply::Overview(self.overview(now));
                 self.reply(ticket, reply);
             }
         }
@@ -556,13 +556,13 @@
     }
 
     /// What the node holds, as JSON for an operator.
-    fn overview(&self) -> String {
+    fn overview(&self, now: Time) -> String {
         let lead = self.lead.as_ref();
         let voters = self.agree.voters().iter().map(|node| match node.seat() {
             Some(seat) => format!("{seat}/{}", node.0 as u32),
             None => node.to_string(),
         });
-        let overview = lead.map(|lead| lead.overview(&self.state, voters.collect()));
+        let overview = lead.map(|lead| lead.overview(&self.state, voters.collect(), now));
         overview.unwrap_or_default()
     }
 }
--- a/crates/gentianlane/tests/fleet/dispatch.rs
+++ b/crates/gentianlane/tests/fleet/dispatch.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use gentianlane::fleet::call::{Call, Place, Reply};
+use gentianlane::fleet::dispatch::{Cause, Overview};
 use gentianlane::fleet::job::{Id, Phase, Stage, Task};
 use gentianlane::fleet::order::How;
 use gentianlane::fleet::plan::Plan;
@@ -663,3 +664,34 @@
         );
     }
 }
+
+#[test]
+fn an_operator_sees_what_each_waiting_step_waits_for() {
+    let mut world = World::new(1, 1).ready(two_queues(3));
+    let mut lasting = job(1, 4_000);
+    lasting.steps[0].lasts = true;
+    world.submit_at(slow(7), 7, &lasting);
+    world.run(500);
+    world.submit(8, &job(2, 1_000));
+    world.run(200);
+    let ticket = world.call(Call::Overview);
+    world.run(30);
+    let Some(Reply::Overview(text)) = world.replies.get(&ticket) else {
+        panic!("no overview");
+    };
+    let overview: Overview = serde_json::from_str(text).expect("an overview");
+    let [step] = overview.steps.as_slice() else {
+        panic!("{:?}", overview.steps);
+    };
+    assert_eq!(step.name, "0000000000000008.0.0");
+    assert_eq!((step.waiting, step.running), (2, 0));
+    assert_eq!(step.cause, Cause::Room);
+    assert!(step.waited_ms >= 190);
+    let counts = |name: &str| {
+        let mut queues = overview.queues.iter();
+        let queue = queues.find(|queue| queue.name == name);
+        queue.map(|queue| (queue.jobs, queue.waiting, queue.running))
+    };
+    assert_eq!(counts("queue"), Some((1, 2, 0)));
+    assert_eq!(counts("slow"), Some((1, 0, 1)));
+}
