--- a/crates/gentianlane/src/fleet/dispatch/answer.rs
+++ b/crates/gentianlane/src/fleet/dispatch/answer.rs
@@ -3,6 +3,7 @@
 use crate::fleet::decision::{Decision, Why};
 use crate::fleet::dispatch::Lead;
 use crate::fleet::dispatch::advice::Helper;
+use crate::fleet::dispatch::hold::START_TRIES;
 use crate::fleet::dispatch::lead::{About, Sent};
 use crate::fleet::dispatch::session::{Doing, Run};
 use crate::fleet::dispatch::stage::Pass;
@@ -186,6 +187,10 @@
             Answer::Unreachable => {
                 self.void(&sent.worker, task, Why::Unreachable, now);
             }
+            // The same run is started once, however often its order comes.
+            Answer::Lost if held.tries < START_TRIES => {
+                self.send_start(&sent.worker, task, now);
+            }
             _ => held.retry = now.after(ORDER_RETRY),
         }
     }
--- a/crates/gentianlane/src/fleet/dispatch/hold.rs
+++ b/crates/gentianlane/src/fleet/dispatch/hold.rs
@@ -11,7 +11,7 @@
 use crate::unit::{Span, Time};
 
 /// How often one start is sent before it is made void instead.
-const START_TRIES: u32 = 3;
+pub(super) const START_TRIES: u32 = 3;
 
 /// The pause between orders about one run that find no answer.
 const ORDER_PAUSE: Span = Span::from_millis(100);
--- a/crates/gentianlane/src/fleet/dispatch/place.rs
+++ b/crates/gentianlane/src/fleet/dispatch/place.rs
@@ -305,6 +305,16 @@
     /// Puts the questions that steps wait for, while helpers are free.
     pub(super) fn ask(&mut self, order: &[job::Stage], now: Time) {
         let reserve = HELPER_RESERVE.min(self.desk.count().saturating_sub(1));
+        // The users of a task that lasts are without it, so it asks first.
+        let lasts = |id: &&job::Stage| {
+            let stage = self.stages.get(*id);
+            stage.is_some_and(|stage| stage.step.lasts)
+        };
+        let lasting: Vec<job::Stage> = order.iter().filter(lasts).copied().collect();
+        for id in &lasting {
+            self.ask_for(id, true, now);
+            self.ask_for(id, false, now);
+        }
         for (fresh, reserve) in [(true, 0), (false, reserve)] {
             for id in order {
                 if self.desk.free_count(now) <= reserve {
--- a/crates/gentianlane/src/fleet/dispatch/rank.rs
+++ b/crates/gentianlane/src/fleet/dispatch/rank.rs
@@ -40,8 +40,8 @@
     pub(crate) share: u64,
     /// How long each of them is likely to run.
     pub(crate) takes: Span,
-    /// Whether it is never put off: a worker has to run empty for it, or its
-    /// users are without it.
+    /// Whether it isn't put off while it can be in time: a worker has to run
+    /// empty for it, or its users are without it.
     pub(crate) firm: bool,
 }
 
@@ -112,11 +112,13 @@
     (lost, put_off, step.priority, step.slack, step.id)
 }
 
-/// Which of some steps, in order, are better put off: whenever one would begin
-/// too late, a late one of the same urgency, else the largest.
+/// Which of some steps, in order, are better put off: whenever one that could
+/// be in time would begin too late, the largest of those that are late anyway,
+/// else the largest of the same urgency.
 fn put_off(waiting: &[Waiting], rooms: &IndexMap<String, Room>) -> Vec<bool> {
     let mut put_off = vec![false; waiting.len()];
     let mut aheads: IndexMap<&str, Ahead> = IndexMap::new();
+    let mut late: IndexMap<&str, Vec<usize>> = IndexMap::new();
     let mut chosen: IndexMap<(&str, u32), Vec<usize>> = IndexMap::new();
     for (at, step) in waiting.iter().enumerate() {
         let Some(room) = rooms.get(&step.pool) else {
@@ -126,20 +128,23 @@
             continue;
         }
         let ahead = aheads.entry(&step.pool).or_default();
+        let late = late.entry(&step.pool).or_default();
         let chosen = chosen.entry((&step.pool, step.priority)).or_default();
         let wait = room.wait(ahead, step).as_millis();
         ahead.share += step.share;
         ahead.work += step.work();
-        if !step.firm {
-            chosen.push(at);
+        match step.hope {
+            Hope::Whole if step.firm => {}
+            Hope::Whole => chosen.push(at),
+            Hope::Late | Hope::Lost => late.push(at),
         }
-        if i64::try_from(wait).unwrap_or(i64::MAX) <= step.slack {
+        let in_time = i64::try_from(wait).is_ok_and(|wait| wait <= step.slack);
+        if in_time || step.hope != Hope::Whole {
             continue;
         }
-        let worst = chosen.iter().enumerate();
-        let worst = worst.max_by_key(|(_, at)| (waiting[**at].hope, waiting[**at].share));
-        if let Some((index, &off)) = worst {
-            chosen.swap_remove(index);
+        if let Some(off) =
+            take_largest(late, waiting).or_else(|| take_largest(chosen, waiting))
+        {
             ahead.share -= waiting[off].share;
             ahead.work -= waiting[off].work();
             put_off[off] = true;
@@ -148,6 +153,13 @@
     put_off
 }
 
+/// Takes the step with the largest share out of some.
+fn take_largest(steps: &mut Vec<usize>, waiting: &[Waiting]) -> Option<usize> {
+    let all = steps.iter().enumerate();
+    let (index, _) = all.max_by_key(|(_, at)| waiting[**at].share)?;
+    Some(steps.swap_remove(index))
+}
+
 /// What a step's job can still be worth, and how many milliseconds the step can
 /// wait before that is less.
 pub(crate) fn outlook(stage: &Stage, now: Time) -> (Hope, i64) {
--- a/crates/gentianlane/src/fleet/dispatch/setup.rs
+++ b/crates/gentianlane/src/fleet/dispatch/setup.rs
@@ -25,7 +25,7 @@
             lease: Span::from_millis(5_000),
             hold: Span::from_millis(1_000),
             answer: Span::from_millis(600),
-            order: Span::from_millis(250),
+            order: Span::from_millis(150),
             stop: Span::from_millis(1_000),
         }
     }
--- a/crates/gentianlane/tests/fleet/dispatch.rs
+++ b/crates/gentianlane/tests/fleet/dispatch.rs
@@ -695,3 +695,52 @@
     assert_eq!(counts("queue"), Some((1, 2, 0)));
     assert_eq!(counts("slow"), Some((1, 0, 1)));
 }
+
+#[test]
+fn a_start_without_an_answer_is_sent_again_soon() {
+    // Found at norrvik-panna, late-orders: one start in ten found no answer, and
+    // was sent again after 360 ms, by when most short jobs were late.
+    let mut world = World::new(2, 1).ready(plan(1, false));
+    world.trouble.late = 1_000;
+    let submitted = world.now;
+    world.submit(7, &job(1, 1_000));
+    world.run(60);
+    world.trouble = Trouble::default();
+    world.run(500);
+    let began = world.seen.iter().find(|seen| seen.task == task(7, 0));
+    let waited = began.map(|seen| seen.began - submitted);
+    assert!(waited.is_some_and(|waited| waited <= 200), "{waited:?}");
+    // The first order may still be carried out, and changes nothing.
+    world.run(13_000);
+    assert_eq!(world.starts(&task(7, 0)), 1);
+}
+
+#[test]
+fn a_task_that_lasts_gets_its_advice_however_many_others_ask() {
+    // Found at hanafy-yard, load-8x with seed 204148051360: all who can ask for
+    // advice were busy with new steps, so that a lasting task whose tickets had
+    // run out waited for 11 s.
+    let mut world = World::new(2, 1).ready(plan(1, true));
+    let mut lasting = job(1, 100);
+    lasting.steps[0].lasts = true;
+    world.submit(7, &lasting);
+    world.run(3_000);
+    for at in 0..50 {
+        world.submit(100 + at, &job(1, 10));
+        world.run(10);
+    }
+    world.fail_runs(task(7, 0));
+    let failed = world.now;
+    for at in 50..450 {
+        world.submit(100 + at, &job(1, 10));
+        world.run(10);
+    }
+    let again = world.seen.iter().filter(|seen| seen.task == task(7, 0));
+    let again = again.map(|seen| seen.began).max().unwrap_or_default();
+    assert!(again > failed, "it never came back");
+    assert!(
+        again - failed < 3_000,
+        "it came back after {} ms",
+        again - failed
+    );
+}
