--- a/crates/gentianlane/src/fleet/dispatch/place.rs
+++ b/crates/gentianlane/src/fleet/dispatch/place.rs
@@ -126,7 +126,7 @@
                 chosen = self.keep_room(kept, stage, now);
             }
         }
-        self.empty(id, &chosen, now);
+        self.clear_workers(id, &chosen, now);
         if let Some(stage) = self.stages.get_mut(id) {
             stage.kept = chosen.into_iter().map(|(name, _)| name).collect();
         }
--- a/crates/gentianlane/src/fleet/dispatch/preempt.rs
+++ b/crates/gentianlane/src/fleet/dispatch/preempt.rs
@@ -74,7 +74,7 @@
 
     /// Stops tasks of less urgent jobs on workers that are kept for a large
     /// step, if that has the worker free much sooner.
-    pub(super) fn empty(
+    pub(super) fn clear_workers(
         &mut self,
         id: &job::Stage,
         kept: &[(id::Worker, Time)],
--- a/crates/gentianlane/tests/fleet/dispatch.rs
+++ b/crates/gentianlane/tests/fleet/dispatch.rs
@@ -7,6 +7,7 @@
 use gentianlane::fleet::job::{Id, Phase, Stage, Task};
 use gentianlane::fleet::order::How;
 use gentianlane::fleet::plan::Plan;
+use gentianlane::id;
 use gentianlane::unit::Span;
 
 use super::standin::{job, step};
@@ -443,17 +444,24 @@
     );
 }
 
+/// Two workers, of which the first runs a task that takes `takes` milliseconds
+/// and after `after` of them stands still for `still` of every ten.
+fn slowed(takes: u64, after: u64, still: u64) -> (World, id::Worker) {
+    let mut world = World::new(2, 1).ready(plan(1, false));
+    world.fates.insert(task(7, 0), vec![(takes, How::Done); 2]);
+    world.submit(7, &job(1, 3_000));
+    world.run(after);
+    let worker = world.seen[0].worker.clone();
+    world.slow.insert(worker.clone(), still);
+    (world, worker)
+}
+
 #[test]
 fn a_task_that_stands_still_is_started_elsewhere() {
     // Found at norrvik-panna, workers-unsound: what a worker tells of a task's
     // progress was taken for its share of the processor, so that tasks on
     // workers that hang were never seen to stand still.
-    let mut world = World::new(2, 1).ready(plan(1, false));
-    world.fates.insert(task(7, 0), vec![(2_000, How::Done); 2]);
-    world.submit(7, &job(1, 3_000));
-    world.run(1_200);
-    let worker = world.seen[0].worker.clone();
-    world.slow.insert(worker.clone(), 10);
+    let (mut world, worker) = slowed(2_000, 1_200, 10);
     world.run(8_000);
     assert_eq!(phase(&mut world, 7), Some(Phase::Completed));
     assert_eq!(world.starts(&task(7, 0)), 2);
@@ -462,12 +470,7 @@
 
 #[test]
 fn a_task_that_crawls_is_started_elsewhere() {
-    let mut world = World::new(2, 1).ready(plan(1, false));
-    world.fates.insert(task(7, 0), vec![(4_000, How::Done); 2]);
-    world.submit(7, &job(1, 3_000));
-    world.run(1_200);
-    let worker = world.seen[0].worker.clone();
-    world.slow.insert(worker.clone(), 9);
+    let (mut world, worker) = slowed(4_000, 1_200, 9);
     world.run(12_000);
     assert_eq!(phase(&mut world, 7), Some(Phase::Completed));
     assert_eq!(world.starts(&task(7, 0)), 2);
@@ -476,12 +479,7 @@
 
 #[test]
 fn a_task_that_is_nearly_done_is_left_where_it_stands_still_for_a_while() {
-    let mut world = World::new(2, 1).ready(plan(1, false));
-    world.fates.insert(task(7, 0), vec![(6_000, How::Done); 2]);
-    world.submit(7, &job(1, 3_000));
-    world.run(5_600);
-    let worker = world.seen[0].worker.clone();
-    world.slow.insert(worker, 10);
+    let (mut world, _) = slowed(6_000, 5_600, 10);
     world.run(2_500);
     world.slow.clear();
     world.run(1_500);
