Log what placement costs

The log couldn't tell a leader that is short of processor time from workers that don't answer. Once a second, while steps wait, the leader now logs the inputs that called for a placement pass, the passes, the most steps that waited and the pairs of step and worker that were examined.

--- a/crates/gentianlane/src/fleet/decision.rs
+++ b/crates/gentianlane/src/fleet/decision.rs
@@ -201,6 +201,20 @@
         /// How long the worker is avoided.
         duration: Span,
     },
+    /// What placement has cost in the last second, if steps waited.
+    #[display(
+        "event=placement inputs={inputs} passes={passes} waiting={waiting_steps} examined={examined}"
+    )]
+    Placement {
+        /// The inputs that called for a placement pass.
+        inputs: u64,
+        /// The passes over the waiting steps.
+        passes: u64,
+        /// The most steps that waited in one pass.
+        waiting_steps: usize,
+        /// The pairs of step and worker that were examined.
+        examined: u64,
+    },
     /// The best-effort tasks on a worker are throttled to another share.
     #[display("event=pace worker={worker} percent={percent} tail_ms={} limit_ms={}", tail.as_millis(), limit.as_millis())]
     Throttle {
--- a/crates/gentianlane/src/fleet/dispatch/answer.rs
+++ b/crates/gentianlane/src/fleet/dispatch/answer.rs
@@ -109,7 +109,7 @@
                 }
             }
         }
-        self.needs_placement = true;
+        self.require_placement();
         match (order.kind, answer) {
             (OrderKind::Renew, Answer::Status(status)) => {
                 self.reconcile(state, &order, &status, now, wall);
@@ -326,7 +326,7 @@
         let Some(query) = self.relays.complete(relay, response.id) else {
             return;
         };
-        self.needs_placement = true;
+        self.require_placement();
         let elapsed = now.since(query.sent_at);
         let stage_id = query.stage;
         let Some(eligible) = response.eligible else {
--- a/crates/gentianlane/src/fleet/dispatch/dispatcher.rs
+++ b/crates/gentianlane/src/fleet/dispatch/dispatcher.rs
@@ -6,6 +6,7 @@
 use crate::fleet::decision::{Cause, Decision};
 use crate::fleet::dispatch::Setup;
 use crate::fleet::dispatch::advice::{Relay, Relays};
+use crate::fleet::dispatch::effort::Effort;
 use crate::fleet::dispatch::estimate::Estimator;
 use crate::fleet::dispatch::session::{RunState, Session};
 use crate::fleet::dispatch::stage::Stage;
@@ -77,6 +78,8 @@
     pub(super) recovering: bool,
     /// Whether an input of placement has changed since the last pass.
     pub(super) needs_placement: bool,
+    /// What placement has cost lately.
+    pub(super) effort: Effort,
     /// When leases, retries and tickets are checked again.
     pub(super) next_tick: Time,
     pub(super) effects: Effects,
@@ -115,6 +118,7 @@
             recovery_deadline: now.after(Span::from_millis(longest_lease)),
             recovering: true,
             needs_placement: true,
+            effort: Effort::default(),
             next_tick: now,
             effects: Effects::default(),
         };
@@ -184,16 +188,24 @@
             self.check_sessions(state, now);
             self.check_recovery(now);
             self.throttle_best_effort(now);
+            self.effects.decisions.extend(self.effort.take_line(now));
         }
         if tick_due || self.needs_placement {
             self.needs_placement = false;
             self.send_due_renewals(now);
             let order = self.ranked_steps(now);
+            self.effort.count_pass(order.len());
             self.place(state, &order, now);
             self.ask_for_advice(&order, now);
         }
     }
 
+    /// Notes an input that changes what can be placed.
+    pub(super) fn require_placement(&mut self) {
+        self.needs_placement = true;
+        self.effort.count_input();
+    }
+
     /// Emits an order and records it as pending; returns its id, or none if the
     /// worker has no session.
     pub(super) fn send_order(
--- a/crates/gentianlane/src/fleet/dispatch/event.rs
+++ b/crates/gentianlane/src/fleet/dispatch/event.rs
@@ -20,7 +20,7 @@
 impl Dispatcher {
     /// Handles a change that was applied to the replicated state.
     pub fn handle_event(&mut self, state: &State, event: &Event, now: Time, wall: Wall) {
-        self.needs_placement = true;
+        self.require_placement();
         match event {
             Event::PlanReplaced => self.apply_plan(state),
             Event::JobSubmitted(job) => {
--- a/crates/gentianlane/src/fleet/dispatch/mod.rs
+++ b/crates/gentianlane/src/fleet/dispatch/mod.rs
@@ -12,6 +12,7 @@
 mod answer;
 mod backlog;
 mod dispatcher;
+mod effort;
 mod estimate;
 mod event;
 mod lease;
--- a/crates/gentianlane/src/fleet/dispatch/place.rs
+++ b/crates/gentianlane/src/fleet/dispatch/place.rs
@@ -152,6 +152,7 @@
     ) -> Vec<Candidate> {
         let demand = stage.step.demand();
         let run_time = self.expected_run_time(stage);
+        self.effort.count_examined(self.sessions.len());
         let mut candidates = Vec::new();
         for (worker, session) in &self.sessions {
             if !matches_constraints(stage, session) || !session.is_usable(now) {
@@ -259,6 +260,7 @@
 
     /// How many workers are feasible for a step, see [`is_feasible`].
     pub(super) fn feasible_count(&self, stage: &Stage) -> usize {
+        self.effort.count_examined(self.sessions.len());
         let feasible = self.sessions.iter();
         feasible
             .filter(|(worker, session)| is_feasible(stage, worker, session))
@@ -396,6 +398,7 @@
     /// about.
     fn unasked_workers(&self, stage: &Stage) -> Vec<id::Worker> {
         let demand = stage.step.demand();
+        self.effort.count_examined(self.sessions.len());
         let unasked = self.sessions.iter().filter(|(worker, session)| {
             is_available(stage, session)
                 && demand.fits(&session.profile.capacity)
--- a/crates/gentianlane/src/fleet/dispatch/preempt.rs
+++ b/crates/gentianlane/src/fleet/dispatch/preempt.rs
@@ -58,6 +58,7 @@
             if wanted == 0 {
                 break;
             }
+            self.effort.count_examined(1);
             let has_ticket = stage
                 .permit(worker)
                 .is_some_and(|permit| permit.is_valid(now));
--- a/crates/gentianlane/src/fleet/dispatch/reserve.rs
+++ b/crates/gentianlane/src/fleet/dispatch/reserve.rs
@@ -75,6 +75,7 @@
             return Vec::new();
         }
         let demand = stage.step.demand();
+        self.effort.count_examined(self.sessions.len());
         let mut wanted = match stage.step.gang {
             true => stage.step.count,
             false => u32::try_from(stage.pending.len()).unwrap_or(u32::MAX),
@@ -130,6 +131,7 @@
         let mut candidates = self
             .sessions
             .values()
+            .inspect(|_| self.effort.count_examined(1))
             .filter(|session| matches_constraints(stage, session));
         let large = candidates.any(|session| {
             let capacity = session.profile.capacity;
--- a/crates/gentianlane/tests/fleet/world.rs
+++ b/crates/gentianlane/tests/fleet/world.rs
@@ -48,6 +48,17 @@
     pub(crate) delayed_orders: u32,
 }
 
+/// What placement has cost the leaders.
+#[derive(Debug, Default, Clone, Copy)]
+pub(crate) struct Effort {
+    /// Inputs that called for a placement pass.
+    pub(crate) inputs: u64,
+    /// Pairs of step and worker that were examined.
+    pub(crate) examined: u64,
+    /// The most steps that waited at once.
+    pub(crate) waiting_steps: u64,
+}
+
 /// A core and the state on its disk.
 #[derive(Debug, Clone)]
 pub(crate) struct Core {
@@ -97,6 +108,8 @@
     pub(crate) replies: BTreeMap<Ticket, Reply>,
     /// The jobs that a leader has reported as finished.
     pub(crate) finished_jobs: BTreeSet<Id>,
+    /// What placement has cost, summed up over the leaders' log lines.
+    pub(crate) effort: Effort,
     /// The durations in milliseconds and outcomes of a task's next runs; a run
     /// that isn't listed succeeds after 300 ms.
     pub(crate) scripted_runs: BTreeMap<Task, Vec<(u64, Outcome)>>,
@@ -135,6 +148,7 @@
             specs: BTreeMap::new(),
             replies: BTreeMap::new(),
             finished_jobs: BTreeSet::new(),
+            effort: Effort::default(),
             scripted_runs: BTreeMap::new(),
             in_flight: BTreeMap::new(),
             last_item: 0,
@@ -555,8 +569,22 @@
                 }
                 Output::Role(_) => {}
                 Output::Decision(decision) => {
-                    if let Decision::JobFinished { job, .. } = decision {
-                        self.finished_jobs.insert(job);
+                    match &decision {
+                        Decision::JobFinished { job, .. } => {
+                            self.finished_jobs.insert(*job);
+                        }
+                        Decision::Placement {
+                            inputs,
+                            waiting_steps,
+                            examined,
+                            ..
+                        } => {
+                            self.effort.inputs += inputs;
+                            self.effort.examined += examined;
+                            self.effort.waiting_steps =
+                                self.effort.waiting_steps.max(*waiting_steps as u64);
+                        }
+                        _ => {}
                     }
                     if std::env::var_os("FLEET_TRACE").is_some() {
                         println!("{} {me} {decision}", self.now);
