--- a/crates/gentianlane/tests/fleet/dispatch.rs
+++ b/crates/gentianlane/tests/fleet/dispatch.rs
@@ -854,3 +854,22 @@
         );
     }
 }
+
+// Guards against a leader that runs out of processor time once much work waits:
+// its workers were then taken for silent, and accepted jobs never ran.
+#[test]
+fn a_backlog_does_not_make_each_input_cost_all_steps_times_all_workers() {
+    for advice in [false, true] {
+        let workers = 150;
+        let mut world = World::new(workers, 1).with_plan(plan(1, advice));
+        for number in 0..900 {
+            world.submit(number, &job(2, 1_500));
+        }
+        world.run(3_000);
+        let effort = world.effort;
+        assert!(effort.waiting_steps >= 500, "{effort:?}");
+        // An input concerns one worker or one step.
+        let linear = u64::from(workers) + effort.waiting_steps;
+        assert!(effort.examined <= effort.inputs * linear, "{effort:?}");
+    }
+}
