Examine waiting steps only against workers that have changed

What callers saw: on 350 workers at twice the load, accepted jobs that were never run though most of the capacity was free, and answers 503 and 504.

Cause: each batch of inputs caused a placement pass that looked at every worker for every waiting step, several times over: for candidates, for reservations, for advice that hadn't been asked for yet.

Change: a step that has found no room is examined only against workers that have gained something since the last pass: room, a removed run, availability, the end of a reservation. A step that has changed itself, and every step each 500 ms, is examined against all workers that advice allows. Whether a step needs a reservation is found out when the fleet changes, and whether there are workers that it hasn't asked about when one becomes available. Deferring the largest of the waiting steps takes it from a heap.

--- a/crates/gentianlane/src/fleet/dispatch/answer.rs
+++ b/crates/gentianlane/src/fleet/dispatch/answer.rs
@@ -359,5 +359,6 @@
             permits.insert(worker, Permit { ticket, expires });
         }
         stage.asked.extend(query.workers);
+        stage.examined = false;
     }
 }
--- a/crates/gentianlane/src/fleet/dispatch/backlog.rs
+++ b/crates/gentianlane/src/fleet/dispatch/backlog.rs
@@ -14,17 +14,22 @@
 struct Usage {
     capacity: Resources,
     used: Resources,
-    /// The sum over all runs that end of remaining milliseconds times share.
+}
+
+/// A pool's runs that end.
+#[derive(Debug, Default, Clone, Copy)]
+struct Running {
+    /// The sum of remaining milliseconds times share of the pool.
     remaining: u64,
-    /// The sum of these runs' shares of the pool, in millionths.
-    running: u64,
+    /// The sum of the shares, in millionths.
+    share: u64,
 }
 
 impl Dispatcher {
     /// The steps with pending tasks in rank order, the first to place first.
     pub(super) fn ranked_steps(&self, now: Time) -> Vec<job::Stage> {
-        let usages = self.pool_usage(now);
-        let headrooms = headrooms(&usages);
+        let usages = self.pool_usage();
+        let headrooms = self.headrooms(&usages);
         rank::order(self.waiting_steps(&usages, &headrooms, now), &headrooms)
     }
 
@@ -37,14 +42,14 @@
         usages: &IndexMap<String, Usage>,
         headrooms: &IndexMap<String, Headroom>,
         now: Time,
-    ) -> Vec<Entry> {
+    ) -> Vec<Entry<'_>> {
         let pending = self
             .stages
             .values()
             .filter(|stage| !stage.pending.is_empty());
         let entries = pending.map(|stage| {
             let (timeliness, slack) = assess_deadline(stage, now);
-            let needs_reservation = self.needs_reservation(stage);
+            let needs_reservation = stage.needs_reservation;
             let headroom = headrooms
                 .get(&stage.queue.pool)
                 .filter(|_| needs_reservation);
@@ -54,7 +59,7 @@
             let tasks = stage.pending.len() as u64;
             Entry {
                 id: stage.id,
-                pool: stage.queue.pool.clone(),
+                pool: &stage.queue.pool,
                 priority: effective_priority(stage, slack),
                 timeliness,
                 slack,
@@ -67,12 +72,10 @@
     }
 
     /// Each pool's capacity and use, without silent and draining workers.
-    fn pool_usage(&self, now: Time) -> IndexMap<String, Usage> {
+    fn pool_usage(&self) -> IndexMap<String, Usage> {
         let mut usages: IndexMap<String, Usage> = IndexMap::new();
-        let available = |session: &&super::session::Session| {
-            session.unanswered == 0 && !session.draining
-        };
-        for session in self.sessions.values().filter(available) {
+        let sessions = self.sessions.values();
+        for session in sessions.filter(|session| session.is_available()) {
             let usage = match usages.get_mut(&session.profile.pool) {
                 Some(usage) => usage,
                 None => usages.entry(session.profile.pool.clone()).or_default(),
@@ -80,10 +83,19 @@
             usage.capacity = usage.capacity.plus(&session.profile.capacity);
             usage.used = usage.used.plus(&session.used);
         }
-        for session in self.sessions.values().filter(available) {
-            let Some(usage) = usages.get_mut(&session.profile.pool) else {
-                continue;
-            };
+        usages
+    }
+
+    /// How long each pool takes until all present runs have ended, if they end
+    /// at an even rate.
+    pub(super) fn pool_turnovers(&self, now: Time) -> IndexMap<String, Span> {
+        let usages = self.pool_usage();
+        let mut running: IndexMap<&str, Running> = IndexMap::new();
+        let sessions = self.sessions.values();
+        for session in sessions.filter(|session| session.is_available()) {
+            let pool = &session.profile.pool;
+            let capacity = usages.get(pool).map(|usage| usage.capacity);
+            let running = running.entry(pool).or_default();
             for (task, run) in &session.runs {
                 // A long-running task frees no capacity by itself.
                 let left = match run.state {
@@ -93,13 +105,35 @@
                     }
                 };
                 if let Some(left) = left {
-                    let share = dominant_share(&run.demand, &usage.capacity);
-                    usage.remaining += share * left.as_millis();
-                    usage.running += share;
+                    let share =
+                        dominant_share(&run.demand, &capacity.unwrap_or_default());
+                    running.remaining += share * left.as_millis();
+                    running.share += share;
                 }
             }
         }
-        usages
+        // If runs end at an even rate, the last one ends after twice the mean
+        // remaining time.
+        let turnover = |running: Running| {
+            Span::from_millis(2 * running.remaining / running.share.max(1))
+        };
+        running
+            .into_iter()
+            .map(|(pool, running)| (pool.to_owned(), turnover(running)))
+            .collect()
+    }
+
+    /// Each pool's headroom.
+    fn headrooms(&self, usages: &IndexMap<String, Usage>) -> IndexMap<String, Headroom> {
+        let headroom = |(pool, usage): (&String, &Usage)| {
+            let used = dominant_share(&usage.used, &usage.capacity);
+            let headroom = Headroom {
+                free: FULL_POOL.saturating_sub(used),
+                turnover: self.turnovers.get(pool).copied().unwrap_or_default(),
+            };
+            (pool.clone(), headroom)
+        };
+        usages.iter().map(headroom).collect()
     }
 }
 
@@ -118,20 +152,6 @@
 /// tasks.
 pub(super) const TOP_PRIORITY: u32 = 0;
 
-/// Each pool's headroom.
-fn headrooms(usages: &IndexMap<String, Usage>) -> IndexMap<String, Headroom> {
-    let headroom = |usage: &Usage| Headroom {
-        free: FULL_POOL.saturating_sub(dominant_share(&usage.used, &usage.capacity)),
-        // If runs end at an even rate, the last one ends after twice the mean
-        // remaining time.
-        turnover: Span::from_millis(2 * usage.remaining / usage.running.max(1)),
-    };
-    let pools = usages.iter();
-    pools
-        .map(|(name, usage)| (name.clone(), headroom(usage)))
-        .collect()
-}
-
 /// The dominant share of an amount in a capacity, in millionths: the largest of
 /// its shares of processors, memory and accelerators.
 fn dominant_share(amount: &Resources, capacity: &Resources) -> u64 {
--- a/crates/gentianlane/src/fleet/dispatch/dispatcher.rs
+++ b/crates/gentianlane/src/fleet/dispatch/dispatcher.rs
@@ -78,6 +78,14 @@
     pub(super) recovering: bool,
     /// Whether an input of placement has changed since the last pass.
     pub(super) needs_placement: bool,
+    /// The workers that the last placement pass reserved.
+    pub(super) reserved_workers: Vec<id::Worker>,
+    /// When every waiting step is examined against all workers again.
+    pub(super) next_full_pass: Time,
+    /// Counts changes of the workers and of their capacities.
+    pub(super) fleet_revision: u64,
+    /// How long each pool takes until all present runs have ended.
+    pub(super) turnovers: IndexMap<String, Span>,
     /// What placement has cost lately.
     pub(super) effort: Effort,
     /// When leases, retries and tickets are checked again.
@@ -118,6 +126,10 @@
             recovery_deadline: now.after(Span::from_millis(longest_lease)),
             recovering: true,
             needs_placement: true,
+            reserved_workers: Vec::new(),
+            next_full_pass: now,
+            fleet_revision: 1,
+            turnovers: IndexMap::new(),
             effort: Effort::default(),
             next_tick: now,
             effects: Effects::default(),
@@ -193,9 +205,14 @@
         if tick_due || self.needs_placement {
             self.needs_placement = false;
             self.send_due_renewals(now);
+            if tick_due {
+                self.turnovers = self.pool_turnovers(now);
+            }
+            self.update_reservation_needs();
             let order = self.ranked_steps(now);
             self.effort.count_pass(order.len());
-            self.place(state, &order, now);
+            let survey = self.survey(tick_due, now);
+            self.place(state, &order, survey, now);
             self.ask_for_advice(&order, now);
         }
     }
@@ -305,7 +322,7 @@
         // then placed on another worker.
         let placed = self.placements.contains_key(task);
         if !placed && !stage.done.contains(&unit) {
-            stage.pending.insert(task.index);
+            stage.add_pending(task.index);
         }
     }
 }
--- a/crates/gentianlane/src/fleet/dispatch/event.rs
+++ b/crates/gentianlane/src/fleet/dispatch/event.rs
@@ -6,6 +6,7 @@
 use crate::fleet::dispatch::dispatcher::{OrderKind, PendingOrder};
 use crate::fleet::dispatch::session::{RunState, Session};
 use crate::fleet::dispatch::stage::Stage;
+use crate::fleet::dispatch::survey::Seen;
 use crate::fleet::job::{self, Spec, Step, Task};
 use crate::fleet::worker::{Incarnation, Report};
 use crate::fleet::{Command, Event, Job, State};
@@ -54,9 +55,12 @@
             if queue.pool != stage.queue.pool {
                 stage.eligible = None;
                 stage.asked.clear();
+                stage.may_ask = true;
             }
+            stage.examined = false;
             stage.queue = queue.clone();
         }
+        self.fleet_revision += 1;
     }
 
     /// Opens a stage for each step of a job whose occurrence is due and whose
@@ -197,7 +201,7 @@
             stage.done.insert(unit);
             stage.pending.remove(&task.index);
         } else if !self.placements.contains_key(task) && !stage.done.contains(&unit) {
-            stage.pending.insert(task.index);
+            stage.add_pending(task.index);
         }
     }
 
@@ -218,11 +222,14 @@
             let incarnation = earlier.incarnation.clone();
             self.effects.commands.push(Command::Leave { incarnation });
         }
+        self.fleet_revision += 1;
         let current = self.sessions.get_mut(worker);
         if let Some(session) = current
             && session.incarnation == registered.incarnation
         {
             session.profile = registered.profile.clone();
+            // What has changed may matter to any step.
+            session.seen = Seen::default();
             return;
         }
         self.add_pending_starts(worker);
@@ -299,6 +306,7 @@
             self.release_run(worker, &task);
         }
         self.sessions.swap_remove(worker);
+        self.fleet_revision += 1;
         let incarnation = incarnation.clone();
         self.effects
             .decisions
--- a/crates/gentianlane/src/fleet/dispatch/mod.rs
+++ b/crates/gentianlane/src/fleet/dispatch/mod.rs
@@ -26,6 +26,7 @@
 mod setup;
 mod stage;
 mod straggler;
+mod survey;
 mod throttle;
 mod unconfirmed;
 mod view;
--- a/crates/gentianlane/src/fleet/dispatch/place.rs
+++ b/crates/gentianlane/src/fleet/dispatch/place.rs
@@ -12,10 +12,11 @@
 use crate::fleet::dispatch::Dispatcher;
 use crate::fleet::dispatch::estimate::NOMINAL;
 use crate::fleet::dispatch::progress::Progress;
-use crate::fleet::dispatch::rank::{Timeliness, assess_deadline};
+use crate::fleet::dispatch::rank::assess_deadline;
 use crate::fleet::dispatch::reserve::Reservations;
 use crate::fleet::dispatch::session::{Run, RunState, Session};
 use crate::fleet::dispatch::stage::Stage;
+use crate::fleet::dispatch::survey::Survey;
 use crate::fleet::job::{self, Resources, Task};
 use crate::id;
 use crate::unit::{Span, Time};
@@ -44,9 +45,16 @@
     suspect: bool,
     /// The ticket from advice, if the step needs one.
     ticket: Option<String>,
+    /// Whether the worker has runs of the step, perhaps of the same task.
+    has_runs: bool,
 }
 
 impl Candidate {
+    /// Whether a task with this demand fits, within the task limit.
+    fn fits(&self, demand: &Resources) -> bool {
+        self.task_limit > 0 && demand.fits(&self.free)
+    }
+
     /// How many tasks with this demand fit, up to the task limit.
     fn max_tasks(&self, demand: &Resources) -> u32 {
         let quotient = |have: u64, need: u64| match need {
@@ -75,7 +83,13 @@
 
 impl Dispatcher {
     /// Runs a placement pass over the steps in the given rank order.
-    pub(super) fn place(&mut self, state: &State, order: &[job::Stage], now: Time) {
+    pub(super) fn place(
+        &mut self,
+        state: &State,
+        order: &[job::Stage],
+        mut survey: Survey,
+        now: Time,
+    ) {
         if state.plan().is_none() {
             return;
         }
@@ -87,14 +101,15 @@
             if !stage.is_placeable(now) {
                 continue;
             }
-            let candidates = self.candidates(stage, &reservations, now);
+            let candidates = self.candidates(stage, &reservations, &survey, now);
             match stage.step.gang {
                 _ if candidates.is_empty() => {}
                 true => self.place_gang(id, candidates, now),
                 false => self.place_tasks(id, candidates, now),
             }
-            self.handle_unplaced(id, &mut reservations, now);
+            self.handle_unplaced(id, &mut reservations, &mut survey, now);
         }
+        self.reserved_workers = reservations.into_workers();
     }
 
     /// Reserves workers or preempts tasks for a step that still has pending
@@ -103,13 +118,16 @@
         &mut self,
         id: &job::Stage,
         reservations: &mut Reservations,
+        survey: &mut Survey,
         now: Time,
     ) {
         let Some(stage) = self.stages.get_mut(id) else {
             return;
         };
+        stage.examined = true;
         if stage.pending.is_empty() {
             stage.blocked_since = None;
+            stage.reserved.clear();
             return;
         }
         let advice_settled = !stage.needs_advice() || stage.eligible.is_some();
@@ -118,83 +136,137 @@
         }
         let newly_blocked = stage.blocked_since.is_none();
         stage.blocked_since.get_or_insert(now);
-        let mut reserved = Vec::new();
-        if let Some(stage) = self.stages.get(id) {
-            let (timeliness, slack) = assess_deadline(stage, now);
-            if newly_blocked {
-                let blocked = Decision::Blocked {
-                    stage: *id,
-                    pending: stage.pending.len(),
-                    feasible: self.feasible_count(stage),
-                    eligible: stage.eligible.as_ref().map_or(0, IndexMap::len),
-                    waited: stage.waited(now),
-                    slack,
-                };
-                self.effects.decisions.push(blocked);
-            }
-            if timeliness != Timeliness::Expired {
-                reserved = self.reserve(reservations, stage, now);
-            }
+        if newly_blocked {
+            self.log_blocked(id, now);
         }
-        self.preempt_reserved(id, &reserved, now);
-        if let Some(stage) = self.stages.get_mut(id) {
-            stage.reserved = reserved.into_iter().map(|(worker, _)| worker).collect();
+        match survey.plans {
+            true => {
+                self.plan_reservation(id, reservations, survey, now);
+                self.preempt_for_urgent(id, survey, now);
+            }
+            false => self.keep_reservation(id, reservations),
         }
-        self.preempt_for_urgent(id, now);
     }
 
-    /// The workers that can take a task of a step now.
+    /// Logs that a step's tasks have found no room.
+    fn log_blocked(&mut self, id: &job::Stage, now: Time) {
+        let Some(stage) = self.stages.get(id) else {
+            return;
+        };
+        let blocked = Decision::Blocked {
+            stage: *id,
+            pending: stage.pending.len(),
+            feasible: self.feasible_count(stage),
+            eligible: stage.eligible.as_ref().map_or(0, IndexMap::len),
+            waited: stage.waited(now),
+            slack: assess_deadline(stage, now).1,
+        };
+        self.effects.decisions.push(blocked);
+    }
+
+    /// The workers that can take a task of a step now: of those that have
+    /// changed, if the others were examined before. A gang has to find room for
+    /// all its members at once, so a single change calls for all workers.
     fn candidates(
         &self,
         stage: &Stage,
         reservations: &Reservations,
+        survey: &Survey,
         now: Time,
     ) -> Vec<Candidate> {
-        let demand = stage.step.demand();
         let run_time = self.expected_run_time(stage);
-        self.effort.count_examined(self.sessions.len());
-        let mut candidates = Vec::new();
-        for (worker, session) in &self.sessions {
-            if !matches_constraints(stage, session) || !session.is_usable(now) {
-                continue;
+        let candidate = |worker: &id::Worker, session: &Session| {
+            let allowed = || reservations.allows(worker, run_time, now);
+            self.candidate(stage, worker, session, now)
+                .filter(|_| allowed())
+        };
+        if stage.examined && !survey.full {
+            self.effort.count_examined(survey.changed.len());
+            let changed = survey.changed.iter();
+            let changed = changed.filter_map(|&index| self.sessions.get_index(index));
+            let candidates: Vec<_> = changed
+                .filter_map(|(worker, session)| candidate(worker, session))
+                .collect();
+            if candidates.is_empty() || !stage.step.gang {
+                return candidates;
             }
-            let free = session.free();
-            if !demand.fits(&free) || !reservations.allows(worker, run_time, now) {
-                continue;
+        }
+        let permitted = self.permitted_sessions(stage).into_iter();
+        permitted
+            .filter_map(|(worker, session)| candidate(worker, session))
+            .collect()
+    }
+
+    /// A worker as a candidate for a step, if it can take a task of it now.
+    fn candidate(
+        &self,
+        stage: &Stage,
+        worker: &id::Worker,
+        session: &Session,
+        now: Time,
+    ) -> Option<Candidate> {
+        let free = session.free();
+        if !stage.step.demand().fits(&free)
+            || !matches_constraints(stage, session)
+            || !session.is_usable(now)
+        {
+            return None;
+        }
+        let ticket = match stage.needs_advice() {
+            false => None,
+            true => {
+                let permit = stage.permit(worker)?;
+                Some(permit.is_valid(now).then(|| permit.ticket.clone())?)
             }
-            let ticket = match stage.needs_advice() {
-                false => None,
-                true => match stage.permit(worker) {
-                    Some(permit) if permit.is_valid(now) => Some(permit.ticket.clone()),
-                    _ => continue,
-                },
-            };
-            let task_limit = match stage.step.max_per_worker {
-                Some(limit) => limit.saturating_sub(session.count_of(&stage.id)),
-                None => u32::MAX,
-            };
-            // A suspect worker is probed with one task at a time.
-            let task_limit = match session.failures {
-                0 => task_limit,
-                _ => task_limit.min(u32::from(!session.has_trial_run())),
-            };
-            if task_limit == 0 {
-                continue;
+        };
+        let present = session.count_of(&stage.id);
+        let task_limit = match stage.step.max_per_worker {
+            Some(limit) => limit.saturating_sub(present),
+            None => u32::MAX,
+        };
+        // A suspect worker is probed with one task at a time.
+        let task_limit = match session.failures {
+            0 => task_limit,
+            _ => task_limit.min(u32::from(!session.has_trial_run())),
+        };
+        let preferred_rack = stage.step.preferred_rack.as_ref();
+        let is_remote = |rack| !session.profile.labels.contains(rack);
+        (task_limit > 0).then(|| Candidate {
+            worker: worker.clone(),
+            rack: rack(session).cloned(),
+            free,
+            task_limit,
+            remote_data: preferred_rack.is_some_and(is_remote),
+            suspect: session.failures > 0,
+            speed_penalty: self.speed_penalty(stage, session),
+            ticket,
+            has_runs: present > 0,
+        })
+    }
+
+    /// The workers that advice allows for a step, in the order of the sessions;
+    /// all if the step needs no advice.
+    pub(super) fn permitted_sessions(
+        &self,
+        stage: &Stage,
+    ) -> Vec<(&id::Worker, &Session)> {
+        let sessions: Vec<_> = match (stage.needs_advice(), &stage.eligible) {
+            (false, _) => self.sessions.iter().collect(),
+            (true, None) => Vec::new(),
+            (true, Some(permits)) => {
+                let indexes = permits.keys();
+                let indexes =
+                    indexes.filter_map(|worker| self.sessions.get_index_of(worker));
+                let mut indexes: Vec<usize> = indexes.collect();
+                indexes.sort_unstable();
+                let sessions = indexes.into_iter();
+                sessions
+                    .filter_map(|index| self.sessions.get_index(index))
+                    .collect()
             }
-            let preferred_rack = stage.step.preferred_rack.as_ref();
-            candidates.push(Candidate {
-                worker: worker.clone(),
-                rack: rack(session).cloned(),
-                free,
-                task_limit,
-                remote_data: preferred_rack
-                    .is_some_and(|rack| !session.profile.labels.contains(rack)),
-                suspect: session.failures > 0,
-                speed_penalty: self.speed_penalty(stage, session),
-                ticket,
-            });
-        }
-        candidates
+        };
+        self.effort.count_examined(sessions.len());
+        sessions
     }
 
     /// How badly a worker's speed suits a step; zero is best.
@@ -225,7 +297,11 @@
         };
         let demand = stage.step.demand();
         let pending: Vec<u32> = stage.pending.iter().copied().collect();
-        let feasible = self.feasible_count(stage);
+        // Only a task that has failed somewhere avoids workers.
+        let feasible = match stage.failed_on.is_empty() {
+            true => usize::MAX,
+            false => self.feasible_count(stage),
+        };
         for index in pending {
             let Some(stage) = self.stages.get(id) else {
                 return;
@@ -233,9 +309,13 @@
             let best = candidates
                 .iter_mut()
                 .filter(|candidate| {
-                    candidate.max_tasks(&demand) > 0
+                    let has_run = || {
+                        let task = Task { stage: *id, index };
+                        candidate.has_runs && self.has_run(&candidate.worker, task)
+                    };
+                    candidate.fits(&demand)
                         && !stage.avoids(index, &candidate.worker, feasible)
-                        && !self.has_run(&candidate.worker, Task { stage: *id, index })
+                        && !has_run()
                 })
                 .min_by_key(|candidate| candidate.cost(&demand));
             let Some(best) = best else {
@@ -260,10 +340,9 @@
 
     /// How many workers are feasible for a step, see [`is_feasible`].
     pub(super) fn feasible_count(&self, stage: &Stage) -> usize {
-        self.effort.count_examined(self.sessions.len());
-        let feasible = self.sessions.iter();
-        feasible
-            .filter(|(worker, session)| is_feasible(stage, worker, session))
+        let permitted = self.permitted_sessions(stage).into_iter();
+        permitted
+            .filter(|(_, session)| is_available(stage, session))
             .count()
     }
 
@@ -337,6 +416,7 @@
     /// First requests go before refreshes of tickets that expire soon.
     pub(super) fn ask_for_advice(&mut self, order: &[job::Stage], now: Time) {
         let reserve = RELAY_RESERVE.min(self.relays.count().saturating_sub(1));
+        let mut idle = self.relays.idle_count(now);
         // The users of a long-running task have no service until it runs, so
         // these steps ask first.
         let is_long_running = |id: &&job::Stage| {
@@ -345,42 +425,51 @@
         };
         let long_running: Vec<job::Stage> =
             order.iter().filter(is_long_running).copied().collect();
-        for id in &long_running {
-            self.ask_for_step(id, true, now);
-            self.ask_for_step(id, false, now);
+        for (id, fresh) in long_running.iter().flat_map(|id| [(id, true), (id, false)]) {
+            if idle == 0 {
+                return;
+            }
+            idle -= usize::from(self.ask_for_step(id, fresh, now));
         }
         for (fresh, reserve) in [(true, 0), (false, reserve)] {
             for id in order {
-                if self.relays.idle_count(now) <= reserve {
+                if idle <= reserve {
                     break;
                 }
-                self.ask_for_step(id, fresh, now);
+                idle -= usize::from(self.ask_for_step(id, fresh, now));
             }
         }
     }
 
     /// Requests advice for one step: about the workers that it hasn't asked
-    /// about if `fresh`, or else about those whose tickets expire soon.
-    fn ask_for_step(&mut self, id: &job::Stage, fresh: bool, now: Time) {
+    /// about if `fresh`, or else about those whose tickets expire soon. Returns
+    /// whether a relay was given the request.
+    fn ask_for_step(&mut self, id: &job::Stage, fresh: bool, now: Time) -> bool {
         let Some(stage) = self.stages.get(id) else {
-            return;
+            return false;
         };
         let Some(advice) = stage.queue.advice else {
-            return;
+            return false;
         };
         let is_waiting = !stage.pending.is_empty() && !stage.recovering;
         if stage.open_request.is_some() || stage.not_before > now || !is_waiting {
-            return;
+            return false;
+        }
+        if fresh && !stage.may_ask {
+            return false;
         }
         let workers = match fresh {
             true => self.unasked_workers(stage),
             false => self.expiring_workers(stage, advice.base, now),
         };
         if workers.is_empty() {
-            return;
+            if let Some(stage) = self.stages.get_mut(id) {
+                stage.may_ask &= !fresh;
+            }
+            return false;
         }
         let Some(relay) = self.relays.idle(now) else {
-            return;
+            return false;
         };
         self.last_call_id += 1;
         let call_id = self.last_call_id;
@@ -392,6 +481,7 @@
         if let Some(stage) = self.stages.get_mut(id) {
             stage.open_request = Some(call_id);
         }
+        true
     }
 
     /// The available workers of sufficient capacity that a step hasn't asked
@@ -468,8 +558,8 @@
 
 /// Whether a worker matches the step's constraints, answers orders and isn't
 /// draining.
-fn is_available(stage: &Stage, session: &Session) -> bool {
-    matches_constraints(stage, session) && !session.draining && session.unanswered == 0
+pub(super) fn is_available(stage: &Stage, session: &Session) -> bool {
+    matches_constraints(stage, session) && session.is_available()
 }
 
 /// Whether a worker could run a step once it has free capacity: it is
--- a/crates/gentianlane/src/fleet/dispatch/preempt.rs
+++ b/crates/gentianlane/src/fleet/dispatch/preempt.rs
@@ -9,8 +9,9 @@
 use crate::fleet::dispatch::backlog::{TOP_PRIORITY, effective_priority};
 use crate::fleet::dispatch::place::matches_constraints;
 use crate::fleet::dispatch::rank::{Timeliness, assess_deadline};
-use crate::fleet::dispatch::session::{Run, RunState};
+use crate::fleet::dispatch::session::{Run, RunState, Session};
 use crate::fleet::dispatch::stage::Stage;
+use crate::fleet::dispatch::survey::Survey;
 use crate::fleet::job::{self, Task};
 use crate::id;
 use crate::unit::{Span, Time};
@@ -35,7 +36,12 @@
 impl Dispatcher {
     /// Preempts tasks of lower priority for a step of the highest priority that
     /// couldn't be placed.
-    pub(super) fn preempt_for_urgent(&mut self, id: &job::Stage, now: Time) {
+    pub(super) fn preempt_for_urgent(
+        &mut self,
+        id: &job::Stage,
+        survey: &mut Survey,
+        now: Time,
+    ) {
         let Some(stage) = self.stages.get(id) else {
             return;
         };
@@ -52,23 +58,27 @@
         }
         // Each run that is stopping already frees capacity for a pending task.
         let needed = stage.pending.len().min(STOP_LIMIT);
-        let mut wanted = needed.saturating_sub(self.stopping_count());
+        let mut wanted = needed.saturating_sub(survey.stopping);
         let mut victims = Vec::new();
-        for worker in self.sessions.keys() {
+        let permitted = match wanted {
+            0 => Vec::new(),
+            _ => self.permitted_sessions(stage),
+        };
+        for (worker, session) in permitted {
             if wanted == 0 {
                 break;
             }
-            self.effort.count_examined(1);
             let has_ticket = stage
                 .permit(worker)
                 .is_some_and(|permit| permit.is_valid(now));
             if (has_ticket || !stage.needs_advice())
-                && let Some(victim) = self.cheapest_victim(stage, worker, now)
+                && let Some(victim) = self.cheapest_victim(stage, session, now)
             {
                 victims.push(victim);
                 wanted -= 1;
             }
         }
+        survey.stopping += victims.len();
         for victim in victims {
             self.stop_run(&victim, Cause::Preempted, now);
         }
@@ -87,6 +97,7 @@
         &mut self,
         id: &job::Stage,
         reserved: &[(id::Worker, Time)],
+        survey: &mut Survey,
         now: Time,
     ) {
         let Some(stage) = self.stages.get(id) else {
@@ -98,7 +109,7 @@
         if !waited {
             return;
         }
-        let mut budget = STOP_LIMIT.saturating_sub(self.stopping_count());
+        let mut budget = STOP_LIMIT.saturating_sub(survey.stopping);
         let mut victims = Vec::new();
         for (worker, available_at) in reserved {
             let blocking = self.blocking_tasks(stage, worker, *available_at, now);
@@ -107,6 +118,7 @@
                 victims.extend(blocking);
             }
         }
+        survey.stopping += victims.len();
         for victim in victims {
             self.stop_run(&victim, Cause::Preempted, now);
         }
@@ -177,24 +189,14 @@
             && now.since(run.started_at) >= MIN_RUN_TIME
     }
 
-    /// The number of runs that are being stopped.
-    fn stopping_count(&self) -> usize {
-        let runs = self
-            .sessions
-            .values()
-            .flat_map(|session| session.runs.values());
-        runs.filter(|run| run.state == RunState::Stopping).count()
-    }
-
     /// The cheapest task on a worker whose preemption makes room for a task of
     /// the step.
     fn cheapest_victim(
         &self,
         stage: &Stage,
-        worker: &id::Worker,
+        session: &Session,
         now: Time,
     ) -> Option<Task> {
-        let session = self.sessions.get(worker)?;
         if !matches_constraints(stage, session) || !session.is_usable(now) {
             return None;
         }
--- a/crates/gentianlane/src/fleet/dispatch/rank.rs
+++ b/crates/gentianlane/src/fleet/dispatch/rank.rs
@@ -12,6 +12,8 @@
 //! of them, late steps and then the largest ones are deferred, to have as many
 //! as possible on time.
 
+use std::collections::BinaryHeap;
+
 use indexmap::IndexMap;
 
 use crate::fleet::dispatch::stage::Stage;
@@ -31,9 +33,9 @@
 
 /// A waiting step with what its rank depends on.
 #[derive(Debug, Clone)]
-pub(crate) struct Entry {
+pub(crate) struct Entry<'a> {
     pub(crate) id: job::Stage,
-    pub(crate) pool: String,
+    pub(crate) pool: &'a str,
     pub(crate) priority: u32,
     pub(crate) timeliness: Timeliness,
     /// How many milliseconds it can wait before its job loses value.
@@ -71,7 +73,7 @@
     /// How long a step waits behind the backlog: until enough capacity for both
     /// has become free, at the rate of the running tasks or, if that is slower,
     /// of the backlog itself.
-    fn queueing_delay(&self, backlog: &Backlog, step: &Entry) -> Span {
+    fn queueing_delay(&self, backlog: &Backlog, step: &Entry<'_>) -> Span {
         let excess = (backlog.demand + step.demand).saturating_sub(self.free);
         let mean_run_time = backlog.work / backlog.demand.max(1);
         let turnover = self.turnover.as_millis().max(mean_run_time);
@@ -79,7 +81,7 @@
     }
 }
 
-impl Entry {
+impl Entry<'_> {
     /// Demand times run time, in millionths of the pool times milliseconds.
     fn work(&self) -> u64 {
         self.demand * self.run_time.as_millis()
@@ -96,7 +98,7 @@
 
 /// Orders waiting steps by who gets capacity first.
 pub(crate) fn order(
-    mut waiting: Vec<Entry>,
+    mut waiting: Vec<Entry<'_>>,
     headrooms: &IndexMap<String, Headroom>,
 ) -> Vec<job::Stage> {
     waiting.sort_unstable_by_key(|step| rank_key(step, false));
@@ -111,45 +113,49 @@
 }
 
 /// A step's sort key; the lowest goes first.
-fn rank_key(step: &Entry, deferred: bool) -> (bool, bool, u32, i64, job::Stage) {
+fn rank_key(step: &Entry<'_>, deferred: bool) -> (bool, bool, u32, i64, job::Stage) {
     let expired = step.timeliness == Timeliness::Expired;
     (expired, deferred, step.priority, step.slack, step.id)
 }
 
+/// Steps as their demand with their index, the largest demand first.
+type LargestFirst = BinaryHeap<(u64, usize)>;
+
 /// Which of the steps, given in rank order, to defer.
 ///
 /// Whenever a step that could be on time would start too late, this defers the
 /// largest late step so far, or else the largest one of the same priority.
-fn defer_steps(waiting: &[Entry], headrooms: &IndexMap<String, Headroom>) -> Vec<bool> {
+fn defer_steps(
+    waiting: &[Entry<'_>],
+    headrooms: &IndexMap<String, Headroom>,
+) -> Vec<bool> {
     let mut deferred = vec![false; waiting.len()];
     let mut backlogs: IndexMap<&str, Backlog> = IndexMap::new();
-    let mut late: IndexMap<&str, Vec<usize>> = IndexMap::new();
-    let mut on_time: IndexMap<(&str, u32), Vec<usize>> = IndexMap::new();
+    let mut late: IndexMap<&str, LargestFirst> = IndexMap::new();
+    let mut on_time: IndexMap<(&str, u32), LargestFirst> = IndexMap::new();
     for (index, step) in waiting.iter().enumerate() {
-        let Some(headroom) = headrooms.get(&step.pool) else {
+        let Some(headroom) = headrooms.get(step.pool) else {
             continue;
         };
         if step.timeliness == Timeliness::Expired {
             continue;
         }
-        let backlog = backlogs.entry(&step.pool).or_default();
-        let late = late.entry(&step.pool).or_default();
-        let on_time = on_time.entry((&step.pool, step.priority)).or_default();
+        let backlog = backlogs.entry(step.pool).or_default();
+        let late = late.entry(step.pool).or_default();
+        let on_time = on_time.entry((step.pool, step.priority)).or_default();
         let wait = headroom.queueing_delay(backlog, step).as_millis();
         backlog.demand += step.demand;
         backlog.work += step.work();
         match step.timeliness {
             Timeliness::OnTime if step.exempt => {}
-            Timeliness::OnTime => on_time.push(index),
-            Timeliness::Late | Timeliness::Expired => late.push(index),
+            Timeliness::OnTime => on_time.push((step.demand, index)),
+            Timeliness::Late | Timeliness::Expired => late.push((step.demand, index)),
         }
         let within_slack = i64::try_from(wait).is_ok_and(|wait| wait <= step.slack);
         if within_slack || step.timeliness != Timeliness::OnTime {
             continue;
         }
-        if let Some(victim) =
-            take_largest(late, waiting).or_else(|| take_largest(on_time, waiting))
-        {
+        if let Some((_, victim)) = late.pop().or_else(|| on_time.pop()) {
             backlog.demand -= waiting[victim].demand;
             backlog.work -= waiting[victim].work();
             deferred[victim] = true;
@@ -158,14 +164,6 @@
     deferred
 }
 
-/// Removes the step with the largest demand from `steps`, which holds indexes
-/// into `waiting`, and returns its index.
-fn take_largest(steps: &mut Vec<usize>, waiting: &[Entry]) -> Option<usize> {
-    let all = steps.iter().enumerate();
-    let (position, _) = all.max_by_key(|(_, index)| waiting[**index].demand)?;
-    Some(steps.swap_remove(position))
-}
-
 /// How timely a step's job can be, and for how many milliseconds the step can
 /// wait before that gets worse.
 ///
--- a/crates/gentianlane/src/fleet/dispatch/reserve.rs
+++ b/crates/gentianlane/src/fleet/dispatch/reserve.rs
@@ -9,10 +9,12 @@
 use indexmap::IndexMap;
 
 use crate::fleet::dispatch::Dispatcher;
-use crate::fleet::dispatch::place::{is_feasible, matches_constraints};
+use crate::fleet::dispatch::place::{is_available, matches_constraints};
+use crate::fleet::dispatch::rank::{Timeliness, assess_deadline};
 use crate::fleet::dispatch::session::{Run, Session};
 use crate::fleet::dispatch::stage::Stage;
-use crate::fleet::job::{Resources, Task};
+use crate::fleet::dispatch::survey::Survey;
+use crate::fleet::job::{self, Resources, Task};
 use crate::id;
 use crate::unit::{Span, Time};
 
@@ -57,40 +59,88 @@
             .get(worker)
             .is_none_or(|&needed| now.after(run_time) <= needed)
     }
+
+    /// The names of the reserved workers.
+    pub(crate) fn into_workers(self) -> Vec<id::Worker> {
+        self.workers.into_keys().collect()
+    }
 }
 
 impl Dispatcher {
-    /// Reserves workers for a step that couldn't be placed.
+    /// Reserves workers for a step that couldn't be placed, and preempts tasks
+    /// on them.
+    pub(super) fn plan_reservation(
+        &mut self,
+        id: &job::Stage,
+        reservations: &mut Reservations,
+        survey: &mut Survey,
+        now: Time,
+    ) {
+        let Some(stage) = self.stages.get(id) else {
+            return;
+        };
+        let reserved = match assess_deadline(stage, now).0 {
+            Timeliness::Expired => Vec::new(),
+            Timeliness::OnTime | Timeliness::Late => {
+                self.reserve(reservations, stage, now)
+            }
+        };
+        self.preempt_reserved(id, &reserved, survey, now);
+        if let Some(stage) = self.stages.get_mut(id) {
+            stage.reserved = reserved;
+        }
+    }
+
+    /// Enters the workers that were reserved for a step when reservations were
+    /// last planned, unless another step has one of them by now.
+    pub(super) fn keep_reservation(
+        &self,
+        id: &job::Stage,
+        reservations: &mut Reservations,
+    ) {
+        let Some(stage) = self.stages.get(id) else {
+            return;
+        };
+        let is_taken = |worker| reservations.workers.contains_key(worker);
+        let any_taken = stage.reserved.iter().any(|(worker, _)| is_taken(worker));
+        if stage.reserved.is_empty() || any_taken || reservations.steps >= STEP_LIMIT {
+            return;
+        }
+        reservations.steps += 1;
+        reservations.workers.extend(stage.reserved.iter().cloned());
+    }
+
+    /// Chooses workers to reserve for a step.
     ///
-    /// Returns the reserved workers, each with the time from which it has room
-    /// without preemption; none if the step needs no reservation, too many
-    /// steps hold some, or not all members of a gang fit.
-    pub(super) fn reserve(
+    /// Returns them, each with the time from which it has room without
+    /// preemption; none if the step needs no reservation, too many steps hold
+    /// some, or not all members of a gang fit.
+    fn reserve(
         &self,
         reservations: &mut Reservations,
         stage: &Stage,
         now: Time,
     ) -> Vec<(id::Worker, Time)> {
-        if reservations.steps >= STEP_LIMIT || !self.needs_reservation(stage) {
+        if reservations.steps >= STEP_LIMIT || !stage.needs_reservation {
             return Vec::new();
         }
         let demand = stage.step.demand();
-        self.effort.count_examined(self.sessions.len());
         let mut wanted = match stage.step.gang {
             true => stage.step.count,
             false => u32::try_from(stage.pending.len()).unwrap_or(u32::MAX),
         };
         let mut offers: Vec<Offer> = self
-            .sessions
-            .iter()
+            .permitted_sessions(stage)
+            .into_iter()
             .filter(|(worker, session)| {
-                is_feasible(stage, worker, session)
+                is_available(stage, session)
                     && !reservations.workers.contains_key(*worker)
             })
             .filter_map(|(worker, session)| {
                 let (available_at, tasks) =
                     self.available_at(session, &demand, wanted, now)?;
-                let reserved = stage.reserved.contains(worker);
+                let mut present = stage.reserved.iter();
+                let reserved = present.any(|(present, _)| present == worker);
                 let sort_key = if reserved {
                     available_at
                 } else {
@@ -124,22 +174,15 @@
         chosen
     }
 
-    /// Whether a step could starve without a reservation: its tasks take half
-    /// of a worker or more, or have to start together.
-    pub(super) fn needs_reservation(&self, stage: &Stage) -> bool {
-        let demand = stage.step.demand();
-        let mut candidates = self
-            .sessions
-            .values()
-            .inspect(|_| self.effort.count_examined(1))
-            .filter(|session| matches_constraints(stage, session));
-        let large = candidates.any(|session| {
-            let capacity = session.profile.capacity;
-            2 * demand.accelerators >= capacity.accelerators.max(1)
-                || 2 * demand.millicores > capacity.millicores
-                || 2 * demand.memory_mib > capacity.memory_mib
-        });
-        large || (stage.step.gang && stage.step.count > 1)
+    /// Finds out anew which steps need reservations, where the fleet has changed
+    /// since.
+    pub(super) fn update_reservation_needs(&mut self) {
+        let revision = self.fleet_revision;
+        let outdated = self.stages.values_mut();
+        for stage in outdated.filter(|stage| stage.revision != revision) {
+            stage.revision = revision;
+            stage.needs_reservation = could_starve(stage, &self.sessions);
+        }
     }
 
     /// When a task with this demand fits on a worker without preemption, and how
@@ -203,3 +246,19 @@
             .expected_duration(&stage.queue_name, &stage.step)
     }
 }
+
+/// Whether a step could starve without a reservation: its tasks take half of a
+/// worker or more, or have to start together.
+fn could_starve(stage: &Stage, sessions: &IndexMap<id::Worker, Session>) -> bool {
+    let demand = stage.step.demand();
+    let mut candidates = sessions
+        .values()
+        .filter(|session| matches_constraints(stage, session));
+    let large = candidates.any(|session| {
+        let capacity = session.profile.capacity;
+        2 * demand.accelerators >= capacity.accelerators.max(1)
+            || 2 * demand.millicores > capacity.millicores
+            || 2 * demand.memory_mib > capacity.memory_mib
+    });
+    large || (stage.step.gang && stage.step.count > 1)
+}
--- a/crates/gentianlane/src/fleet/dispatch/session.rs
+++ b/crates/gentianlane/src/fleet/dispatch/session.rs
@@ -7,6 +7,7 @@
 use crate::fleet::Worker;
 use crate::fleet::dispatch::estimate::NOMINAL;
 use crate::fleet::dispatch::progress::Progress;
+use crate::fleet::dispatch::survey::Seen;
 use crate::fleet::job::{Resources, Task};
 use crate::fleet::order::CallId;
 use crate::fleet::worker::{Incarnation, Profile};
@@ -67,6 +68,10 @@
     pub(crate) runs: IndexMap<Task, Run>,
     /// The sum of these runs' demands.
     pub(crate) used: Resources,
+    /// How many runs have been removed from `runs`.
+    pub(crate) removed_runs: u64,
+    /// The worker as the last placement pass saw it.
+    pub(crate) seen: Seen,
     /// The sequence number of the newest end that was recorded.
     last_end: u64,
     /// The recorded ends that the worker has to keep, oldest first.
@@ -191,6 +196,8 @@
             last_failure: now,
             runs: IndexMap::new(),
             used: Resources::default(),
+            removed_runs: 0,
+            seen: Seen::default(),
             last_end: 0,
             open_ends: VecDeque::new(),
             acknowledged_end: 0,
@@ -254,6 +261,7 @@
         self.used = self.used.plus(&run.demand);
         if let Some(old) = self.runs.insert(task, run) {
             self.used = self.used.less(&old.demand);
+            self.removed_runs += 1;
         }
     }
 
@@ -261,6 +269,7 @@
     pub(crate) fn remove(&mut self, task: &Task) -> Option<Run> {
         let run = self.runs.swap_remove(task)?;
         self.used = self.used.less(&run.demand);
+        self.removed_runs += 1;
         Some(run)
     }
 
@@ -332,12 +341,16 @@
             .any(|run| run.started_at >= self.last_failure)
     }
 
+    /// Whether the worker answers orders and isn't draining.
+    pub(crate) fn is_available(&self) -> bool {
+        !self.draining && self.unanswered == 0
+    }
+
     /// Whether the worker may get new tasks: it is reconciled, responsive, not
     /// draining and not avoided, and the demand of all its runs is known.
     pub(crate) fn is_usable(&self, now: Time) -> bool {
         self.reconciled
-            && !self.draining
-            && self.unanswered == 0
+            && self.is_available()
             && self.unreachable == 0
             && self.clock.is_some()
             && self.avoid_until <= now
--- a/crates/gentianlane/src/fleet/dispatch/stage.rs
+++ b/crates/gentianlane/src/fleet/dispatch/stage.rs
@@ -1,6 +1,6 @@
 //! A step that is ready to run, with the tasks that still have to be placed.
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use std::collections::BTreeSet;
 
 use crate::fleet::job::{Stage as Id, Step};
@@ -55,15 +55,25 @@
     best_pace: Option<u64>,
     /// Since when pending tasks have found no worker with room.
     pub(crate) blocked_since: Option<Time>,
-    /// The workers whose capacity is reserved for the step.
-    pub(crate) reserved: Vec<id::Worker>,
+    /// The workers whose capacity is reserved for the step, each with the time
+    /// from which it has room without preemption.
+    pub(crate) reserved: Vec<(id::Worker, Time)>,
+    /// Whether the step could starve without a reservation.
+    pub(crate) needs_reservation: bool,
+    /// The fleet's revision for which `needs_reservation` holds.
+    pub(crate) revision: u64,
+    /// Whether all workers were examined for the pending tasks, so that only
+    /// those that change can take one.
+    pub(crate) examined: bool,
     /// The workers that advice allows; none before the first answer, or if the
     /// queue needs no advice.
     pub(crate) eligible: Option<IndexMap<id::Worker, Permit>>,
     /// The advice request that waits for its answer.
     pub(crate) open_request: Option<CallId>,
     /// The workers named in advice requests so far.
-    pub(crate) asked: BTreeSet<id::Worker>,
+    pub(crate) asked: IndexSet<id::Worker>,
+    /// Whether there may be available workers that weren't asked about.
+    pub(crate) may_ask: bool,
 }
 
 /// The adviser's permission to run a step on a worker.
@@ -116,12 +126,22 @@
             best_pace: None,
             blocked_since: None,
             reserved: Vec::new(),
+            needs_reservation: false,
+            revision: 0,
+            examined: false,
             eligible: None,
             open_request: None,
-            asked: BTreeSet::new(),
+            asked: IndexSet::new(),
+            may_ask: true,
         }
     }
 
+    /// Makes a task pending, to be examined against all workers.
+    pub(crate) fn add_pending(&mut self, index: u32) {
+        self.pending.insert(index);
+        self.examined = false;
+    }
+
     /// The next run's number, higher than all earlier ones of the step.
     pub(crate) fn next_run_number(&mut self, fencing_token: u64) -> u64 {
         self.starts += 1;
--- /dev/null
+++ b/crates/gentianlane/src/fleet/dispatch/survey.rs
@@ -0,0 +1,113 @@
+//! What has changed on the workers since the last placement pass.
+//!
+//! A step that has found no room anywhere can only be placed on a worker that
+//! has changed since. A pass therefore examines a waiting step against the
+//! changed workers only, unless the step itself has changed. Its cost grows
+//! with the changes and not with the whole fleet.
+
+use crate::fleet::dispatch::Dispatcher;
+use crate::fleet::dispatch::session::{RunState, Session};
+use crate::fleet::job::Resources;
+use crate::id;
+use crate::unit::{Span, Time};
+
+/// A worker as the last placement pass saw it.
+#[derive(Debug, Default, Clone, Copy)]
+pub(crate) struct Seen {
+    usable: bool,
+    available: bool,
+    free: Resources,
+    removed_runs: u64,
+    failures: u32,
+}
+
+/// What a placement pass knows of the workers before it starts.
+#[derive(Debug, Default)]
+pub(crate) struct Survey {
+    /// The indexes of the workers that may now take tasks that they couldn't
+    /// take in the last pass, in ascending order.
+    pub(crate) changed: Vec<usize>,
+    /// Whether every step is examined against all workers.
+    pub(crate) full: bool,
+    /// Whether reservations and preemptions are planned, which is done at the
+    /// dispatcher's interval and not for each input.
+    pub(crate) plans: bool,
+    /// The number of runs that are being stopped.
+    pub(crate) stopping: usize,
+}
+
+impl Seen {
+    /// The present state of a worker.
+    fn now(session: &Session, now: Time) -> Self {
+        Self {
+            usable: session.is_usable(now),
+            available: session.is_available(),
+            free: session.free(),
+            removed_runs: session.removed_runs,
+            failures: session.failures,
+        }
+    }
+
+    /// Whether the worker may take tasks that it couldn't take before.
+    fn has_gained(&self, before: &Self) -> bool {
+        self.usable
+            && (!before.usable
+                || self.removed_runs != before.removed_runs
+                || self.failures < before.failures
+                || !self.free.fits(&before.free))
+    }
+}
+
+impl Dispatcher {
+    /// Compares the workers with what the last pass saw.
+    pub(super) fn survey(&mut self, plans: bool, now: Time) -> Survey {
+        let full = now >= self.next_full_pass;
+        if full {
+            self.next_full_pass = now.after(FULL_PASS_INTERVAL);
+        }
+        let mut survey = Survey {
+            full,
+            plans,
+            ..Survey::default()
+        };
+        let mut available_again = Vec::new();
+        for (index, (worker, session)) in self.sessions.iter_mut().enumerate() {
+            let state = Seen::now(session, now);
+            let before = std::mem::replace(&mut session.seen, state);
+            if state.has_gained(&before) {
+                survey.changed.push(index);
+            }
+            if state.available && !before.available {
+                available_again.push(worker.clone());
+            }
+            let runs = session.runs.values();
+            let stopping = runs.filter(|run| run.state == RunState::Stopping);
+            survey.stopping += stopping.count();
+        }
+        self.offer_for_advice(&available_again);
+        // A worker that was reserved may take other steps' tasks once it isn't.
+        let reserved = std::mem::take(&mut self.reserved_workers);
+        let reserved = reserved
+            .iter()
+            .filter_map(|worker| self.sessions.get_index_of(worker));
+        survey.changed.extend(reserved);
+        survey.changed.sort_unstable();
+        survey.changed.dedup();
+        survey
+    }
+
+    /// Lets steps ask for advice about workers that have become available.
+    fn offer_for_advice(&mut self, workers: &[id::Worker]) {
+        if workers.is_empty() {
+            return;
+        }
+        let unsettled = self.stages.values_mut().filter(|stage| !stage.may_ask);
+        for stage in unsettled {
+            stage.may_ask = workers.iter().any(|worker| !stage.asked.contains(worker));
+        }
+    }
+}
+
+/// How often each waiting step is examined against all workers, for changes
+/// that show on no worker, such as fewer alternatives to a failed one.
+const FULL_PASS_INTERVAL: Span = Span::from_millis(500);
