Let placement rest for as long as a pass takes

What callers saw: at eight times the load accepted jobs were lost and cancelled tasks ran on, also with passes that examine only changed workers.

Cause: each batch of inputs was followed by a pass. With 3,300 steps waiting a pass took about 30 ms, the control thread did nothing else, and the traffic thread had no processor time left to send orders and to read answers in time. Renewals timed out, workers were taken for silent, and the backlog stayed.

A gang for which no workers can be reserved is tried again after 200 ms, as each pass tried all of them; a step that fits on none of the changed workers is left out at once.

--- a/crates/gentianlane/src/fleet/dispatch/dispatcher.rs
+++ b/crates/gentianlane/src/fleet/dispatch/dispatcher.rs
@@ -88,6 +88,10 @@
     pub(super) turnovers: IndexMap<String, Span>,
     /// What placement has cost lately.
     pub(super) effort: Effort,
+    /// No placement pass runs before this time.
+    pub(super) next_pass: Time,
+    /// Whether the next pass plans reservations and preemptions.
+    pub(super) plan_due: bool,
     /// When leases, retries and tickets are checked again.
     pub(super) next_tick: Time,
     pub(super) effects: Effects,
@@ -131,6 +135,8 @@
             fleet_revision: 1,
             turnovers: IndexMap::new(),
             effort: Effort::default(),
+            next_pass: now,
+            plan_due: true,
             next_tick: now,
             effects: Effects::default(),
         };
@@ -163,7 +169,10 @@
     /// The latest time for the next call of [`Dispatcher::tick`].
     #[must_use]
     pub fn due(&self) -> Time {
-        self.next_tick
+        match self.needs_placement {
+            true => self.next_tick.min(self.next_pass),
+            false => self.next_tick,
+        }
     }
 
     /// The number of jobs in a queue without a started task.
@@ -189,7 +198,8 @@
     }
 
     /// Handles what is due at `now`. If that, or a changed input, calls for it,
-    /// also renews leases, places waiting steps and requests advice.
+    /// also renews leases and, unless that is postponed, places waiting steps
+    /// and requests advice.
     pub fn tick(&mut self, state: &State, now: Time, wall: Wall) {
         let tick_due = now >= self.next_tick;
         if tick_due {
@@ -203,18 +213,37 @@
             self.effects.decisions.extend(self.effort.take_line(now));
         }
         if tick_due || self.needs_placement {
-            self.needs_placement = false;
             self.send_due_renewals(now);
-            if tick_due {
-                self.turnovers = self.pool_turnovers(now);
-            }
-            self.update_reservation_needs();
-            let order = self.ranked_steps(now);
-            self.effort.count_pass(order.len());
-            let survey = self.survey(tick_due, now);
-            self.place(state, &order, survey, now);
-            self.ask_for_advice(&order, now);
+            self.needs_placement = true;
+            self.plan_due |= tick_due;
+        }
+        if self.needs_placement && now >= self.next_pass {
+            self.run_pass(state, now);
+        }
+    }
+
+    /// Places what waits and requests advice for it.
+    fn run_pass(&mut self, state: &State, now: Time) {
+        self.needs_placement = false;
+        let plans = std::mem::take(&mut self.plan_due);
+        if plans {
+            self.turnovers = self.pool_turnovers(now);
         }
+        self.update_reservation_needs();
+        let order = self.ranked_steps(now);
+        self.effort.count_pass(order.len());
+        let survey = self.survey(plans, now);
+        self.place(state, &order, survey, now);
+        self.ask_for_advice(&order, now);
+    }
+
+    /// Runs no placement pass before a time, at most a second ahead. Leases are
+    /// renewed and answers are handled all the same.
+    ///
+    /// For a process whose passes would leave its other work too little
+    /// processor time.
+    pub fn postpone_placement(&mut self, until: Time, now: Time) {
+        self.next_pass = until.min(now.after(MAX_POSTPONEMENT));
     }
 
     /// Notes an input that changes what can be placed.
@@ -332,5 +361,8 @@
 /// matching a current one; no term sends 2^32 orders.
 const TERM_SHIFT: u32 = 32;
 
+/// The longest time for which placement can be postponed.
+const MAX_POSTPONEMENT: Span = Span::from_millis(1_000);
+
 /// The interval at which leases, retries and tickets are checked.
 const TICK_INTERVAL: Span = Span::from_millis(50);
--- a/crates/gentianlane/src/fleet/dispatch/place.rs
+++ b/crates/gentianlane/src/fleet/dispatch/place.rs
@@ -174,13 +174,17 @@
         survey: &Survey,
         now: Time,
     ) -> Vec<Candidate> {
+        let only_changed = stage.examined && !survey.full;
+        if only_changed && !stage.step.demand().fits(&survey.room) {
+            return Vec::new();
+        }
         let run_time = self.expected_run_time(stage);
         let candidate = |worker: &id::Worker, session: &Session| {
             let allowed = || reservations.allows(worker, run_time, now);
             self.candidate(stage, worker, session, now)
                 .filter(|_| allowed())
         };
-        if stage.examined && !survey.full {
+        if only_changed {
             self.effort.count_examined(survey.changed.len());
             let changed = survey.changed.iter();
             let changed = changed.filter_map(|&index| self.sessions.get_index(index));
--- a/crates/gentianlane/src/fleet/dispatch/reserve.rs
+++ b/crates/gentianlane/src/fleet/dispatch/reserve.rs
@@ -21,6 +21,10 @@
 /// The most steps that hold reservations at the same time.
 const STEP_LIMIT: usize = 4;
 
+/// How long a step for which no workers could be reserved waits until this is
+/// tried again; many gangs may wait that can't be complete.
+const RESERVE_RETRY_DELAY: Span = Span::from_millis(200);
+
 /// The assumed remaining time of a run that exceeds its expected run time.
 const OVERDUE_REMAINING: Span = Span::from_millis(300);
 
@@ -79,14 +83,18 @@
         let Some(stage) = self.stages.get(id) else {
             return;
         };
-        let reserved = match assess_deadline(stage, now).0 {
-            Timeliness::Expired => Vec::new(),
-            Timeliness::OnTime | Timeliness::Late => {
-                self.reserve(reservations, stage, now)
-            }
+        let expired = assess_deadline(stage, now).0 == Timeliness::Expired;
+        let wanted = stage.needs_reservation && !expired && now >= stage.reserve_after;
+        let tries = wanted && reservations.steps < STEP_LIMIT;
+        let reserved = match tries {
+            true => self.reserve(reservations, stage, now),
+            false => Vec::new(),
         };
         self.preempt_reserved(id, &reserved, survey, now);
         if let Some(stage) = self.stages.get_mut(id) {
+            if tries && reserved.is_empty() {
+                stage.reserve_after = now.after(RESERVE_RETRY_DELAY);
+            }
             stage.reserved = reserved;
         }
     }
@@ -113,17 +121,13 @@
     /// Chooses workers to reserve for a step.
     ///
     /// Returns them, each with the time from which it has room without
-    /// preemption; none if the step needs no reservation, too many steps hold
-    /// some, or not all members of a gang fit.
+    /// preemption; none if not all members of a gang fit.
     fn reserve(
         &self,
         reservations: &mut Reservations,
         stage: &Stage,
         now: Time,
     ) -> Vec<(id::Worker, Time)> {
-        if reservations.steps >= STEP_LIMIT || !stage.needs_reservation {
-            return Vec::new();
-        }
         let demand = stage.step.demand();
         let mut wanted = match stage.step.gang {
             true => stage.step.count,
--- a/crates/gentianlane/src/fleet/dispatch/stage.rs
+++ b/crates/gentianlane/src/fleet/dispatch/stage.rs
@@ -58,6 +58,8 @@
     /// The workers whose capacity is reserved for the step, each with the time
     /// from which it has room without preemption.
     pub(crate) reserved: Vec<(id::Worker, Time)>,
+    /// No workers are reserved for the step before this time.
+    pub(crate) reserve_after: Time,
     /// Whether the step could starve without a reservation.
     pub(crate) needs_reservation: bool,
     /// The fleet's revision for which `needs_reservation` holds.
@@ -126,6 +128,7 @@
             best_pace: None,
             blocked_since: None,
             reserved: Vec::new(),
+            reserve_after: now,
             needs_reservation: false,
             revision: 0,
             examined: false,
--- a/crates/gentianlane/src/fleet/dispatch/survey.rs
+++ b/crates/gentianlane/src/fleet/dispatch/survey.rs
@@ -27,6 +27,8 @@
     /// The indexes of the workers that may now take tasks that they couldn't
     /// take in the last pass, in ascending order.
     pub(crate) changed: Vec<usize>,
+    /// The most of each resource that is free on one of these workers.
+    pub(crate) room: Resources,
     /// Whether every step is examined against all workers.
     pub(crate) full: bool,
     /// Whether reservations and preemptions are planned, which is done at the
@@ -93,6 +95,11 @@
         survey.changed.extend(reserved);
         survey.changed.sort_unstable();
         survey.changed.dedup();
+        let changed = survey.changed.iter();
+        let changed = changed.filter_map(|&index| self.sessions.get_index(index));
+        survey.room = changed.fold(Resources::default(), |room, (_, session)| {
+            room.most(&session.free())
+        });
         survey
     }
 
--- a/crates/gentianlane/src/fleet/job.rs
+++ b/crates/gentianlane/src/fleet/job.rs
@@ -112,6 +112,16 @@
         }
     }
 
+    /// The larger amount of each resource.
+    #[must_use]
+    pub(crate) fn most(&self, other: &Self) -> Self {
+        Self {
+            millicores: self.millicores.max(other.millicores),
+            memory_mib: self.memory_mib.max(other.memory_mib),
+            accelerators: self.accelerators.max(other.accelerators),
+        }
+    }
+
     /// The cost in thousandths of a core: an accelerator counts as eight cores
     /// and memory isn't counted.
     #[must_use]
--- a/crates/gentianlane/src/fleet/node.rs
+++ b/crates/gentianlane/src/fleet/node.rs
@@ -196,6 +196,14 @@
         }
     }
 
+    /// Runs no placement pass before a time; see
+    /// [`Dispatcher::postpone_placement`].
+    pub fn postpone_placement(&mut self, until: Time, now: Time) {
+        if let Some(dispatcher) = &mut self.dispatcher {
+            dispatcher.postpone_placement(until, now);
+        }
+    }
+
     fn propose(&mut self, command: Command, ticket: Option<Ticket>) {
         self.proposals.push((command, ticket));
     }
--- a/crates/gentianlane/tests/fleet/dispatch.rs
+++ b/crates/gentianlane/tests/fleet/dispatch.rs
@@ -873,3 +873,25 @@
         assert!(effort.examined <= effort.inputs * linear, "{effort:?}");
     }
 }
+
+// Guards against runs that lapse while the leader has no time for placement.
+#[test]
+fn leases_are_renewed_and_ends_recorded_while_placement_rests() {
+    let mut world = World::new(2, 1).with_plan(plan(1, true));
+    world
+        .scripted_runs
+        .insert(task(7, 0), vec![(8_000, Outcome::Done)]);
+    world.submit(7, &job(1, 500));
+    world.run(500);
+    assert_eq!(world.starts(&task(7, 0)), 1);
+    world.placement_rests = true;
+    let ticket = world.submit(8, &job(1, 500));
+    world.run(9_000);
+    assert_eq!(world.replies.get(&ticket), Some(&Reply::Done));
+    assert_eq!(phase(&mut world, 7), Some(Phase::Completed));
+    assert_eq!(world.starts(&task(7, 0)), 1);
+    assert_eq!(world.starts(&task(8, 0)), 0);
+    world.placement_rests = false;
+    world.run(2_500);
+    assert_eq!(phase(&mut world, 8), Some(Phase::Completed));
+}
--- a/crates/gentianlane/tests/fleet/world.rs
+++ b/crates/gentianlane/tests/fleet/world.rs
@@ -108,6 +108,8 @@
     pub(crate) replies: BTreeMap<Ticket, Reply>,
     /// The jobs that a leader has reported as finished.
     pub(crate) finished_jobs: BTreeSet<Id>,
+    /// Whether leaders always postpone placement.
+    pub(crate) placement_rests: bool,
     /// What placement has cost, summed up over the leaders' log lines.
     pub(crate) effort: Effort,
     /// The durations in milliseconds and outcomes of a task's next runs; a run
@@ -148,6 +150,7 @@
             specs: BTreeMap::new(),
             replies: BTreeMap::new(),
             finished_jobs: BTreeSet::new(),
+            placement_rests: false,
             effort: Effort::default(),
             scripted_runs: BTreeMap::new(),
             in_flight: BTreeMap::new(),
@@ -534,6 +537,9 @@
             return;
         };
         node.tick(now, wall);
+        if self.placement_rests {
+            node.postpone_placement(now.after(Span::from_secs(1)), now);
+        }
         let me = id::Node(at as u64 + 1);
         let outputs = node.flush(now, wall);
         for output in outputs {
