Count a queue's waiting jobs as they change

The open jobs are now one type that counts the waiting ones by queue. A started job that is over leaves no entry any more: a worker that reported such a job's run again made one that was never removed.

The new test checks the count against starts, a cancel and a change of leader; it guards the rewritten counting and passes on the old code as well.

--- a/crates/gentianlane/src/fleet/dispatch/admit.rs
+++ b/crates/gentianlane/src/fleet/dispatch/admit.rs
@@ -16,13 +16,13 @@
     /// retry; none if it is admitted.
     #[must_use]
     pub fn admission_refusal(&self) -> Option<(Refusal, Span)> {
-        (self.open_jobs.len() >= OPEN_JOB_LIMIT)
+        (self.open_jobs.count() >= OPEN_JOB_LIMIT)
             .then_some((Refusal::Overloaded, OVERLOAD_RETRY))
     }
 
     /// The number of jobs that are not over yet.
     #[must_use]
     pub fn open_jobs(&self) -> usize {
-        self.open_jobs.len()
+        self.open_jobs.count()
     }
 }
--- a/crates/gentianlane/src/fleet/dispatch/answer.rs
+++ b/crates/gentianlane/src/fleet/dispatch/answer.rs
@@ -189,7 +189,7 @@
             Answer::Done { .. } => {
                 run.state = RunState::Running;
                 run.confirmed_at = Some(now);
-                self.started_jobs.insert(task.stage.job);
+                self.open_jobs.mark_started(&task.stage.job);
             }
             // The worker knows the run from an earlier order without an answer;
             // the answer to the next renewal tells how it ended.
--- a/crates/gentianlane/src/fleet/dispatch/dispatcher.rs
+++ b/crates/gentianlane/src/fleet/dispatch/dispatcher.rs
@@ -8,6 +8,7 @@
 use crate::fleet::dispatch::advice::{Relay, Relays};
 use crate::fleet::dispatch::effort::Effort;
 use crate::fleet::dispatch::estimate::Estimator;
+use crate::fleet::dispatch::open::OpenJobs;
 use crate::fleet::dispatch::session::{RunState, Session};
 use crate::fleet::dispatch::stage::Stage;
 use crate::fleet::dispatch::unconfirmed::UnconfirmedStarts;
@@ -59,11 +60,8 @@
     pub(super) stages: IndexMap<job::Stage, Stage>,
     /// The worker on which each task runs, may run or is being stopped.
     pub(super) placements: IndexMap<Task, id::Worker>,
-    /// The jobs with at least one started task.
-    pub(super) started_jobs: IndexSet<job::Id>,
-    /// For each open job, when this leader learned of it and how long its caller
-    /// had waited by then.
-    pub(super) open_jobs: IndexMap<job::Id, (Time, Span)>,
+    /// The jobs that are not over yet.
+    pub(super) open_jobs: OpenJobs,
     /// The jobs with occurrences that aren't due yet.
     pub(super) recurring_jobs: IndexSet<job::Id>,
     pub(super) pending_orders: IndexMap<CallId, PendingOrder>,
@@ -119,8 +117,7 @@
             sessions: IndexMap::new(),
             stages: IndexMap::new(),
             placements: IndexMap::new(),
-            started_jobs: IndexSet::new(),
-            open_jobs: IndexMap::new(),
+            open_jobs: OpenJobs::default(),
             recurring_jobs: IndexSet::new(),
             pending_orders: IndexMap::new(),
             last_call_id: fencing_token << TERM_SHIFT,
@@ -147,11 +144,10 @@
                 .insert(worker.incarnation.worker.clone(), session);
         }
         for (&id, job) in state.jobs().filter(|(_, job)| job.is_open()) {
-            dispatcher
-                .open_jobs
-                .insert(id, (now, wall.since(job.submitted_at)));
+            let waited = wall.since(job.submitted_at);
+            dispatcher.open_jobs.add(id, &job.queue, now, waited);
             if job.has_ended_runs() {
-                dispatcher.started_jobs.insert(id);
+                dispatcher.open_jobs.mark_started(&id);
             }
             dispatcher.activate(state, id, now, wall);
         }
@@ -177,18 +173,14 @@
 
     /// The number of jobs in a queue without a started task.
     #[must_use]
-    pub fn waiting_jobs(&self, state: &State, queue: &str) -> u64 {
-        let waits = |(id, _): &(&job::Id, &(Time, Span))| {
-            let of_queue = state.job(id).is_some_and(|job| job.queue == queue);
-            of_queue && !self.started_jobs.contains(*id)
-        };
-        self.open_jobs.iter().filter(waits).count() as u64
+    pub fn waiting_jobs(&self, queue: &str) -> u64 {
+        self.open_jobs.waiting(queue)
     }
 
-    /// Whether a task of this job has started.
+    /// Whether a task of this open job has started.
     #[must_use]
     pub fn has_started(&self, job: &job::Id) -> bool {
-        self.started_jobs.contains(job)
+        self.open_jobs.has_started(job)
     }
 
     /// Registers a relay that can send advice requests for this leader.
--- a/crates/gentianlane/src/fleet/dispatch/event.rs
+++ b/crates/gentianlane/src/fleet/dispatch/event.rs
@@ -25,7 +25,9 @@
         match event {
             Event::PlanReplaced => self.apply_plan(state),
             Event::JobSubmitted(job) => {
-                self.open_jobs.entry(*job).or_insert((now, Span::ZERO));
+                if let Some(submitted) = state.job(job) {
+                    self.open_jobs.add(*job, &submitted.queue, now, Span::ZERO);
+                }
                 self.activate(state, *job, now, wall);
             }
             Event::JobFinished(job) => self.end_job(state, job, now),
@@ -82,8 +84,9 @@
         }
         let paths = self.remaining_paths(&job.queue, &job.spec);
         let critical_path = paths.iter().copied().max().unwrap_or_default();
-        let open_job = self.open_jobs.get(&id).copied();
-        let (queued_at, prior_wait) = open_job.unwrap_or((now, Span::ZERO));
+        let open_job = self.open_jobs.get(&id);
+        let (queued_at, prior_wait) =
+            open_job.map_or((now, Span::ZERO), |job| (job.queued_at, job.prior_wait));
         for occurrence in (0..occurrences).filter(|&occurrence| due(occurrence)) {
             for (index, step) in job.spec.steps.iter().enumerate() {
                 let Ok(step_index) = u16::try_from(index) else {
@@ -152,8 +155,7 @@
                 .decisions
                 .push(Decision::JobFinished { job: *id, phase });
         }
-        self.open_jobs.swap_remove(id);
-        self.started_jobs.swap_remove(id);
+        self.open_jobs.remove(id);
         self.recurring_jobs.swap_remove(id);
         self.stages.retain(|stage, _| stage.job != *id);
         let of_job = |task: &&Task| task.stage.job == *id;
--- a/crates/gentianlane/src/fleet/dispatch/mod.rs
+++ b/crates/gentianlane/src/fleet/dispatch/mod.rs
@@ -16,6 +16,7 @@
 mod estimate;
 mod event;
 mod lease;
+mod open;
 mod place;
 mod preempt;
 mod progress;
--- a/crates/gentianlane/src/fleet/dispatch/reconcile.rs
+++ b/crates/gentianlane/src/fleet/dispatch/reconcile.rs
@@ -90,7 +90,7 @@
         if !session.record_end(ended.sequence, task, ended.run, !logged) {
             return;
         }
-        self.started_jobs.insert(task.stage.job);
+        self.open_jobs.mark_started(&task.stage.job);
         let run = session.runs.get_mut(&task);
         let run = run.filter(|run| run.number == ended.run);
         let from_start = run.as_ref().filter(|run| run.progress.is_from_start());
@@ -222,7 +222,7 @@
         if run.state == RunState::Starting {
             run.state = RunState::Running;
             run.confirmed_at = Some(now);
-            self.started_jobs.insert(task.stage.job);
+            self.open_jobs.mark_started(&task.stage.job);
         }
         if !running.checkpoint.is_empty() {
             run.checkpoint.clone_from(&running.checkpoint);
@@ -273,7 +273,7 @@
         if let Some(stage) = adopter {
             stage.pending.remove(&task.index);
             self.placements.insert(task, worker.clone());
-            self.started_jobs.insert(task.stage.job);
+            self.open_jobs.mark_started(&task.stage.job);
             self.effects.decisions.push(Decision::Adopt {
                 task,
                 run: running.run,
--- a/crates/gentianlane/src/fleet/dispatch/view.rs
+++ b/crates/gentianlane/src/fleet/dispatch/view.rs
@@ -156,7 +156,7 @@
             plan: state.plan().map(|plan| plan.version),
             voters,
             fencing_token: self.fencing_token,
-            open_jobs: self.open_jobs.len(),
+            open_jobs: self.open_jobs.count(),
             waiting_steps: waiting.count(),
             runs: self.placements.len(),
             queues: self.queues(state),
@@ -169,10 +169,8 @@
     /// All queues of the plan in force, with their numbers of jobs and tasks.
     fn queues(&self, state: &State) -> Vec<Queue> {
         let mut jobs: BTreeMap<&str, usize> = BTreeMap::new();
-        for id in self.open_jobs.keys() {
-            if let Some(job) = state.job(id) {
-                *jobs.entry(&job.queue).or_default() += 1;
-            }
+        for queue in self.open_jobs.queues() {
+            *jobs.entry(queue).or_default() += 1;
         }
         let mut running: BTreeMap<&str, usize> = BTreeMap::new();
         for task in self.placements.keys() {
--- a/crates/gentianlane/src/fleet/node/calls.rs
+++ b/crates/gentianlane/src/fleet/node/calls.rs
@@ -116,7 +116,7 @@
             return no_plan();
         };
         if rest.is_empty() {
-            return Reply::Waiting(dispatcher.waiting_jobs(&self.state, name));
+            return Reply::Waiting(dispatcher.waiting_jobs(name));
         }
         let job = job_id(rest);
         let found = job.and_then(|id| Some((id, self.state.job(&id)?)));
--- a/crates/gentianlane/tests/fleet/dispatch.rs
+++ b/crates/gentianlane/tests/fleet/dispatch.rs
@@ -895,3 +895,38 @@
     world.run(2_500);
     assert_eq!(phase(&mut world, 8), Some(Phase::Completed));
 }
+
+#[test]
+fn the_count_of_waiting_jobs_follows_starts_cancels_and_a_new_leader() {
+    let waiting = |world: &mut World| {
+        let queue = Target {
+            host: "host".to_owned(),
+            path: "/q/".to_owned(),
+        };
+        let ticket = world.call(Call::Status(queue));
+        world.run(50);
+        world.replies.get(&ticket).cloned()
+    };
+    let mut world = World::new(1, 1).with_plan(plan(1, false));
+    for number in 1..=5 {
+        let scripted_runs = vec![(3_000, Outcome::Done)];
+        world.scripted_runs.insert(task(number, 0), scripted_runs);
+        world.submit(number, &job(1, 4_000));
+    }
+    world.run(300);
+    assert_eq!(waiting(&mut world), Some(Reply::Waiting(4)));
+    let cancelled = (1..=5).find(|&number| world.starts(&task(number, 0)) == 0);
+    world.call(Call::Cancel(target(cancelled.unwrap())));
+    world.run(100);
+    assert_eq!(waiting(&mut world), Some(Reply::Waiting(3)));
+    let leader = world.leader().unwrap();
+    world.kill(leader);
+    world.run(2_000);
+    world.restart(leader);
+    world.run(300);
+    let started = (1..=5).filter(|&number| world.starts(&task(number, 0)) > 0);
+    let left = 4 - started.count() as u64;
+    assert_eq!(waiting(&mut world), Some(Reply::Waiting(left)));
+    world.run(15_000);
+    assert_eq!(waiting(&mut world), Some(Reply::Waiting(0)));
+}
