Ask for advice about workers with room first

Cause: a request for advice names at most 100 workers, and it named the first 100 of the pool, in the order in which they had registered, whether or not they had room. All steps so learned of the same workers, which were full, and asked again about the next 100 and the rest.

Change: a request names workers with room now first, and among them those that placement would prefer. Once advice allows as many workers as tasks are pending, only workers with room are asked about in addition; large tasks and gangs still ask about all, as their reservations choose among them.

Both tests fail before: "2 advice requests for one task" in the first, and two requests instead of one in the second.

--- a/crates/gentianlane/src/fleet/dispatch/place.rs
+++ b/crates/gentianlane/src/fleet/dispatch/place.rs
@@ -459,7 +459,7 @@
             return false;
         }
         let workers = match fresh {
-            true => self.unasked_workers(stage),
+            true => self.unasked_workers(stage, now),
             false => self.expiring_workers(stage, advice.base, now),
         };
         if workers.is_empty() {
@@ -485,17 +485,40 @@
     }
 
     /// The available workers of sufficient capacity that a step hasn't asked
-    /// about.
-    fn unasked_workers(&self, stage: &Stage) -> Vec<id::Worker> {
+    /// about, best first: those with room now, and among them the ones that
+    /// suit the step.
+    ///
+    /// Once advice allows enough workers for the pending tasks, a step asks only
+    /// about others that have room now; a reservation chooses among all workers.
+    fn unasked_workers(&self, stage: &Stage, now: Time) -> Vec<id::Worker> {
         let demand = stage.step.demand();
+        let preferred_rack = stage.step.preferred_rack.as_ref();
+        let allows_enough = stage
+            .eligible
+            .as_ref()
+            .is_some_and(|permits| permits.len() >= stage.pending.len());
+        let room_only = allows_enough && !stage.needs_reservation;
         self.effort.count_examined(self.sessions.len());
         let unasked = self.sessions.iter().filter(|(worker, session)| {
             is_available(stage, session)
                 && demand.fits(&session.profile.capacity)
                 && !stage.asked.contains(*worker)
         });
-        unasked
-            .map(|(worker, _)| worker.clone())
+        let mut ranked: Vec<_> = unasked
+            .map(|(worker, session)| {
+                let has_room = session.is_usable(now) && demand.fits(&session.free());
+                let remote_data = preferred_rack
+                    .is_some_and(|rack| !session.profile.labels.contains(rack));
+                let suspect = session.failures > 0;
+                let speed_penalty = self.speed_penalty(stage, session);
+                ((!has_room, suspect, remote_data, speed_penalty), worker)
+            })
+            .filter(|((full, ..), _)| !(room_only && *full))
+            .collect();
+        ranked.sort_by_key(|(key, _)| *key);
+        ranked
+            .into_iter()
+            .map(|(_, worker)| worker.clone())
             .take(WORKER_LIMIT)
             .collect()
     }
--- a/crates/gentianlane/src/fleet/dispatch/stage.rs
+++ b/crates/gentianlane/src/fleet/dispatch/stage.rs
@@ -72,7 +72,7 @@
     pub(crate) open_request: Option<CallId>,
     /// The workers named in advice requests so far.
     pub(crate) asked: IndexSet<id::Worker>,
-    /// Whether there may be available workers that weren't asked about.
+    /// Whether there may be workers to ask about that weren't asked about.
     pub(crate) may_ask: bool,
 }
 
--- a/crates/gentianlane/src/fleet/dispatch/survey.rs
+++ b/crates/gentianlane/src/fleet/dispatch/survey.rs
@@ -64,6 +64,10 @@
         let full = now >= self.next_full_pass;
         if full {
             self.next_full_pass = now.after(FULL_PASS_INTERVAL);
+            // Workers that a step hasn't asked about may have got room.
+            for stage in self.stages.values_mut() {
+                stage.may_ask = true;
+            }
         }
         let mut survey = Survey {
             full,
--- a/crates/gentianlane/tests/fleet/dispatch.rs
+++ b/crates/gentianlane/tests/fleet/dispatch.rs
@@ -207,6 +207,48 @@
     assert_eq!(phase(&mut world, 8), Some(Phase::Completed));
 }
 
+/// The workers named by each advice request of a one-task job, in a fleet of 110
+/// workers of which long-running tasks fill `full`.
+fn workers_asked_about(full: u32) -> (World, Vec<Vec<id::Worker>>) {
+    let mut world = World::new(110, 1).with_plan(plan(1, true));
+    let mut long_running = job(full, 4_000);
+    long_running.steps[0].long_running = true;
+    world.submit(7, &long_running);
+    world.run(1_000);
+    assert_eq!(world.observed_runs.len(), full as usize);
+    world.submit(8, &job(1, 1_000));
+    world.run(1_000);
+    let of_job = world
+        .advice_requests
+        .iter()
+        .filter(|request| request.stage.job == Id(8));
+    let asked = of_job.map(|request| request.workers.clone()).collect();
+    (world, asked)
+}
+
+#[test]
+fn a_step_is_advised_on_workers_with_room_first() {
+    // Found at norrvik-panna-grown, trouble-3: each step asked about the same
+    // hundred workers first, which were full, and then again about the others.
+    let (world, asked) = workers_asked_about(100);
+    let [named] = asked.as_slice() else {
+        panic!("{} advice requests for one task", asked.len());
+    };
+    let is_full = |worker: &&id::Worker| {
+        world.observed_runs[..100]
+            .iter()
+            .any(|run| run.worker == **worker)
+    };
+    assert!(!named.iter().take(10).any(|worker| is_full(&worker)));
+    assert_eq!(world.starts(&task(8, 0)), 1);
+}
+
+#[test]
+fn a_step_that_knows_enough_workers_does_not_ask_about_full_ones() {
+    let (_, asked) = workers_asked_about(110);
+    assert_eq!(asked.len(), 1);
+}
+
 #[test]
 fn a_new_leader_adopts_what_runs() {
     let mut world = World::new(3, 1).with_plan(plan(1, false));
--- a/crates/gentianlane/tests/fleet/world.rs
+++ b/crates/gentianlane/tests/fleet/world.rs
@@ -10,7 +10,9 @@
 use gentianlane::fleet::decision::Decision;
 use gentianlane::fleet::dispatch;
 use gentianlane::fleet::job::{Id, Resources, Spec, Task};
-use gentianlane::fleet::order::{Action, AdviceResponse, Answer, CallId, Order, Outcome};
+use gentianlane::fleet::order::{
+    Action, AdviceRequest, AdviceResponse, Answer, CallId, Order, Outcome,
+};
 use gentianlane::fleet::plan::{Advice, Plan, Pool, Queue};
 use gentianlane::fleet::{Node, Output, Setup, Ticket};
 use gentianlane::id;
@@ -104,6 +106,7 @@
     /// How often per step messages are delivered and the cores run.
     pub(crate) rounds_per_step: usize,
     pub(crate) observed_runs: Vec<ObservedRun>,
+    pub(crate) advice_requests: Vec<AdviceRequest>,
     pub(crate) specs: BTreeMap<Id, Spec>,
     pub(crate) replies: BTreeMap<Ticket, Reply>,
     /// The jobs that a leader has reported as finished.
@@ -145,6 +148,7 @@
             renewal_delay: 0,
             rounds_per_step: 1,
             observed_runs: Vec::new(),
+            advice_requests: Vec::new(),
             specs: BTreeMap::new(),
             replies: BTreeMap::new(),
             finished_jobs: BTreeSet::new(),
@@ -566,6 +570,7 @@
                         eligible: Some(eligible.collect()),
                     };
                     self.send(20, InFlight::Advice(me, response));
+                    self.advice_requests.push(request);
                 }
                 Output::Role(_) => {}
                 Output::Decision(decision) => {
