Tell a late leader from silent workers in metrics and log

During an overload the log said `worker_silent` for nearly every worker, and nothing said whether the workers or the leader itself were to blame: an order that was never sent, one that timed out and one whose connection failed were all counted as "lost".

The core now records how long inputs wait for the control thread (`input_wait`), how long a pass takes (`pass`), how long effects wait for the traffic thread (`effect_wait`) and how late that thread's timers fire (`timer_late`). A `late` line, at most one a second for each, says when one of them is 100 ms or more. An `orders_lost` line, at most one a second, counts lost orders by cause.

--- a/crates/gentianlane-daemon/src/fleet/client.rs
+++ b/crates/gentianlane-daemon/src/fleet/client.rs
@@ -41,8 +41,10 @@
     Answered(u16, Bytes),
     /// The connection was refused, so the request can't have had an effect.
     Refused,
-    /// No complete response came; the request may have had an effect.
+    /// The connection failed; the request may have had an effect.
     Lost,
+    /// No complete response came in time; the request may have had an effect.
+    TimedOut,
 }
 
 impl Client {
@@ -54,8 +56,8 @@
         limit: Duration,
     ) -> RequestOutcome {
         let outcome = timeout(limit, self.exchange(address, outgoing)).await;
-        let outcome = outcome.unwrap_or(RequestOutcome::Lost);
-        if matches!(outcome, RequestOutcome::Lost) {
+        let outcome = outcome.unwrap_or(RequestOutcome::TimedOut);
+        if matches!(outcome, RequestOutcome::Lost | RequestOutcome::TimedOut) {
             // The other connections to the address may be dead as well.
             self.lock().remove(&address);
         }
@@ -120,7 +122,8 @@
         Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
             return Err(RequestOutcome::Refused);
         }
-        Ok(Err(_)) | Err(_) => return Err(RequestOutcome::Lost),
+        Ok(Err(_)) => return Err(RequestOutcome::Lost),
+        Err(_) => return Err(RequestOutcome::TimedOut),
     };
     if stream.set_nodelay(true).is_err() {
         return Err(RequestOutcome::Lost);
@@ -167,7 +170,7 @@
         RequestOutcome::Answered(status, body) => {
             gentianlane_platform::adviser::decode_response(request, status, &body)
         }
-        RequestOutcome::Refused | RequestOutcome::Lost => {
+        RequestOutcome::Refused | RequestOutcome::Lost | RequestOutcome::TimedOut => {
             gentianlane_platform::adviser::decode_response(request, 0, b"")
         }
     }
--- a/crates/gentianlane-daemon/src/fleet/control.rs
+++ b/crates/gentianlane-daemon/src/fleet/control.rs
@@ -20,6 +20,7 @@
 
 use crate::clock::Clock;
 use crate::durable::{Write, write};
+use crate::fleet::lateness::Lateness;
 use crate::fleet::log::LogWriter;
 use crate::fleet::metrics::Metrics;
 
@@ -36,7 +37,7 @@
 const MAX_BATCH: usize = 1_024;
 
 /// The capacity of the control thread's input queue.
-pub(crate) const INPUT_QUEUE_LIMIT: usize = 8_192;
+const INPUT_QUEUE_LIMIT: usize = 8_192;
 
 /// The capacity of the traffic thread's queue, in batches of effects. That
 /// thread starts effects without waiting for their completion.
@@ -62,6 +63,51 @@
     Stop,
 }
 
+/// An input or a batch of effects in a queue, and when it was put there.
+#[derive(Debug)]
+pub(crate) struct Queued<T> {
+    pub(crate) since: Time,
+    pub(crate) item: T,
+}
+
+/// The input queue has no room.
+#[derive(Debug)]
+pub(crate) struct QueueFull;
+
+/// The sending end of the control thread's input queue.
+#[derive(Debug, Clone)]
+pub(crate) struct Inputs {
+    sender: Sender<Queued<Input>>,
+    clock: Clock,
+}
+
+impl Inputs {
+    /// A queue for inputs, empty.
+    pub(crate) fn queue(clock: Clock) -> (Self, Receiver<Queued<Input>>) {
+        let (sender, receiver) = flume::bounded(INPUT_QUEUE_LIMIT);
+        (Self { sender, clock }, receiver)
+    }
+
+    /// Queues an input, unless the queue is full.
+    pub(crate) fn try_send(&self, input: Input) -> Result<(), QueueFull> {
+        let queued = self.queued(input);
+        self.sender.try_send(queued).map_err(|_| QueueFull)
+    }
+
+    /// Queues an input, after a wait for room if need be.
+    pub(crate) async fn send_async(&self, input: Input) {
+        // Fails only when the control thread has ended, with the process.
+        let _ = self.sender.send_async(self.queued(input)).await;
+    }
+
+    fn queued(&self, item: Input) -> Queued<Input> {
+        Queued {
+            since: self.clock.now(),
+            item,
+        }
+    }
+}
+
 /// Where a reply goes.
 #[derive(Debug)]
 pub(crate) enum ReplyTarget {
@@ -96,7 +142,7 @@
     pub(crate) node: Node,
     pub(crate) journal: Journal,
     pub(crate) clock: Clock,
-    pub(crate) effects: Sender<Vec<Effect>>,
+    pub(crate) effects: Sender<Queued<Vec<Effect>>>,
     pub(crate) metrics: Metrics,
     pub(crate) log: Logger,
     pub(crate) log_writer: LogWriter,
@@ -111,6 +157,10 @@
     pub(crate) written: usize,
     /// The last leader hint that went to the traffic thread.
     pub(crate) last_hint: LeaderHint,
+    /// How long inputs wait in the queue.
+    pub(crate) input_wait: Lateness,
+    /// How long a pass takes: the tick and the flush of the node.
+    pub(crate) pass: Lateness,
 }
 
 impl Control {
@@ -120,14 +170,17 @@
     ///
     /// The journal's fault, or [`Fault::Poisoned`] for a node that must not go on.
     /// No effect that depends on the failed write has been sent.
-    pub(crate) fn run(mut self, inputs: &Receiver<Input>) -> Result<(), Fault> {
+    pub(crate) fn run(mut self, inputs: &Receiver<Queued<Input>>) -> Result<(), Fault> {
         loop {
             match inputs.recv_timeout(self.next_wait()) {
-                Ok(Input::Stop) | Err(RecvTimeoutError::Disconnected) => break,
+                Ok(Queued {
+                    item: Input::Stop, ..
+                })
+                | Err(RecvTimeoutError::Disconnected) => break,
                 Ok(input) => {
                     self.handle_input(input);
                     for input in inputs.try_iter().take(MAX_BATCH) {
-                        if matches!(input, Input::Stop) {
+                        if matches!(input.item, Input::Stop) {
                             return self.shut_down(inputs);
                         }
                         self.handle_input(input);
@@ -135,7 +188,10 @@
                 }
                 Err(RecvTimeoutError::Timeout) => {}
             }
+            let started = self.clock.now();
             self.tick()?;
+            let now = self.clock.now();
+            self.pass.record(now.since(started), now);
         }
         self.shut_down(inputs)
     }
@@ -156,9 +212,10 @@
 
     /// Feeds the node with an input. While the disk is full, calls are refused,
     /// and consensus messages are dropped; their senders repeat them.
-    fn handle_input(&mut self, input: Input) {
+    fn handle_input(&mut self, input: Queued<Input>) {
         let (now, wall) = (self.clock.now(), Clock::wall());
-        match input {
+        self.input_wait.record(now.since(input.since), now);
+        match input.item {
             Input::Call(_, target) if !self.unflushed.is_empty() => {
                 let reply = Reply::Refused {
                     retry_after: DISK_FULL_RETRY,
@@ -193,7 +250,7 @@
 
     /// Transfers the leadership, and runs on until another node leads or
     /// [`TRANSFER_TIMEOUT`] is over.
-    fn shut_down(&mut self, inputs: &Receiver<Input>) -> Result<(), Fault> {
+    fn shut_down(&mut self, inputs: &Receiver<Queued<Input>>) -> Result<(), Fault> {
         let was_leader = self.node.consensus().role() == Role::Leader;
         self.node.transfer_leadership();
         let deadline = self.clock.now().after(TRANSFER_TIMEOUT);
@@ -308,7 +365,10 @@
     fn send_effects(&self, effects: Vec<Effect>) {
         if !effects.is_empty() {
             // Fails only when the traffic thread has ended, with the process.
-            let _ = self.effects.send(effects);
+            let _ = self.effects.send(Queued {
+                since: self.clock.now(),
+                item: effects,
+            });
         }
     }
 
--- a/crates/gentianlane-daemon/src/fleet/core.rs
+++ b/crates/gentianlane-daemon/src/fleet/core.rs
@@ -31,17 +31,18 @@
 use crate::clock::Clock;
 use crate::fleet::Settings;
 use crate::fleet::control::{
-    Control, EFFECT_QUEUE_LIMIT, Effect, INPUT_QUEUE_LIMIT, Input, ReplyTarget,
+    Control, EFFECT_QUEUE_LIMIT, Effect, Input, Inputs, Queued, ReplyTarget,
     control_address,
 };
 use crate::fleet::forward::{self, ForwardOutcome, Forwarder, lock};
+use crate::fleet::lateness::{self, Lateness};
 use crate::fleet::link;
 use crate::fleet::log::LogWriter;
 use crate::fleet::metrics::Metrics;
 use crate::fleet::server::{self, HttpRequest, Server};
 use crate::fleet::settings::Fault;
 use crate::fleet::stop::{SignalRequest, Signals};
-use crate::fleet::traffic::Traffic;
+use crate::fleet::traffic::{OrderLosses, Traffic};
 
 /// The cell's name in frames between cores. A frame with another name comes
 /// from a node that isn't a fleet's core, and is dropped.
@@ -85,7 +86,7 @@
     pub(super) own_address: SocketAddr,
     pub(super) clock: Clock,
     /// The control thread's input queue.
-    pub(super) inputs: Sender<Input>,
+    pub(super) inputs: Inputs,
     /// Forwards calls to the leader while this node doesn't lead.
     pub(super) forwarder: Forwarder,
     /// The control thread's last hint, without the entries.
@@ -96,6 +97,7 @@
     pub(super) dial_wakers: Arc<Mutex<IndexMap<Ipv4Addr, Arc<Notify>>>>,
     /// Whether forwarders have connected or disconnected since the last hint.
     pub(super) entries_changed: Arc<AtomicBool>,
+    pub(super) order_losses: Arc<Mutex<OrderLosses>>,
     pub(super) metrics: Metrics,
     pub(super) log: Logger,
 }
@@ -141,9 +143,13 @@
         "seeds" => ?settings.seeds);
     let (journal, durable_state) = open_journal(&settings, node)?;
     let built = build_node(&settings, node, durable_state, clock.now());
-    let (inputs, receiver) = flume::bounded(INPUT_QUEUE_LIMIT);
+    let (inputs, receiver) = Inputs::queue(clock);
     let (effects, effect_receiver) = flume::bounded(EFFECT_QUEUE_LIMIT);
     let metrics = Metrics::default();
+    let lateness =
+        |thread, what| Lateness::new(thread, what, metrics.clone(), log.clone());
+    let effect_wait = lateness("traffic", "effect_wait");
+    let timers = lateness("traffic", "timer_late");
     let control = Control {
         node: built,
         journal,
@@ -157,6 +163,8 @@
         unflushed: Vec::new(),
         written: 0,
         last_hint: LeaderHint::default(),
+        input_wait: lateness("control", "input_wait"),
+        pass: lateness("control", "pass"),
     };
     let logger = log.clone();
     let thread = thread::Builder::new().name("control".to_owned());
@@ -181,6 +189,7 @@
         links: Arc::default(),
         dial_wakers: Arc::default(),
         entries_changed: Arc::default(),
+        order_losses: Arc::default(),
         metrics,
         log,
     };
@@ -188,7 +197,10 @@
         .enable_all()
         .build()
         .into_diagnostic()?;
-    runtime.block_on(serve(path, settings, node, shared, &effect_receiver))
+    runtime.block_on(async {
+        tokio::spawn(lateness::measure_timers(timers, clock));
+        serve(path, settings, node, shared, &effect_receiver, effect_wait).await
+    })
 }
 
 /// How long a process that ends waits for the log thread to write the last
@@ -271,7 +283,8 @@
     settings: Settings,
     node: id::Node,
     shared: Shared,
-    effects: &Receiver<Vec<Effect>>,
+    effects: &Receiver<Queued<Vec<Effect>>>,
+    mut effect_wait: Lateness,
 ) -> Result<()> {
     let mut signals = Signals::listen().into_diagnostic()?;
     let server = Server::new();
@@ -290,7 +303,7 @@
         .await
         .into_diagnostic()?;
     server::serve_metrics(&server, &settings, &shared.metrics, &shared.log).await;
-    let _ = shared
+    shared
         .inputs
         .send_async(Input::Relay(OWN_RELAY, true))
         .await;
@@ -304,7 +317,9 @@
                 let Ok(batch) = batch else {
                     return Ok(());
                 };
-                for effect in batch {
+                let now = shared.clock.now();
+                effect_wait.record(now.since(batch.since), now);
+                for effect in batch.item {
                     if matches!(effect, Effect::Stopped) {
                         tokio::time::sleep(REPLY_DRAIN_TIME).await;
                         info!(shared.log, "stopped");
@@ -319,7 +334,7 @@
                     stopping = true;
                     info!(shared.log, "stops");
                     server.stop();
-                    let _ = shared.inputs.send_async(Input::Stop).await;
+                    shared.inputs.send_async(Input::Stop).await;
                 }
                 SignalRequest::Reload => shared.forwarder.reload(path, &mut current),
             },
@@ -471,7 +486,7 @@
         info!(shared.log, "link_closed"; "link" => number, "error" => error);
         lock(&shared.links).swap_remove(&number);
         shared.entries_changed.store(true, Ordering::Relaxed);
-        let _ = shared.inputs.send_async(Input::Relay(number, false)).await;
+        shared.inputs.send_async(Input::Relay(number, false)).await;
     }
 }
 
--- a/crates/gentianlane-daemon/src/fleet/mod.rs
+++ b/crates/gentianlane-daemon/src/fleet/mod.rs
@@ -7,6 +7,7 @@
 mod core;
 mod entry;
 mod forward;
+mod lateness;
 mod link;
 mod log;
 mod metrics;
--- a/crates/gentianlane-daemon/src/fleet/traffic.rs
+++ b/crates/gentianlane-daemon/src/fleet/traffic.rs
@@ -11,7 +11,7 @@
 use gentianlane::fleet::link::Packet;
 use gentianlane::fleet::order::{Action, AdviceRequest, AdviceResponse, Answer, Order};
 use gentianlane::id;
-use gentianlane::unit::Time;
+use gentianlane::unit::{Span, Time};
 use gentianlane::wire::{Frame, VERSION};
 use gentianlane_platform as platform;
 use indexmap::IndexMap;
@@ -64,7 +64,7 @@
                     let response =
                         request_advice(&shared.forwarder.client, adviser, &request).await;
                     let input = Input::Advice(OWN_RELAY, response);
-                    let _ = shared.inputs.send_async(input).await;
+                    shared.inputs.send_async(input).await;
                 });
             }
             Effect::RequestAdvice(relay, request) => self.request_advice(relay, request),
@@ -184,6 +184,55 @@
     }
 }
 
+/// Why an order counts as lost.
+#[derive(Debug, Clone, Copy)]
+enum Loss {
+    /// The leader lease had ended before the order was sent.
+    Unsent,
+    /// The connection failed.
+    Broken,
+    /// No response came in time.
+    TimedOut,
+}
+
+/// The orders lost since the last line about them.
+#[derive(Debug, Default)]
+pub(super) struct OrderLosses {
+    unsent: u64,
+    broken: u64,
+    timed_out: u64,
+    reported_at: Time,
+}
+
+/// The shortest time between two lines on lost orders.
+const LOSS_REPORT_INTERVAL: Span = Span::from_millis(1_000);
+
+/// Counts an order as lost, and writes the counts if the last line is old enough.
+fn lose_order(shared: &Shared, loss: Loss) -> Answer {
+    let now = shared.clock.now();
+    let mut losses = lock(&shared.order_losses);
+    match loss {
+        Loss::Unsent => losses.unsent += 1,
+        Loss::Broken => losses.broken += 1,
+        Loss::TimedOut => losses.timed_out += 1,
+    }
+    if now.since(losses.reported_at) >= LOSS_REPORT_INTERVAL {
+        let OrderLosses {
+            unsent,
+            broken,
+            timed_out,
+            ..
+        } = *losses;
+        warn!(shared.log, "orders_lost"; "unsent" => unsent, "broken" => broken,
+            "timed_out" => timed_out);
+        *losses = OrderLosses {
+            reported_at: now,
+            ..OrderLosses::default()
+        };
+    }
+    Answer::Lost
+}
+
 /// Sends a worker an order and hands its answer to the control thread. Once the
 /// leader lease is over the order isn't sent, and counts as lost.
 async fn send_order(shared: Shared, order: Order, until: Option<Time>) {
@@ -208,12 +257,13 @@
                     platform::worker::decode_response(is_renewal, status, &body)
                 }
                 RequestOutcome::Refused => Answer::Unreachable,
-                RequestOutcome::Lost => Answer::Lost,
+                RequestOutcome::Lost => lose_order(&shared, Loss::Broken),
+                RequestOutcome::TimedOut => lose_order(&shared, Loss::TimedOut),
             }
         }
-        _ => Answer::Lost,
+        _ => lose_order(&shared, Loss::Unsent),
     };
-    let _ = shared
+    shared
         .inputs
         .send_async(Input::Answer(order_id, answer))
         .await;
