Don't take an order that wasn't sent for a worker's silence

What callers saw: during and after a burst nearly every worker was taken for silent each second, starts were sent up to three times and then stopped with `no_answer`, and work that had room didn't run.

Cause: an order isn't sent once the leader lease that it was made under has ended. When the traffic thread runs late, that happens while the order waits in the leader's own queue. Such an order was handed back as `Answer::Lost`, as if the worker hadn't answered: the worker was avoided, the start counted as a try, and each of these answers called for a placement pass. The work this causes makes the leader later still.

Change: `Answer::Unsent`. The order is made anew after the usual delay for retries, doesn't count as a try, isn't recorded as a start in doubt, says nothing about the worker and calls for no placement pass. The check against the leader lease stays as it is, and no lease gets longer.

A run whose start was never sent has no tries, and `expire_lease` passed over such runs; on a worker that falls silent it would have kept its task for good. The lease's end now releases it too, which is safe as it was never sent.

Tests: the simulated world now hands back an order whose lease has ended, as the daemon does, instead of dropping it without an answer. Both tests fail without the change: the first with `Stop { cause: NoAnswer }` and `WorkerSilent`, the second with the old `expire_lease` (0 starts instead of 1).

This alone doesn't end the overload: what isn't sent is made again and again, as the leader lease is nearly over whenever an order is made. That has a cause of its own.

--- a/crates/gentianlane-daemon/src/fleet/control.rs
+++ b/crates/gentianlane-daemon/src/fleet/control.rs
@@ -127,7 +127,7 @@
     /// indeterminate; without a time the reply is always valid.
     Reply(ReplyTarget, Reply, Option<Time>),
     /// Sends an order to its worker. After the time, or without one, it isn't
-    /// sent and counts as lost.
+    /// sent.
     Order(Order, Option<Time>),
     /// Sends a request to the adviser through the relay.
     RequestAdvice(Relay, AdviceRequest),
@@ -237,6 +237,9 @@
                 if matches!(answer, Answer::Lost | Answer::Unreachable) {
                     self.metrics.count("orders_lost", 1);
                 }
+                if answer == Answer::Unsent {
+                    self.metrics.count("orders_unsent", 1);
+                }
                 self.node.handle_answer(order_id, answer, now, wall);
             }
             Input::Advice(relay, advice) => {
--- a/crates/gentianlane-daemon/src/fleet/traffic.rs
+++ b/crates/gentianlane-daemon/src/fleet/traffic.rs
@@ -208,7 +208,7 @@
 const LOSS_REPORT_INTERVAL: Span = Span::from_millis(1_000);
 
 /// Counts an order as lost, and writes the counts if the last line is old enough.
-fn lose_order(shared: &Shared, loss: Loss) -> Answer {
+fn count_loss(shared: &Shared, loss: Loss) {
     let now = shared.clock.now();
     let mut losses = lock(&shared.order_losses);
     match loss {
@@ -230,11 +230,10 @@
             ..OrderLosses::default()
         };
     }
-    Answer::Lost
 }
 
 /// Sends a worker an order and hands its answer to the control thread. Once the
-/// leader lease is over the order isn't sent, and counts as lost.
+/// leader lease is over the order isn't sent.
 async fn send_order(shared: Shared, order: Order, until: Option<Time>) {
     let order_id = order.id;
     let started = shared.clock.now();
@@ -257,11 +256,20 @@
                     platform::worker::decode_response(is_renewal, status, &body)
                 }
                 RequestOutcome::Refused => Answer::Unreachable,
-                RequestOutcome::Lost => lose_order(&shared, Loss::Broken),
-                RequestOutcome::TimedOut => lose_order(&shared, Loss::TimedOut),
+                RequestOutcome::Lost => {
+                    count_loss(&shared, Loss::Broken);
+                    Answer::Lost
+                }
+                RequestOutcome::TimedOut => {
+                    count_loss(&shared, Loss::TimedOut);
+                    Answer::Lost
+                }
             }
         }
-        _ => lose_order(&shared, Loss::Unsent),
+        _ => {
+            count_loss(&shared, Loss::Unsent);
+            Answer::Unsent
+        }
     };
     shared
         .inputs
--- a/crates/gentianlane/src/fleet/dispatch/answer.rs
+++ b/crates/gentianlane/src/fleet/dispatch/answer.rs
@@ -36,7 +36,10 @@
         Answer::Done { clock } => Some(*clock),
         Answer::Refused { clock, .. } => *clock,
         Answer::Status(status) => Some(status.clock),
-        Answer::OtherIncarnation | Answer::Unreachable | Answer::Lost => None,
+        Answer::OtherIncarnation
+        | Answer::Unreachable
+        | Answer::Lost
+        | Answer::Unsent => None,
     }
 }
 
@@ -91,6 +94,8 @@
                     }
                 }
             }
+            // Nothing has changed, so this calls for no placement pass either.
+            Answer::Unsent => return self.handle_unsent(&order, now),
             Answer::Done { .. } | Answer::Refused { .. } | Answer::Status(_) => {
                 session.last_answer = now;
                 session.unreachable = 0;
@@ -127,6 +132,28 @@
         }
     }
 
+    /// Schedules an order that wasn't sent to be sent later; it doesn't count as a
+    /// try.
+    fn handle_unsent(&mut self, order: &PendingOrder, now: Time) {
+        let retry_at = now.after(ORDER_RETRY_DELAY);
+        match order.kind {
+            OrderKind::Renew => {
+                if let Some(session) = self.sessions.get_mut(&order.worker) {
+                    session.next_renewal = retry_at;
+                }
+            }
+            OrderKind::Start(task, number) | OrderKind::Stop(task, number) => {
+                if let Some(run) = self.run_mut(&order.worker, &task, number) {
+                    run.order = None;
+                    run.tries = run.tries.saturating_sub(1);
+                    run.retry_at = retry_at;
+                }
+            }
+            // Throttling is adjusted at intervals anyway.
+            OrderKind::Throttle => {}
+        }
+    }
+
     /// Removes an incarnation that has ended, with its runs, and proposes its
     /// removal to the log.
     fn end_incarnation(&mut self, incarnation: &Incarnation, cause: Cause) {
--- a/crates/gentianlane/src/fleet/dispatch/lease.rs
+++ b/crates/gentianlane/src/fleet/dispatch/lease.rs
@@ -169,8 +169,8 @@
         }
     }
 
-    /// Releases all runs that were sent to a worker once its lease has expired,
-    /// as the worker stops them by itself.
+    /// Releases all runs on a worker once its lease has expired: the worker stops
+    /// by itself those that were sent to it.
     fn expire_lease(&mut self, worker: &id::Worker, now: Time) {
         let Some(session) = self.sessions.get_mut(worker) else {
             return;
@@ -181,7 +181,6 @@
         let runs: Vec<(Task, u64)> = session
             .runs
             .iter()
-            .filter(|(_, run)| run.state != RunState::Starting || run.tries > 0)
             .map(|(task, run)| (*task, run.number))
             .collect();
         for (task, run) in runs {
--- a/crates/gentianlane/src/fleet/order.rs
+++ b/crates/gentianlane/src/fleet/order.rs
@@ -104,6 +104,9 @@
     /// No valid answer arrived in time; the order may have been or may yet be
     /// carried out.
     Lost,
+    /// The order was never sent, as the leader lease had ended by then. This says
+    /// nothing about the worker.
+    Unsent,
 }
 
 /// Why a worker refused an order.
--- a/crates/gentianlane/tests/fleet/dispatch.rs
+++ b/crates/gentianlane/tests/fleet/dispatch.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 
 use gentianlane::fleet::call::{Call, Reply, Target};
+use gentianlane::fleet::decision::Decision;
 use gentianlane::fleet::dispatch::{Blocker, Overview};
 use gentianlane::fleet::job::{Id, Phase, Spec, Stage, Task};
 use gentianlane::fleet::order::Outcome;
@@ -800,6 +801,64 @@
     assert_eq!(world.starts(&task(7, 0)), 1);
 }
 
+#[test]
+fn orders_that_a_late_leader_never_sent_are_no_sign_of_silent_workers() {
+    // Found at twice the usual load: the leader's lease had ended in its own send
+    // queue, and it took every worker for silent and stopped its starts.
+    let mut world = World::new(2, 1).with_plan(plan(1, false));
+    world.submit(7, &job(2, 1_000));
+    world.run(200);
+    world.sends_late = true;
+    world.submit(8, &job(2, 1_000));
+    world.run(2_000);
+    assert_eq!(world.starts(&task(8, 0)), 0);
+    world.sends_late = false;
+    world.run(3_000);
+    for job in [7, 8] {
+        assert_eq!(phase(&mut world, job), Some(Phase::Completed));
+        assert_eq!(world.starts(&task(job, 0)), 1);
+    }
+    let blames = |decision: &&Decision| {
+        matches!(
+            decision,
+            Decision::WorkerSilent { .. }
+                | Decision::Stop { .. }
+                | Decision::RunLost { .. }
+        )
+    };
+    let blamed: Vec<_> = world.decisions.iter().filter(blames).collect();
+    assert!(blamed.is_empty(), "{blamed:?}");
+}
+
+#[test]
+fn a_run_never_sent_to_a_worker_that_falls_silent_starts_elsewhere() {
+    let mut world = World::new(2, 1).with_plan(plan(1, false));
+    world.run(200);
+    // The pending renewals are answered, and the next ones aren't.
+    for worker in ["w0", "w1"] {
+        world.unreachable.insert(id::Worker::from(worker));
+    }
+    world.run(1_500);
+    world.sends_late = true;
+    world.submit(7, &job(1, 500));
+    world.run(3_000);
+    let placed = world.decisions.iter().find_map(|decision| match decision {
+        Decision::Start { incarnation, .. } => Some(incarnation.worker.clone()),
+        _ => None,
+    });
+    let placed = placed.unwrap();
+    let is_silent = |decision: &Decision| {
+        matches!(decision, Decision::WorkerSilent { incarnation, .. }
+            if incarnation.worker == placed)
+    };
+    assert!(world.decisions.iter().any(is_silent));
+    world.unreachable.retain(|worker| *worker == placed);
+    world.sends_late = false;
+    world.run(10_000);
+    assert_eq!(world.starts(&task(7, 0)), 1);
+    assert_eq!(phase(&mut world, 7), Some(Phase::Completed));
+}
+
 #[test]
 fn a_task_that_lasts_gets_its_advice_however_many_others_ask() {
     // Found at hanafy-yard, load-8x with seed 204148051360: all advice relays
--- a/crates/gentianlane/tests/fleet/world.rs
+++ b/crates/gentianlane/tests/fleet/world.rs
@@ -86,6 +86,10 @@
     /// The workers on which every run fails after 20 ms.
     pub(crate) failing: BTreeSet<id::Worker>,
     pub(crate) faults: Faults,
+    /// Whether the cores come to send every order only after its lease's end.
+    pub(crate) sends_late: bool,
+    /// What the leaders have decided.
+    pub(crate) decisions: Vec<Decision>,
     /// The delay of a message, in milliseconds.
     pub(crate) message_delay: u64,
     /// The additional delay of the answer to a lease renewal, in milliseconds.
@@ -128,6 +132,8 @@
             slow: BTreeMap::new(),
             failing: BTreeSet::new(),
             faults: Faults::default(),
+            sends_late: false,
+            decisions: Vec::new(),
             message_delay: MESSAGE_DELAY_MS,
             renewal_delay: 0,
             rounds_per_step: 1,
@@ -538,9 +544,12 @@
                     self.replies.insert(ticket, reply);
                 }
                 Output::Order(order, until) => {
-                    if until.is_some_and(|until| now < until) {
-                        self.send(self.message_delay, InFlight::Order(me, order));
-                    }
+                    let holds_lease = until.is_some_and(|until| now < until);
+                    let item = match holds_lease && !self.sends_late {
+                        true => InFlight::Order(me, order),
+                        false => InFlight::Answer(me, order.id, Answer::Unsent),
+                    };
+                    self.send(self.message_delay, item);
                 }
                 Output::RequestAdvice(_, request) => {
                     let eligible = request
@@ -561,6 +570,7 @@
                     if std::env::var_os("FLEET_TRACE").is_some() {
                         println!("{} {me} {decision}", self.now);
                     }
+                    self.decisions.push(decision);
                 }
             }
         }
