Make no new orders while many wait to be sent

What callers saw: after a burst at twice the usual load the fleet didn't come back.

Cause: nothing slowed the control thread down when the traffic thread couldn't keep up; both share one core. Orders were made faster than they were sent. They waited until the leader lease that they were made under had ended, were dropped, and were made again at the next pass, 1,000 to 4,500 a second, which left less of the processor for sending. The class of fault is a metastable failure: a queue without backpressure whose delay causes more work.

Change: the daemon counts the orders that the traffic thread hasn't begun to send. While more than 32 wait, the node makes none: it goes on with consensus, calls and answers, and the control thread leaves the processor to the other thread for 5 ms a pass. No lease and no check against a lease changes; a node whose dispatch is held is in the same state as one whose leader lease has lapsed for a moment.

Test: the simulated world can now send one order at a time and takes as long for each as it is told.

--- a/crates/gentianlane-daemon/src/fleet/control.rs
+++ b/crates/gentianlane-daemon/src/fleet/control.rs
@@ -3,6 +3,9 @@
 //! hands the resulting effects to the traffic thread.
 
 use std::net::Ipv4Addr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread;
 use std::time::Duration;
 
 use flume::{Receiver, RecvTimeoutError, Sender};
@@ -43,6 +46,10 @@
 /// thread starts effects without waiting for their completion.
 pub(crate) const EFFECT_QUEUE_LIMIT: usize = 8_192;
 
+/// How long the control thread leaves the processor to the traffic thread while
+/// dispatch is held.
+const HOLD_WAIT: Duration = Duration::from_millis(5);
+
 /// The retry delay for callers while the disk is full.
 const DISK_FULL_RETRY: Span = Span::from_millis(1_000);
 
@@ -143,6 +150,8 @@
     pub(crate) journal: Journal,
     pub(crate) clock: Clock,
     pub(crate) effects: Sender<Queued<Vec<Effect>>>,
+    /// The orders that the traffic thread hasn't begun to send.
+    pub(crate) order_backlog: Arc<AtomicUsize>,
     pub(crate) metrics: Metrics,
     pub(crate) log: Logger,
     pub(crate) log_writer: LogWriter,
@@ -188,10 +197,16 @@
                 }
                 Err(RecvTimeoutError::Timeout) => {}
             }
+            let backlog = self.order_backlog.load(Ordering::Relaxed);
+            self.node.set_order_backlog(backlog);
             let started = self.clock.now();
             self.tick()?;
             let now = self.clock.now();
             self.pass.record(now.since(started), now);
+            if self.node.is_dispatch_held() {
+                self.metrics.count("held_passes", 1);
+                thread::sleep(HOLD_WAIT);
+            }
         }
         self.shut_down(inputs)
     }
@@ -321,6 +336,7 @@
             }
             Output::Order(order, until) => {
                 self.metrics.count("orders", 1);
+                self.order_backlog.fetch_add(1, Ordering::Relaxed);
                 Some(Effect::Order(order, until))
             }
             Output::RequestAdvice(relay, request) => {
--- a/crates/gentianlane-daemon/src/fleet/core.rs
+++ b/crates/gentianlane-daemon/src/fleet/core.rs
@@ -6,7 +6,7 @@
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::Path;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
@@ -97,6 +97,9 @@
     pub(super) dial_wakers: Arc<Mutex<IndexMap<Ipv4Addr, Arc<Notify>>>>,
     /// Whether forwarders have connected or disconnected since the last hint.
     pub(super) entries_changed: Arc<AtomicBool>,
+    /// The orders that the control thread has made and this one hasn't begun to
+    /// send.
+    pub(super) order_backlog: Arc<AtomicUsize>,
     pub(super) order_losses: Arc<Mutex<OrderLosses>>,
     pub(super) metrics: Metrics,
     pub(super) log: Logger,
@@ -145,6 +148,7 @@
     let built = build_node(&settings, node, durable_state, clock.now());
     let (inputs, receiver) = Inputs::queue(clock);
     let (effects, effect_receiver) = flume::bounded(EFFECT_QUEUE_LIMIT);
+    let order_backlog: Arc<AtomicUsize> = Arc::default();
     let metrics = Metrics::default();
     let lateness =
         |thread, what| Lateness::new(thread, what, metrics.clone(), log.clone());
@@ -155,6 +159,7 @@
         journal,
         clock,
         effects,
+        order_backlog: order_backlog.clone(),
         metrics: metrics.clone(),
         log: log.clone(),
         log_writer,
@@ -189,6 +194,7 @@
         links: Arc::default(),
         dial_wakers: Arc::default(),
         entries_changed: Arc::default(),
+        order_backlog,
         order_losses: Arc::default(),
         metrics,
         log,
--- a/crates/gentianlane-daemon/src/fleet/traffic.rs
+++ b/crates/gentianlane-daemon/src/fleet/traffic.rs
@@ -3,6 +3,7 @@
 
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use flume::{Receiver, Sender};
 use gentianlane::consensus;
@@ -235,6 +236,7 @@
 /// Sends a worker an order and hands its answer to the control thread. Once the
 /// leader lease is over the order isn't sent.
 async fn send_order(shared: Shared, order: Order, until: Option<Time>) {
+    shared.order_backlog.fetch_sub(1, Ordering::Relaxed);
     let order_id = order.id;
     let started = shared.clock.now();
     let answer = match until {
--- a/crates/gentianlane/src/fleet/node.rs
+++ b/crates/gentianlane/src/fleet/node.rs
@@ -19,6 +19,10 @@
 /// snapshot.
 const SNAPSHOT_BYTES: usize = 4 << 20;
 
+/// The most orders that may wait to be sent when new ones are made. It is a
+/// fraction of what is sent within a leader lease.
+const ORDER_BACKLOG_LIMIT: usize = 32;
+
 /// The most rounds of dispatch and consensus in one flush.
 const MAX_FLUSH_ROUNDS: usize = 8;
 
@@ -82,6 +86,8 @@
     /// Whether a snapshot or a log entry couldn't be decoded.
     corrupt: bool,
     expire_at: Time,
+    /// The orders that wait at the caller to be sent.
+    order_backlog: usize,
     outputs: Vec<Output>,
 }
 
@@ -106,6 +112,7 @@
             pending_replies: IndexMap::new(),
             unsaved_bytes: 0,
             expire_at: now.after(EXPIRE_INTERVAL),
+            order_backlog: 0,
             outputs: Vec::new(),
         }
     }
@@ -227,6 +234,20 @@
         self.consensus.transfer_leadership();
     }
 
+    /// Sets how many of this node's orders wait to be sent.
+    ///
+    /// While there are many, no new ones are made: they would only wait until the
+    /// leader lease ends, and be made again. All else goes on.
+    pub fn set_order_backlog(&mut self, orders: usize) {
+        self.order_backlog = orders;
+    }
+
+    /// Whether no new orders are made, as too many wait to be sent.
+    #[must_use]
+    pub fn is_dispatch_held(&self) -> bool {
+        self.order_backlog > ORDER_BACKLOG_LIMIT
+    }
+
     /// Dispatches tasks, proposes all pending commands as one batch, and gives
     /// the effects to carry out, in order.
     pub fn flush(&mut self, now: Time, wall: Wall) -> Vec<Output> {
@@ -259,7 +280,7 @@
     /// Runs the dispatcher if the node holds the leader lease, which rules out
     /// another leader.
     fn dispatch(&mut self, now: Time, wall: Wall) {
-        if !self.consensus.holds_lease(now) {
+        if self.is_dispatch_held() || !self.consensus.holds_lease(now) {
             return;
         }
         let lease_expiry = self.consensus.lease_expiry();
--- a/crates/gentianlane/tests/fleet/dispatch.rs
+++ b/crates/gentianlane/tests/fleet/dispatch.rs
@@ -830,6 +830,24 @@
     assert!(blamed.is_empty(), "{blamed:?}");
 }
 
+#[test]
+fn a_leader_that_sends_slowly_makes_no_orders_that_it_cant_send() {
+    // Found at twice the usual load: orders were made faster than they were sent,
+    // waited until the leader lease had ended, and were made again.
+    let mut world = World::new(30, 1).with_plan(plan(1, false));
+    world.run(200);
+    world.send_interval = 5;
+    for at in 0..200 {
+        world.submit(100 + at, &job(4, 1_000));
+        world.run(10);
+    }
+    world.run(6_000);
+    assert_eq!(world.unsent_orders, 0);
+    for at in 0..200 {
+        assert_eq!(phase(&mut world, 100 + at), Some(Phase::Completed));
+    }
+}
+
 #[test]
 fn a_run_never_sent_to_a_worker_that_falls_silent_starts_elsewhere() {
     let mut world = World::new(2, 1).with_plan(plan(1, false));
--- a/crates/gentianlane/tests/fleet/world.rs
+++ b/crates/gentianlane/tests/fleet/world.rs
@@ -3,7 +3,7 @@
 //! An oracle checks every start: no second run of a task, no start beyond a
 //! worker's capacity, no step before the steps it depends on.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use gentianlane::consensus::{self, Entry, Message};
 use gentianlane::fleet::call::{Call, Reply, Target};
@@ -86,6 +86,12 @@
     /// The workers on which every run fails after 20 ms.
     pub(crate) failing: BTreeSet<id::Worker>,
     pub(crate) faults: Faults,
+    /// How long it takes to send one order, in milliseconds.
+    pub(crate) send_interval: u64,
+    /// The orders that wait to be sent, each with the end of its lease.
+    send_queue: VecDeque<(id::Node, Order, Option<Time>)>,
+    /// How many orders weren't sent, as their lease had ended.
+    pub(crate) unsent_orders: usize,
     /// Whether the cores come to send every order only after its lease's end.
     pub(crate) sends_late: bool,
     /// What the leaders have decided.
@@ -132,6 +138,9 @@
             slow: BTreeMap::new(),
             failing: BTreeSet::new(),
             faults: Faults::default(),
+            send_interval: 0,
+            send_queue: VecDeque::new(),
+            unsent_orders: 0,
             sends_late: false,
             decisions: Vec::new(),
             message_delay: MESSAGE_DELAY_MS,
@@ -244,6 +253,7 @@
                 for at in 0..self.cores.len() {
                     self.step_core(at);
                 }
+                self.send_orders();
             }
         }
     }
@@ -525,6 +535,7 @@
         let Some(node) = &mut core.node else {
             return;
         };
+        node.set_order_backlog(self.send_queue.len());
         node.tick(now, wall);
         let me = id::Node(at as u64 + 1);
         let outputs = node.flush(now, wall);
@@ -544,12 +555,7 @@
                     self.replies.insert(ticket, reply);
                 }
                 Output::Order(order, until) => {
-                    let holds_lease = until.is_some_and(|until| now < until);
-                    let item = match holds_lease && !self.sends_late {
-                        true => InFlight::Order(me, order),
-                        false => InFlight::Answer(me, order.id, Answer::Unsent),
-                    };
-                    self.send(self.message_delay, item);
+                    self.send_queue.push_back((me, order, until));
                 }
                 Output::RequestAdvice(_, request) => {
                     let eligible = request
@@ -576,6 +582,27 @@
         }
     }
 
+    /// Sends the orders whose turn has come, unless their lease has ended.
+    fn send_orders(&mut self) {
+        let due = match self.send_interval {
+            0 => self.send_queue.len(),
+            interval => usize::from(self.now.is_multiple_of(interval)),
+        };
+        let due = due.min(self.send_queue.len());
+        for (from, order, until) in self.send_queue.drain(..due).collect::<Vec<_>>() {
+            let now = self.clock(index(from));
+            let holds_lease = until.is_some_and(|until| now < until);
+            let item = match holds_lease && !self.sends_late {
+                true => InFlight::Order(from, order),
+                false => {
+                    self.unsent_orders += 1;
+                    InFlight::Answer(from, order.id, Answer::Unsent)
+                }
+            };
+            self.send(self.message_delay, item);
+        }
+    }
+
     /// Makes all active runs of a task fail now.
     pub(crate) fn fail_runs(&mut self, task: Task) {
         let now = self.now;
