--- a/crates/gentianlane/src/fleet/dispatch/answer.rs
+++ b/crates/gentianlane/src/fleet/dispatch/answer.rs
@@ -109,7 +109,7 @@
                 }
             }
         }
-        self.needs_placement = true;
+        self.require_placement();
         match (order.kind, answer) {
             (OrderKind::Renew, Answer::Status(status)) => {
                 self.reconcile(state, &order, &status, now, wall);
@@ -328,7 +328,7 @@
         let Some(query) = self.relays.complete(relay, response.id) else {
             return;
         };
-        self.needs_placement = true;
+        self.require_placement();
         let elapsed = now.since(query.sent_at);
         let stage_id = query.stage;
         let Some(eligible) = response.eligible else {
@@ -361,5 +361,6 @@
             permits.insert(worker, Permit { ticket, expires });
         }
         stage.asked.extend(query.workers);
+        stage.examined = false;
     }
 }
--- a/crates/gentianlane/src/fleet/dispatch/dispatcher.rs
+++ b/crates/gentianlane/src/fleet/dispatch/dispatcher.rs
@@ -6,6 +6,7 @@
 use crate::fleet::decision::{Cause, Decision};
 use crate::fleet::dispatch::Setup;
 use crate::fleet::dispatch::advice::{Relay, Relays};
+use crate::fleet::dispatch::effort::Effort;
 use crate::fleet::dispatch::estimate::Estimator;
 use crate::fleet::dispatch::session::{RunState, Session};
 use crate::fleet::dispatch::stage::Stage;
@@ -77,6 +78,16 @@
     pub(super) recovering: bool,
     /// Whether an input of placement has changed since the last pass.
     pub(super) needs_placement: bool,
+    /// The workers that the last placement pass reserved.
+    pub(super) reserved_workers: Vec<id::Worker>,
+    /// When every waiting step is examined against all workers again.
+    pub(super) next_full_pass: Time,
+    /// Counts changes of the workers and of their capacities.
+    pub(super) fleet_revision: u64,
+    /// How long each pool takes until all present runs have ended.
+    pub(super) turnovers: IndexMap<String, Span>,
+    /// What placement has cost lately.
+    pub(super) effort: Effort,
     /// When leases, retries and tickets are checked again.
     pub(super) next_tick: Time,
     pub(super) effects: Effects,
@@ -115,6 +126,11 @@
             recovery_deadline: now.after(Span::from_millis(longest_lease)),
             recovering: true,
             needs_placement: true,
+            reserved_workers: Vec::new(),
+            next_full_pass: now,
+            fleet_revision: 1,
+            turnovers: IndexMap::new(),
+            effort: Effort::default(),
             next_tick: now,
             effects: Effects::default(),
         };
@@ -184,16 +200,29 @@
             self.check_sessions(state, now);
             self.check_recovery(now);
             self.throttle_best_effort(now);
+            self.effects.decisions.extend(self.effort.take_line(now));
         }
         if tick_due || self.needs_placement {
             self.needs_placement = false;
             self.send_due_renewals(now);
+            if tick_due {
+                self.turnovers = self.pool_turnovers(now);
+            }
+            self.update_reservation_needs();
             let order = self.ranked_steps(now);
-            self.place(state, &order, now);
+            self.effort.count_pass(order.len());
+            let survey = self.survey(tick_due, now);
+            self.place(state, &order, survey, now);
             self.ask_for_advice(&order, now);
         }
     }
 
+    /// Notes an input that changes what can be placed.
+    pub(super) fn require_placement(&mut self) {
+        self.needs_placement = true;
+        self.effort.count_input();
+    }
+
     /// Emits an order and records it as pending; returns its id, or none if the
     /// worker has no session.
     pub(super) fn send_order(
@@ -293,7 +322,7 @@
         // then placed on another worker.
         let placed = self.placements.contains_key(task);
         if !placed && !stage.done.contains(&unit) {
-            stage.pending.insert(task.index);
+            stage.add_pending(task.index);
         }
     }
 }
