Break a gang that the last leader started in part

What callers would see: a gang's job that is seconds late after a change of leader, with its workers' capacity held for nothing.

Cause: a new leader adopts each run that a worker lists. If the last leader was lost between the starts of a gang, only some of the members were adopted. The others stayed pending, and a gang is only placed when all of its tasks are pending, so nobody started or stopped anything until the workers gave up waiting (4 s by the users' contract). A fault of the dispatcher's logic, whatever the leader's load.

Change: when the recovery ends, i.e. all earlier runs are known or out of their leases, each gang whose members aren't all there with one run number is broken. Its members are stopped and it is placed anew.

Why there: before that a missing member may run at a worker that hasn't answered yet, and after it every start of a gang is this leader's own.

--- a/crates/gentianlane/src/fleet/dispatch/lease.rs
+++ b/crates/gentianlane/src/fleet/dispatch/lease.rs
@@ -1,10 +1,12 @@
 //! Leases of workers: renewal, retry of orders, and release of what ran under an
 //! expired lease.
 
+use indexmap::IndexMap;
+
 use crate::fleet::decision::{Cause, Decision};
 use crate::fleet::dispatch::Dispatcher;
 use crate::fleet::dispatch::session::{Run, RunState, Session};
-use crate::fleet::job::Task;
+use crate::fleet::job::{self, Task};
 use crate::fleet::order::{Action, Start};
 use crate::fleet::{Command, State};
 use crate::id;
@@ -293,6 +295,31 @@
                 stage.recovering = false;
             }
             self.needs_placement = true;
+            self.break_partial_gangs(now);
+        }
+    }
+
+    /// Breaks the gangs that the earlier leader didn't start as a whole: their
+    /// members would wait for others that nobody starts.
+    fn break_partial_gangs(&mut self, now: Time) {
+        let mut gangs: IndexMap<job::Stage, Vec<(Task, u64)>> = IndexMap::new();
+        for (task, worker) in &self.placements {
+            let session = self.sessions.get(worker);
+            let run = session.and_then(|session| session.runs.get(task));
+            if let Some(run) = run
+                && self.is_in_gang(task)
+            {
+                let members = gangs.entry(task.stage).or_default();
+                members.push((*task, run.number));
+            }
+        }
+        for (id, members) in gangs {
+            let count = self.stages.get(&id).map(|stage| stage.step.count as usize);
+            let is_whole = count == Some(members.len())
+                && members.windows(2).all(|pair| pair[0].1 == pair[1].1);
+            if let (false, Some((first, _))) = (is_whole, members.first()) {
+                self.break_gang(first, now);
+            }
         }
     }
 }
--- a/crates/gentianlane/tests/fleet/dispatch.rs
+++ b/crates/gentianlane/tests/fleet/dispatch.rs
@@ -319,6 +319,44 @@
     }
 }
 
+#[test]
+fn a_new_leader_starts_a_gang_anew_that_the_last_one_started_in_part() {
+    for delay in (0..400).step_by(50) {
+        let mut world = World::new(2, 1).with_plan(plan(1, false));
+        for index in 0..2 {
+            let scripted_runs = vec![(20_000, Outcome::Done); 2];
+            world.scripted_runs.insert(task(7, index), scripted_runs);
+        }
+        world.unreachable.insert("w1".into());
+        let mut spec = job(2, 2_500);
+        spec.steps[0].gang = true;
+        world.submit(7, &spec);
+        while world.observed_runs.is_empty() {
+            world.run(1);
+        }
+        world.run(delay);
+        let leader = world.leader().expect("a leader");
+        world.kill(leader);
+        world.unreachable.clear();
+        world.run(6_000);
+        // A start that was under way still reaches w1 after some of the delays, and
+        // then the first run goes on.
+        let first = &world.observed_runs[0];
+        let waited = first.ended.map(|(at, _)| at - first.started_at);
+        assert!(
+            waited.is_none_or(|waited| waited < GANG_WAIT_MS),
+            "leader lost after {delay} ms: {first:?}"
+        );
+        let active: Vec<_> = world
+            .observed_runs
+            .iter()
+            .filter(|observed| observed.ended.is_none())
+            .collect();
+        assert_eq!(active.len(), 2, "leader lost after {delay} ms");
+        assert_eq!(active[0].run, active[1].run);
+    }
+}
+
 #[test]
 fn a_worker_that_is_born_again_gets_no_second_run() {
     let mut world = World::new(2, 1).with_plan(plan(1, false));
