--- a/crates/gentianlane/src/fleet/dispatch/dispatcher.rs
+++ b/crates/gentianlane/src/fleet/dispatch/dispatcher.rs
@@ -8,6 +8,7 @@
 use crate::fleet::dispatch::advice::{Relay, Relays};
 use crate::fleet::dispatch::effort::Effort;
 use crate::fleet::dispatch::estimate::Estimator;
+use crate::fleet::dispatch::open::OpenJobs;
 use crate::fleet::dispatch::session::{RunState, Session};
 use crate::fleet::dispatch::stage::Stage;
 use crate::fleet::dispatch::unconfirmed::UnconfirmedStarts;
@@ -59,11 +60,8 @@
     pub(super) stages: IndexMap<job::Stage, Stage>,
     /// The worker on which each task runs, may run or is being stopped.
     pub(super) placements: IndexMap<Task, id::Worker>,
-    /// The jobs with at least one started task.
-    pub(super) started_jobs: IndexSet<job::Id>,
-    /// For each open job, when this leader learned of it and how long its caller
-    /// had waited by then.
-    pub(super) open_jobs: IndexMap<job::Id, (Time, Span)>,
+    /// The jobs that are not over yet.
+    pub(super) open_jobs: OpenJobs,
     /// The jobs with occurrences that aren't due yet.
     pub(super) recurring_jobs: IndexSet<job::Id>,
     pub(super) pending_orders: IndexMap<CallId, PendingOrder>,
@@ -88,6 +86,10 @@
     pub(super) turnovers: IndexMap<String, Span>,
     /// What placement has cost lately.
     pub(super) effort: Effort,
+    /// No placement pass runs before this time.
+    pub(super) next_pass: Time,
+    /// Whether the next pass plans reservations and preemptions.
+    pub(super) plan_due: bool,
     /// When leases, retries and tickets are checked again.
     pub(super) next_tick: Time,
     pub(super) effects: Effects,
@@ -115,8 +117,7 @@
             sessions: IndexMap::new(),
             stages: IndexMap::new(),
             placements: IndexMap::new(),
-            started_jobs: IndexSet::new(),
-            open_jobs: IndexMap::new(),
+            open_jobs: OpenJobs::default(),
             recurring_jobs: IndexSet::new(),
             pending_orders: IndexMap::new(),
             last_call_id: fencing_token << TERM_SHIFT,
@@ -131,6 +132,8 @@
             fleet_revision: 1,
             turnovers: IndexMap::new(),
             effort: Effort::default(),
+            next_pass: now,
+            plan_due: true,
             next_tick: now,
             effects: Effects::default(),
         };
@@ -141,11 +144,10 @@
                 .insert(worker.incarnation.worker.clone(), session);
         }
         for (&id, job) in state.jobs().filter(|(_, job)| job.is_open()) {
-            dispatcher
-                .open_jobs
-                .insert(id, (now, wall.since(job.submitted_at)));
+            let waited = wall.since(job.submitted_at);
+            dispatcher.open_jobs.add(id, &job.queue, now, waited);
             if job.has_ended_runs() {
-                dispatcher.started_jobs.insert(id);
+                dispatcher.open_jobs.mark_started(&id);
             }
             dispatcher.activate(state, id, now, wall);
         }
@@ -163,23 +165,22 @@
     /// The latest time for the next call of [`Dispatcher::tick`].
     #[must_use]
     pub fn due(&self) -> Time {
-        self.next_tick
+        match self.needs_placement {
+            true => self.next_tick.min(self.next_pass),
+            false => self.next_tick,
+        }
     }
 
     /// The number of jobs in a queue without a started task.
     #[must_use]
-    pub fn waiting_jobs(&self, state: &State, queue: &str) -> u64 {
-        let waits = |(id, _): &(&job::Id, &(Time, Span))| {
-            let of_queue = state.job(id).is_some_and(|job| job.queue == queue);
-            of_queue && !self.started_jobs.contains(*id)
-        };
-        self.open_jobs.iter().filter(waits).count() as u64
+    pub fn waiting_jobs(&self, queue: &str) -> u64 {
+        self.open_jobs.waiting(queue)
     }
 
-    /// Whether a task of this job has started.
+    /// Whether a task of this open job has started.
     #[must_use]
     pub fn has_started(&self, job: &job::Id) -> bool {
-        self.started_jobs.contains(job)
+        self.open_jobs.has_started(job)
     }
 
     /// Registers a relay that can send advice requests for this leader.
@@ -189,7 +190,8 @@
     }
 
     /// Handles what is due at `now`. If that, or a changed input, calls for it,
-    /// also renews leases, places waiting steps and requests advice.
+    /// also renews leases and, unless that is postponed, places waiting steps
+    /// and requests advice.
     pub fn tick(&mut self, state: &State, now: Time, wall: Wall) {
         let tick_due = now >= self.next_tick;
         if tick_due {
@@ -203,18 +205,37 @@
             self.effects.decisions.extend(self.effort.take_line(now));
         }
         if tick_due || self.needs_placement {
-            self.needs_placement = false;
             self.send_due_renewals(now);
-            if tick_due {
-                self.turnovers = self.pool_turnovers(now);
-            }
-            self.update_reservation_needs();
-            let order = self.ranked_steps(now);
-            self.effort.count_pass(order.len());
-            let survey = self.survey(tick_due, now);
-            self.place(state, &order, survey, now);
-            self.ask_for_advice(&order, now);
+            self.needs_placement = true;
+            self.plan_due |= tick_due;
+        }
+        if self.needs_placement && now >= self.next_pass {
+            self.run_pass(state, now);
+        }
+    }
+
+    /// Places what waits and requests advice for it.
+    fn run_pass(&mut self, state: &State, now: Time) {
+        self.needs_placement = false;
+        let plans = std::mem::take(&mut self.plan_due);
+        if plans {
+            self.turnovers = self.pool_turnovers(now);
         }
+        self.update_reservation_needs();
+        let order = self.ranked_steps(now);
+        self.effort.count_pass(order.len());
+        let survey = self.survey(plans, now);
+        self.place(state, &order, survey, now);
+        self.ask_for_advice(&order, now);
+    }
+
+    /// Runs no placement pass before a time, at most a second ahead. Leases are
+    /// renewed and answers are handled all the same.
+    ///
+    /// For a process whose passes would leave its other work too little
+    /// processor time.
+    pub fn postpone_placement(&mut self, until: Time, now: Time) {
+        self.next_pass = until.min(now.after(MAX_POSTPONEMENT));
     }
 
     /// Notes an input that changes what can be placed.
@@ -332,5 +353,8 @@
 /// matching a current one; no term sends 2^32 orders.
 const TERM_SHIFT: u32 = 32;
 
+/// The longest time for which placement can be postponed.
+const MAX_POSTPONEMENT: Span = Span::from_millis(1_000);
+
 /// The interval at which leases, retries and tickets are checked.
 const TICK_INTERVAL: Span = Span::from_millis(50);
--- a/crates/gentianlane/src/fleet/dispatch/survey.rs
+++ b/crates/gentianlane/src/fleet/dispatch/survey.rs
@@ -27,6 +27,8 @@
     /// The indexes of the workers that may now take tasks that they couldn't
     /// take in the last pass, in ascending order.
     pub(crate) changed: Vec<usize>,
+    /// The most of each resource that is free on one of these workers.
+    pub(crate) room: Resources,
     /// Whether every step is examined against all workers.
     pub(crate) full: bool,
     /// Whether reservations and preemptions are planned, which is done at the
@@ -64,6 +66,10 @@
         let full = now >= self.next_full_pass;
         if full {
             self.next_full_pass = now.after(FULL_PASS_INTERVAL);
+            // Workers that a step hasn't asked about may have got room.
+            for stage in self.stages.values_mut() {
+                stage.may_ask = true;
+            }
         }
         let mut survey = Survey {
             full,
@@ -93,6 +99,11 @@
         survey.changed.extend(reserved);
         survey.changed.sort_unstable();
         survey.changed.dedup();
+        let changed = survey.changed.iter();
+        let changed = changed.filter_map(|&index| self.sessions.get_index(index));
+        survey.room = changed.fold(Resources::default(), |room, (_, session)| {
+            room.most(&session.free())
+        });
         survey
     }
 
--- a/crates/gentianlane/tests/fleet/dispatch.rs
+++ b/crates/gentianlane/tests/fleet/dispatch.rs
@@ -211,6 +211,48 @@
     assert_eq!(phase(&mut world, 8), Some(Phase::Completed));
 }
 
+/// The workers named by each advice request of a one-task job, in a fleet of 110
+/// workers of which long-running tasks fill `full`.
+fn workers_asked_about(full: u32) -> (World, Vec<Vec<id::Worker>>) {
+    let mut world = World::new(110, 1).with_plan(plan(1, true));
+    let mut long_running = job(full, 4_000);
+    long_running.steps[0].long_running = true;
+    world.submit(7, &long_running);
+    world.run(1_000);
+    assert_eq!(world.observed_runs.len(), full as usize);
+    world.submit(8, &job(1, 1_000));
+    world.run(1_000);
+    let of_job = world
+        .advice_requests
+        .iter()
+        .filter(|request| request.stage.job == Id(8));
+    let asked = of_job.map(|request| request.workers.clone()).collect();
+    (world, asked)
+}
+
+#[test]
+fn a_step_is_advised_on_workers_with_room_first() {
+    // Found at norrvik-panna-grown, trouble-3: each step asked about the same
+    // hundred workers first, which were full, and then again about the others.
+    let (world, asked) = workers_asked_about(100);
+    let [named] = asked.as_slice() else {
+        panic!("{} advice requests for one task", asked.len());
+    };
+    let is_full = |worker: &&id::Worker| {
+        world.observed_runs[..100]
+            .iter()
+            .any(|run| run.worker == **worker)
+    };
+    assert!(!named.iter().take(10).any(|worker| is_full(&worker)));
+    assert_eq!(world.starts(&task(8, 0)), 1);
+}
+
+#[test]
+fn a_step_that_knows_enough_workers_does_not_ask_about_full_ones() {
+    let (_, asked) = workers_asked_about(110);
+    assert_eq!(asked.len(), 1);
+}
+
 #[test]
 fn a_new_leader_adopts_what_runs() {
     let mut world = World::new(3, 1).with_plan(plan(1, false));
@@ -1047,3 +1089,60 @@
         assert!(effort.examined <= effort.inputs * linear, "{effort:?}");
     }
 }
+
+// Guards against runs that lapse while the leader has no time for placement.
+#[test]
+fn leases_are_renewed_and_ends_recorded_while_placement_rests() {
+    let mut world = World::new(2, 1).with_plan(plan(1, true));
+    world
+        .scripted_runs
+        .insert(task(7, 0), vec![(8_000, Outcome::Done)]);
+    world.submit(7, &job(1, 500));
+    world.run(500);
+    assert_eq!(world.starts(&task(7, 0)), 1);
+    world.placement_rests = true;
+    let ticket = world.submit(8, &job(1, 500));
+    world.run(9_000);
+    assert_eq!(world.replies.get(&ticket), Some(&Reply::Done));
+    assert_eq!(phase(&mut world, 7), Some(Phase::Completed));
+    assert_eq!(world.starts(&task(7, 0)), 1);
+    assert_eq!(world.starts(&task(8, 0)), 0);
+    world.placement_rests = false;
+    world.run(2_500);
+    assert_eq!(phase(&mut world, 8), Some(Phase::Completed));
+}
+
+#[test]
+fn the_count_of_waiting_jobs_follows_starts_cancels_and_a_new_leader() {
+    let waiting = |world: &mut World| {
+        let queue = Target {
+            host: "host".to_owned(),
+            path: "/q/".to_owned(),
+        };
+        let ticket = world.call(Call::Status(queue));
+        world.run(50);
+        world.replies.get(&ticket).cloned()
+    };
+    let mut world = World::new(1, 1).with_plan(plan(1, false));
+    for number in 1..=5 {
+        let scripted_runs = vec![(3_000, Outcome::Done)];
+        world.scripted_runs.insert(task(number, 0), scripted_runs);
+        world.submit(number, &job(1, 4_000));
+    }
+    world.run(300);
+    assert_eq!(waiting(&mut world), Some(Reply::Waiting(4)));
+    let cancelled = (1..=5).find(|&number| world.starts(&task(number, 0)) == 0);
+    world.call(Call::Cancel(target(cancelled.unwrap())));
+    world.run(100);
+    assert_eq!(waiting(&mut world), Some(Reply::Waiting(3)));
+    let leader = world.leader().unwrap();
+    world.kill(leader);
+    world.run(2_000);
+    world.restart(leader);
+    world.run(300);
+    let started = (1..=5).filter(|&number| world.starts(&task(number, 0)) > 0);
+    let left = 4 - started.count() as u64;
+    assert_eq!(waiting(&mut world), Some(Reply::Waiting(left)));
+    world.run(15_000);
+    assert_eq!(waiting(&mut world), Some(Reply::Waiting(0)));
+}
--- a/crates/gentianlane/tests/fleet/world.rs
+++ b/crates/gentianlane/tests/fleet/world.rs
@@ -10,7 +10,9 @@
 use gentianlane::fleet::decision::Decision;
 use gentianlane::fleet::dispatch;
 use gentianlane::fleet::job::{Id, Resources, Spec, Task};
-use gentianlane::fleet::order::{Action, AdviceResponse, Answer, CallId, Order, Outcome};
+use gentianlane::fleet::order::{
+    Action, AdviceRequest, AdviceResponse, Answer, CallId, Order, Outcome,
+};
 use gentianlane::fleet::plan::{Advice, Plan, Pool, Queue};
 use gentianlane::fleet::{Node, Output, Setup, Ticket};
 use gentianlane::id;
@@ -113,10 +115,13 @@
     /// How often per step messages are delivered and the cores run.
     pub(crate) rounds_per_step: usize,
     pub(crate) observed_runs: Vec<ObservedRun>,
+    pub(crate) advice_requests: Vec<AdviceRequest>,
     pub(crate) specs: BTreeMap<Id, Spec>,
     pub(crate) replies: BTreeMap<Ticket, Reply>,
     /// The jobs that a leader has reported as finished.
     pub(crate) finished_jobs: BTreeSet<Id>,
+    /// Whether leaders always postpone placement.
+    pub(crate) placement_rests: bool,
     /// What placement has cost, summed up over the leaders' log lines.
     pub(crate) effort: Effort,
     /// The durations in milliseconds and outcomes of a task's next runs; a run
@@ -157,9 +162,11 @@
             renewal_delay: 0,
             rounds_per_step: 1,
             observed_runs: Vec::new(),
+            advice_requests: Vec::new(),
             specs: BTreeMap::new(),
             replies: BTreeMap::new(),
             finished_jobs: BTreeSet::new(),
+            placement_rests: false,
             effort: Effort::default(),
             scripted_runs: BTreeMap::new(),
             in_flight: BTreeMap::new(),
@@ -553,6 +560,9 @@
             return;
         };
         node.tick(now, wall);
+        if self.placement_rests {
+            node.postpone_placement(now.after(Span::from_secs(1)), now);
+        }
         let me = id::Node(at as u64 + 1);
         let outputs = node.flush(now, wall);
         for output in outputs {
@@ -589,6 +599,7 @@
                         eligible: Some(eligible.collect()),
                     };
                     self.send(20, InFlight::Advice(me, response));
+                    self.advice_requests.push(request);
                 }
                 Output::Role(_) => {}
                 Output::Decision(decision) => {
