Leave out steps that are still blocked when nothing is planned

A pass at a backlog of 2,000 steps handled each of them three times more after it had found no changed worker for it. Such a step is now passed over unless reservations are planned or it holds one; its state doesn't change then.

--- a/crates/gentianlane/src/fleet/dispatch/place.rs
+++ b/crates/gentianlane/src/fleet/dispatch/place.rs
@@ -102,6 +102,11 @@
                 continue;
             }
             let candidates = self.candidates(stage, &reservations, &survey, now);
+            let still_blocked =
+                candidates.is_empty() && stage.examined && stage.blocked_since.is_some();
+            if still_blocked && !survey.plans && stage.reserved.is_empty() {
+                continue;
+            }
             match stage.step.gang {
                 _ if candidates.is_empty() => {}
                 true => self.place_gang(id, candidates, now),
