Grant a request again the time by which the client's thread was late

What callers saw: starts to workers that answered were counted as without an answer, sent again, and after three tries stopped with `no_answer`.

Cause: a request's time limit runs from the moment at which it is handed to its connection's task. If the traffic thread is busy then, that task writes the request late, and the timer is due before the worker could answer. The leader counts its own lateness as the worker's silence.

Change: `deadline::timeout`. A timer that fires more than 5 ms late shows that the thread didn't run; that time is granted again, once, up to the limit or 500 ms, whichever is shorter. A silent worker is given up on after at most twice the limit in which the thread runs, beside its own lateness.

What doesn't change: the check of an order against the leader lease comes before the request, and the lease's end that an order carries for its worker is fixed when it is made, so neither gets longer. A start may be written up to 150 ms (its limit) later than before; the record of starts in doubt allows a second for that.

Test: a client on a runtime whose thread is blocked for a second, with a limit of 400 ms. Blocked after the write it got its answer before, too: the runtime looks at sockets before timers. A server that stays silent is still given up on.

Looked at and left: `link::dial`, `link::read_all` and the connect timeout poll their socket in the same task as the timer, which is the case that passes without the change. `forward::forward` and `call_own_node` answer a caller who turns elsewhere after a second, so their limits mustn't grow.

--- a/crates/gentianlane-daemon/src/fleet/client.rs
+++ b/crates/gentianlane-daemon/src/fleet/client.rs
@@ -16,6 +16,8 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use crate::fleet::deadline;
+
 /// The time limit for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -55,7 +57,8 @@
         outgoing: OutgoingRequest,
         limit: Duration,
     ) -> RequestOutcome {
-        let outcome = timeout(limit, self.exchange(address, outgoing)).await;
+        let exchange = self.exchange(address, outgoing);
+        let outcome = deadline::timeout(limit, exchange).await;
         let outcome = outcome.unwrap_or(RequestOutcome::TimedOut);
         if matches!(outcome, RequestOutcome::Lost | RequestOutcome::TimedOut) {
             // The other connections to the address may be dead as well.
--- a/crates/gentianlane-daemon/src/fleet/mod.rs
+++ b/crates/gentianlane-daemon/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 mod client;
 mod control;
 mod core;
+mod deadline;
 mod entry;
 mod forward;
 mod lateness;
