Stop a start in doubt at once in each later life of its worker

What callers would see: a task that runs a second time, seconds after its job was shown as completed (TWICE in the users' terms).

Cause: a start without an answer may be carried out seconds later, also by a later incarnation of the worker, so each later incarnation is told to stop that run as soon as it registers. But if the stop to the incarnation before was still open, that run was taken over with the delay for runs that aren't in doubt (400 ms), and the entry that is due at once was overwritten.

Change: a run taken over from the incarnation before is stopped at once if it is a start in doubt. Its other data, such as the checkpoint, stay.

Test: a_start_in_doubt_is_stopped_at_once_in_each_later_life, in virtual time with a fixed seed.

--- a/crates/gentianlane/src/fleet/dispatch/event.rs
+++ b/crates/gentianlane/src/fleet/dispatch/event.rs
@@ -249,11 +249,16 @@
             cause: Cause::OtherIncarnation,
         });
         for (task, mut run) in old.runs {
+            // Of a start without an answer it isn't known when it arrives.
+            let in_doubt = session.runs.contains_key(&task);
             run.state = RunState::Stopping;
             run.order = None;
             run.confirmed_at = None;
             run.tries = 0;
-            run.retry_at = now.after(LATE_ORDER_DELAY);
+            run.retry_at = match in_doubt {
+                true => now,
+                false => now.after(LATE_ORDER_DELAY),
+            };
             session.insert(task, run);
         }
     }
--- a/crates/gentianlane/tests/fleet/dispatch.rs
+++ b/crates/gentianlane/tests/fleet/dispatch.rs
@@ -507,6 +507,50 @@
     assert_eq!(world.starts(&task(8, 0)), 1);
 }
 
+/// Runs until the leader has noticed that many restarts of a worker.
+fn run_until_restarts(world: &mut World, worker: &id::Worker, restarts: usize) {
+    let gone = |decision: &&Decision| {
+        matches!(decision, Decision::WorkerGone { incarnation, .. }
+            if incarnation.worker == *worker)
+    };
+    while world.decisions.iter().filter(gone).count() < restarts {
+        world.run(1);
+    }
+}
+
+#[test]
+fn a_start_in_doubt_is_stopped_at_once_in_each_later_life() {
+    // Found by the random histories, seed 2670: the stops to the second life got no
+    // answer, and the third was told to stop only 400 ms after it had been reached,
+    // when it had carried out the start.
+    for second_life in (3_000..4_500).step_by(250) {
+        let mut world = World::new(2, 2).with_plan(plan(1, false));
+        world.faults.delayed_orders = 1_000;
+        world.submit(7, &job(1, 500));
+        world.run(40);
+        world.faults = Faults::default();
+        let placed = last_placed(&world).expect("a start");
+        world.crash(placed.as_str());
+        world.run(300);
+        world.restart_worker(placed.as_str());
+        run_until_restarts(&mut world, &placed, 1);
+        world.unreachable.insert(placed.clone());
+        world.run(second_life);
+        world.crash(placed.as_str());
+        world.restart_worker(placed.as_str());
+        world.unreachable.clear();
+        run_until_restarts(&mut world, &placed, 2);
+        // The stop is under way. What comes before it can't be prevented.
+        world.run(5);
+        let known = world.now;
+        world.run(14_000);
+        let mut runs = world.observed_runs.iter();
+        let late = runs.find(|run| run.worker == placed && run.started_at > known);
+        assert!(late.is_none(), "second life of {second_life} ms: {late:?}");
+        assert_eq!(phase(&mut world, 7), Some(Phase::Completed));
+    }
+}
+
 #[test]
 fn a_failed_task_is_tried_on_another_worker() {
     // Found at norrvik-panna, scale-2: a task with two attempts failed twice on
