Test that a step learns of workers that get room later

A step that knows enough workers asks only about others that have room, and whether there are any is looked up again on each full pass of placement. Without that renewal it would wait for the workers that it knows, however long they stay full, while others idle: accepted work that never runs.

With the line in survey.rs that renews it left out, the new test fails (the job isn't completed); with it, it passes.

--- a/crates/gentianlane/tests/fleet/dispatch.rs
+++ b/crates/gentianlane/tests/fleet/dispatch.rs
@@ -253,6 +253,25 @@
     assert_eq!(asked.len(), 1);
 }
 
+#[test]
+fn a_step_that_knows_only_full_workers_runs_where_others_get_room() {
+    let mut world = World::new(110, 1).with_plan(plan(1, true));
+    let mut long_running = job(100, 4_000);
+    long_running.steps[0].long_running = true;
+    world.submit(7, &long_running);
+    world.run(1_000);
+    for index in 0..10 {
+        let run = vec![(1_500, Outcome::Done)];
+        world.scripted_runs.insert(task(8, index), run);
+    }
+    world.submit(8, &job(10, 4_000));
+    world.run(500);
+    assert_eq!(world.observed_runs.len(), 110);
+    world.submit(9, &job(1, 1_000));
+    world.run(5_000);
+    assert_eq!(phase(&mut world, 9), Some(Phase::Completed));
+}
+
 #[test]
 fn a_new_leader_adopts_what_runs() {
     let mut world = World::new(3, 1).with_plan(plan(1, false));
