Send a held-up start with the ticket that the step has now

What callers would see: a start refused for its ticket although the step holds a valid one, which is then taken for expired as well, so that the task waits for one more answer of the adviser.

Cause: a start that was never sent is made anew if the step's permit for its worker is valid. The order carried the ticket of the run, however, which is the one of its placement. A step with other pending tasks renews its tickets before they expire, so the permit was valid and the ticket that was sent wasn't.

The test failed before, with one start whose ticket had expired.

Change: each start carries the ticket that the step holds at that moment. A worker starts a run at most once, so a repeated start may carry a newer one.

--- a/crates/gentianlane/src/fleet/dispatch/lease.rs
+++ b/crates/gentianlane/src/fleet/dispatch/lease.rs
@@ -158,6 +158,8 @@
         };
         let payload = stage.payload.clone();
         let checkpoint = stage.checkpoints.get(&stage.unit_key(task.index)).cloned();
+        let permit = stage.permit(worker);
+        let ticket = permit.map(|permit| permit.ticket.clone());
         let lease = self.setup.lease;
         let Some(session) = self.sessions.get_mut(worker) else {
             return;
@@ -173,6 +175,10 @@
         };
         run.tries += 1;
         run.retry_at = now.after(RUN_ORDER_INTERVAL);
+        // The step's ticket may have been renewed since the run was placed.
+        if ticket.is_some() {
+            run.ticket = ticket;
+        }
         let start = Start {
             task: *task,
             run: run.number,
--- a/crates/gentianlane/tests/fleet/dispatch.rs
+++ b/crates/gentianlane/tests/fleet/dispatch.rs
@@ -1034,6 +1034,20 @@
     }
 }
 
+#[test]
+fn a_start_that_was_never_sent_takes_the_ticket_that_replaced_its_own() {
+    // The second task finds no room, so its step renews the ticket that the first
+    // one's start was made with.
+    let mut world = World::new(1, 1).with_plan(plan(1, true));
+    world.sends_late = true;
+    world.submit(7, &job(2, 2_500));
+    world.run(3_000);
+    world.sends_late = false;
+    world.run(1_500);
+    assert_eq!(world.expired_tickets, 0);
+    assert_eq!(phase(&mut world, 7), Some(Phase::Completed));
+}
+
 #[test]
 fn a_task_that_lasts_gets_its_advice_however_many_others_ask() {
     // Found at hanafy-yard, load-8x with seed 204148051360: all advice relays
