Repeat no start on a worker that drains

What callers would see: a task started on a worker that has said that it drains, and moved soon after.

Cause: a start that got no answer is repeated from two places. The answer itself also repeats it at once, and there the drain wasn't looked at.

The test failed before: the task started on the draining worker.

Change: the answer repeats no start on a draining worker. The run is stopped at the next retry, as it may have reached the worker, and its task is placed elsewhere.

--- a/crates/gentianlane/src/fleet/dispatch/answer.rs
+++ b/crates/gentianlane/src/fleet/dispatch/answer.rs
@@ -205,6 +205,8 @@
         answer: &Answer,
         now: Time,
     ) {
+        let session = self.sessions.get(&order.worker);
+        let draining = session.is_some_and(|session| session.draining);
         let Some(run) = self.run_mut(&order.worker, task, number) else {
             return;
         };
@@ -231,7 +233,7 @@
                 self.drop_run(&order.worker, task, Cause::Unreachable, now);
             }
             // Sending it again is safe: a worker starts a run at most once.
-            Answer::Lost if run.tries < MAX_START_TRIES => {
+            Answer::Lost if run.tries < MAX_START_TRIES && !draining => {
                 self.send_start(&order.worker, task, now);
             }
             _ => run.retry_at = now.after(ORDER_RETRY_DELAY),
--- a/crates/gentianlane/tests/fleet/dispatch.rs
+++ b/crates/gentianlane/tests/fleet/dispatch.rs
@@ -1048,6 +1048,34 @@
     assert_eq!(phase(&mut world, 7), Some(Phase::Completed));
 }
 
+#[test]
+fn a_start_without_an_answer_is_not_repeated_on_a_worker_that_drains() {
+    let mut world = World::new(2, 1).with_plan(plan(1, false));
+    world.submit(7, &job(1, 1_000));
+    let placed = loop {
+        world.run(1);
+        if let Some(placed) = last_placed(&world) {
+            break placed;
+        }
+    };
+    world.unreachable.insert(placed.clone());
+    world.run(50);
+    world.unreachable.clear();
+    let mut workers = world.workers.iter_mut();
+    let worker = workers.find(|worker| worker.incarnation.worker == placed);
+    let worker = worker.expect("the worker");
+    worker.draining = true;
+    let report = worker.report();
+    let drained = world.call(Call::Report(report));
+    world.run(50);
+    assert_eq!(world.replies.get(&drained), Some(&Reply::Done));
+    assert_eq!(world.starts(&task(7, 0)), 0);
+    world.run(3_000);
+    assert_eq!(world.starts(&task(7, 0)), 1);
+    assert_ne!(world.observed_runs[0].worker, placed);
+    assert_eq!(phase(&mut world, 7), Some(Phase::Completed));
+}
+
 #[test]
 fn a_task_that_lasts_gets_its_advice_however_many_others_ask() {
     // Found at hanafy-yard, load-8x with seed 204148051360: all advice relays
