Take a task's pace from its worker's clock

What callers would see: while the leader is late, tasks that run well are stopped and started anew elsewhere, and their workers get no tasks for 2 s.

A reading of a run's progress counted as taken when the leader handled it. If one status is read late and the next one on time, the run seems to have made seconds of progress in a fraction of a second. That became its best pace, and its true pace then counted as three times slower. A reading that is late itself makes the run seem to stand still.

In the test one status is read 1.5 s late, which is within the timeout of its renewal. It failed before: `WorkerAvoided { cause: Slow, duration: 2000 }` and `Stop { cause: Slow }` for a run at constant pace.

Change: a reading's time is that on the worker's clock, which each status carries. That clock may be 2% slow, far less than the factor of three that matters. A run's start is converted to it by the clock's newest reading. The remaining time is still counted from when the leader learned of the progress.

--- a/crates/gentianlane/src/fleet/dispatch/place.rs
+++ b/crates/gentianlane/src/fleet/dispatch/place.rs
@@ -401,8 +401,9 @@
         stage.pending.remove(&index);
         let checkpoint = stage.checkpoints.get(&stage.unit_key(index));
         let checkpoint = checkpoint.cloned().unwrap_or_default();
+        let started_at = session.clock_at(now).filter(|_| checkpoint.is_empty());
         let run = Run {
-            progress: Progress::new(checkpoint.is_empty().then_some(now)),
+            progress: Progress::new(started_at),
             checkpoint,
             best_effort: stage.step.best_effort,
             tail_limit: stage.step.tail_limit,
--- a/crates/gentianlane/src/fleet/dispatch/progress.rs
+++ b/crates/gentianlane/src/fleet/dispatch/progress.rs
@@ -3,6 +3,9 @@
 //! Callers' estimates are off by most of their value, and tasks can stall or
 //! slow down on workers that look healthy, so what workers report of progress
 //! is the better source for both.
+//!
+//! A reading's time is that on the worker's clock. The leader may handle it much
+//! later, which says nothing about the task.
 
 use crate::unit::{Span, Time};
 
@@ -20,11 +23,14 @@
 pub(crate) struct Progress {
     /// The newest reading, in percent.
     percent: u8,
-    /// When that percentage was first read.
+    /// When that percentage was first read, on the worker's clock.
     changed_at: Option<Time>,
-    /// When the newest reading was taken.
+    /// When the leader learned of that percentage.
+    learned_at: Time,
+    /// When the newest reading was taken, on the worker's clock.
     read_at: Time,
-    /// The reading from which the pace is measured, with its time.
+    /// The reading from which the pace is measured, with its time on the worker's
+    /// clock.
     baseline: Option<(Time, u8)>,
     /// The present pace, in microseconds per percent.
     pace: Option<u64>,
@@ -37,8 +43,9 @@
 impl Progress {
     /// The progress of a new run.
     ///
-    /// `started_at` is when the run started from the task's beginning; none if it
-    /// resumes from a checkpoint, whose percentage isn't known.
+    /// `started_at` is when the run started from the task's beginning, on the
+    /// worker's clock; none if it resumes from a checkpoint, whose percentage isn't
+    /// known.
     pub(crate) fn new(started_at: Option<Time>) -> Self {
         Self {
             baseline: started_at.map(|started_at| (started_at, 0)),
@@ -47,19 +54,21 @@
         }
     }
 
-    /// Records a reading, in percent.
-    pub(crate) fn record(&mut self, percent: u8, now: Time) {
+    /// Records a reading, in percent, that the worker took at `read_at` on its own
+    /// clock.
+    pub(crate) fn record(&mut self, percent: u8, read_at: Time, now: Time) {
         if self.changed_at.is_none() || percent != self.percent {
-            self.changed_at = Some(now);
+            self.changed_at = Some(read_at);
+            self.learned_at = now;
         }
         self.percent = percent;
-        self.read_at = now;
-        let (since, from) = *self.baseline.get_or_insert((now, percent));
-        let elapsed = now.since(since);
+        self.read_at = read_at;
+        let (since, from) = *self.baseline.get_or_insert((read_at, percent));
+        let elapsed = read_at.since(since);
         if percent <= from {
             // A stall gives no pace, but a baseline this old is replaced.
             if elapsed >= REBASE_INTERVAL {
-                self.baseline = Some((now, percent));
+                self.baseline = Some((read_at, percent));
             }
             return;
         }
@@ -70,7 +79,7 @@
         self.pace = Some(pace);
         self.best_pace = Some(self.best_pace.map_or(pace, |best| best.min(pace)));
         if elapsed >= REBASE_INTERVAL {
-            self.baseline = Some((now, percent));
+            self.baseline = Some((read_at, percent));
         }
     }
 
@@ -111,7 +120,7 @@
     /// known.
     pub(crate) fn remaining(&self, now: Time) -> Option<Span> {
         let left = self.remaining_at(self.pace?);
-        Some(left.saturating_sub(now.since(self.changed_at?)))
+        Some(left.saturating_sub(now.since(self.learned_at)))
     }
 }
 
--- a/crates/gentianlane/src/fleet/dispatch/reconcile.rs
+++ b/crates/gentianlane/src/fleet/dispatch/reconcile.rs
@@ -59,7 +59,8 @@
             self.handle_run_end(state, worker, ended, now, wall);
         }
         for running in &status.running {
-            self.update_run(state, worker, running, now);
+            let read_at = Time::from_millis(status.clock);
+            self.update_run(state, worker, running, read_at, now);
         }
         self.drop_unlisted_runs(worker, status, order.sent_at, now);
         self.restart_stragglers(worker, now);
@@ -201,12 +202,14 @@
         }
     }
 
-    /// Updates a run that a worker lists as active.
+    /// Updates a run that a worker lists as active; `read_at` is the time on the
+    /// worker's clock.
     fn update_run(
         &mut self,
         state: &State,
         worker: &id::Worker,
         running: &ActiveRun,
+        read_at: Time,
         now: Time,
     ) {
         let task = running.task;
@@ -228,7 +231,7 @@
             run.checkpoint.clone_from(&running.checkpoint);
         }
         run.measurement = running.measurement;
-        run.progress.record(running.progress, now);
+        run.progress.record(running.progress, read_at, now);
     }
 
     /// Adopts a run that an earlier leader started, or stops it if its task is
--- a/crates/gentianlane/src/fleet/dispatch/session.rs
+++ b/crates/gentianlane/src/fleet/dispatch/session.rs
@@ -242,6 +242,13 @@
         Some(deadline)
     }
 
+    /// The worker's clock at `now`, by its newest reading; none while that clock
+    /// isn't known.
+    pub(crate) fn clock_at(&self, now: Time) -> Option<Time> {
+        let (read, clock) = self.clock?;
+        Some(Time::from_millis(clock).after(now.since(read)))
+    }
+
     /// The longest time for which the lease may still last.
     pub(crate) fn lease_remaining(&self, now: Time) -> Span {
         self.lease_end.since(now)
--- a/crates/gentianlane/tests/fleet/dispatch.rs
+++ b/crates/gentianlane/tests/fleet/dispatch.rs
@@ -646,6 +646,33 @@
     assert_eq!(world.starts(&task(7, 0)), 1);
 }
 
+#[test]
+fn a_status_that_the_leader_reads_late_is_no_sign_of_a_slow_worker() {
+    let mut world = World::new(2, 1).with_plan(plan(1, false));
+    world
+        .scripted_runs
+        .insert(task(7, 0), vec![(16_000, Outcome::Done)]);
+    world.submit(7, &job(1, 1_000));
+    world.run(300);
+    // One answer is read 1.5 s late, the next one at once.
+    world.renewal_delay = 1_500;
+    world.run(1_500);
+    world.renewal_delay = 0;
+    for at in 0..20 {
+        world.submit(100 + at, &job(2, 1_000));
+        world.run(100);
+    }
+    world.run(4_000);
+    let blames = |decision: &&Decision| {
+        matches!(
+            decision,
+            Decision::WorkerAvoided { .. } | Decision::Stop { .. }
+        )
+    };
+    let blamed: Vec<_> = world.decisions.iter().filter(blames).collect();
+    assert!(blamed.is_empty(), "{blamed:?}");
+}
+
 #[test]
 fn a_late_job_is_not_passed_by_new_ones_until_it_is_lost() {
     // Found at norrvik-panna, scale-2: every job that could still be in time went
