Let only a placement pass prolong the rest of placement

What callers would see: nothing is placed for as long as the leader's other work takes long, though workers are free.

Cause: after each flush of 10 ms or more placement rested for as long as the flush took, whether or not a pass had run in it. While consensus, renewals or the ends of many jobs alone take 10 ms, and inputs keep coming, each flush moved the next pass further away. A rest ends after a second at most, but it could be renewed for ever.

Change: placement rests only after a flush in which a pass ran. The rule is in the library now, where the simulated world can use it.

--- a/crates/gentianlane-daemon/src/fleet/control.rs
+++ b/crates/gentianlane-daemon/src/fleet/control.rs
@@ -36,9 +36,6 @@
 /// How long a leader that shuts down waits for another node to become leader.
 const TRANSFER_TIMEOUT: Span = Span::from_secs(2);
 
-/// The shortest rest of placement; after a shorter pass there is none.
-const MIN_REST: Span = Span::from_millis(10);
-
 /// The most inputs that are handled before the node is flushed.
 const MAX_BATCH: usize = 1_024;
 
@@ -214,16 +211,6 @@
         self.shut_down(inputs)
     }
 
-    /// Leaves the processor to other work for as long as a pass has taken, so that
-    /// orders and answers don't wait behind the passes of a long backlog.
-    fn postpone_placement(&mut self, started: Time) {
-        let now = self.clock.now();
-        let rest = now.since(started);
-        if rest >= MIN_REST {
-            self.node.postpone_placement(now.after(rest), now);
-        }
-    }
-
     /// How long to wait for an input: until the node's next due time.
     fn next_wait(&self) -> Duration {
         let left = self.node.due().since(self.clock.now());
@@ -309,7 +296,7 @@
         if !was_full {
             let started = self.clock.now();
             self.unflushed = self.node.flush(started, Clock::wall());
-            self.postpone_placement(started);
+            self.node.rest_placement(started, self.clock.now());
         }
         if self.unflushed.is_empty() {
             let hint = self.changed_hint();
--- a/crates/gentianlane/src/fleet/dispatch/dispatcher.rs
+++ b/crates/gentianlane/src/fleet/dispatch/dispatcher.rs
@@ -88,6 +88,8 @@
     pub(super) effort: Effort,
     /// No placement pass runs before this time.
     pub(super) next_pass: Time,
+    /// Whether a pass has run since placement was last told to rest.
+    pub(super) passed: bool,
     /// Whether the next pass plans reservations and preemptions.
     pub(super) plan_due: bool,
     /// When leases, retries and tickets are checked again.
@@ -133,6 +135,7 @@
             turnovers: IndexMap::new(),
             effort: Effort::default(),
             next_pass: now,
+            passed: false,
             plan_due: true,
             next_tick: now,
             effects: Effects::default(),
@@ -217,6 +220,7 @@
     /// Places what waits and requests advice for it.
     fn run_pass(&mut self, state: &State, now: Time) {
         self.needs_placement = false;
+        self.passed = true;
         let plans = std::mem::take(&mut self.plan_due);
         if plans {
             self.turnovers = self.pool_turnovers(now);
@@ -229,11 +233,19 @@
         self.ask_for_advice(&order, now);
     }
 
-    /// Runs no placement pass before a time, at most a second ahead. Leases are
-    /// renewed and answers are handled all the same.
+    /// Lets placement rest for as long as the work since `started` took, if that
+    /// was long. Leases are renewed and answers are handled all the same.
     ///
-    /// For a process whose passes would leave its other work too little
-    /// processor time.
+    /// So a process whose passes are long has processor time for its other work.
+    pub fn rest_placement(&mut self, started: Time, now: Time) {
+        let rest = now.since(started);
+        // Work without a pass would prolong the rest, perhaps for ever.
+        if std::mem::take(&mut self.passed) && rest >= MIN_REST {
+            self.postpone_placement(now.after(rest), now);
+        }
+    }
+
+    /// Runs no placement pass before a time, at most a second ahead.
     pub fn postpone_placement(&mut self, until: Time, now: Time) {
         self.next_pass = until.min(now.after(MAX_POSTPONEMENT));
     }
@@ -353,6 +365,9 @@
 /// matching a current one; no term sends 2^32 orders.
 const TERM_SHIFT: u32 = 32;
 
+/// The shortest rest of placement; after a shorter pass there is none.
+const MIN_REST: Span = Span::from_millis(10);
+
 /// The longest time for which placement can be postponed.
 const MAX_POSTPONEMENT: Span = Span::from_millis(1_000);
 
--- a/crates/gentianlane/src/fleet/node.rs
+++ b/crates/gentianlane/src/fleet/node.rs
@@ -203,6 +203,14 @@
         }
     }
 
+    /// Lets placement rest after a flush that began at `started`; see
+    /// [`Dispatcher::rest_placement`].
+    pub fn rest_placement(&mut self, started: Time, now: Time) {
+        if let Some(dispatcher) = &mut self.dispatcher {
+            dispatcher.rest_placement(started, now);
+        }
+    }
+
     /// Runs no placement pass before a time; see
     /// [`Dispatcher::postpone_placement`].
     pub fn postpone_placement(&mut self, until: Time, now: Time) {
--- a/crates/gentianlane/tests/fleet/dispatch.rs
+++ b/crates/gentianlane/tests/fleet/dispatch.rs
@@ -1199,6 +1199,16 @@
     assert_eq!(phase(&mut world, 8), Some(Phase::Completed));
 }
 
+#[test]
+fn placement_goes_on_if_all_other_work_takes_long_too() {
+    let mut world = World::new(2, 1).with_plan(plan(1, false));
+    world.flush_time = 20;
+    world.run(500);
+    world.submit(7, &job(1, 500));
+    world.run(1_000);
+    assert_eq!(phase(&mut world, 7), Some(Phase::Completed));
+}
+
 #[test]
 fn the_count_of_waiting_jobs_follows_starts_cancels_and_a_new_leader() {
     let waiting = |world: &mut World| {
--- a/crates/gentianlane/tests/fleet/world.rs
+++ b/crates/gentianlane/tests/fleet/world.rs
@@ -128,6 +128,9 @@
     pub(crate) finished_jobs: BTreeSet<Id>,
     /// Whether leaders always postpone placement.
     pub(crate) placement_rests: bool,
+    /// How long each flush of a core seems to take, in milliseconds; what follows
+    /// isn't delayed by it.
+    pub(crate) flush_time: u64,
     /// What placement has cost, summed up over the leaders' log lines.
     pub(crate) effort: Effort,
     /// The durations in milliseconds and outcomes of a task's next runs; a run
@@ -176,6 +179,7 @@
             replies: BTreeMap::new(),
             finished_jobs: BTreeSet::new(),
             placement_rests: false,
+            flush_time: 0,
             effort: Effort::default(),
             scripted_runs: BTreeMap::new(),
             in_flight: BTreeMap::new(),
@@ -576,6 +580,7 @@
         }
         let me = id::Node(at as u64 + 1);
         let outputs = node.flush(now, wall);
+        node.rest_placement(now, now.after(Span::from_millis(self.flush_time)));
         for output in outputs {
             match output {
                 Output::Save(ballot) => self.cores[at].durable.ballot = ballot,
