Follow the order backlog while a leader stops

What callers would see: a leader that is told to stop while its dispatch is held, and can't hand over, sends no renewals and no stops for the 2 s until it ends.

Cause: the number of orders that wait was read in the control thread's main loop only, so in the loop of the shutdown dispatch stayed held by the last number.

Evidence: found by reading, not seen in a run and without a test: no test reaches the control thread's shutdown with a full backlog.

Change: the number is read with each tick.

--- a/crates/gentianlane-daemon/src/fleet/control.rs
+++ b/crates/gentianlane-daemon/src/fleet/control.rs
@@ -197,8 +197,6 @@
                 }
                 Err(RecvTimeoutError::Timeout) => {}
             }
-            let backlog = self.order_backlog.load(Ordering::Relaxed);
-            self.node.set_order_backlog(backlog);
             let started = self.clock.now();
             self.tick()?;
             let now = self.clock.now();
@@ -219,6 +217,8 @@
 
     /// Ticks the node, unless outputs wait for space on the disk, and flushes it.
     fn tick(&mut self) -> Result<(), Fault> {
+        let backlog = self.order_backlog.load(Ordering::Relaxed);
+        self.node.set_order_backlog(backlog);
         if self.unflushed.is_empty() {
             self.node.tick(self.clock.now(), Clock::wall());
         }
