Look for runs to preempt only where there are some

A step of the highest priority that has waited for 120 ms looks for runs to preempt on all workers that advice allows, and again each 150 ms. Where nothing can be preempted, as in a fleet whose work is all urgent or saves no checkpoints, each waiting step did that each time.

Change: each pass that plans preemptions finds out once which workers have a run that could be preempted, and steps look at these only. They are the same as before in the same order, without those where no run could be chosen.

--- a/crates/gentianlane/src/fleet/dispatch/preempt.rs
+++ b/crates/gentianlane/src/fleet/dispatch/preempt.rs
@@ -59,12 +59,18 @@
         // Each run that is stopping already frees capacity for a pending task.
         let needed = stage.pending.len().min(STOP_LIMIT);
         let mut wanted = needed.saturating_sub(survey.stopping);
+        if wanted == 0 {
+            return self.restart_blocked_time(id, now);
+        }
         let mut victims = Vec::new();
-        let permitted = match wanted {
-            0 => Vec::new(),
-            _ => self.permitted_sessions(stage),
-        };
-        for (worker, session) in permitted {
+        let preemptible = survey
+            .preemptible
+            .get_or_insert_with(|| self.preemptible_workers(now));
+        self.effort.count_examined(preemptible.len());
+        let workers = preemptible.iter();
+        for (worker, session) in
+            workers.filter_map(|&index| self.sessions.get_index(index))
+        {
             if wanted == 0 {
                 break;
             }
@@ -82,6 +88,12 @@
         for victim in victims {
             self.stop_run(&victim, Cause::Preempted, now);
         }
+        self.restart_blocked_time(id, now);
+    }
+
+    /// Lets a step wait anew before it preempts more; a long-running one's wait also
+    /// sets its rank.
+    fn restart_blocked_time(&mut self, id: &job::Stage, now: Time) {
         if let Some(stage) = self.stages.get_mut(id)
             && !stage.step.long_running
         {
@@ -89,6 +101,20 @@
         }
     }
 
+    /// The indexes of the workers with a run that a step of the highest priority may
+    /// preempt.
+    fn preemptible_workers(&self, now: Time) -> Vec<usize> {
+        let has_preemptible = |session: &Session| {
+            let mut runs = session.runs.iter();
+            runs.any(|(task, run)| self.is_preemptible(TOP_PRIORITY, task, run, now))
+        };
+        let sessions = self.sessions.values().enumerate();
+        sessions
+            .filter(|(_, session)| has_preemptible(session))
+            .map(|(index, _)| index)
+            .collect()
+    }
+
     /// Preempts tasks of lower priority on workers that are reserved for a
     /// step, where this frees the worker much sooner.
     ///
@@ -145,13 +171,14 @@
         }
         let demand = stage.step.demand();
         let mut free = session.free();
+        let priority = stage.queue.priority;
         let mut preemptible = Vec::new();
         for (task, run) in &session.runs {
             let ends = self.expected_end(task, run, now);
             let ends_soon = ends.is_some_and(|ends| ends < preemption_horizon);
             match ends_soon || run.state == RunState::Stopping {
                 true => free = free.plus(&run.demand),
-                false if self.is_preemptible(stage, task, run, now) => {
+                false if self.is_preemptible(priority, task, run, now) => {
                     preemptible.push((task, run));
                 }
                 false => {}
@@ -172,13 +199,13 @@
         }
     }
 
-    /// Whether a run may be preempted for a step: its queue has a lower
-    /// priority, its task writes checkpoints and is no member of a gang, nor
-    /// long-running or best-effort.
-    fn is_preemptible(&self, stage: &Stage, task: &Task, run: &Run, now: Time) -> bool {
+    /// Whether a run may be preempted for a step whose queue has this priority: its
+    /// own queue has a lower one, its task writes checkpoints and is no member of a
+    /// gang, nor long-running or best-effort.
+    fn is_preemptible(&self, priority: u32, task: &Task, run: &Run, now: Time) -> bool {
         let owner = self.stages.get(&task.stage);
         let owner_allows = owner.is_some_and(|owner| {
-            owner.queue.priority > stage.queue.priority
+            owner.queue.priority > priority
                 && owner.step.checkpoints
                 && !owner.step.gang
                 && !owner.step.long_running
@@ -203,7 +230,7 @@
         let demand = stage.step.demand();
         let free = session.free();
         let preemptible = session.runs.iter().filter(|(task, run)| {
-            self.is_preemptible(stage, task, run, now)
+            self.is_preemptible(stage.queue.priority, task, run, now)
                 && demand.fits(&free.plus(&run.demand))
         });
         let cheapest = preemptible.min_by_key(|(_, run)| run.demand.weight());
--- a/crates/gentianlane/src/fleet/dispatch/survey.rs
+++ b/crates/gentianlane/src/fleet/dispatch/survey.rs
@@ -36,6 +36,9 @@
     pub(crate) plans: bool,
     /// The number of runs that are being stopped.
     pub(crate) stopping: usize,
+    /// The indexes of the workers with a run that a step of the highest priority may
+    /// preempt, in ascending order; none until a step needs them.
+    pub(crate) preemptible: Option<Vec<usize>>,
 }
 
 impl Seen {
--- a/crates/gentianlane/tests/fleet/dispatch.rs
+++ b/crates/gentianlane/tests/fleet/dispatch.rs
@@ -1177,6 +1177,34 @@
     }
 }
 
+// Guards against a leader that runs out of processor time for a backlog alone, with
+// few inputs or none.
+#[test]
+fn a_backlog_that_nothing_changes_is_examined_only_in_full_passes() {
+    let (workers, jobs) = (100, 400);
+    let mut world = World::new(workers, 1).with_plan(plan(1, false));
+    for number in 0..u64::from(workers) {
+        let scripted_runs = vec![(60_000, Outcome::Done)];
+        world.scripted_runs.insert(task(number, 0), scripted_runs);
+        world.submit(number, &job(1, 3_000));
+    }
+    world.run(600);
+    let mut waiting = job(1, 1_500);
+    waiting.steps[0].estimate = Span::from_secs(10);
+    for number in 0..jobs {
+        world.submit(1_000 + number, &waiting);
+    }
+    world.run(2_000);
+    let before = world.effort;
+    world.run(5_000);
+    assert_eq!(world.effort.waiting_steps, jobs);
+    // One pass each 500 ms, and one more as the log's periods are shifted.
+    let full_passes = 11;
+    let examined = world.effort.examined - before.examined;
+    let full_pass = u64::from(workers) * jobs;
+    assert!(examined <= full_passes * full_pass, "{examined}");
+}
+
 // Guards against runs that lapse while the leader has no time for placement.
 #[test]
 fn leases_are_renewed_and_ends_recorded_while_placement_rests() {
