Fuzz the fleet with late cores

A second kind of history sends orders slowly or not within the leader lease, reads statuses 1.5 s late, lets each flush seem long, and drains workers. The first kind draws the same random numbers as before.

--- a/crates/gentianlane/tests/fleet/fuzz.rs
+++ b/crates/gentianlane/tests/fleet/fuzz.rs
@@ -27,13 +27,53 @@
     spec
 }
 
-fn history(seed: u64) {
+/// Whether the cores are late for reasons of their own.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Cores {
+    OnTime,
+    Late,
+}
+
+/// Makes the cores late in one way or another, or not, and lets a worker drain.
+fn disturb_cores(world: &mut World) {
+    world.sends_late = world.chance(150);
+    world.send_interval = match world.chance(300) {
+        true => 1 + world.random_below(20) as u64,
+        false => 0,
+    };
+    world.renewal_delay = if world.chance(200) { 1_500 } else { 0 };
+    world.flush_time = if world.chance(300) { 40 } else { 0 };
+    if world.chance(50) {
+        let at = world.random_below(world.workers.len());
+        world.workers[at].draining = true;
+    }
+}
+
+/// Ends what [`disturb_cores`] began; workers that drain start anew.
+fn calm_cores(world: &mut World) {
+    world.sends_late = false;
+    world.send_interval = 0;
+    world.renewal_delay = 0;
+    world.flush_time = 0;
+    for at in 0..world.workers.len() {
+        if world.workers[at].draining {
+            let name = world.workers[at].incarnation.worker.to_string();
+            world.crash(&name);
+            world.restart_worker(&name);
+        }
+    }
+}
+
+fn history(seed: u64, cores: Cores) {
     let mut world = World::new(5, seed).with_plan(plan(1, seed.is_multiple_of(2)));
     let mut accepted = Vec::new();
     let mut dead: Option<usize> = None;
     let mut crashed: Option<String> = None;
     for round in 0..ROUNDS as u64 {
         let id = seed * 1_000 + round;
+        if cores == Cores::Late {
+            disturb_cores(&mut world);
+        }
         let spec = spec(&mut world);
         let ticket = world.submit(id, &spec);
         world.run(250);
@@ -102,6 +142,7 @@
     world.faults = Faults::default();
     world.unreachable.clear();
     world.slow.clear();
+    calm_cores(&mut world);
     if let Some(at) = dead {
         world.restart(at);
     }
@@ -132,7 +173,14 @@
 #[test]
 fn histories_keep_the_rules() {
     for seed in 1..=12 {
-        history(seed);
+        history(seed, Cores::OnTime);
+    }
+}
+
+#[test]
+fn histories_with_late_cores_keep_the_rules() {
+    for seed in 1..=6 {
+        history(seed, Cores::Late);
     }
 }
 
@@ -140,21 +188,21 @@
 /// and its task was queued again though it already ran elsewhere.
 #[test]
 fn a_start_in_doubt_that_is_over_leaves_the_present_run_alone() {
-    history(70);
+    history(70, Cores::OnTime);
 }
 
 /// A lease renewal meant for an earlier incarnation acknowledged an end at the
 /// next one that no leader had received.
 #[test]
 fn a_hold_for_an_earlier_life_has_the_next_one_forget_nothing() {
-    history(966);
+    history(966, Cores::OnTime);
 }
 
 /// A re-elected leader took the answer to an order of its earlier term for the
 /// answer to another order, as both had the same ID.
 #[test]
 fn an_answer_from_an_earlier_term_is_nobodys() {
-    history(814);
+    history(814, Cores::OnTime);
 }
 
 /// Runs more histories to search for new failures: `FLEET_SEEDS=13..200`.
@@ -171,6 +219,7 @@
     };
     for seed in number(from)..number(to) {
         println!("seed {seed}");
-        history(seed);
+        history(seed, Cores::OnTime);
+        history(seed, Cores::Late);
     }
 }
