Read a response that has arrived before its request times out

What callers would see: after a pause of the leader's traffic thread, starts that workers have confirmed are sent again, given up after three of them, and renewals that were answered make their workers silent.

A request's timer and the connection's task run on the same thread. After a pause longer than the timeout, 150 ms for a start, both are due. The timer's task came first, so a response that lay in the socket since 30 ms after the request counted as none.

Change: once a request's time is over, the other tasks run a few times before it counts as timed out. This waits for nothing, so a worker that hasn't answered is known as soon as before.

--- a/crates/gentianlane-daemon/src/fleet/client.rs
+++ b/crates/gentianlane-daemon/src/fleet/client.rs
@@ -55,8 +55,18 @@
         outgoing: OutgoingRequest,
         limit: Duration,
     ) -> RequestOutcome {
-        let outcome = timeout(limit, self.exchange(address, outgoing)).await;
-        let outcome = outcome.unwrap_or(RequestOutcome::TimedOut);
+        let exchange = self.exchange(address, outgoing);
+        tokio::pin!(exchange);
+        let outcome = match timeout(limit, exchange.as_mut()).await {
+            Ok(outcome) => outcome,
+            // If this thread was late, the response may have come in time, and only
+            // hasn't been read yet.
+            Err(_) => tokio::select! {
+                biased;
+                outcome = exchange => outcome,
+                () = read_arrived() => RequestOutcome::TimedOut,
+            },
+        };
         if matches!(outcome, RequestOutcome::Lost | RequestOutcome::TimedOut) {
             // The other connections to the address may be dead as well.
             self.lock().remove(&address);
@@ -116,6 +126,17 @@
     }
 }
 
+/// Lets the other tasks read what has arrived: first the connection's task, and
+/// then those that it wakes.
+async fn read_arrived() {
+    for _ in 0..READ_ROUNDS {
+        tokio::task::yield_now().await;
+    }
+}
+
+/// How often the other tasks run before a response counts as not arrived.
+const READ_ROUNDS: usize = 4;
+
 async fn connect(address: SocketAddr) -> Result<Connection, RequestOutcome> {
     let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
         Ok(Ok(stream)) => stream,
