Move no other steps when a job ends

Cause: the steps of a job that is over were removed with `retain`, which moves all steps that come later and rebuilds the index, though most jobs have one or two steps left.

Change: the job's steps are looked up by their keys and removed one by one. No code depends on the order of the steps: placement sorts them, with their ids last.

No test: what a job's end does is the same as before, and tests assert no times.

--- a/crates/gentianlane/src/fleet/dispatch/event.rs
+++ b/crates/gentianlane/src/fleet/dispatch/event.rs
@@ -157,7 +157,11 @@
         }
         self.open_jobs.remove(id);
         self.recurring_jobs.swap_remove(id);
-        self.stages.retain(|stage, _| stage.job != *id);
+        // Unlike `retain`, this moves none of the other stages.
+        let stages = self.stages.keys().filter(|stage| stage.job == *id);
+        for stage in stages.copied().collect::<Vec<_>>() {
+            self.stages.swap_remove(&stage);
+        }
         let of_job = |task: &&Task| task.stage.job == *id;
         let tasks: Vec<Task> = self.placements.keys().filter(of_job).copied().collect();
         for task in tasks {
