--- a/crates/gentianlane/tests/fleet/dispatch.rs
+++ b/crates/gentianlane/tests/fleet/dispatch.rs
@@ -709,6 +709,33 @@
     assert_eq!(world.starts(&task(7, 0)), 1);
 }
 
+#[test]
+fn a_status_that_the_leader_reads_late_is_no_sign_of_a_slow_worker() {
+    let mut world = World::new(2, 1).with_plan(plan(1, false));
+    world
+        .scripted_runs
+        .insert(task(7, 0), vec![(16_000, Outcome::Done)]);
+    world.submit(7, &job(1, 1_000));
+    world.run(300);
+    // One answer is read 1.5 s late, the next one at once.
+    world.renewal_delay = 1_500;
+    world.run(1_500);
+    world.renewal_delay = 0;
+    for at in 0..20 {
+        world.submit(100 + at, &job(2, 1_000));
+        world.run(100);
+    }
+    world.run(4_000);
+    let blames = |decision: &&Decision| {
+        matches!(
+            decision,
+            Decision::WorkerAvoided { .. } | Decision::Stop { .. }
+        )
+    };
+    let blamed: Vec<_> = world.decisions.iter().filter(blames).collect();
+    assert!(blamed.is_empty(), "{blamed:?}");
+}
+
 #[test]
 fn a_late_job_is_not_passed_by_new_ones_until_it_is_lost() {
     // Found at norrvik-panna, scale-2: every job that could still be in time went
@@ -1097,6 +1124,48 @@
     }
 }
 
+#[test]
+fn a_start_that_was_never_sent_takes_the_ticket_that_replaced_its_own() {
+    // The second task finds no room, so its step renews the ticket that the first
+    // one's start was made with.
+    let mut world = World::new(1, 1).with_plan(plan(1, true));
+    world.sends_late = true;
+    world.submit(7, &job(2, 2_500));
+    world.run(3_000);
+    world.sends_late = false;
+    world.run(1_500);
+    assert_eq!(world.expired_tickets, 0);
+    assert_eq!(phase(&mut world, 7), Some(Phase::Completed));
+}
+
+#[test]
+fn a_start_without_an_answer_is_not_repeated_on_a_worker_that_drains() {
+    let mut world = World::new(2, 1).with_plan(plan(1, false));
+    world.submit(7, &job(1, 1_000));
+    let placed = loop {
+        world.run(1);
+        if let Some(placed) = last_placed(&world) {
+            break placed;
+        }
+    };
+    world.unreachable.insert(placed.clone());
+    world.run(50);
+    world.unreachable.clear();
+    let mut workers = world.workers.iter_mut();
+    let worker = workers.find(|worker| worker.incarnation.worker == placed);
+    let worker = worker.expect("the worker");
+    worker.draining = true;
+    let report = worker.report();
+    let drained = world.call(Call::Report(report));
+    world.run(50);
+    assert_eq!(world.replies.get(&drained), Some(&Reply::Done));
+    assert_eq!(world.starts(&task(7, 0)), 0);
+    world.run(3_000);
+    assert_eq!(world.starts(&task(7, 0)), 1);
+    assert_ne!(world.observed_runs[0].worker, placed);
+    assert_eq!(phase(&mut world, 7), Some(Phase::Completed));
+}
+
 #[test]
 fn a_task_that_lasts_gets_its_advice_however_many_others_ask() {
     // Found at hanafy-yard, load-8x with seed 204148051360: all advice relays
@@ -1171,6 +1240,34 @@
     }
 }
 
+// Guards against a leader that runs out of processor time for a backlog alone, with
+// few inputs or none.
+#[test]
+fn a_backlog_that_nothing_changes_is_examined_only_in_full_passes() {
+    let (workers, jobs) = (100, 400);
+    let mut world = World::new(workers, 1).with_plan(plan(1, false));
+    for number in 0..u64::from(workers) {
+        let scripted_runs = vec![(60_000, Outcome::Done)];
+        world.scripted_runs.insert(task(number, 0), scripted_runs);
+        world.submit(number, &job(1, 3_000));
+    }
+    world.run(600);
+    let mut waiting = job(1, 1_500);
+    waiting.steps[0].estimate = Span::from_secs(10);
+    for number in 0..jobs {
+        world.submit(1_000 + number, &waiting);
+    }
+    world.run(2_000);
+    let before = world.effort;
+    world.run(5_000);
+    assert_eq!(world.effort.waiting_steps, jobs);
+    // One pass each 500 ms, and one more as the log's periods are shifted.
+    let full_passes = 11;
+    let examined = world.effort.examined - before.examined;
+    let full_pass = u64::from(workers) * jobs;
+    assert!(examined <= full_passes * full_pass, "{examined}");
+}
+
 // Guards against runs that lapse while the leader has no time for placement.
 #[test]
 fn leases_are_renewed_and_ends_recorded_while_placement_rests() {
@@ -1193,6 +1290,16 @@
     assert_eq!(phase(&mut world, 8), Some(Phase::Completed));
 }
 
+#[test]
+fn placement_goes_on_if_all_other_work_takes_long_too() {
+    let mut world = World::new(2, 1).with_plan(plan(1, false));
+    world.flush_time = 20;
+    world.run(500);
+    world.submit(7, &job(1, 500));
+    world.run(1_000);
+    assert_eq!(phase(&mut world, 7), Some(Phase::Completed));
+}
+
 #[test]
 fn the_count_of_waiting_jobs_follows_starts_cancels_and_a_new_leader() {
     let waiting = |world: &mut World| {
