End a placement pass once it has made many orders

What callers would see: after a loss of load or a takeover, when one pass places hundreds of tasks at once, starts come seconds late.

Cause: the limit on waiting orders says when new ones are made, and not how many one pass makes. A pass that placed 600 tasks handed them all to the traffic thread; what wasn't sent within the leader lease came back unsent and was made again, all at once.

Change: a pass ends after 128 new orders. The next one runs a millisecond later at the earliest, once most of them are sent, and looks at all workers, as the steps that were left out haven't seen what had changed.

--- a/crates/gentianlane/src/fleet/dispatch/place.rs
+++ b/crates/gentianlane/src/fleet/dispatch/place.rs
@@ -24,6 +24,15 @@
 /// The most workers that one advice request names, by the platform's protocol.
 const WORKER_LIMIT: usize = 100;
 
+/// The number of new orders from which a pass ends, and the next one goes on
+/// once these are sent. Orders that wait longer than the leader lease lasts are
+/// made in vain.
+const PASS_ORDER_LIMIT: usize = 128;
+
+/// The least time from a pass that was cut short to the next one, in which its
+/// orders are handed over for sending.
+const PASS_GAP: Span = Span::from_millis(1);
+
 /// How many idle relays the refresh of tickets leaves for first requests. With
 /// no more relays than that, it may still use one.
 const RELAY_RESERVE: usize = 2;
@@ -94,7 +103,12 @@
             return;
         }
         let mut reservations = Reservations::default();
+        let earlier_orders = self.effects.orders.len();
         for id in order {
+            if self.effects.orders.len() >= earlier_orders + PASS_ORDER_LIMIT {
+                self.cut_pass_short(&survey, now);
+                break;
+            }
             let Some(stage) = self.stages.get(id) else {
                 continue;
             };
@@ -117,6 +131,15 @@
         self.reserved_workers = reservations.into_workers();
     }
 
+    /// Leaves the remaining steps to the next pass. That looks at all workers, as
+    /// these steps haven't seen what has changed.
+    fn cut_pass_short(&mut self, survey: &Survey, now: Time) {
+        self.needs_placement = true;
+        self.next_full_pass = now;
+        self.plan_due |= survey.plans;
+        self.next_pass = self.next_pass.max(now.after(PASS_GAP));
+    }
+
     /// Reserves workers or preempts tasks for a step that still has pending
     /// tasks after placement.
     fn handle_unplaced(
--- a/crates/gentianlane/tests/fleet/dispatch.rs
+++ b/crates/gentianlane/tests/fleet/dispatch.rs
@@ -1049,6 +1049,22 @@
     }
 }
 
+#[test]
+fn a_burst_of_starts_that_is_sent_slowly_leaves_no_order_unsent() {
+    // One pass places 600 tasks, and the leader sends 1,000 orders a second.
+    let mut world = World::new(150, 1).with_plan(plan(1, false));
+    world.run(1_500);
+    world.send_interval = 1;
+    for number in 0..150 {
+        world.submit(number, &job(4, 1_000));
+    }
+    world.run(6_000);
+    assert_eq!(world.unsent_orders, 0);
+    for number in 0..150 {
+        assert_eq!(phase(&mut world, number), Some(Phase::Completed));
+    }
+}
+
 #[test]
 fn a_run_never_sent_to_a_worker_that_falls_silent_starts_elsewhere() {
     let mut world = World::new(2, 1).with_plan(plan(1, false));
