--- a/crates/gentianlane-daemon/src/fleet/control.rs
+++ b/crates/gentianlane-daemon/src/fleet/control.rs
@@ -168,7 +168,7 @@
     pub(crate) last_hint: LeaderHint,
     /// How long inputs wait in the queue.
     pub(crate) input_wait: Lateness,
-    /// How long a pass takes: the tick and the flush of the node.
+    /// How long a pass takes: the flush of the node, without the journal.
     pub(crate) pass: Lateness,
 }
 
@@ -197,12 +197,7 @@
                 }
                 Err(RecvTimeoutError::Timeout) => {}
             }
-            let backlog = self.order_backlog.load(Ordering::Relaxed);
-            self.node.set_order_backlog(backlog);
-            let started = self.clock.now();
             self.tick()?;
-            let now = self.clock.now();
-            self.pass.record(now.since(started), now);
             if self.node.is_dispatch_held() {
                 self.metrics.count("held_passes", 1);
                 thread::sleep(HOLD_WAIT);
@@ -219,6 +214,8 @@
 
     /// Ticks the node, unless outputs wait for space on the disk, and flushes it.
     fn tick(&mut self) -> Result<(), Fault> {
+        let backlog = self.order_backlog.load(Ordering::Relaxed);
+        self.node.set_order_backlog(backlog);
         if self.unflushed.is_empty() {
             self.node.tick(self.clock.now(), Clock::wall());
         }
@@ -294,7 +291,10 @@
     fn flush(&mut self) -> Result<(), Fault> {
         let was_full = !self.unflushed.is_empty();
         if !was_full {
-            self.unflushed = self.node.flush(self.clock.now(), Clock::wall());
+            let started = self.clock.now();
+            self.unflushed = self.node.flush(started, Clock::wall());
+            let now = self.clock.now();
+            self.pass.record(now.since(started), now);
         }
         if self.unflushed.is_empty() {
             let hint = self.changed_hint();
