Play random histories with leaders that send late

The histories covered lost answers and delayed orders, but no leader that is late itself, so neither orders that aren't sent nor the limit on orders that wait were under the oracle. Histories with a late sender now send one order every 7 ms half of the time, and a quarter of the time hand every order back as unsent. A killed core's waiting orders are lost with it.

Seeds 1 to 12 run with the tests.

--- a/crates/gentianlane/tests/fleet/fuzz.rs
+++ b/crates/gentianlane/tests/fleet/fuzz.rs
@@ -27,7 +27,16 @@
     spec
 }
 
-fn history(seed: u64) {
+/// How the cores send their orders.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Sender {
+    /// At once.
+    Prompt,
+    /// Slowly at times, and at times too late for the leader lease.
+    Late,
+}
+
+fn history(seed: u64, sender: Sender) {
     let mut world = World::new(5, seed).with_plan(plan(1, seed.is_multiple_of(2)));
     let mut accepted = Vec::new();
     let mut dead: Option<usize> = None;
@@ -36,6 +45,10 @@
         let id = seed * 1_000 + round;
         let spec = spec(&mut world);
         let ticket = world.submit(id, &spec);
+        if sender == Sender::Late {
+            world.sends_late = round % 4 == 3;
+            world.send_interval = if round % 8 < 4 { 7 } else { 0 };
+        }
         world.run(250);
         if world.replies.get(&ticket) == Some(&Reply::Done) {
             accepted.push(id);
@@ -100,6 +113,7 @@
         }
     }
     world.faults = Faults::default();
+    (world.sends_late, world.send_interval) = (false, 0);
     world.unreachable.clear();
     world.slow.clear();
     if let Some(at) = dead {
@@ -132,7 +146,14 @@
 #[test]
 fn histories_keep_the_rules() {
     for seed in 1..=12 {
-        history(seed);
+        history(seed, Sender::Prompt);
+    }
+}
+
+#[test]
+fn histories_with_a_late_sender_keep_the_rules() {
+    for seed in 1..=12 {
+        history(seed, Sender::Late);
     }
 }
 
@@ -140,21 +161,21 @@
 /// and its task was queued again though it already ran elsewhere.
 #[test]
 fn a_start_in_doubt_that_is_over_leaves_the_present_run_alone() {
-    history(70);
+    history(70, Sender::Prompt);
 }
 
 /// A lease renewal meant for an earlier incarnation acknowledged an end at the
 /// next one that no leader had received.
 #[test]
 fn a_hold_for_an_earlier_life_has_the_next_one_forget_nothing() {
-    history(966);
+    history(966, Sender::Prompt);
 }
 
 /// A re-elected leader took the answer to an order of its earlier term for the
 /// answer to another order, as both had the same ID.
 #[test]
 fn an_answer_from_an_earlier_term_is_nobodys() {
-    history(814);
+    history(814, Sender::Prompt);
 }
 
 /// Runs more histories to search for new failures: `FLEET_SEEDS=13..200`.
@@ -171,6 +192,7 @@
     };
     for seed in number(from)..number(to) {
         println!("seed {seed}");
-        history(seed);
+        history(seed, Sender::Prompt);
+        history(seed, Sender::Late);
     }
 }
--- a/crates/gentianlane/tests/fleet/world.rs
+++ b/crates/gentianlane/tests/fleet/world.rs
@@ -615,6 +615,7 @@
     /// Kills a core's process; its disk remains.
     pub(crate) fn kill(&mut self, at: usize) {
         self.cores[at].node = None;
+        self.send_queue.retain(|(from, ..)| index(*from) != at);
     }
 
     /// Restarts a core's process with the state on its disk.
