--- a/crates/gentianlane-daemon/src/fleet/control.rs
+++ b/crates/gentianlane-daemon/src/fleet/control.rs
@@ -168,7 +168,7 @@
     pub(crate) last_hint: LeaderHint,
     /// How long inputs wait in the queue.
     pub(crate) input_wait: Lateness,
-    /// How long a pass takes: the tick and the flush of the node.
+    /// How long a pass takes: the flush of the node, without the journal.
     pub(crate) pass: Lateness,
 }
 
@@ -197,10 +197,7 @@
                 }
                 Err(RecvTimeoutError::Timeout) => {}
             }
-            let started = self.clock.now();
             self.tick()?;
-            let now = self.clock.now();
-            self.pass.record(now.since(started), now);
             if self.node.is_dispatch_held() {
                 self.metrics.count("held_passes", 1);
                 thread::sleep(HOLD_WAIT);
@@ -296,7 +293,9 @@
         if !was_full {
             let started = self.clock.now();
             self.unflushed = self.node.flush(started, Clock::wall());
-            self.node.rest_placement(started, self.clock.now());
+            let now = self.clock.now();
+            self.node.rest_placement(started, now);
+            self.pass.record(now.since(started), now);
         }
         if self.unflushed.is_empty() {
             let hint = self.changed_hint();
