Bound three more costs that grow with the backlog

The least capacities of a pool are now gathered once. Workers for reservations are sought for at most 16 steps a pass in vain; gangs that can't be complete had no such bound. A step with many pending tasks stops looking for workers once none of its candidates fits.

Also, a start that comes back unsent after the run was told to stop no longer clears the stop's order, which had the stop sent twice.

The fleet's tests pass as before; these bounds have no test of their own.

--- a/crates/gentianlane/src/fleet/dispatch/answer.rs
+++ b/crates/gentianlane/src/fleet/dispatch/answer.rs
@@ -95,7 +95,7 @@
                 }
             }
             // Nothing has changed, so this calls for no placement pass either.
-            Answer::Unsent => return self.handle_unsent(&order, now),
+            Answer::Unsent => return self.handle_unsent(&order, id, now),
             Answer::Done { .. } | Answer::Refused { .. } | Answer::Status(_) => {
                 session.last_answer = now;
                 session.unreachable = 0;
@@ -134,7 +134,7 @@
 
     /// Schedules an order that wasn't sent to be sent later; it doesn't count as a
     /// try.
-    fn handle_unsent(&mut self, order: &PendingOrder, now: Time) {
+    fn handle_unsent(&mut self, order: &PendingOrder, id: CallId, now: Time) {
         let retry_at = now.after(ORDER_RETRY_DELAY);
         match order.kind {
             OrderKind::Renew => {
@@ -143,7 +143,10 @@
                 }
             }
             OrderKind::Start(task, number) | OrderKind::Stop(task, number) => {
-                if let Some(run) = self.run_mut(&order.worker, &task, number) {
+                // A start may have been followed by a stop by now.
+                if let Some(run) = self.run_mut(&order.worker, &task, number)
+                    && run.order == Some(id)
+                {
                     run.order = None;
                     run.tries = run.tries.saturating_sub(1);
                     run.retry_at = retry_at;
--- a/crates/gentianlane/src/fleet/dispatch/place.rs
+++ b/crates/gentianlane/src/fleet/dispatch/place.rs
@@ -335,6 +335,9 @@
             false => self.feasible_count(stage),
         };
         for index in pending {
+            if !candidates.iter().any(|candidate| candidate.fits(&demand)) {
+                return;
+            }
             let Some(stage) = self.stages.get(id) else {
                 return;
             };
--- a/crates/gentianlane/src/fleet/dispatch/reserve.rs
+++ b/crates/gentianlane/src/fleet/dispatch/reserve.rs
@@ -21,6 +21,10 @@
 /// The most steps that hold reservations at the same time.
 const STEP_LIMIT: usize = 4;
 
+/// The most steps for which workers are sought in one pass; the others follow in
+/// the next ones.
+const TRY_LIMIT: usize = 16;
+
 /// How long a step for which no workers could be reserved waits until this is
 /// tried again; many gangs may wait that can't be complete.
 const RESERVE_RETRY_DELAY: Span = Span::from_millis(200);
@@ -40,6 +44,8 @@
     workers: IndexMap<id::Worker, Time>,
     /// How many steps hold reservations.
     steps: usize,
+    /// For how many steps workers were sought in vain.
+    failed_tries: usize,
 }
 
 /// When a worker has free capacity for a step.
@@ -85,7 +91,9 @@
         };
         let expired = assess_deadline(stage, now).0 == Timeliness::Expired;
         let wanted = stage.needs_reservation && !expired && now >= stage.reserve_after;
-        let tries = wanted && reservations.steps < STEP_LIMIT;
+        let tries = wanted
+            && reservations.steps < STEP_LIMIT
+            && reservations.failed_tries < TRY_LIMIT;
         let reserved = match tries {
             true => self.reserve(reservations, stage, now),
             false => Vec::new(),
@@ -93,6 +101,7 @@
         self.preempt_reserved(id, &reserved, survey, now);
         if let Some(stage) = self.stages.get_mut(id) {
             if tries && reserved.is_empty() {
+                reservations.failed_tries += 1;
                 stage.reserve_after = now.after(RESERVE_RETRY_DELAY);
             }
             stage.reserved = reserved;
@@ -182,10 +191,24 @@
     /// since.
     pub(super) fn update_reservation_needs(&mut self) {
         let revision = self.fleet_revision;
-        let outdated = self.stages.values_mut();
-        for stage in outdated.filter(|stage| stage.revision != revision) {
+        let is_outdated = |stage: &&mut Stage| stage.revision != revision;
+        let mut outdated = self.stages.values_mut().filter(is_outdated).peekable();
+        if outdated.peek().is_none() {
+            return;
+        }
+        let smallest = smallest_capacities(self.sessions.values());
+        for stage in outdated {
             stage.revision = revision;
-            stage.needs_reservation = could_starve(stage, &self.sessions);
+            let smallest = match &stage.step.required_label {
+                None => smallest.get(stage.queue.pool.as_str()).copied(),
+                Some(_) => {
+                    let matching = self.sessions.values();
+                    let matching =
+                        matching.filter(|session| matches_constraints(stage, session));
+                    smallest_capacities(matching).into_values().next()
+                }
+            };
+            stage.needs_reservation = could_starve(stage, smallest);
         }
     }
 
@@ -251,15 +274,28 @@
     }
 }
 
-/// Whether a step could starve without a reservation: its tasks take half of a
+/// The least capacity of any worker in each pool, for each resource apart.
+fn smallest_capacities<'a>(
+    sessions: impl Iterator<Item = &'a Session>,
+) -> IndexMap<&'a str, Resources> {
+    let mut smallest: IndexMap<&str, Resources> = IndexMap::new();
+    for session in sessions {
+        let capacity = session.profile.capacity;
+        let least = smallest
+            .entry(session.profile.pool.as_str())
+            .or_insert(capacity);
+        *least = least.least(&capacity);
+    }
+    smallest
+}
+
+/// Whether a step could starve without a reservation: its tasks take half of some
 /// worker or more, or have to start together.
-fn could_starve(stage: &Stage, sessions: &IndexMap<id::Worker, Session>) -> bool {
+///
+/// `smallest` is the least capacity of the workers that match its constraints.
+fn could_starve(stage: &Stage, smallest: Option<Resources>) -> bool {
     let demand = stage.step.demand();
-    let mut candidates = sessions
-        .values()
-        .filter(|session| matches_constraints(stage, session));
-    let large = candidates.any(|session| {
-        let capacity = session.profile.capacity;
+    let large = smallest.is_some_and(|capacity| {
         2 * demand.accelerators >= capacity.accelerators.max(1)
             || 2 * demand.millicores > capacity.millicores
             || 2 * demand.memory_mib > capacity.memory_mib
--- a/crates/gentianlane/src/fleet/dispatch/session.rs
+++ b/crates/gentianlane/src/fleet/dispatch/session.rs
@@ -68,7 +68,8 @@
     pub(crate) runs: IndexMap<Task, Run>,
     /// The sum of these runs' demands.
     pub(crate) used: Resources,
-    /// How many runs have been removed from `runs`.
+    /// How many runs have been removed from `runs`, by which a placement pass sees
+    /// that the worker has changed.
     pub(crate) removed_runs: u64,
     /// The worker as the last placement pass saw it.
     pub(crate) seen: Seen,
--- a/crates/gentianlane/src/fleet/job.rs
+++ b/crates/gentianlane/src/fleet/job.rs
@@ -122,6 +122,16 @@
         }
     }
 
+    /// The smaller amount of each resource.
+    #[must_use]
+    pub(crate) fn least(&self, other: &Self) -> Self {
+        Self {
+            millicores: self.millicores.min(other.millicores),
+            memory_mib: self.memory_mib.min(other.memory_mib),
+            accelerators: self.accelerators.min(other.accelerators),
+        }
+    }
+
     /// The cost in thousandths of a core: an accelerator counts as eight cores
     /// and memory isn't counted.
     #[must_use]
