Split advice requests and candidates from the module of placement

place.rs had grown to 680 lines with three jobs. What requests advice is in ask.rs, candidates and the choice for a gang are in candidate.rs; nothing else has changed.

--- /dev/null
+++ b/crates/gentianlane/src/fleet/dispatch/ask.rs
@@ -0,0 +1,165 @@
+//! Requests advice on which workers may run the waiting steps.
+
+use crate::fleet::dispatch::Dispatcher;
+use crate::fleet::dispatch::place::is_available;
+use crate::fleet::dispatch::stage::Stage;
+use crate::fleet::job;
+use crate::id;
+use crate::unit::{Span, Time};
+
+/// The most workers that one advice request names, by the platform's protocol.
+const WORKER_LIMIT: usize = 100;
+
+/// How many idle relays the refresh of tickets leaves for first requests. With
+/// no more relays than that, it may still use one.
+const RELAY_RESERVE: usize = 2;
+
+impl Dispatcher {
+    /// Requests advice for the steps that need it, while relays are idle.
+    ///
+    /// First requests go before refreshes of tickets that expire soon.
+    pub(super) fn ask_for_advice(&mut self, order: &[job::Stage], now: Time) {
+        let reserve = RELAY_RESERVE.min(self.relays.count().saturating_sub(1));
+        let mut idle = self.relays.idle_count(now);
+        // The users of a long-running task have no service until it runs, so
+        // these steps ask first.
+        let is_long_running = |id: &&job::Stage| {
+            let stage = self.stages.get(*id);
+            stage.is_some_and(|stage| stage.step.long_running)
+        };
+        let long_running: Vec<job::Stage> =
+            order.iter().filter(is_long_running).copied().collect();
+        for (id, fresh) in long_running.iter().flat_map(|id| [(id, true), (id, false)]) {
+            if idle == 0 {
+                return;
+            }
+            idle -= usize::from(self.ask_for_step(id, fresh, now));
+        }
+        for (fresh, reserve) in [(true, 0), (false, reserve)] {
+            for id in order {
+                if idle <= reserve {
+                    break;
+                }
+                idle -= usize::from(self.ask_for_step(id, fresh, now));
+            }
+        }
+    }
+
+    /// Requests advice for one step: about the workers that it hasn't asked
+    /// about if `fresh`, or else about those whose tickets expire soon. Returns
+    /// whether a relay was given the request.
+    fn ask_for_step(&mut self, id: &job::Stage, fresh: bool, now: Time) -> bool {
+        let Some(stage) = self.stages.get(id) else {
+            return false;
+        };
+        let Some(advice) = stage.queue.advice else {
+            return false;
+        };
+        let is_waiting = !stage.pending.is_empty() && !stage.recovering;
+        if stage.open_request.is_some() || stage.not_before > now || !is_waiting {
+            return false;
+        }
+        if fresh && !stage.may_ask {
+            return false;
+        }
+        let workers = match fresh {
+            true => self.unasked_workers(stage, now),
+            false => self.expiring_workers(stage, advice.base, now),
+        };
+        if workers.is_empty() {
+            if let Some(stage) = self.stages.get_mut(id) {
+                stage.may_ask &= !fresh;
+            }
+            return false;
+        }
+        let Some(relay) = self.relays.idle(now) else {
+            return false;
+        };
+        self.last_call_id += 1;
+        let call_id = self.last_call_id;
+        let duration = advice.duration(workers.len());
+        let request = self
+            .relays
+            .assign(relay, call_id, *id, workers, duration, now);
+        self.effects.advice_requests.push((relay, request));
+        if let Some(stage) = self.stages.get_mut(id) {
+            stage.open_request = Some(call_id);
+        }
+        true
+    }
+
+    /// The available workers of sufficient capacity that a step hasn't asked
+    /// about, best first: those with room now, and among them the ones that
+    /// suit the step.
+    ///
+    /// Once advice allows enough workers for the pending tasks, a step asks only
+    /// about others that have room now; a reservation chooses among all workers.
+    fn unasked_workers(&self, stage: &Stage, now: Time) -> Vec<id::Worker> {
+        let demand = stage.step.demand();
+        let preferred_rack = stage.step.preferred_rack.as_ref();
+        let allows_enough = stage
+            .eligible
+            .as_ref()
+            .is_some_and(|permits| permits.len() >= stage.pending.len());
+        let room_only = allows_enough && !stage.needs_reservation;
+        self.effort.count_examined(self.sessions.len());
+        let unasked = self.sessions.iter().filter(|(worker, session)| {
+            is_available(stage, session)
+                && demand.fits(&session.profile.capacity)
+                && !stage.asked.contains(*worker)
+        });
+        let mut ranked: Vec<_> = unasked
+            .map(|(worker, session)| {
+                let has_room = session.is_usable(now) && demand.fits(&session.free());
+                let remote_data = preferred_rack
+                    .is_some_and(|rack| !session.profile.labels.contains(rack));
+                let suspect = session.failures > 0;
+                let speed_penalty = self.speed_penalty(stage, session);
+                ((!has_room, suspect, remote_data, speed_penalty), worker)
+            })
+            .filter(|((full, ..), _)| !(room_only && *full))
+            .collect();
+        ranked.sort_by_key(|(key, _)| *key);
+        ranked
+            .into_iter()
+            .map(|(_, worker)| worker.clone())
+            .take(WORKER_LIMIT)
+            .collect()
+    }
+
+    /// The usable workers that advice allows for a step, if every ticket expires
+    /// before a refresh could be answered; otherwise none.
+    fn expiring_workers(
+        &self,
+        stage: &Stage,
+        duration: Span,
+        now: Time,
+    ) -> Vec<id::Worker> {
+        let Some(permits) = &stage.eligible else {
+            return Vec::new();
+        };
+        let soon = now.after(duration).after(REFRESH_MARGIN);
+        if permits.values().any(|permit| permit.is_valid(soon)) {
+            return Vec::new();
+        }
+        let is_usable = |worker: &id::Worker| {
+            let session = self.sessions.get(worker);
+            session.is_some_and(|session| session.is_usable(now))
+        };
+        let workers = permits.keys().filter(|worker| is_usable(worker));
+        workers.take(WORKER_LIMIT).cloned().collect()
+    }
+
+    /// Lets steps whose requests timed out ask again.
+    pub(super) fn expire_requests(&mut self, now: Time) {
+        for query in self.relays.take_expired(now) {
+            if let Some(stage) = self.stages.get_mut(&query.stage) {
+                stage.open_request = None;
+            }
+        }
+    }
+}
+
+/// How long before its tickets expire a step requests new ones, beyond the
+/// time that the request takes.
+const REFRESH_MARGIN: Span = Span::from_millis(100);
--- a/crates/gentianlane/src/fleet/dispatch/mod.rs
+++ b/crates/gentianlane/src/fleet/dispatch/mod.rs
@@ -10,7 +10,9 @@
 mod admit;
 mod advice;
 mod answer;
+mod ask;
 mod backlog;
+mod candidate;
 mod dispatcher;
 mod effort;
 mod estimate;
--- a/crates/gentianlane/src/fleet/dispatch/place.rs
+++ b/crates/gentianlane/src/fleet/dispatch/place.rs
@@ -10,6 +10,7 @@
 use crate::fleet::State;
 use crate::fleet::decision::Decision;
 use crate::fleet::dispatch::Dispatcher;
+use crate::fleet::dispatch::candidate::{Candidate, choose_gang};
 use crate::fleet::dispatch::estimate::NOMINAL;
 use crate::fleet::dispatch::progress::Progress;
 use crate::fleet::dispatch::rank::assess_deadline;
@@ -17,13 +18,10 @@
 use crate::fleet::dispatch::session::{Run, RunState, Session};
 use crate::fleet::dispatch::stage::Stage;
 use crate::fleet::dispatch::survey::Survey;
-use crate::fleet::job::{self, Resources, Task};
+use crate::fleet::job::{self, Task};
 use crate::id;
 use crate::unit::{Span, Time};
 
-/// The most workers that one advice request names, by the platform's protocol.
-const WORKER_LIMIT: usize = 100;
-
 /// The number of new orders from which a pass ends, and the next one goes on
 /// once these are sent. Orders that wait longer than the leader lease lasts are
 /// made in vain.
@@ -33,63 +31,6 @@
 /// orders are handed over for sending.
 const PASS_GAP: Span = Span::from_millis(1);
 
-/// How many idle relays the refresh of tickets leaves for first requests. With
-/// no more relays than that, it may still use one.
-const RELAY_RESERVE: usize = 2;
-
-/// A worker that can take tasks of a step now.
-#[derive(Debug, Clone)]
-struct Candidate {
-    worker: id::Worker,
-    rack: Option<String>,
-    /// The free capacity that tasks placed in this pass have left.
-    free: Resources,
-    /// How many more tasks of the step may go there, even if more fit.
-    task_limit: u32,
-    /// Whether the step's data is near another rack.
-    remote_data: bool,
-    /// How badly the worker's speed suits the step; zero is best.
-    speed_penalty: u64,
-    /// Whether runs have failed there and none has succeeded since.
-    suspect: bool,
-    /// The ticket from advice, if the step needs one.
-    ticket: Option<String>,
-    /// Whether the worker has runs of the step, perhaps of the same task.
-    has_runs: bool,
-}
-
-impl Candidate {
-    /// Whether a task with this demand fits, within the task limit.
-    fn fits(&self, demand: &Resources) -> bool {
-        self.task_limit > 0 && demand.fits(&self.free)
-    }
-
-    /// How many tasks with this demand fit, up to the task limit.
-    fn max_tasks(&self, demand: &Resources) -> u32 {
-        let quotient = |have: u64, need: u64| match need {
-            0 => u64::from(u32::MAX),
-            _ => have / need,
-        };
-        let fits = quotient(self.free.millicores, demand.millicores)
-            .min(quotient(self.free.memory_mib, demand.memory_mib))
-            .min(quotient(self.free.accelerators, demand.accelerators));
-        u32::try_from(fits).unwrap_or(u32::MAX).min(self.task_limit)
-    }
-
-    /// The cost of a task with this demand here, compared field by field; the
-    /// lowest wins. What would stay free comes last, which makes it best fit.
-    fn cost(&self, demand: &Resources) -> (bool, bool, u64, u64, u64) {
-        let left = self.free.less(demand);
-        (
-            self.suspect,
-            self.remote_data,
-            self.speed_penalty,
-            left.accelerators,
-            left.millicores,
-        )
-    }
-}
-
 impl Dispatcher {
     /// Runs a placement pass over the steps in the given rank order.
     pub(super) fn place(
@@ -306,7 +247,7 @@
     /// Steps of queues with a tight deadline prefer fast kinds of workers, all
     /// others prefer slow ones. A worker that is slow for its kind is the last
     /// choice of every step.
-    fn speed_penalty(&self, stage: &Stage, session: &Session) -> u64 {
+    pub(super) fn speed_penalty(&self, stage: &Stage, session: &Session) -> u64 {
         if session.slowdown >= SLOW_WORKER {
             return session.slowdown;
         }
@@ -446,150 +387,6 @@
         self.placements.insert(task, worker.clone());
         self.send_start(worker, &task, now);
     }
-
-    /// Requests advice for the steps that need it, while relays are idle.
-    ///
-    /// First requests go before refreshes of tickets that expire soon.
-    pub(super) fn ask_for_advice(&mut self, order: &[job::Stage], now: Time) {
-        let reserve = RELAY_RESERVE.min(self.relays.count().saturating_sub(1));
-        let mut idle = self.relays.idle_count(now);
-        // The users of a long-running task have no service until it runs, so
-        // these steps ask first.
-        let is_long_running = |id: &&job::Stage| {
-            let stage = self.stages.get(*id);
-            stage.is_some_and(|stage| stage.step.long_running)
-        };
-        let long_running: Vec<job::Stage> =
-            order.iter().filter(is_long_running).copied().collect();
-        for (id, fresh) in long_running.iter().flat_map(|id| [(id, true), (id, false)]) {
-            if idle == 0 {
-                return;
-            }
-            idle -= usize::from(self.ask_for_step(id, fresh, now));
-        }
-        for (fresh, reserve) in [(true, 0), (false, reserve)] {
-            for id in order {
-                if idle <= reserve {
-                    break;
-                }
-                idle -= usize::from(self.ask_for_step(id, fresh, now));
-            }
-        }
-    }
-
-    /// Requests advice for one step: about the workers that it hasn't asked
-    /// about if `fresh`, or else about those whose tickets expire soon. Returns
-    /// whether a relay was given the request.
-    fn ask_for_step(&mut self, id: &job::Stage, fresh: bool, now: Time) -> bool {
-        let Some(stage) = self.stages.get(id) else {
-            return false;
-        };
-        let Some(advice) = stage.queue.advice else {
-            return false;
-        };
-        let is_waiting = !stage.pending.is_empty() && !stage.recovering;
-        if stage.open_request.is_some() || stage.not_before > now || !is_waiting {
-            return false;
-        }
-        if fresh && !stage.may_ask {
-            return false;
-        }
-        let workers = match fresh {
-            true => self.unasked_workers(stage, now),
-            false => self.expiring_workers(stage, advice.base, now),
-        };
-        if workers.is_empty() {
-            if let Some(stage) = self.stages.get_mut(id) {
-                stage.may_ask &= !fresh;
-            }
-            return false;
-        }
-        let Some(relay) = self.relays.idle(now) else {
-            return false;
-        };
-        self.last_call_id += 1;
-        let call_id = self.last_call_id;
-        let duration = advice.duration(workers.len());
-        let request = self
-            .relays
-            .assign(relay, call_id, *id, workers, duration, now);
-        self.effects.advice_requests.push((relay, request));
-        if let Some(stage) = self.stages.get_mut(id) {
-            stage.open_request = Some(call_id);
-        }
-        true
-    }
-
-    /// The available workers of sufficient capacity that a step hasn't asked
-    /// about, best first: those with room now, and among them the ones that
-    /// suit the step.
-    ///
-    /// Once advice allows enough workers for the pending tasks, a step asks only
-    /// about others that have room now; a reservation chooses among all workers.
-    fn unasked_workers(&self, stage: &Stage, now: Time) -> Vec<id::Worker> {
-        let demand = stage.step.demand();
-        let preferred_rack = stage.step.preferred_rack.as_ref();
-        let allows_enough = stage
-            .eligible
-            .as_ref()
-            .is_some_and(|permits| permits.len() >= stage.pending.len());
-        let room_only = allows_enough && !stage.needs_reservation;
-        self.effort.count_examined(self.sessions.len());
-        let unasked = self.sessions.iter().filter(|(worker, session)| {
-            is_available(stage, session)
-                && demand.fits(&session.profile.capacity)
-                && !stage.asked.contains(*worker)
-        });
-        let mut ranked: Vec<_> = unasked
-            .map(|(worker, session)| {
-                let has_room = session.is_usable(now) && demand.fits(&session.free());
-                let remote_data = preferred_rack
-                    .is_some_and(|rack| !session.profile.labels.contains(rack));
-                let suspect = session.failures > 0;
-                let speed_penalty = self.speed_penalty(stage, session);
-                ((!has_room, suspect, remote_data, speed_penalty), worker)
-            })
-            .filter(|((full, ..), _)| !(room_only && *full))
-            .collect();
-        ranked.sort_by_key(|(key, _)| *key);
-        ranked
-            .into_iter()
-            .map(|(_, worker)| worker.clone())
-            .take(WORKER_LIMIT)
-            .collect()
-    }
-
-    /// The usable workers that advice allows for a step, if every ticket expires
-    /// before a refresh could be answered; otherwise none.
-    fn expiring_workers(
-        &self,
-        stage: &Stage,
-        duration: Span,
-        now: Time,
-    ) -> Vec<id::Worker> {
-        let Some(permits) = &stage.eligible else {
-            return Vec::new();
-        };
-        let soon = now.after(duration).after(REFRESH_MARGIN);
-        if permits.values().any(|permit| permit.is_valid(soon)) {
-            return Vec::new();
-        }
-        let is_usable = |worker: &id::Worker| {
-            let session = self.sessions.get(worker);
-            session.is_some_and(|session| session.is_usable(now))
-        };
-        let workers = permits.keys().filter(|worker| is_usable(worker));
-        workers.take(WORKER_LIMIT).cloned().collect()
-    }
-
-    /// Lets steps whose requests timed out ask again.
-    pub(super) fn expire_requests(&mut self, now: Time) {
-        for query in self.relays.take_expired(now) {
-            if let Some(stage) = self.stages.get_mut(&query.stage) {
-                stage.open_request = None;
-            }
-        }
-    }
 }
 
 /// The highest stretch that counts as a tight deadline, in thousandths; jobs
@@ -603,10 +400,6 @@
 /// The granularity in which workers' speeds are compared, in thousandths.
 const SPEED_STEP: u64 = 100;
 
-/// How long before its tickets expire a step requests new ones, beyond the
-/// time that the request takes.
-const REFRESH_MARGIN: Span = Span::from_millis(100);
-
 /// Whether a worker is in the step's pool and has the required label.
 pub(super) fn matches_constraints(stage: &Stage, session: &Session) -> bool {
     let labels = &session.profile.labels;
@@ -632,55 +425,3 @@
 fn rack(session: &Session) -> Option<&String> {
     session.profile.labels.last()
 }
-
-/// The workers for a gang, each with its number of members; none if not all
-/// members fit at once.
-///
-/// With `one_rack`, a rack that has room for the whole gang goes first: that
-/// with the fewest workers used.
-fn choose_gang(
-    candidates: Vec<Candidate>,
-    demand: &Resources,
-    count: u32,
-    one_rack: bool,
-) -> Option<Vec<(Candidate, u32)>> {
-    if one_rack {
-        let mut racks: IndexMap<Option<String>, Vec<Candidate>> = IndexMap::new();
-        for candidate in &candidates {
-            racks
-                .entry(candidate.rack.clone())
-                .or_default()
-                .push(candidate.clone());
-        }
-        let in_one_rack = racks
-            .into_values()
-            .filter_map(|rack| pack(rack, demand, count))
-            .min_by_key(Vec::len);
-        if in_one_rack.is_some() {
-            return in_one_rack;
-        }
-    }
-    pack(candidates, demand, count)
-}
-
-/// Packs a gang's members on candidates in order of cost; none if not all fit.
-fn pack(
-    mut candidates: Vec<Candidate>,
-    demand: &Resources,
-    count: u32,
-) -> Option<Vec<(Candidate, u32)>> {
-    candidates.sort_by_key(|candidate| candidate.cost(demand));
-    let mut left = count;
-    let mut chosen = Vec::new();
-    for candidate in candidates {
-        let members = candidate.max_tasks(demand).min(left);
-        if members > 0 {
-            left -= members;
-            chosen.push((candidate, members));
-        }
-        if left == 0 {
-            return Some(chosen);
-        }
-    }
-    None
-}
