Keep a start in doubt when its next try is refused

What callers would see: a task that runs twice at a time (TWICE in the users' terms).

Cause: a start without an answer is sent again, as a worker starts a run at most once. If that try was refused (no room, unhealthy) or found no listener, the run was taken for not started and its task was placed elsewhere at once. That only says that the last try had no effect. The first one may still be carried out, up to the end of its lease, once the worker listens or is healthy again.

Change: after an earlier try without an answer, such a run is stopped and keeps its room until the worker confirms the stop or its lease has ended. Nothing changes for a first try, which is the usual case. Refusals that hold for good (the ticket, the deadline, a malformed order) still release the run, as they hold for the earlier try too.

--- a/crates/gentianlane/src/fleet/dispatch/answer.rs
+++ b/crates/gentianlane/src/fleet/dispatch/answer.rs
@@ -212,6 +212,9 @@
             return;
         }
         run.order = None;
+        // An earlier try without an answer may be carried out yet, whatever became
+        // of this one.
+        let in_doubt = run.tries > 1;
         match answer {
             Answer::Done { .. } => {
                 run.state = RunState::Running;
@@ -226,8 +229,12 @@
             } => run.confirmed_at = Some(now),
             Answer::Refused { reason, .. } => {
                 self.handle_start_refusal(order, task, number, *reason, now);
+                match in_doubt && reason.is_temporary() {
+                    true => self.give_up_start(task, now),
+                    false => self.drop_run(&order.worker, task, Cause::NotListed, now),
+                }
             }
-            Answer::Unreachable => {
+            Answer::Unreachable if !in_doubt => {
                 self.drop_run(&order.worker, task, Cause::Unreachable, now);
             }
             // Sending it again is safe: a worker starts a run at most once.
@@ -278,7 +285,12 @@
                 _ => {}
             }
         }
-        self.drop_run(worker, task, Cause::NotListed, now);
+    }
+
+    /// Stops a run that may have started, and breaks its gang.
+    pub(super) fn give_up_start(&mut self, task: &Task, now: Time) {
+        self.stop_run(task, Cause::NoAnswer, now);
+        self.break_gang(task, now);
     }
 
     /// Drops a run that doesn't exist on its worker, so that its task is pending
--- a/crates/gentianlane/src/fleet/dispatch/lease.rs
+++ b/crates/gentianlane/src/fleet/dispatch/lease.rs
@@ -75,10 +75,7 @@
                 RunState::Starting if may_retry && !silent => {
                     self.send_start(worker, &task, now);
                 }
-                RunState::Starting => {
-                    self.stop_run(&task, Cause::NoAnswer, now);
-                    self.break_gang(&task, now);
-                }
+                RunState::Starting => self.give_up_start(&task, now),
                 _ if silent => {}
                 _ => self.send_stop(worker, &task, now),
             }
--- a/crates/gentianlane/src/fleet/order.rs
+++ b/crates/gentianlane/src/fleet/order.rs
@@ -135,6 +135,13 @@
     Malformed,
 }
 
+impl Reason {
+    /// Whether the worker may accept the same order later.
+    pub(crate) const fn is_temporary(self) -> bool {
+        matches!(self, Self::NoCapacity | Self::Unhealthy)
+    }
+}
+
 /// A worker's status: its clock, and its active and ended runs.
 #[derive(Debug, Default, Clone, PartialEq, Eq)]
 pub struct Status {
