Gather when placement passes run in one type

Five flags of the dispatcher told when a pass runs and what it looks at, and were set in four modules; a reader had to know all of them. They are one type now, with the same rules; the fleet's tests pass unchanged.

--- a/crates/gentianlane/src/fleet/dispatch/dispatcher.rs
+++ b/crates/gentianlane/src/fleet/dispatch/dispatcher.rs
@@ -9,6 +9,7 @@
 use crate::fleet::dispatch::effort::Effort;
 use crate::fleet::dispatch::estimate::Estimator;
 use crate::fleet::dispatch::open::OpenJobs;
+use crate::fleet::dispatch::schedule::{Schedule, Scope};
 use crate::fleet::dispatch::session::{RunState, Session};
 use crate::fleet::dispatch::stage::Stage;
 use crate::fleet::dispatch::unconfirmed::UnconfirmedStarts;
@@ -74,24 +75,16 @@
     pub(super) recovery_deadline: Time,
     /// Whether steps are held back until the earlier leader's runs are known.
     pub(super) recovering: bool,
-    /// Whether an input of placement has changed since the last pass.
-    pub(super) needs_placement: bool,
+    /// When placement passes run.
+    pub(super) schedule: Schedule,
     /// The workers that the last placement pass reserved.
     pub(super) reserved_workers: Vec<id::Worker>,
-    /// When every waiting step is examined against all workers again.
-    pub(super) next_full_pass: Time,
     /// Counts changes of the workers and of their capacities.
     pub(super) fleet_revision: u64,
     /// How long each pool takes until all present runs have ended.
     pub(super) turnovers: IndexMap<String, Span>,
     /// What placement has cost lately.
     pub(super) effort: Effort,
-    /// No placement pass runs before this time.
-    pub(super) next_pass: Time,
-    /// Whether a pass has run since placement was last told to rest.
-    pub(super) passed: bool,
-    /// Whether the next pass plans reservations and preemptions.
-    pub(super) plan_due: bool,
     /// When leases, retries and tickets are checked again.
     pub(super) next_tick: Time,
     pub(super) effects: Effects,
@@ -128,15 +121,11 @@
             estimator: Estimator::default(),
             recovery_deadline: now.after(Span::from_millis(longest_lease)),
             recovering: true,
-            needs_placement: true,
+            schedule: Schedule::new(now),
             reserved_workers: Vec::new(),
-            next_full_pass: now,
             fleet_revision: 1,
             turnovers: IndexMap::new(),
             effort: Effort::default(),
-            next_pass: now,
-            passed: false,
-            plan_due: true,
             next_tick: now,
             effects: Effects::default(),
         };
@@ -168,10 +157,8 @@
     /// The latest time for the next call of [`Dispatcher::tick`].
     #[must_use]
     pub fn due(&self) -> Time {
-        match self.needs_placement {
-            true => self.next_tick.min(self.next_pass),
-            false => self.next_tick,
-        }
+        let pass_due = self.schedule.due();
+        pass_due.map_or(self.next_tick, |due| due.min(self.next_tick))
     }
 
     /// The number of jobs in a queue without a started task.
@@ -189,7 +176,7 @@
     /// Registers a relay that can send advice requests for this leader.
     pub fn add_relay(&mut self, relay: Relay) {
         self.relays.add(relay);
-        self.needs_placement = true;
+        self.schedule.want();
     }
 
     /// Handles what is due at `now`. If that, or a changed input, calls for it,
@@ -206,29 +193,25 @@
             self.check_recovery(now);
             self.throttle_best_effort(now);
             self.effects.decisions.extend(self.effort.take_line(now));
+            self.schedule.want_plans();
         }
-        if tick_due || self.needs_placement {
+        if self.schedule.is_wanted() {
             self.send_due_renewals(now);
-            self.needs_placement = true;
-            self.plan_due |= tick_due;
         }
-        if self.needs_placement && now >= self.next_pass {
-            self.run_pass(state, now);
+        if let Some(scope) = self.schedule.begin(now) {
+            self.run_pass(state, scope, now);
         }
     }
 
     /// Places what waits and requests advice for it.
-    fn run_pass(&mut self, state: &State, now: Time) {
-        self.needs_placement = false;
-        self.passed = true;
-        let plans = std::mem::take(&mut self.plan_due);
-        if plans {
+    fn run_pass(&mut self, state: &State, scope: Scope, now: Time) {
+        if scope.plans {
             self.turnovers = self.pool_turnovers(now);
         }
         self.update_reservation_needs();
         let order = self.ranked_steps(now);
         self.effort.count_pass(order.len());
-        let survey = self.survey(plans, now);
+        let survey = self.survey(scope, now);
         self.place(state, &order, survey, now);
         self.ask_for_advice(&order, now);
     }
@@ -238,21 +221,17 @@
     ///
     /// So a process whose passes are long has processor time for its other work.
     pub fn rest_placement(&mut self, started: Time, now: Time) {
-        let rest = now.since(started);
-        // Work without a pass would prolong the rest, perhaps for ever.
-        if std::mem::take(&mut self.passed) && rest >= MIN_REST {
-            self.postpone_placement(now.after(rest), now);
-        }
+        self.schedule.rest(started, now);
     }
 
     /// Runs no placement pass before a time, at most a second ahead.
     pub fn postpone_placement(&mut self, until: Time, now: Time) {
-        self.next_pass = until.min(now.after(MAX_POSTPONEMENT));
+        self.schedule.postpone(until, now);
     }
 
     /// Notes an input that changes what can be placed.
     pub(super) fn require_placement(&mut self) {
-        self.needs_placement = true;
+        self.schedule.want();
         self.effort.count_input();
     }
 
@@ -339,7 +318,7 @@
         let Some(run) = session.remove(task) else {
             return;
         };
-        self.needs_placement = true;
+        self.schedule.want();
         if self.placements.get(task) == Some(worker) {
             self.placements.swap_remove(task);
         }
@@ -365,11 +344,5 @@
 /// matching a current one; no term sends 2^32 orders.
 const TERM_SHIFT: u32 = 32;
 
-/// The shortest rest of placement; after a shorter pass there is none.
-const MIN_REST: Span = Span::from_millis(10);
-
-/// The longest time for which placement can be postponed.
-const MAX_POSTPONEMENT: Span = Span::from_millis(1_000);
-
 /// The interval at which leases, retries and tickets are checked.
 const TICK_INTERVAL: Span = Span::from_millis(50);
--- a/crates/gentianlane/src/fleet/dispatch/event.rs
+++ b/crates/gentianlane/src/fleet/dispatch/event.rs
@@ -377,7 +377,7 @@
             && let Some(stage) = self.stages.get_mut(&query.stage)
         {
             stage.open_request = None;
-            self.needs_placement = true;
+            self.schedule.want();
         }
     }
 }
--- a/crates/gentianlane/src/fleet/dispatch/lease.rs
+++ b/crates/gentianlane/src/fleet/dispatch/lease.rs
@@ -319,7 +319,7 @@
             for stage in self.stages.values_mut() {
                 stage.recovering = false;
             }
-            self.needs_placement = true;
+            self.schedule.want();
             self.break_partial_gangs(now);
         }
     }
--- a/crates/gentianlane/src/fleet/dispatch/mod.rs
+++ b/crates/gentianlane/src/fleet/dispatch/mod.rs
@@ -25,6 +25,7 @@
 mod rank;
 mod reconcile;
 mod reserve;
+mod schedule;
 mod session;
 mod setup;
 mod stage;
--- a/crates/gentianlane/src/fleet/dispatch/place.rs
+++ b/crates/gentianlane/src/fleet/dispatch/place.rs
@@ -20,17 +20,13 @@
 use crate::fleet::dispatch::survey::Survey;
 use crate::fleet::job::{self, Task};
 use crate::id;
-use crate::unit::{Span, Time};
+use crate::unit::Time;
 
 /// The number of new orders from which a pass ends, and the next one goes on
 /// once these are sent. Orders that wait longer than the leader lease lasts are
 /// made in vain.
 const PASS_ORDER_LIMIT: usize = 128;
 
-/// The least time from a pass that was cut short to the next one, in which its
-/// orders are handed over for sending.
-const PASS_GAP: Span = Span::from_millis(1);
-
 impl Dispatcher {
     /// Runs a placement pass over the steps in the given rank order.
     pub(super) fn place(
@@ -47,7 +43,7 @@
         let earlier_orders = self.effects.orders.len();
         for id in order {
             if self.effects.orders.len() >= earlier_orders + PASS_ORDER_LIMIT {
-                self.cut_pass_short(&survey, now);
+                self.schedule.cut_short(survey.scope, now);
                 break;
             }
             let Some(stage) = self.stages.get(id) else {
@@ -59,7 +55,7 @@
             let candidates = self.candidates(stage, &reservations, &survey, now);
             let still_blocked =
                 candidates.is_empty() && stage.examined && stage.blocked_since.is_some();
-            if still_blocked && !survey.plans && stage.reserved.is_empty() {
+            if still_blocked && !survey.scope.plans && stage.reserved.is_empty() {
                 continue;
             }
             match stage.step.gang {
@@ -72,15 +68,6 @@
         self.reserved_workers = reservations.into_workers();
     }
 
-    /// Leaves the remaining steps to the next pass. That looks at all workers, as
-    /// these steps haven't seen what has changed.
-    fn cut_pass_short(&mut self, survey: &Survey, now: Time) {
-        self.needs_placement = true;
-        self.next_full_pass = now;
-        self.plan_due |= survey.plans;
-        self.next_pass = self.next_pass.max(now.after(PASS_GAP));
-    }
-
     /// Reserves workers or preempts tasks for a step that still has pending
     /// tasks after placement.
     fn handle_unplaced(
@@ -108,7 +95,7 @@
         if newly_blocked {
             self.log_blocked(id, now);
         }
-        match survey.plans {
+        match survey.scope.plans {
             true => {
                 self.plan_reservation(id, reservations, survey, now);
                 self.preempt_for_urgent(id, survey, now);
@@ -143,7 +130,7 @@
         survey: &Survey,
         now: Time,
     ) -> Vec<Candidate> {
-        let only_changed = stage.examined && !survey.full;
+        let only_changed = stage.examined && !survey.scope.full;
         if only_changed && !stage.step.demand().fits(&survey.room) {
             return Vec::new();
         }
--- a/crates/gentianlane/src/fleet/dispatch/survey.rs
+++ b/crates/gentianlane/src/fleet/dispatch/survey.rs
@@ -6,10 +6,11 @@
 //! with the changes and not with the whole fleet.
 
 use crate::fleet::dispatch::Dispatcher;
+use crate::fleet::dispatch::schedule::Scope;
 use crate::fleet::dispatch::session::{RunState, Session};
 use crate::fleet::job::Resources;
 use crate::id;
-use crate::unit::{Span, Time};
+use crate::unit::Time;
 
 /// A worker as the last placement pass saw it.
 #[derive(Debug, Default, Clone, Copy)]
@@ -29,11 +30,8 @@
     pub(crate) changed: Vec<usize>,
     /// The most of each resource that is free on one of these workers.
     pub(crate) room: Resources,
-    /// Whether every step is examined against all workers.
-    pub(crate) full: bool,
-    /// Whether reservations and preemptions are planned, which is done at the
-    /// dispatcher's interval and not for each input.
-    pub(crate) plans: bool,
+    /// What the pass has to look at.
+    pub(crate) scope: Scope,
     /// The number of runs that are being stopped.
     pub(crate) stopping: usize,
     /// The indexes of the workers with a run that a step of the highest priority may
@@ -65,18 +63,15 @@
 
 impl Dispatcher {
     /// Compares the workers with what the last pass saw.
-    pub(super) fn survey(&mut self, plans: bool, now: Time) -> Survey {
-        let full = now >= self.next_full_pass;
-        if full {
-            self.next_full_pass = now.after(FULL_PASS_INTERVAL);
+    pub(super) fn survey(&mut self, scope: Scope, now: Time) -> Survey {
+        if scope.full {
             // Workers that a step hasn't asked about may have got room.
             for stage in self.stages.values_mut() {
                 stage.may_ask = true;
             }
         }
         let mut survey = Survey {
-            full,
-            plans,
+            scope,
             ..Survey::default()
         };
         let mut available_again = Vec::new();
@@ -121,7 +116,3 @@
         }
     }
 }
-
-/// How often each waiting step is examined against all workers, for changes
-/// that show on no worker, such as fewer alternatives to a failed one.
-const FULL_PASS_INTERVAL: Span = Span::from_millis(500);
