Let queues of expired jobs take turns at the adviser

A failed task's tickets had expired, and advice goes by rank: hundreds of jobs of another pool, late for all value as well but of higher priority, asked for new tickets each 1.5 s. Their pool was full, so the tickets expired unused.

Change: steps of expired jobs ask last, as they rank last, and their queues take turns. A queue has more than one request in flight only for tasks that its pool has capacity for. Steps whose job still has value ask in rank order as before.

Test: steps_of_a_full_pool_do_not_keep_the_advice_from_those_of_another, which failed before: the failed task wasn't started again.

--- a/crates/gentianlane/src/fleet/dispatch/advice.rs
+++ b/crates/gentianlane/src/fleet/dispatch/advice.rs
@@ -63,6 +63,12 @@
             .map(|(&relay, _)| relay)
     }
 
+    /// The stages that have a request in flight.
+    pub(crate) fn asking_stages(&self) -> impl Iterator<Item = &Stage> {
+        let queries = self.relays.values().flatten();
+        queries.map(|query| &query.stage)
+    }
+
     /// The number of relays.
     pub(crate) fn count(&self) -> usize {
         self.relays.len()
--- a/crates/gentianlane/src/fleet/dispatch/ask.rs
+++ b/crates/gentianlane/src/fleet/dispatch/ask.rs
@@ -1,7 +1,13 @@
 //! Requests advice on which workers may run the waiting steps.
 
+use std::collections::VecDeque;
+
+use indexmap::IndexMap;
+
 use crate::fleet::dispatch::Dispatcher;
+use crate::fleet::dispatch::backlog::Room;
 use crate::fleet::dispatch::place::is_available;
+use crate::fleet::dispatch::rank::{Timeliness, assess_deadline};
 use crate::fleet::dispatch::stage::Stage;
 use crate::fleet::job;
 use crate::id;
@@ -14,10 +20,38 @@
 /// no more relays than that, it may still use one.
 const RELAY_RESERVE: usize = 2;
 
+/// What advice requests in flight may lead to.
+#[derive(Debug)]
+struct Claims {
+    /// The number of requests by queue.
+    requests: IndexMap<String, usize>,
+    /// What each pool has free beside what these requests' tasks need.
+    room: IndexMap<String, Room>,
+}
+
+impl Claims {
+    /// Whether a step may ask: its queue has no request in flight, or its pool has
+    /// room for its tasks.
+    fn allow(&self, stage: &Stage) -> bool {
+        let room = self.room.get(&stage.queue.pool);
+        !self.requests.contains_key(&stage.queue_name)
+            || room.is_some_and(|room| room.share_of(stage) <= room.free)
+    }
+
+    /// Adds a step's request.
+    fn add(&mut self, stage: &Stage) {
+        *self.requests.entry(stage.queue_name.clone()).or_default() += 1;
+        if let Some(room) = self.room.get_mut(&stage.queue.pool) {
+            room.free = room.free.saturating_sub(room.share_of(stage));
+        }
+    }
+}
+
 impl Dispatcher {
     /// Requests advice for the steps that need it, while relays are idle.
     ///
-    /// First requests go before refreshes of tickets that expire soon.
+    /// First requests go before refreshes of tickets that expire soon, and steps of
+    /// expired jobs come last.
     pub(super) fn ask_for_advice(&mut self, order: &[job::Stage], now: Time) {
         let reserve = RELAY_RESERVE.min(self.relays.count().saturating_sub(1));
         let mut idle = self.relays.idle_count(now);
@@ -35,14 +69,84 @@
             }
             idle -= usize::from(self.ask_for_step(id, fresh, now));
         }
+        let (expired, valuable): (Vec<job::Stage>, Vec<job::Stage>) =
+            order.iter().partition(|id| self.is_expired(id, now));
         for (fresh, reserve) in [(true, 0), (false, reserve)] {
-            for id in order {
+            for id in &valuable {
                 if idle <= reserve {
                     break;
                 }
                 idle -= usize::from(self.ask_for_step(id, fresh, now));
             }
         }
+        self.ask_for_expired(&expired, idle.saturating_sub(reserve), now);
+    }
+
+    /// Whether a step's job has no value any more.
+    fn is_expired(&self, id: &job::Stage, now: Time) -> bool {
+        let stage = self.stages.get(id);
+        stage.is_some_and(|stage| assess_deadline(stage, now).0 == Timeliness::Expired)
+    }
+
+    /// Requests advice for steps of expired jobs, with at most `idle` relays.
+    ///
+    /// Queues take turns, as their ranks say nothing about such jobs any more. A
+    /// queue has more than one request at a time only for tasks that its pool has
+    /// capacity for, so that steps of a full pool, whose tickets expire unused,
+    /// don't keep the relays from those of another pool.
+    fn ask_for_expired(&mut self, order: &[job::Stage], mut idle: usize, now: Time) {
+        if idle == 0 || order.is_empty() {
+            return;
+        }
+        let mut queues: IndexMap<String, VecDeque<job::Stage>> = IndexMap::new();
+        for id in order {
+            if let Some(stage) = self.stages.get(id) {
+                let steps = queues.entry(stage.queue_name.clone()).or_default();
+                steps.push_back(*id);
+            }
+        }
+        let mut claims = self.advice_claims();
+        while idle > 0 {
+            let turn = |queue: &String| {
+                let requests = claims.requests.get(queue).copied();
+                (requests, self.expired_requests.get(queue).copied())
+            };
+            let waiting = queues.iter().filter(|(_, steps)| !steps.is_empty());
+            let next = waiting.min_by_key(|(queue, _)| turn(queue));
+            let Some(queue) = next.map(|(queue, _)| queue.clone()) else {
+                return;
+            };
+            let id = queues.get_mut(&queue).and_then(VecDeque::pop_front);
+            let Some(id) = id else {
+                continue;
+            };
+            let allowed = self
+                .stages
+                .get(&id)
+                .is_some_and(|stage| claims.allow(stage));
+            if allowed
+                && (self.ask_for_step(&id, true, now)
+                    || self.ask_for_step(&id, false, now))
+                && let Some(stage) = self.stages.get(&id)
+            {
+                claims.add(stage);
+                self.expired_requests.insert(queue, self.last_call_id);
+                idle -= 1;
+            }
+        }
+    }
+
+    /// What the advice requests in flight may lead to.
+    fn advice_claims(&self) -> Claims {
+        let mut claims = Claims {
+            requests: IndexMap::new(),
+            room: self.pool_room(),
+        };
+        let asking = self.relays.asking_stages();
+        for stage in asking.filter_map(|id| self.stages.get(id)) {
+            claims.add(stage);
+        }
+        claims
     }
 
     /// Requests advice for one step: about the workers that it hasn't asked
--- a/crates/gentianlane/src/fleet/dispatch/backlog.rs
+++ b/crates/gentianlane/src/fleet/dispatch/backlog.rs
@@ -16,6 +16,22 @@
     used: Resources,
 }
 
+/// What a pool has free.
+#[derive(Debug, Default, Clone, Copy)]
+pub(crate) struct Room {
+    capacity: Resources,
+    /// The free share, in millionths.
+    pub(crate) free: u64,
+}
+
+impl Room {
+    /// The share of the pool that a step's pending tasks need, in millionths.
+    pub(crate) fn share_of(&self, stage: &Stage) -> u64 {
+        let tasks = stage.pending.len() as u64;
+        tasks * dominant_share(&stage.step.demand(), &self.capacity)
+    }
+}
+
 /// A pool's runs that end.
 #[derive(Debug, Default, Clone, Copy)]
 struct Running {
@@ -86,6 +102,19 @@
         usages
     }
 
+    /// Each pool's capacity and its free share.
+    pub(super) fn pool_room(&self) -> IndexMap<String, Room> {
+        let usages = self.pool_usage().into_iter();
+        let room = |usage: Usage| {
+            let used = dominant_share(&usage.used, &usage.capacity);
+            Room {
+                capacity: usage.capacity,
+                free: FULL_POOL.saturating_sub(used),
+            }
+        };
+        usages.map(|(pool, usage)| (pool, room(usage))).collect()
+    }
+
     /// How long each pool takes until all present runs have ended, if they end
     /// at an even rate.
     pub(super) fn pool_turnovers(&self, now: Time) -> IndexMap<String, Span> {
--- a/crates/gentianlane/src/fleet/dispatch/dispatcher.rs
+++ b/crates/gentianlane/src/fleet/dispatch/dispatcher.rs
@@ -69,6 +69,9 @@
     pub(super) last_call_id: CallId,
     pub(super) unconfirmed: UnconfirmedStarts,
     pub(super) relays: Relays,
+    /// The last advice request for an expired job of each queue, by which queues
+    /// take turns.
+    pub(super) expired_requests: IndexMap<String, CallId>,
     pub(super) estimator: Estimator,
     /// The latest end of any lease that an earlier leader granted. Until then a
     /// worker that hasn't answered may run an earlier leader's tasks.
@@ -118,6 +121,7 @@
             last_call_id: fencing_token << TERM_SHIFT,
             unconfirmed: UnconfirmedStarts::default(),
             relays: Relays::default(),
+            expired_requests: IndexMap::new(),
             estimator: Estimator::default(),
             recovery_deadline: now.after(Span::from_millis(longest_lease)),
             recovering: true,
--- a/crates/gentianlane/tests/fleet/dispatch.rs
+++ b/crates/gentianlane/tests/fleet/dispatch.rs
@@ -1387,3 +1387,38 @@
     world.run(15_000);
     assert_eq!(waiting(&mut world), Some(Reply::Waiting(0)));
 }
+
+#[test]
+fn steps_of_a_full_pool_do_not_keep_the_advice_from_those_of_another() {
+    // Found at hanafy-yard-grown, load-8x with seed 161688089435: jobs that were late
+    // for all value renewed their tickets for a full pool again and again, and a
+    // failed task of another pool, which was empty, was never advised on again.
+    let mut plan = plan(1, true);
+    let queue = plan.queues.get_mut("queue").unwrap();
+    queue.advice.as_mut().unwrap().ticket_validity = Span::from_millis(200);
+    let mut other = queue.clone();
+    (other.path_prefix, other.pool, other.priority) =
+        ("/r/".to_owned(), "spare".to_owned(), 1);
+    plan.queues.insert("other".to_owned(), other);
+    let pool = plan.pools["pool"];
+    plan.pools.insert("spare".to_owned(), pool);
+    let mut world = World::new(3, 1);
+    world.workers[2].profile.pool = "spare".to_owned();
+    let mut world = world.with_plan(plan);
+    let mut long_running = job(2, 4_000);
+    long_running.steps[0].long_running = true;
+    world.submit(1, &long_running);
+    let scripted_runs = vec![(3_000, Outcome::Failed), (300, Outcome::Done)];
+    world.scripted_runs.insert(task(7, 0), scripted_runs);
+    let of_other = Target {
+        host: "host".to_owned(),
+        path: format!("/r/{:016x}", 7),
+    };
+    world.submit_at(of_other, 7, &job(1, 1_000));
+    world.run(500);
+    for number in 100..140 {
+        world.submit(number, &job(1, 1_000));
+    }
+    world.run(6_000);
+    assert_eq!(world.starts(&task(7, 0)), 2);
+}
