--- a/crates/gentianlane/src/fleet/dispatch/ask.rs
+++ b/crates/gentianlane/src/fleet/dispatch/ask.rs
@@ -69,6 +69,9 @@
             }
             idle -= usize::from(self.ask_for_step(id, fresh, now));
         }
+        if idle == 0 {
+            return;
+        }
         let (expired, valuable): (Vec<job::Stage>, Vec<job::Stage>) =
             order.iter().partition(|id| self.is_expired(id, now));
         for (fresh, reserve) in [(true, 0), (false, reserve)] {
