Bind a task to the worker that may still carry out an earlier start

Cause: a start without an answer may be carried out seconds later, and a new incarnation of its worker accepts it, as it has seen no fencing token. The leader stops such a start at each new incarnation, but only once that has registered, and meanwhile it had placed the task on another worker: when the lease of the silent worker was over, when the worker had confirmed the stop and crashed afterwards, or after a takeover, as the next leader knew nothing of the start. Class: a message that outlives the state that made it safe.

Change: until a start without an answer can't be carried out any more, 13 s after it was sent or when its ticket has expired, its task runs on that worker or waits. A member of a gang is bound like any task. A worker that drains, or whose address another worker has taken, binds nothing. The leader proposes such a start to the log once the answer is overdue, if it binds for longer than a lease, and the next leader takes it over. Why it works: at the bound worker a new run ends with its incarnation, so a start that a later one carries out is the only one. The log shows start_unanswered, and an operator sees that a step waits for a late start.

The simulated worker now refuses an expired ticket, as the platform's protocol says.

What remains: starts that were sent less than the order timeout before their leader was lost, and those whose task has ended at another worker by then, as no order can prevent these.

--- a/crates/gentianlane/src/fleet/command.rs
+++ b/crates/gentianlane/src/fleet/command.rs
@@ -5,6 +5,7 @@
 use crate::fleet::job::{Id, Spec, Task};
 use crate::fleet::plan::Plan;
 use crate::fleet::worker::{Incarnation, Profile};
+use crate::id;
 use crate::unit::Wall;
 
 /// A change to the replicated state.
@@ -66,6 +67,18 @@
         /// Jobs that finished before this time are removed.
         before: Wall,
     },
+    /// Record that a start got no answer, so that a later incarnation of its worker
+    /// may carry it out while another leader leads.
+    Unconfirmed {
+        /// When the leader gave up waiting for the answer, by its wall clock.
+        at: Wall,
+        /// The worker that the start was sent to.
+        worker: id::Worker,
+        /// The task to start.
+        task: Task,
+        /// The number of the run.
+        run: u64,
+    },
 }
 
 /// A command that can't be encoded, or bytes that aren't a command.
--- a/crates/gentianlane/src/fleet/decision.rs
+++ b/crates/gentianlane/src/fleet/decision.rs
@@ -78,6 +78,18 @@
         /// Why the task wasn't started.
         reason: Reason,
     },
+    /// A start got no answer, so that it may be carried out seconds later.
+    #[display("event=start_unanswered task={task} run={run} worker={worker} binds_ms={}", binds.as_millis())]
+    StartUnanswered {
+        /// The task that may start.
+        task: Task,
+        /// The number of the run.
+        run: u64,
+        /// The worker that the start was sent to.
+        worker: id::Worker,
+        /// How long from now the task may run on no other worker.
+        binds: Span,
+    },
     /// A run that an earlier leader started was adopted.
     #[display("event=adopt task={task} run={run} worker={worker}")]
     Adopt {
--- a/crates/gentianlane/src/fleet/dispatch/answer.rs
+++ b/crates/gentianlane/src/fleet/dispatch/answer.rs
@@ -57,7 +57,14 @@
             return;
         };
         if let (OrderKind::Start(task, run), Answer::Lost) = (order.kind, &answer) {
-            self.add_unconfirmed(&order, task, run);
+            let start = self.add_unconfirmed(&order, task, run);
+            self.effects.decisions.push(Decision::StartUnanswered {
+                task,
+                run,
+                worker: order.worker.clone(),
+                binds: start.binds_until.since(now),
+            });
+            self.propose_unconfirmed(task, start, now, wall);
         }
         let Some(session) = self.sessions.get_mut(&order.worker) else {
             return;
@@ -72,7 +79,7 @@
         }
         match &answer {
             Answer::OtherIncarnation => {
-                return self.end_incarnation(&incarnation, Cause::OtherIncarnation);
+                return self.end_incarnation(&incarnation, Cause::OtherIncarnation, now);
             }
             // A network partition can refuse connections just as a dead process
             // does, so runs count as gone only once the lease has expired.
@@ -159,8 +166,10 @@
 
     /// Removes an incarnation that has ended, with its runs, and proposes its
     /// removal to the log.
-    fn end_incarnation(&mut self, incarnation: &Incarnation, cause: Cause) {
+    fn end_incarnation(&mut self, incarnation: &Incarnation, cause: Cause, now: Time) {
         self.remove_incarnation(incarnation, cause);
+        // Another worker listens at the address and refuses what comes late.
+        self.unconfirmed.unbind(&incarnation.worker, now);
         self.effects.commands.push(Command::Leave {
             incarnation: incarnation.clone(),
         });
--- a/crates/gentianlane/src/fleet/dispatch/dispatcher.rs
+++ b/crates/gentianlane/src/fleet/dispatch/dispatcher.rs
@@ -39,6 +39,8 @@
     /// When the addressed incarnation of the worker started.
     pub(super) started_at: Wall,
     pub(super) sent_at: Time,
+    /// When the ticket of a start has expired at the worker.
+    pub(super) ticket_until: Option<Time>,
     pub(super) kind: OrderKind,
 }
 
@@ -150,6 +152,7 @@
         for stage in dispatcher.stages.values_mut() {
             stage.recovering = true;
         }
+        dispatcher.inherit_unconfirmed(state, now, wall);
         dispatcher
     }
 
@@ -261,6 +264,7 @@
             worker: worker.clone(),
             started_at: session.incarnation.started_at,
             sent_at: now,
+            ticket_until: self.ticket_until(worker, &action),
             kind,
         };
         self.pending_orders.insert(id, order);
@@ -275,6 +279,16 @@
         Some(id)
     }
 
+    /// When the ticket that a start carries has expired at the worker.
+    fn ticket_until(&self, worker: &id::Worker, action: &Action) -> Option<Time> {
+        let Action::Start(start) = action else {
+            return None;
+        };
+        let permit = self.stages.get(&start.task.stage)?.permit(worker)?;
+        let carried = start.ticket.as_ref() == Some(&permit.ticket);
+        carried.then(|| permit.expires.after(TICKET_CLOCK_SLACK))
+    }
+
     /// Stops a task's current run on the worker where it is placed, unless it is
     /// being stopped already.
     pub(super) fn stop_run(&mut self, task: &Task, cause: Cause, now: Time) {
@@ -348,5 +362,9 @@
 /// matching a current one; no term sends 2^32 orders.
 const TERM_SHIFT: u32 = 32;
 
+/// How much longer than the leader reckons a worker may accept a ticket, as its
+/// clock may be slow.
+const TICKET_CLOCK_SLACK: Span = Span::from_millis(250);
+
 /// The interval at which leases, retries and tickets are checked.
 const TICK_INTERVAL: Span = Span::from_millis(50);
--- a/crates/gentianlane/src/fleet/dispatch/event.rs
+++ b/crates/gentianlane/src/fleet/dispatch/event.rs
@@ -7,6 +7,7 @@
 use crate::fleet::dispatch::session::{RunState, Session};
 use crate::fleet::dispatch::stage::Stage;
 use crate::fleet::dispatch::survey::Seen;
+use crate::fleet::dispatch::unconfirmed::{self, MAX_ORDER_DELAY};
 use crate::fleet::job::{self, Spec, Step, Task};
 use crate::fleet::worker::{Incarnation, Report};
 use crate::fleet::{Command, Event, Job, State};
@@ -18,6 +19,10 @@
 /// be carried out by the new one within this time.
 const LATE_ORDER_DELAY: Span = Span::from_millis(400);
 
+/// How far the wall clock of another leader may be behind, or may have jumped
+/// ahead since.
+const WALL_CLOCK_SLACK: Span = Span::from_millis(5_000);
+
 impl Dispatcher {
     /// Handles a change that was applied to the replicated state.
     pub fn handle_event(&mut self, state: &State, event: &Event, now: Time, wall: Wall) {
@@ -39,6 +44,8 @@
                 if let Some(session) = self.sessions.get_mut(worker) {
                     session.draining = true;
                 }
+                // A worker that leaves takes no task and has no later incarnation.
+                self.unconfirmed.unbind(worker, now);
             }
             Event::WorkerLeft(incarnation) => {
                 self.remove_incarnation(incarnation, Cause::Left);
@@ -281,16 +288,79 @@
         }
     }
 
-    /// Records a start that may be carried out without an answer.
-    pub(super) fn add_unconfirmed(&mut self, order: &PendingOrder, task: Task, run: u64) {
+    /// Records a start that may be carried out without an answer, and returns it.
+    pub(super) fn add_unconfirmed(
+        &mut self,
+        order: &PendingOrder,
+        task: Task,
+        run: u64,
+    ) -> unconfirmed::Start {
         let session = self.sessions.get(&order.worker);
         let current = session.and_then(|session| session.runs.get(&task));
         let stage = self.stages.get(&task.stage);
         let demand = current
             .map(|run| run.demand)
             .or_else(|| stage.map(|stage| stage.step.demand()));
-        self.unconfirmed
-            .add(&order.worker, task, run, demand, order.sent_at);
+        let until = order.sent_at.after(MAX_ORDER_DELAY);
+        let start = unconfirmed::Start {
+            worker: order.worker.clone(),
+            run,
+            demand,
+            until,
+            binds_until: match session.is_some_and(|session| session.draining) {
+                true => order.sent_at,
+                false => order.ticket_until.map_or(until, |end| end.min(until)),
+            },
+        };
+        self.unconfirmed.add(task, start.clone());
+        start
+    }
+
+    /// Proposes a start without an answer to the log, for the leaders that follow.
+    ///
+    /// They wait for a worker that they can't reach for as long as a lease anyway.
+    pub(super) fn propose_unconfirmed(
+        &mut self,
+        task: Task,
+        start: unconfirmed::Start,
+        now: Time,
+        wall: Wall,
+    ) {
+        if start.binds_until > now.after(self.setup.lease) {
+            self.effects.commands.push(Command::Unconfirmed {
+                at: wall,
+                worker: start.worker,
+                task,
+                run: start.run,
+            });
+        }
+    }
+
+    /// Takes over the starts without an answer that earlier leaders have recorded.
+    pub(super) fn inherit_unconfirmed(&mut self, state: &State, now: Time, wall: Wall) {
+        for start in state.unconfirmed() {
+            let stage = &start.task.stage;
+            let job = state.job(&stage.job).filter(|job| job.is_open());
+            let steps = job.map(|job| &job.spec.steps);
+            let Some(step) = steps.and_then(|steps| steps.get(usize::from(stage.step)))
+            else {
+                continue;
+            };
+            let age = wall.since(start.at);
+            let until =
+                now.after((MAX_ORDER_DELAY + WALL_CLOCK_SLACK).saturating_sub(age));
+            let registered = state.worker(&start.worker);
+            let draining = registered.is_some_and(|worker| worker.draining);
+            let inherited = unconfirmed::Start {
+                worker: start.worker.clone(),
+                run: start.run,
+                demand: Some(step.demand()),
+                until,
+                binds_until: if draining { now } else { until },
+            };
+            self.unconfirmed.add(start.task, inherited);
+        }
+        self.unconfirmed.expire(now);
     }
 
     /// Removes an incarnation that is over, and releases its runs.
--- a/crates/gentianlane/src/fleet/dispatch/place.rs
+++ b/crates/gentianlane/src/fleet/dispatch/place.rs
@@ -18,6 +18,7 @@
 use crate::fleet::dispatch::session::{Run, RunState, Session};
 use crate::fleet::dispatch::stage::Stage;
 use crate::fleet::dispatch::survey::Survey;
+use crate::fleet::dispatch::unconfirmed::Choice;
 use crate::fleet::job::{self, Task};
 use crate::id;
 use crate::unit::Time;
@@ -90,6 +91,17 @@
         if !advice_settled {
             return;
         }
+        // Room elsewhere is of no use to a step that only waits for late starts.
+        if self
+            .stages
+            .get(id)
+            .is_some_and(|stage| self.is_bound(stage, now))
+        {
+            return;
+        }
+        let Some(stage) = self.stages.get_mut(id) else {
+            return;
+        };
         let newly_blocked = stage.blocked_since.is_none();
         stage.blocked_since.get_or_insert(now);
         if newly_blocked {
@@ -269,6 +281,7 @@
             let Some(stage) = self.stages.get(id) else {
                 return;
             };
+            let choice = self.unconfirmed.choice(&Task { stage: *id, index }, now);
             let best = candidates
                 .iter_mut()
                 .filter(|candidate| {
@@ -277,6 +290,7 @@
                         candidate.has_runs && self.has_run(&candidate.worker, task)
                     };
                     candidate.fits(&demand)
+                        && choice.allows(&candidate.worker)
                         && !stage.avoids(index, &candidate.worker, feasible)
                         && !has_run()
                 })
@@ -295,6 +309,23 @@
         }
     }
 
+    /// Whether each of a step's pending tasks is bound to a worker, where an earlier
+    /// start of it may still be carried out.
+    pub(super) fn is_bound(&self, stage: &Stage, now: Time) -> bool {
+        let choice = |&index: &u32| {
+            let task = Task {
+                stage: stage.id,
+                index,
+            };
+            self.unconfirmed.choice(&task, now)
+        };
+        !stage
+            .pending
+            .iter()
+            .map(choice)
+            .any(|choice| choice == Choice::Any)
+    }
+
     /// Whether a worker may still have an earlier run of a task.
     fn has_run(&self, worker: &id::Worker, task: Task) -> bool {
         let session = self.sessions.get(worker);
@@ -329,15 +360,44 @@
         let Some(chosen) = chosen else {
             return;
         };
+        let Some(members) = self.assign_members(id, &chosen, now) else {
+            return;
+        };
+        let Some(stage) = self.stages.get_mut(id) else {
+            return;
+        };
         let number = stage.next_run_number(self.fencing_token);
-        let mut index = 0;
-        for (candidate, members) in chosen {
-            for _ in 0..members {
-                let ticket = candidate.ticket.clone();
-                self.start_run(id, index, &candidate.worker, number, ticket, now);
-                index += 1;
-            }
+        for (index, candidate) in members {
+            let ticket = candidate.ticket.clone();
+            self.start_run(id, index, &candidate.worker, number, ticket, now);
+        }
+    }
+
+    /// The candidate for each member of a gang; none if a member is bound to a
+    /// worker that wasn't chosen.
+    fn assign_members<'a>(
+        &self,
+        id: &job::Stage,
+        chosen: &'a [(Candidate, u32)],
+        now: Time,
+    ) -> Option<Vec<(u32, &'a Candidate)>> {
+        let slots = chosen.iter().flat_map(|(candidate, members)| {
+            std::iter::repeat_n(candidate, *members as usize)
+        });
+        let mut slots: Vec<&Candidate> = slots.collect();
+        let count = u32::try_from(slots.len()).ok()?;
+        let choice = |index| self.unconfirmed.choice(&Task { stage: *id, index }, now);
+        let (free, bound): (Vec<u32>, Vec<u32>) =
+            (0..count).partition(|&index| choice(index) == Choice::Any);
+        let mut members = Vec::with_capacity(slots.len());
+        // Those with fewer choices go first.
+        for index in bound.into_iter().chain(free) {
+            let choice = choice(index);
+            let allowed = |slot: &&Candidate| choice.allows(&slot.worker);
+            let at = slots.iter().position(allowed)?;
+            members.push((index, slots.remove(at)));
         }
+        Some(members)
     }
 
     /// Allocates a task's resources on a worker and sends the start order.
--- a/crates/gentianlane/src/fleet/dispatch/unconfirmed.rs
+++ b/crates/gentianlane/src/fleet/dispatch/unconfirmed.rs
@@ -4,7 +4,8 @@
 //! A worker that restarts under the same name accepts a start sent to its
 //! earlier incarnation: the deadline refers to another clock, and the worker
 //! has no record of earlier runs. The new incarnation is therefore ordered to stop
-//! each such run before it gets any tasks.
+//! each such run before it gets any tasks. As it may carry out the start before any
+//! order reaches it, the task is placed on no other worker meanwhile.
 
 use indexmap::IndexMap;
 
@@ -13,66 +14,102 @@
 use crate::id;
 use crate::unit::{Span, Time};
 
-/// How long after it was sent a start may be carried out: the platform delays
+/// How long after it was sent an order may be carried out: the platform delays
 /// messages by up to 12 s, and 1 s is margin.
-const MAX_ORDER_DELAY: Span = Span::from_millis(13_000);
+pub(super) const MAX_ORDER_DELAY: Span = Span::from_millis(13_000);
 
-/// Start orders without an answer, by worker.
+/// Start orders without an answer, by task.
 #[derive(Debug, Default, Clone)]
 pub(crate) struct UnconfirmedStarts {
-    starts: IndexMap<id::Worker, Vec<Start>>,
+    starts: IndexMap<Task, Vec<Start>>,
 }
 
+/// One such order.
 #[derive(Debug, Clone)]
-struct Start {
-    task: Task,
-    run: u64,
+pub(crate) struct Start {
+    pub(crate) worker: id::Worker,
+    pub(crate) run: u64,
     /// The task's demand, if it is known.
-    demand: Option<Resources>,
-    sent_at: Time,
+    pub(crate) demand: Option<Resources>,
+    /// From when on it can't be carried out any more.
+    pub(crate) until: Time,
+    /// Until when it binds the task to the worker.
+    pub(crate) binds_until: Time,
+}
+
+/// Where a task may be placed, by its starts without an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Choice<'a> {
+    /// On any worker.
+    Any,
+    /// Only on this one, where each of them would arrive: the task can't run there
+    /// and on another worker at a time.
+    Only(&'a id::Worker),
+    /// On none, as they were sent to several workers.
+    None,
+}
+
+impl Choice<'_> {
+    /// Whether the task may be placed on a worker.
+    pub(crate) fn allows(self, worker: &id::Worker) -> bool {
+        match self {
+            Self::Any => true,
+            Self::Only(only) => only == worker,
+            Self::None => false,
+        }
+    }
 }
 
 impl UnconfirmedStarts {
-    /// Records a start without an answer, in place of an earlier record of the
-    /// same run.
-    pub(crate) fn add(
-        &mut self,
-        worker: &id::Worker,
-        task: Task,
-        run: u64,
-        demand: Option<Resources>,
-        sent_at: Time,
-    ) {
-        let starts = self.starts.entry(worker.clone()).or_default();
-        starts.retain(|start| start.task != task || start.run != run);
-        starts.push(Start {
-            task,
-            run,
-            demand,
-            sent_at,
-        });
+    /// Records a start without an answer, in place of an earlier record of the same
+    /// run.
+    pub(crate) fn add(&mut self, task: Task, start: Start) {
+        let starts = self.starts.entry(task).or_default();
+        starts.retain(|old| old.worker != start.worker || old.run != start.run);
+        starts.push(start);
+    }
+
+    /// Lets the starts that were sent to a worker bind their tasks no longer.
+    pub(crate) fn unbind(&mut self, worker: &id::Worker, now: Time) {
+        let starts = self.starts.values_mut().flatten();
+        for start in starts.filter(|start| start.worker == *worker) {
+            start.binds_until = start.binds_until.min(now);
+        }
     }
 
     /// Removes the starts that can't be carried out any more.
     pub(crate) fn expire(&mut self, now: Time) {
-        for starts in self.starts.values_mut() {
-            starts.retain(|start| now < start.sent_at.after(MAX_ORDER_DELAY));
+        self.starts.retain(|_, starts| {
+            starts.retain(|start| now < start.until);
+            !starts.is_empty()
+        });
+    }
+
+    /// Where a task may be placed.
+    pub(crate) fn choice(&self, task: &Task, now: Time) -> Choice<'_> {
+        let starts = self.starts.get(task).into_iter().flatten();
+        let mut binding = starts.filter(|start| now < start.binds_until);
+        let Some(first) = binding.next() else {
+            return Choice::Any;
+        };
+        match binding.all(|start| start.worker == first.worker) {
+            true => Choice::Only(&first.worker),
+            false => Choice::None,
         }
-        self.starts.retain(|_, starts| !starts.is_empty());
     }
 
     /// Adds every start that a new incarnation may still carry out to the
     /// session's runs, to be stopped.
     pub(crate) fn add_stopping(&self, session: &mut Session, now: Time) {
-        let starts = self.starts.get(&session.incarnation.worker);
-        for start in starts.into_iter().flatten() {
-            let run = Run::stopping(start.run, start.demand, now);
-            let newer = session
-                .runs
-                .get(&start.task)
-                .is_some_and(|current| current.number >= start.run);
-            if now < start.sent_at.after(MAX_ORDER_DELAY) && !newer {
-                session.insert(start.task, run);
+        let worker = session.incarnation.worker.clone();
+        for (&task, starts) in &self.starts {
+            let newest = starts
+                .iter()
+                .filter(|start| start.worker == worker && now < start.until)
+                .max_by_key(|start| start.run);
+            if let Some(start) = newest {
+                let run = Run::stopping(start.run, start.demand, now);
+                session.insert(task, run);
             }
         }
     }
--- a/crates/gentianlane/src/fleet/dispatch/view.rs
+++ b/crates/gentianlane/src/fleet/dispatch/view.rs
@@ -92,6 +92,10 @@
     /// A retry delay after a refused start.
     #[display("a pause")]
     Pause,
+    /// An earlier start of each task may still be carried out, at a worker that
+    /// can't take the task now.
+    #[display("a late start")]
+    LateStart,
     /// The workers that may run it are full or reserved for other steps.
     #[display("room")]
     Room,
@@ -223,6 +227,7 @@
             () if stage.recovering => Blocker::EarlierRuns,
             () if unanswered => Blocker::Advice,
             () if stage.not_before > now => Blocker::Pause,
+            () if self.is_bound(stage, now) => Blocker::LateStart,
             () if self.feasible_count(stage) == 0 => Blocker::Worker,
             () => Blocker::Room,
         }
--- a/crates/gentianlane/src/fleet/node.rs
+++ b/crates/gentianlane/src/fleet/node.rs
@@ -98,7 +98,7 @@
     #[must_use]
     pub fn new(setup: Setup, saved: consensus::DurableState, now: Time) -> Self {
         let state = match &saved.snapshot {
-            Some(snapshot) => postcard::from_bytes(&snapshot.data).ok(),
+            Some(snapshot) => State::decode(&snapshot.data).ok(),
             None => Some(State::default()),
         };
         Self {
@@ -283,7 +283,7 @@
     /// Replaces the applied part of the log by a snapshot of the state; false
     /// if that wasn't possible.
     fn compact(&mut self) -> bool {
-        let Ok(data) = postcard::to_allocvec(&self.state) else {
+        let Ok(data) = self.state.encode() else {
             return false;
         };
         let done = self.consensus.compact(self.consensus.applied_index(), data);
@@ -399,7 +399,7 @@
     }
 
     fn restore(&mut self, data: &[u8]) {
-        match postcard::from_bytes(data) {
+        match State::decode(data) {
             Ok(state) => self.state = state,
             Err(_) => self.corrupt = true,
         }
--- a/crates/gentianlane/src/fleet/state.rs
+++ b/crates/gentianlane/src/fleet/state.rs
@@ -2,13 +2,15 @@
 
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
+use std::collections::VecDeque;
 
 use crate::fleet::Command;
+use crate::fleet::command::CodecError;
 use crate::fleet::job::{Id, Phase, Spec, Stage, Task};
 use crate::fleet::plan::{Plan, Queue};
 use crate::fleet::worker::{Incarnation, Profile};
 use crate::id;
-use crate::unit::Wall;
+use crate::unit::{Span, Wall};
 
 /// The state machine that applies the log's commands; the same on every node
 /// that has applied the same entries.
@@ -19,8 +21,26 @@
     removed_queues: IndexMap<String, Queue>,
     jobs: IndexMap<Id, Job>,
     workers: IndexMap<id::Worker, Worker>,
+    /// The latest starts without an answer, oldest first. They follow the rest in
+    /// an encoded state; earlier versions encode none.
+    #[serde(skip)]
+    unconfirmed: VecDeque<UnconfirmedStart>,
 }
 
+/// A start without an answer, which its worker may carry out seconds later.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct UnconfirmedStart {
+    /// When the leader gave up waiting for the answer, by its wall clock.
+    pub(crate) at: Wall,
+    pub(crate) worker: id::Worker,
+    pub(crate) task: Task,
+    pub(crate) run: u64,
+}
+
+/// How long a start without an answer is kept; a multiple of the time for which it
+/// may be carried out, as wall clocks jump.
+const UNCONFIRMED_RETENTION: Span = Span::from_secs(30);
+
 /// A registered worker, which may run tasks.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Worker {
@@ -227,9 +247,63 @@
             Command::Drain { incarnation } => self.drain(&incarnation),
             Command::Leave { incarnation } => self.leave(incarnation),
             Command::Expire { before } => self.expire(before),
+            Command::Unconfirmed {
+                at,
+                worker,
+                task,
+                run,
+            } => self.record_unconfirmed(UnconfirmedStart {
+                at,
+                worker,
+                task,
+                run,
+            }),
         }
     }
 
+    /// Encodes the state for a snapshot.
+    ///
+    /// # Errors
+    ///
+    /// [`CodecError`] if the serializer fails.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use gentianlane::fleet::State;
+    ///
+    /// let state = State::default();
+    /// let bytes = state.encode()?;
+    /// assert_eq!(State::decode(&bytes)?, state);
+    /// # Ok::<(), gentianlane::fleet::command::CodecError>(())
+    /// ```
+    pub fn encode(&self) -> Result<Vec<u8>, CodecError> {
+        let bytes = postcard::to_allocvec(self).map_err(|_| CodecError)?;
+        postcard::to_extend(&self.unconfirmed, bytes).map_err(|_| CodecError)
+    }
+
+    /// Decodes the state from a snapshot, which an earlier version may have written.
+    ///
+    /// # Errors
+    ///
+    /// [`CodecError`] if the bytes aren't a state.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use gentianlane::fleet::State;
+    ///
+    /// assert!(State::decode(b"").is_err());
+    /// ```
+    pub fn decode(bytes: &[u8]) -> Result<Self, CodecError> {
+        let (mut state, rest) =
+            postcard::take_from_bytes::<Self>(bytes).map_err(|_| CodecError)?;
+        if !rest.is_empty() {
+            state.unconfirmed = postcard::from_bytes(rest).map_err(|_| CodecError)?;
+        }
+        Ok(state)
+    }
+
     fn replace_plan(&mut self, plan: Plan) -> Vec<Event> {
         let current = self.plan.as_ref().map_or(0, |current| current.version);
         if plan.version <= current {
@@ -361,6 +435,21 @@
         vec![Event::WorkerLeft(incarnation)]
     }
 
+    /// The latest starts without an answer, oldest first.
+    pub(crate) fn unconfirmed(&self) -> impl Iterator<Item = &UnconfirmedStart> {
+        self.unconfirmed.iter()
+    }
+
+    fn record_unconfirmed(&mut self, start: UnconfirmedStart) -> Vec<Event> {
+        let is_old =
+            |old: &UnconfirmedStart| start.at.since(old.at) > UNCONFIRMED_RETENTION;
+        while self.unconfirmed.front().is_some_and(is_old) {
+            self.unconfirmed.pop_front();
+        }
+        self.unconfirmed.push_back(start);
+        Vec::new()
+    }
+
     fn expire(&mut self, before: Wall) -> Vec<Event> {
         let expired = |job: &Job| job.outcome.is_some_and(|(_, at)| at < before);
         self.jobs.retain(|_, job| !expired(job));
--- a/crates/gentianlane/tests/fleet/dispatch.rs
+++ b/crates/gentianlane/tests/fleet/dispatch.rs
@@ -27,7 +27,7 @@
     Task { stage, index }
 }
 
-fn phase(world: &mut World, job: u64) -> Option<Phase> {
+pub(crate) fn phase(world: &mut World, job: u64) -> Option<Phase> {
     match world.status(job) {
         Some(Reply::Phase(phase)) => Some(phase),
         _ => None,
@@ -1132,7 +1132,7 @@
 }
 
 /// The worker that the last start order was meant for.
-fn last_placed(world: &World) -> Option<id::Worker> {
+pub(crate) fn last_placed(world: &World) -> Option<id::Worker> {
     let mut decisions = world.decisions.iter().rev();
     decisions.find_map(|decision| match decision {
         Decision::Start { incarnation, .. } => Some(incarnation.worker.clone()),
--- a/crates/gentianlane/tests/fleet/fuzz.rs
+++ b/crates/gentianlane/tests/fleet/fuzz.rs
@@ -64,8 +64,32 @@
     }
 }
 
-fn history(seed: u64, cores: Cores) {
-    let mut world = World::new(5, seed).with_plan(plan(1, seed.is_multiple_of(2)));
+/// Whether the queue's steps need advice, so that starts carry tickets.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Advice {
+    Needed,
+    Unneeded,
+}
+
+impl Advice {
+    /// What every second seed begins with.
+    fn of(seed: u64) -> Self {
+        match seed.is_multiple_of(2) {
+            true => Self::Needed,
+            false => Self::Unneeded,
+        }
+    }
+
+    fn other(self) -> Self {
+        match self {
+            Self::Needed => Self::Unneeded,
+            Self::Unneeded => Self::Needed,
+        }
+    }
+}
+
+fn history(seed: u64, cores: Cores, advice: Advice) {
+    let mut world = World::new(5, seed).with_plan(plan(1, advice == Advice::Needed));
     let mut accepted = Vec::new();
     let mut dead: Option<usize> = None;
     let mut crashed: Option<String> = None;
@@ -173,14 +197,23 @@
 #[test]
 fn histories_keep_the_rules() {
     for seed in 1..=12 {
-        history(seed, Cores::OnTime);
+        history(seed, Cores::OnTime, Advice::of(seed));
     }
 }
 
 #[test]
 fn histories_with_late_cores_keep_the_rules() {
     for seed in 1..=6 {
-        history(seed, Cores::Late);
+        history(seed, Cores::Late, Advice::of(seed));
+    }
+}
+
+/// A start without a ticket may be carried out however late it arrives.
+#[test]
+fn histories_without_tickets_keep_the_rules() {
+    for seed in (2..=8).step_by(2) {
+        history(seed, Cores::OnTime, Advice::Unneeded);
+        history(seed, Cores::Late, Advice::Unneeded);
     }
 }
 
@@ -188,21 +221,21 @@
 /// and its task was queued again though it already ran elsewhere.
 #[test]
 fn a_start_in_doubt_that_is_over_leaves_the_present_run_alone() {
-    history(70, Cores::OnTime);
+    history(70, Cores::OnTime, Advice::of(70));
 }
 
 /// A lease renewal meant for an earlier incarnation acknowledged an end at the
 /// next one that no leader had received.
 #[test]
 fn a_hold_for_an_earlier_life_has_the_next_one_forget_nothing() {
-    history(966, Cores::OnTime);
+    history(966, Cores::OnTime, Advice::of(966));
 }
 
 /// A re-elected leader took the answer to an order of its earlier term for the
 /// answer to another order, as both had the same ID.
 #[test]
 fn an_answer_from_an_earlier_term_is_nobodys() {
-    history(814, Cores::OnTime);
+    history(814, Cores::OnTime, Advice::of(814));
 }
 
 /// Runs more histories to search for new failures: `FLEET_SEEDS=13..200`.
@@ -219,7 +252,9 @@
     };
     for seed in number(from)..number(to) {
         println!("seed {seed}");
-        history(seed, Cores::OnTime);
-        history(seed, Cores::Late);
+        for advice in [Advice::of(seed), Advice::of(seed).other()] {
+            history(seed, Cores::OnTime, advice);
+            history(seed, Cores::Late, advice);
+        }
     }
 }
--- a/crates/gentianlane/tests/fleet/main.rs
+++ b/crates/gentianlane/tests/fleet/main.rs
@@ -2,5 +2,6 @@
 
 mod dispatch;
 mod fuzz;
+mod late_start;
 mod simulated_worker;
 mod world;
--- a/crates/gentianlane/tests/fleet/simulated_worker.rs
+++ b/crates/gentianlane/tests/fleet/simulated_worker.rs
@@ -1,5 +1,5 @@
 //! A simulated worker that follows the worker protocol: fencing tokens, leases,
-//! idempotent starts and acknowledged ends.
+//! idempotent starts, tickets and acknowledged ends.
 
 use std::collections::BTreeMap;
 
@@ -219,6 +219,9 @@
                 {
                     return (refused(Reason::StaleRun), None);
                 }
+                if is_expired(start.ticket.as_deref(), now) {
+                    return (refused(Reason::InvalidTicket), None);
+                }
                 let (demand, duration, outcome) = spec(start);
                 let active = Run {
                     run: start.run,
@@ -295,6 +298,12 @@
     }
 }
 
+/// Whether a start's ticket, which names its last millisecond, has expired.
+pub(crate) fn is_expired(ticket: Option<&str>, now: u64) -> bool {
+    let expires = ticket.and_then(|ticket| ticket.parse::<u64>().ok());
+    expires.is_some_and(|expires| expires <= now)
+}
+
 /// A job of one step with `count` equal tasks.
 pub(crate) fn job(count: u32, millicores: u64) -> Spec {
     Spec {
--- a/crates/gentianlane/tests/fleet/world.rs
+++ b/crates/gentianlane/tests/fleet/world.rs
@@ -20,7 +20,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use super::simulated_worker::Worker;
+use super::simulated_worker::{Worker, is_expired};
 
 /// The default delay of a message, in milliseconds.
 const MESSAGE_DELAY_MS: u64 = 2;
@@ -472,8 +472,7 @@
         }
         let now = self.now;
         if let Action::Start(start) = &order.action
-            && let Some(ticket) = &start.ticket
-            && ticket.parse::<u64>().is_ok_and(|expires| expires <= now)
+            && is_expired(start.ticket.as_deref(), now)
         {
             self.expired_tickets += 1;
         }
@@ -736,6 +735,16 @@
         self.workers[at] = Worker::new(name, port, capacity, now);
     }
 
+    /// When the starts of a task that are on their way arrive, soonest first.
+    pub(crate) fn late_starts(&self, task: &Task) -> Vec<u64> {
+        let is_start = |item: &InFlight| {
+            matches!(item, InFlight::Order(_, Order { action: Action::Start(start), .. })
+                if start.task == *task)
+        };
+        let items = self.in_flight.iter().filter(|(_, item)| is_start(item));
+        items.map(|((due, _), _)| *due).collect()
+    }
+
     /// Counts the starts of a task.
     pub(crate) fn starts(&self, task: &Task) -> usize {
         self.observed_runs
