Add random histories with unsound workers

Cause: the random histories played orders that are 2 to 12 s late, lost answers and crashes, but no workers that answer with errors, hang, refuse connections or start anew at once, and no orders that are late by less than 2 s. At the installations at hand only such orders can start anything, as each start carries a ticket that is valid for 2 s and for one incarnation.

Change: the stepped world gets switches for these, all off by default: workers that hang, tickets that are checked, orders late by 100 to 2,000 ms, orders late by 2 to 12 s that are delayed once only, answers after the sender's timeout, and new incarnations of another kind or capacity. A simulated worker now starts a run beside another one of its task, as the protocol has it, and lists both. The oracle also checks `max_per_worker` at each start. unsound_history draws these faults with gangs, tasks that last, tight capacity, drains, cancels and isolated leaders, once with tickets and once without. The other histories draw what they drew before.

An incarnation that no leader has heard of is given no ticket: a start for the one before would fill it by the wrong capacity, and no leader could tell.

--- a/crates/gentianlane/tests/fleet/fuzz.rs
+++ b/crates/gentianlane/tests/fleet/fuzz.rs
@@ -3,11 +3,12 @@
 //! on; once the faults end, every accepted job must end as well.
 
 use gentianlane::fleet::call::{Call, Reply};
-use gentianlane::fleet::job::{Phase, Spec};
+use gentianlane::fleet::job::{Id, Phase, Resources, Spec};
 use gentianlane::fleet::order::Outcome;
+use gentianlane::id;
 
 use super::simulated_worker::{job, step};
-use super::world::{Faults, World, plan, target};
+use super::world::{Faults, Hang, World, plan, target};
 
 /// The length of a history, in rounds of 250 ms.
 const ROUNDS: usize = 80;
@@ -83,6 +84,7 @@
         world.faults = Faults {
             lost_answers: if world.chance(300) { 150 } else { 0 },
             delayed_orders: if world.chance(300) { 80 } else { 0 },
+            ..Faults::default()
         };
         match dead {
             Some(at) if world.chance(400) => {
@@ -150,8 +152,13 @@
         world.restart_worker(&name);
     }
     world.run(25_000);
+    check_end(&mut world, seed, &accepted);
+}
+
+/// Asserts that all accepted jobs have ended, and that nothing runs any more.
+fn check_end(world: &mut World, seed: u64, accepted: &[u64]) {
     world.check_acknowledged();
-    for id in accepted {
+    for &id in accepted {
         let status = world.status(id);
         let ended = matches!(
             status,
@@ -170,6 +177,228 @@
     );
 }
 
+/// What the workers of a history with unsound workers are told by.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Starts {
+    /// Starts carry tickets, each for one incarnation of a worker and 2 s.
+    Ticketed,
+    /// Any incarnation carries out a start until its deadline.
+    Free,
+}
+
+/// A job of one or two steps, some of which run on few workers at once, as gangs or
+/// until they are cancelled; also says whether the job never ends by itself.
+fn mixed_spec(world: &mut World) -> (Spec, bool) {
+    let millicores = [300, 700, 1_100, 1_900, 3_000][world.random_below(5)];
+    let mut spec = job(1 + world.random_below(4) as u32, millicores);
+    spec.steps[0].checkpoints = world.chance(300);
+    spec.steps[0].gang = world.chance(250);
+    if world.chance(250) {
+        spec.steps[0].max_per_worker = Some(1 + world.random_below(2) as u32);
+    }
+    let lasts = world.chance(150);
+    if lasts {
+        spec.steps[0].long_running = true;
+        spec.steps[0].gang = false;
+    } else if world.chance(300) {
+        let mut second = step(1 + world.random_below(3) as u32, 800);
+        second.depends_on = vec![0];
+        spec.steps.push(second);
+    }
+    (spec, lasts)
+}
+
+/// Draws how orders fare until the next draw.
+fn disturb_orders(world: &mut World, starts: Starts) {
+    let mut rate = |chance, rate| if world.chance(chance) { rate } else { 0 };
+    let faults = Faults {
+        lost_answers: rate(250, 150),
+        delayed_orders: 0,
+        briefly_delayed_orders: rate(500, 250),
+        late_orders: match starts {
+            Starts::Ticketed => rate(250, 100),
+            Starts::Free => 0,
+        },
+        late_answers: rate(250, 150),
+    };
+    world.faults = faults;
+}
+
+/// The name of a worker drawn at random.
+fn any_worker(world: &mut World) -> String {
+    let at = world.random_below(world.workers.len());
+    world.workers[at].incarnation.worker.to_string()
+}
+
+/// Makes workers unhealthy, hang, refuse connections, slow or cut off, each for a
+/// while and several at a time.
+fn disturb_workers(world: &mut World) {
+    for kind in 0..5 {
+        let begins = world.chance(120);
+        let ends = world.chance(250);
+        let worker = id::Worker::from(any_worker(world).as_str());
+        let hang = match world.chance(500) {
+            true => Hang::CarriesOut,
+            false => Hang::Idle,
+        };
+        let stall = 8 + world.random_below(3) as u64;
+        let set = match kind {
+            0 => Some(&mut world.unhealthy),
+            1 => Some(&mut world.refusing),
+            2 => Some(&mut world.unreachable),
+            _ => None,
+        };
+        if let Some(set) = set {
+            if ends {
+                set.pop_first();
+            }
+            if begins {
+                set.insert(worker);
+            }
+            continue;
+        }
+        match kind {
+            3 => {
+                if ends {
+                    world.hanging.pop_first();
+                }
+                if begins {
+                    world.hanging.insert(worker, hang);
+                }
+            }
+            _ => {
+                if ends {
+                    world.slow.pop_first();
+                }
+                if begins {
+                    world.slow.insert(worker, stall);
+                }
+            }
+        }
+    }
+    if world.chance(40) {
+        let at = world.random_below(world.workers.len());
+        world.workers[at].draining = true;
+    }
+}
+
+/// Has workers crash, and start anew at once or after a while; with tickets, some
+/// with another kind or capacity.
+fn restart_workers(world: &mut World, starts: Starts) {
+    for _ in 0..2 {
+        if !world.chance(120) {
+            continue;
+        }
+        let name = any_worker(world);
+        world.crash(&name);
+        let gap = match world.chance(500) {
+            true => 1 + world.random_below(60) as u64,
+            false => 100 + world.random_below(1_500) as u64,
+        };
+        world.run(gap);
+        let capacity = match starts {
+            Starts::Ticketed if world.chance(400) => {
+                [1_000, 2_000, 8_000][world.random_below(3)]
+            }
+            Starts::Ticketed | Starts::Free => 4_000,
+        };
+        let capacity = Resources {
+            millicores: capacity,
+            memory_mib: 4_000,
+            accelerators: 0,
+        };
+        let kind = ["kind", "other"][world.random_below(2)];
+        world.replace_worker(&name, capacity, kind);
+    }
+}
+
+/// Kills, starts or cuts off the leader.
+fn disturb_leaders(world: &mut World, dead: &mut Option<usize>) {
+    match *dead {
+        Some(at) if world.chance(300) => {
+            world.restart(at);
+            *dead = None;
+        }
+        None if world.chance(60) => {
+            let at = world.leader().unwrap_or(0);
+            world.kill(at);
+            *dead = Some(at);
+        }
+        _ => {}
+    }
+    if world.chance(300) {
+        world.isolated.clear();
+    } else if dead.is_none() && world.isolated.is_empty() && world.chance(80) {
+        let at = world.leader().unwrap_or(0);
+        world.isolated.insert(at);
+    }
+}
+
+/// A history in which workers answer with errors, hang, refuse connections or are
+/// born again quickly, while starts and stops are carried out late.
+fn unsound_history(seed: u64, starts: Starts) {
+    let ticketed = starts == Starts::Ticketed;
+    let mut world = World::new(4, seed).with_plan(plan(1, ticketed));
+    world.checks_tickets = ticketed;
+    let mut accepted = Vec::new();
+    let mut lasting = Vec::new();
+    let mut dead = None;
+    for round in 0..ROUNDS as u64 {
+        let id = seed * 1_000 + round;
+        let (spec, lasts) = mixed_spec(&mut world);
+        world.run_time = [300, 900, 2_500][world.random_below(3)];
+        let ticket = world.submit(id, &spec);
+        world.run(250);
+        if world.replies.get(&ticket) == Some(&Reply::Done) {
+            accepted.push(id);
+        }
+        if lasts {
+            lasting.push(id);
+        }
+        disturb_orders(&mut world, starts);
+        disturb_workers(&mut world);
+        restart_workers(&mut world, starts);
+        disturb_leaders(&mut world, &mut dead);
+        if world.chance(80) {
+            let at = world.random_below(round as usize + 1) as u64;
+            world.call(Call::Cancel(target(seed * 1_000 + at)));
+        }
+        if lasting.len() > 2 {
+            world.call(Call::Cancel(target(lasting.remove(0))));
+        }
+    }
+    world.faults = Faults::default();
+    world.unhealthy.clear();
+    world.refusing.clear();
+    world.unreachable.clear();
+    world.hanging.clear();
+    world.slow.clear();
+    world.isolated.clear();
+    world.run_time = 300;
+    if let Some(at) = dead {
+        world.restart(at);
+    }
+    let capacity = Resources {
+        millicores: 4_000,
+        memory_mib: 4_000,
+        accelerators: 0,
+    };
+    for at in 0..world.workers.len() {
+        let name = world.workers[at].incarnation.worker.to_string();
+        world.replace_worker(&name, capacity, "kind");
+    }
+    world.run(5_000);
+    // A call without a leader has no effect, and the last job may still wait for one.
+    for round in 0..ROUNDS as u64 {
+        let id = seed * 1_000 + round;
+        if world.specs[&Id(id)].steps[0].long_running {
+            world.call(Call::Cancel(target(id)));
+        }
+    }
+    world.run(25_000);
+    check_end(&mut world, seed, &accepted);
+}
+
 #[test]
 fn histories_keep_the_rules() {
     for seed in 1..=12 {
@@ -205,21 +434,39 @@
     history(814, Cores::OnTime);
 }
 
+#[test]
+fn histories_with_unsound_workers_keep_the_rules() {
+    for seed in 1..=4 {
+        unsound_history(seed, Starts::Ticketed);
+        unsound_history(seed, Starts::Free);
+    }
+}
+
+/// The seeds that `FLEET_SEEDS` names, such as 13..200; none if it isn't a range.
+fn chosen_seeds() -> Option<std::ops::Range<u64>> {
+    let seeds = std::env::var("FLEET_SEEDS").unwrap_or_else(|_| "13..40".to_owned());
+    let (from, to) = seeds.split_once("..")?;
+    Some(from.parse().ok()?..to.parse().ok()?)
+}
+
 /// Runs more histories to search for new failures: `FLEET_SEEDS=13..200`.
 #[test]
 #[ignore = "the run time depends on FLEET_SEEDS"]
 fn more_histories_keep_the_rules() {
-    let seeds = std::env::var("FLEET_SEEDS").unwrap_or_else(|_| "13..40".to_owned());
-    let (from, to) = seeds
-        .split_once("..")
-        .expect("FLEET_SEEDS is a range such as 13..200");
-    let number = |text: &str| {
-        text.parse::<u64>()
-            .expect("the ends of FLEET_SEEDS are numbers")
-    };
-    for seed in number(from)..number(to) {
+    for seed in chosen_seeds().expect("FLEET_SEEDS is a range such as 13..200") {
         println!("seed {seed}");
         history(seed, Cores::OnTime);
         history(seed, Cores::Late);
     }
 }
+
+/// Runs more histories with unsound workers, for the same purpose.
+#[test]
+#[ignore = "the run time depends on FLEET_SEEDS"]
+fn more_histories_with_unsound_workers_keep_the_rules() {
+    for seed in chosen_seeds().expect("FLEET_SEEDS is a range such as 13..200") {
+        println!("seed {seed}");
+        unsound_history(seed, Starts::Ticketed);
+        unsound_history(seed, Starts::Free);
+    }
+}
--- a/crates/gentianlane/tests/fleet/simulated_worker.rs
+++ b/crates/gentianlane/tests/fleet/simulated_worker.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeMap;
 
-use gentianlane::fleet::job::{Resources, Spec, Task};
+use gentianlane::fleet::job::{Resources, Spec, Stage, Task};
 use gentianlane::fleet::order::{
     Action, ActiveRun, Answer, EndedRun, Order, Outcome, Reason, Start, Status,
 };
@@ -52,7 +52,9 @@
     pub(crate) reports: u64,
     fencing_token: u64,
     deadline: u64,
-    pub(crate) runs: BTreeMap<Task, Run>,
+    /// The active runs by task and number: a worker starts a run beside another
+    /// one of the same task.
+    pub(crate) runs: BTreeMap<(Task, u64), Run>,
     pub(crate) ended: Vec<EndedRun>,
     /// The highest sequence number of an end at the last time the lease was
     /// found expired.
@@ -110,7 +112,7 @@
     }
 
     /// The worker's own clock in milliseconds, which is 2% slow.
-    fn clock(&self, now: u64) -> u64 {
+    pub(crate) fn clock(&self, now: u64) -> u64 {
         (now - self.spawned_at) * 98 / 100 + 5
     }
 
@@ -142,6 +144,15 @@
         demands.fold(Resources::default(), |sum, demand| sum.plus(&demand))
     }
 
+    /// The number of a step's tasks that are active here, without the runs that
+    /// [`Worker::used`] leaves out.
+    pub(crate) fn count_of(&self, stage: &Stage) -> usize {
+        let known = self.runs.iter().filter(|((task, _), active)| {
+            task.stage == *stage && (self.status_sent || !active.before_contact)
+        });
+        known.count()
+    }
+
     /// Ends the runs that are due, stopped or without a lease, and returns them.
     pub(crate) fn advance(&mut self, now: u64) -> Vec<(Task, u64, Outcome)> {
         let expired = self.clock(now) >= self.deadline;
@@ -149,7 +160,7 @@
             self.expired_sequence = self.last_sequence;
         }
         let mut ends = Vec::new();
-        for (task, active) in &self.runs {
+        for ((task, _), active) in &self.runs {
             let outcome = match () {
                 () if expired => Outcome::LeaseExpired,
                 () if active.stops_at.is_some_and(|at| at <= now) => Outcome::Stopped,
@@ -159,7 +170,7 @@
             ends.push((*task, active.run, outcome));
         }
         for &(task, run, outcome) in &ends {
-            self.runs.remove(&task);
+            self.runs.remove(&(task, run));
             let highest = self.closed_runs.entry(task).or_insert(0);
             *highest = (*highest).max(run);
             self.last_sequence += 1;
@@ -205,11 +216,7 @@
                     return (refused(Reason::DeadlinePassed), None);
                 }
                 self.extend_lease(start.deadline, clock);
-                if self
-                    .runs
-                    .get(&start.task)
-                    .is_some_and(|active| active.run == start.run)
-                {
+                if self.runs.contains_key(&(start.task, start.run)) {
                     return (Answer::Done { clock }, None);
                 }
                 if self
@@ -229,11 +236,11 @@
                     outcome,
                     stops_at: None,
                 };
-                self.runs.insert(start.task, active);
+                self.runs.insert((start.task, start.run), active);
                 (Answer::Done { clock }, Some((start.task, start.run)))
             }
             Action::Stop { task, run } => {
-                match self.runs.get_mut(task).filter(|active| active.run == *run) {
+                match self.runs.get_mut(&(*task, *run)) {
                     Some(active) => {
                         active
                             .stops_at
@@ -279,7 +286,7 @@
 
     /// The status that answers a lease renewal.
     pub(crate) fn status(&self, now: u64) -> Status {
-        let running = |(task, active): (&Task, &Run)| ActiveRun {
+        let running = |((task, _), active): (&(Task, u64), &Run)| ActiveRun {
             task: *task,
             run: active.run,
             checkpoint: String::new(),
--- a/crates/gentianlane/tests/fleet/world.rs
+++ b/crates/gentianlane/tests/fleet/world.rs
@@ -36,6 +36,8 @@
 enum InFlight {
     Message(id::Node, id::Node, Message),
     Order(id::Node, Order),
+    /// An order that is carried out late, once, and that nobody waits for.
+    LateOrder(Order),
     Answer(id::Node, CallId, Answer),
     Advice(id::Node, AdviceResponse),
     /// A lease renewal from a core that waits at the incarnation with this start
@@ -51,6 +53,24 @@
     /// Orders other than lease renewals that get no answer and are carried out 2
     /// to 12 s later.
     pub(crate) delayed_orders: u32,
+    /// Orders other than lease renewals that get no answer and are carried out 100
+    /// to 2,000 ms later.
+    pub(crate) briefly_delayed_orders: u32,
+    /// Orders other than lease renewals that get no answer and are carried out once,
+    /// 2 to 12 s later.
+    pub(crate) late_orders: u32,
+    /// Orders that are carried out at once, but whose answers arrive after the
+    /// sender's timeout.
+    pub(crate) late_answers: u32,
+}
+
+/// What a worker does that answers no order, though connections to it succeed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Hang {
+    /// It carries out all orders.
+    CarriesOut,
+    /// It does nothing.
+    Idle,
 }
 
 /// What placement has cost the leaders.
@@ -101,6 +121,11 @@
     pub(crate) slow: BTreeMap<id::Worker, u64>,
     /// The workers that refuse every start as unhealthy.
     pub(crate) unhealthy: BTreeSet<id::Worker>,
+    /// The workers that answer no order.
+    pub(crate) hanging: BTreeMap<id::Worker, Hang>,
+    /// Whether the workers refuse starts whose ticket has expired or is for another
+    /// incarnation.
+    pub(crate) checks_tickets: bool,
     /// The workers on which every run fails after 20 ms.
     pub(crate) failing: BTreeSet<id::Worker>,
     pub(crate) faults: Faults,
@@ -135,9 +160,17 @@
     pub(crate) flush_time: u64,
     /// What placement has cost, summed up over the leaders' log lines.
     pub(crate) effort: Effort,
+    /// How long a run takes that isn't scripted, in milliseconds.
+    pub(crate) run_time: u64,
     /// The durations in milliseconds and outcomes of a task's next runs; a run
-    /// that isn't listed succeeds after 300 ms.
+    /// that isn't listed succeeds after [`World::run_time`].
     pub(crate) scripted_runs: BTreeMap<Task, Vec<(u64, Outcome)>>,
+    /// The reports that aren't answered yet, each with the worker's index and the
+    /// start time of its incarnation.
+    report_calls: BTreeMap<Ticket, (usize, Wall)>,
+    /// The newest incarnation of each worker that a leader has acknowledged, by the
+    /// worker's index.
+    registered: BTreeMap<usize, Wall>,
     in_flight: BTreeMap<(u64, u64), InFlight>,
     last_item: u64,
     last_ticket: u64,
@@ -165,6 +198,8 @@
             refusing: BTreeSet::new(),
             slow: BTreeMap::new(),
             unhealthy: BTreeSet::new(),
+            hanging: BTreeMap::new(),
+            checks_tickets: false,
             failing: BTreeSet::new(),
             faults: Faults::default(),
             send_interval: 0,
@@ -184,7 +219,10 @@
             placement_rests: false,
             flush_time: 0,
             effort: Effort::default(),
+            run_time: 300,
             scripted_runs: BTreeMap::new(),
+            report_calls: BTreeMap::new(),
+            registered: BTreeMap::new(),
             in_flight: BTreeMap::new(),
             last_item: 0,
             last_ticket: 0,
@@ -327,7 +365,9 @@
                 continue;
             }
             let report = worker.report();
-            self.call(Call::Report(report));
+            let started_at = worker.incarnation.started_at;
+            let ticket = self.call(Call::Report(report));
+            self.report_calls.insert(ticket, (at, started_at));
         }
     }
 
@@ -367,6 +407,7 @@
                 }
             }
             InFlight::Order(from, order) => self.handle_order(from, order),
+            InFlight::LateOrder(order) => self.handle_late_order(&order),
             InFlight::PendingRenewal(from, order, started_at, until) => {
                 self.handle_renewal(from, order, started_at, until, false);
             }
@@ -397,6 +438,17 @@
             self.send(timeout, InFlight::Answer(from, order.id, Answer::Lost));
             return self.send(after, InFlight::Order(id::Node(0), order));
         }
+        let is_renewal = matches!(order.action, Action::Renew { .. });
+        if !is_renewal && let Some(after) = self.draw_delay() {
+            self.send(timeout, InFlight::Answer(from, order.id, Answer::Lost));
+            return self.send(after, InFlight::LateOrder(order));
+        }
+        if let Some(hang) = self.hanging.get(&order.worker).copied() {
+            if hang == Hang::CarriesOut {
+                self.execute(at, &order, false);
+            }
+            return self.send(timeout, InFlight::Answer(from, order.id, Answer::Lost));
+        }
         if let Action::Renew { wait, .. } = order.action {
             let until = self.now + wait.as_millis();
             let started_at = self.workers[at].incarnation.started_at;
@@ -410,7 +462,14 @@
             },
             false => self.execute(at, &order, false),
         };
-        match lost {
+        let is_late =
+            self.faults.late_answers > 0 && self.chance(self.faults.late_answers);
+        match lost || is_late {
+            _ if is_late => {
+                self.send(timeout, InFlight::Answer(from, order.id, Answer::Lost));
+                let after = timeout + 1 + self.random_below(400) as u64;
+                self.send(after, InFlight::Answer(from, order.id, answer));
+            }
             true => self.send(timeout, InFlight::Answer(from, order.id, Answer::Lost)),
             false => {
                 self.send(self.message_delay, InFlight::Answer(from, order.id, answer));
@@ -421,6 +480,41 @@
     /// Answers a lease renewal at once if a run has ended, else at `until`.
     ///
     /// The answer is lost if the incarnation at which it waits has exited.
+    /// How long an order is delayed, if it is, in milliseconds.
+    fn draw_delay(&mut self) -> Option<u64> {
+        let Faults {
+            briefly_delayed_orders: briefly,
+            late_orders: late,
+            ..
+        } = self.faults;
+        if briefly + late == 0 {
+            return None;
+        }
+        let drawn = self.random.random_range(0..1_000u32);
+        match () {
+            () if drawn < briefly => Some(self.random.random_range(100..2_000u64)),
+            () if drawn < briefly + late => {
+                Some(self.random.random_range(2_000..12_000u64))
+            }
+            () => None,
+        }
+    }
+
+    /// Has whichever incarnation listens at its address carry out a late order.
+    fn handle_late_order(&mut self, order: &Order) {
+        let at = self
+            .workers
+            .iter()
+            .position(|worker| worker.up && worker.profile.address == order.address);
+        let reached = !self.unreachable.contains(&order.worker)
+            && !self.refusing.contains(&order.worker)
+            && !self.unhealthy.contains(&order.worker);
+        let idle = self.hanging.get(&order.worker) == Some(&Hang::Idle);
+        if let Some(at) = at.filter(|_| reached && !idle) {
+            self.execute(at, order, false);
+        }
+    }
+
     fn handle_renewal(
         &mut self,
         from: id::Node,
@@ -470,28 +564,75 @@
         if self.failing.contains(&order.worker) {
             scripted = Some((20, Outcome::Failed));
         }
-        let now = self.now;
+        let (now, run_time) = (self.now, self.run_time);
         if let Action::Start(start) = &order.action
             && let Some(ticket) = &start.ticket
             && ticket.parse::<u64>().is_ok_and(|expires| expires <= now)
         {
             self.expired_tickets += 1;
         }
+        if self.checks_tickets
+            && let Action::Start(start) = &order.action
+            && let Some(ticket) = &start.ticket
+            && !self.is_valid_ticket(at, ticket)
+        {
+            return Answer::Refused {
+                clock: Some(self.workers[at].clock(now)),
+                reason: Reason::InvalidTicket,
+            };
+        }
         let run_spec = |start: &gentianlane::fleet::order::Start| {
             let step =
                 &specs[&start.task.stage.job].steps[usize::from(start.task.stage.step)];
-            let (took, outcome) = scripted.unwrap_or((300, Outcome::Done));
+            let (took, outcome) = scripted.unwrap_or((run_time, Outcome::Done));
             (step.demand(), (!step.long_running).then_some(took), outcome)
         };
         let before_contact = !self.workers[at].is_reached();
         let (answer, started) =
             self.workers[at].handle(order, repeated, run_spec, self.now);
         if let Some((task, run)) = started {
+            self.trace(|| format!("{} starts {task} run {run}", order.worker));
             self.check_start(at, task, run, before_contact);
         }
         answer
     }
 
+    /// Notes the incarnations whose reports a leader has acknowledged.
+    fn note_registrations(&mut self) {
+        let replies = &self.replies;
+        let answered = |ticket: &Ticket| replies.get(ticket);
+        for (ticket, (at, started_at)) in &self.report_calls {
+            if answered(ticket) == Some(&Reply::Done) {
+                let newest = self.registered.entry(*at).or_default();
+                *newest = (*newest).max(*started_at);
+            }
+        }
+        self.report_calls
+            .retain(|ticket, _| answered(ticket).is_none());
+    }
+
+    /// Whether a ticket made by [`World::ticket`] is for the present incarnation of
+    /// a worker, and not expired.
+    fn is_valid_ticket(&self, at: usize, ticket: &str) -> bool {
+        let started_at = self.workers[at].incarnation.started_at;
+        ticket.split_once('/').is_some_and(|(expires, life)| {
+            let expired = expires.parse::<u64>().is_ok_and(|at| at <= self.now);
+            !expired && life == started_at.as_millis().to_string()
+        })
+    }
+
+    /// A ticket for the newest incarnation of a worker that any leader knows of: no
+    /// leader can tell an unknown one, which may be smaller, from the one before.
+    fn ticket(&self, worker: &id::Worker, expires: u64) -> String {
+        let present = |known: &Worker| known.incarnation.worker == *worker;
+        let at = self.workers.iter().position(present);
+        let registered = at.and_then(|at| self.registered.get(&at));
+        match registered.filter(|_| self.checks_tickets) {
+            Some(started_at) => format!("{expires}/{}", started_at.as_millis()),
+            None => expires.to_string(),
+        }
+    }
+
     /// The oracle: panics if a start breaks a rule of the scheduler.
     fn check_start(&mut self, at: usize, task: Task, run: u64, before_contact: bool) {
         let worker = &self.workers[at];
@@ -502,6 +643,15 @@
             worker.incarnation.worker,
             self.now
         );
+        let step = &self.specs[&task.stage.job].steps[usize::from(task.stage.step)];
+        let beside = worker.count_of(&task.stage);
+        assert!(
+            step.max_per_worker
+                .is_none_or(|most| beside <= most as usize),
+            "{task} run {run} is one of {beside} of its step on {} at {} ms",
+            worker.incarnation.worker,
+            self.now
+        );
         let earlier: Vec<&ObservedRun> = self
             .observed_runs
             .iter()
@@ -610,11 +760,12 @@
                     self.send_queue.push_back((me, order, until));
                 }
                 Output::RequestAdvice(_, request) => {
+                    self.note_registrations();
                     let expires = self.now + 20 + TICKET_VALIDITY_MS;
                     let eligible = request
                         .workers
                         .iter()
-                        .map(|worker| (worker.clone(), expires.to_string()));
+                        .map(|worker| (worker.clone(), self.ticket(worker, expires)));
                     let response = AdviceResponse {
                         id: request.id,
                         eligible: Some(eligible.collect()),
@@ -641,9 +792,7 @@
                         }
                         _ => {}
                     }
-                    if std::env::var_os("FLEET_TRACE").is_some() {
-                        println!("{} {me} {decision}", self.now);
-                    }
+                    self.trace(|| format!("{me} {decision}"));
                     self.decisions.push(decision);
                 }
             }
@@ -675,7 +824,8 @@
     pub(crate) fn fail_runs(&mut self, task: Task) {
         let now = self.now;
         let runs = self.workers.iter_mut().map(|worker| &mut worker.runs);
-        for active in runs.filter_map(|runs| runs.get_mut(&task)) {
+        let of_task = runs.flatten().filter(|((other, _), _)| *other == task);
+        for (_, active) in of_task {
             (active.ends_at, active.outcome) = (Some(now), Outcome::Failed);
         }
     }
@@ -736,6 +886,29 @@
         self.workers[at] = Worker::new(name, port, capacity, now);
     }
 
+    /// Replaces a worker, which may be up, by a new incarnation with its name and
+    /// address but another capacity and kind.
+    pub(crate) fn replace_worker(&mut self, name: &str, capacity: Resources, kind: &str) {
+        self.crash(name);
+        self.restart_worker(name);
+        let worker = self
+            .workers
+            .iter_mut()
+            .find(|worker| worker.incarnation.worker.as_str() == name);
+        if let Some(worker) = worker {
+            worker.profile.capacity = capacity;
+            kind.clone_into(&mut worker.profile.labels[0]);
+        }
+        self.trace(|| format!("{name} starts anew with {capacity:?}"));
+    }
+
+    /// Prints a line if `FLEET_TRACE` is set.
+    fn trace(&self, line: impl FnOnce() -> String) {
+        if std::env::var_os("FLEET_TRACE").is_some() {
+            println!("{} {}", self.now, line());
+        }
+    }
+
     /// Counts the starts of a task.
     pub(crate) fn starts(&self, task: &Task) -> usize {
         self.observed_runs
