Keep a start that was carried out when its next try is refused for good

What callers would see: a task that runs twice at a time (TWICE), or a worker that is given more than it has room for (LIMIT).

Cause: a start without an answer is sent again. If that try was refused for its ticket, its deadline, a stale fencing token or as malformed, the run was taken for not started: its task was placed elsewhere at once, and its room was given to others. Such a refusal does hold for an earlier try that is still on its way, but says nothing of one that was carried out before and whose answer was lost. A ticket that expires between the two tries, 150 ms apart, is enough.

Change: after an earlier try without an answer, a refusal for a ticket or a fencing token leaves the run, and its room, to the worker's next status, which lists it or doesn't; the run goes on if it is there. All other refusals have it stopped, as those for lack of room and for health did before. The status is asked for within 250 ms, as for a stop. Nothing changes for a first try.

Tests: a_start_carried_out_without_an_answer_runs_though_the_next_try_comes_too_late failed before: "run 3 starts at 4207 ms while another run is active: run 1 on w0, started at 4027".

--- a/crates/gentianlane/src/fleet/dispatch/answer.rs
+++ b/crates/gentianlane/src/fleet/dispatch/answer.rs
@@ -217,8 +217,8 @@
             return;
         }
         run.order = None;
-        // An earlier try without an answer may be carried out yet, whatever became
-        // of this one.
+        // An earlier try without an answer may have been carried out or may be yet,
+        // whatever became of this one.
         let in_doubt = run.tries > 1;
         match answer {
             Answer::Done { .. } => {
@@ -234,9 +234,16 @@
             } => run.confirmed_at = Some(now),
             Answer::Refused { reason, .. } => {
                 self.handle_start_refusal(order, task, number, *reason, now);
-                match in_doubt && reason.is_temporary() {
-                    true => self.give_up_start(task, now),
+                match in_doubt {
                     false => self.drop_run(&order.worker, task, Cause::NotListed, now),
+                    // The answer to the next renewal tells whether an earlier try was
+                    // carried out.
+                    true if reason.voids_earlier_tries() => {
+                        if let Some(run) = self.run_mut(&order.worker, task, number) {
+                            run.confirmed_at = Some(now);
+                        }
+                    }
+                    true => self.give_up_start(task, now),
                 }
             }
             Answer::Unreachable if !in_doubt => {
--- a/crates/gentianlane/src/fleet/dispatch/lease.rs
+++ b/crates/gentianlane/src/fleet/dispatch/lease.rs
@@ -287,12 +287,14 @@
         // The first renewal, and one after a missed answer, is answered at once
         // instead of waiting for a run to end.
         let at_once = !session.reconciled || session.unanswered > 0;
-        let is_stopping =
-            |run: &Run| run.state == RunState::Stopping && run.confirmed_at.is_some();
-        let any_stopping = session.runs.values().any(is_stopping);
+        // Runs that are being stopped, and refused starts of which an earlier try may
+        // have been carried out.
+        let is_unsettled =
+            |run: &Run| run.state != RunState::Running && run.confirmed_at.is_some();
+        let any_unsettled = session.runs.values().any(is_unsettled);
         let wait = match at_once || deadline.is_none() {
             true => Span::ZERO,
-            false if any_stopping => STOP_WAIT,
+            false if any_unsettled => STOP_WAIT,
             false => self.setup.renewal_wait,
         };
         let timeout = wait + self.setup.renewal_margin;
@@ -350,7 +352,7 @@
 }
 
 /// How long a worker may delay its answer to a renewal while a stop is in
-/// progress; short, so that the freed capacity is known soon.
+/// progress or a start in doubt; short, so that the freed capacity is known soon.
 const STOP_WAIT: Span = Span::from_millis(250);
 
 /// Whether a renewal is due, and the reported ends are durable or have been
--- a/crates/gentianlane/src/fleet/order.rs
+++ b/crates/gentianlane/src/fleet/order.rs
@@ -136,9 +136,13 @@
 }
 
 impl Reason {
-    /// Whether the worker may accept the same order later.
-    pub(crate) const fn is_temporary(self) -> bool {
-        matches!(self, Self::NoCapacity | Self::Unhealthy)
+    /// Whether a worker that refuses a start for this reason carries out no earlier
+    /// try of it from now on; it may have carried one out before.
+    pub(crate) const fn voids_earlier_tries(self) -> bool {
+        matches!(
+            self,
+            Self::StaleToken | Self::StaleRun | Self::InvalidTicket
+        )
     }
 }
 
--- a/crates/gentianlane/tests/fleet/dispatch.rs
+++ b/crates/gentianlane/tests/fleet/dispatch.rs
@@ -607,6 +607,30 @@
     });
 }
 
+#[test]
+fn a_start_carried_out_without_an_answer_runs_though_the_next_try_comes_too_late() {
+    // Found by the random histories, seeds 26 and 58 with unsound workers: the ticket
+    // expired between two tries of a start. The second was refused for it, and the
+    // run was taken for gone, though the first had been carried out.
+    let mut world = World::new(2, 1).with_plan(plan(1, true));
+    world.checks_tickets = true;
+    world
+        .scripted_runs
+        .insert(task(7, 0), vec![(9_000, Outcome::Done); 2]);
+    world.run(1_000);
+    world.faults.lost_answers = 1_000;
+    world.ticket_validity = 140;
+    world.submit(7, &job(1, 500));
+    world.run(100);
+    assert_eq!(world.observed_runs.len(), 1);
+    world.faults = Faults::default();
+    world.run(300);
+    world.ticket_validity = 2_000;
+    // The oracle fails on a second run beside the first.
+    world.run(20_000);
+    assert_eq!(phase(&mut world, 7), Some(Phase::Completed));
+}
+
 #[test]
 fn a_failed_task_is_tried_on_another_worker() {
     // Found at norrvik-panna, scale-2: a task with two attempts failed twice on
--- a/crates/gentianlane/tests/fleet/world.rs
+++ b/crates/gentianlane/tests/fleet/world.rs
@@ -126,6 +126,8 @@
     /// Whether the workers refuse starts whose ticket has expired or is for another
     /// incarnation.
     pub(crate) checks_tickets: bool,
+    /// How long tickets are valid, in milliseconds.
+    pub(crate) ticket_validity: u64,
     /// The workers on which every run fails after 20 ms.
     pub(crate) failing: BTreeSet<id::Worker>,
     pub(crate) faults: Faults,
@@ -200,6 +202,7 @@
             unhealthy: BTreeSet::new(),
             hanging: BTreeMap::new(),
             checks_tickets: false,
+            ticket_validity: TICKET_VALIDITY_MS,
             failing: BTreeSet::new(),
             faults: Faults::default(),
             send_interval: 0,
@@ -761,7 +764,7 @@
                 }
                 Output::RequestAdvice(_, request) => {
                     self.note_registrations();
-                    let expires = self.now + 20 + TICKET_VALIDITY_MS;
+                    let expires = self.now + 20 + self.ticket_validity;
                     let eligible = request
                         .workers
                         .iter()
