Keep each run of a task on a worker by its number

What callers would see: a task that runs twice at a time (TWICE), and a worker that is given more than it has room for (LIMIT).

Cause: a worker starts a run beside another one of the same task. A session kept one run for each task. If a new incarnation carried out a start in doubt, and the leader kept a later run of that task there, the status that listed the earlier one was passed over: it was neither stopped nor counted, and once the later run was known to be gone, the task and the room were given away beside it.

Change: a session keeps its runs by task and number. So a run that is listed and not known is stopped and counted, whatever other run of its task is there, and each start in doubt is stopped in a new incarnation by its own number: a stop for a higher one doesn't end a run that is active. A task's placement names the run that counts. Everything that concerned the run of a task on a worker now takes the run's number.

Tests: a_run_that_is_listed_beside_another_of_its_task_is_stopped failed before: "run 3 starts at 6769 ms while another run is active: run 1 on w0, started at 5434".

--- a/crates/gentianlane/src/fleet/dispatch/answer.rs
+++ b/crates/gentianlane/src/fleet/dispatch/answer.rs
@@ -3,7 +3,7 @@
 use crate::fleet::decision::{Cause, Decision};
 use crate::fleet::dispatch::Dispatcher;
 use crate::fleet::dispatch::advice::Relay;
-use crate::fleet::dispatch::dispatcher::{OrderKind, PendingOrder};
+use crate::fleet::dispatch::dispatcher::{OrderKind, PendingOrder, Place};
 use crate::fleet::dispatch::lease::MAX_START_TRIES;
 use crate::fleet::dispatch::session::{Run, RunState};
 use crate::fleet::dispatch::stage::Permit;
@@ -189,15 +189,14 @@
     }
 
     /// A task's run on a worker, if it is the one with the given number.
-    fn run_mut(
+    pub(super) fn run_mut(
         &mut self,
         worker: &id::Worker,
         task: &Task,
         number: u64,
     ) -> Option<&mut Run> {
         let session = self.sessions.get_mut(worker)?;
-        let run = session.runs.get_mut(task)?;
-        (run.number == number).then_some(run)
+        session.runs.get_mut(&(*task, number))
     }
 
     fn handle_start_answer(
@@ -235,7 +234,10 @@
             Answer::Refused { reason, .. } => {
                 self.handle_start_refusal(order, task, number, *reason, now);
                 match in_doubt {
-                    false => self.drop_run(&order.worker, task, Cause::NotListed, now),
+                    false => {
+                        let cause = Cause::NotListed;
+                        self.drop_run(&order.worker, task, number, cause, now);
+                    }
                     // The answer to the next renewal tells whether an earlier try was
                     // carried out.
                     true if reason.voids_earlier_tries() => {
@@ -247,11 +249,11 @@
                 }
             }
             Answer::Unreachable if !in_doubt => {
-                self.drop_run(&order.worker, task, Cause::Unreachable, now);
+                self.drop_run(&order.worker, task, number, Cause::Unreachable, now);
             }
             // Sending it again is safe: a worker starts a run at most once.
             Answer::Lost if run.tries < MAX_START_TRIES && !draining => {
-                self.send_start(&order.worker, task, now);
+                self.send_start(&order.worker, task, number, now);
             }
             _ => run.retry_at = now.after(ORDER_RETRY_DELAY),
         }
@@ -313,21 +315,17 @@
         &mut self,
         worker: &id::Worker,
         task: &Task,
+        run: u64,
         cause: Cause,
         now: Time,
     ) {
-        let run = self
-            .sessions
-            .get(worker)
-            .and_then(|session| session.runs.get(task))
-            .map_or(0, |run| run.number);
         self.effects.decisions.push(Decision::RunLost {
             task: *task,
             run,
             worker: worker.clone(),
             cause,
         });
-        self.release_run(worker, task);
+        self.release_run(worker, task, run);
         self.break_gang(task, now);
     }
 
@@ -348,8 +346,8 @@
             .filter(|other| other.stage == task.stage);
         let others: Vec<Task> = others.copied().collect();
         for other in others {
-            let worker = self.placements.get(&other).cloned();
-            if !worker.is_some_and(|worker| self.drop_unsent_run(&worker, &other)) {
+            let place = self.placements.get(&other).cloned();
+            if !place.is_some_and(|place| self.drop_unsent_run(&place, &other)) {
                 self.stop_run(&other, Cause::GangIncomplete, now);
             }
         }
@@ -357,19 +355,21 @@
 
     /// Drops a run whose start was never sent, so that its task can be placed
     /// elsewhere at once; false for any other run.
-    pub(super) fn drop_unsent_run(&mut self, worker: &id::Worker, task: &Task) -> bool {
-        let session = self.sessions.get(worker);
-        let run = session.and_then(|session| session.runs.get(task));
-        let Some(run) = run.filter(|run| run.is_unsent()) else {
+    pub(super) fn drop_unsent_run(&mut self, place: &Place, task: &Task) -> bool {
+        let Place { worker, run } = place;
+        if !self
+            .run_mut(worker, task, *run)
+            .is_some_and(|run| run.is_unsent())
+        {
             return false;
-        };
+        }
         self.effects.decisions.push(Decision::RunLost {
             task: *task,
-            run: run.number,
+            run: *run,
             worker: worker.clone(),
             cause: Cause::Unsent,
         });
-        self.release_run(worker, task);
+        self.release_run(worker, task, *run);
         true
     }
 
--- a/crates/gentianlane/src/fleet/dispatch/backlog.rs
+++ b/crates/gentianlane/src/fleet/dispatch/backlog.rs
@@ -125,7 +125,7 @@
             let pool = &session.profile.pool;
             let capacity = usages.get(pool).map(|usage| usage.capacity);
             let running = running.entry(pool).or_default();
-            for (task, run) in &session.runs {
+            for ((task, _), run) in &session.runs {
                 // A long-running task frees no capacity by itself.
                 let left = match run.state {
                     RunState::Stopping => Some(self.setup.stop_time),
--- a/crates/gentianlane/src/fleet/dispatch/dispatcher.rs
+++ b/crates/gentianlane/src/fleet/dispatch/dispatcher.rs
@@ -51,6 +51,13 @@
     Throttle,
 }
 
+/// The run of a task that counts, and the worker that has it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct Place {
+    pub(super) worker: id::Worker,
+    pub(super) run: u64,
+}
+
 /// The leader's model of jobs, workers and runs, valid for one term.
 #[derive(Debug, Clone)]
 pub struct Dispatcher {
@@ -59,10 +66,10 @@
     pub(super) fencing_token: u64,
     pub(super) sessions: IndexMap<id::Worker, Session>,
     pub(super) stages: IndexMap<job::Stage, Stage>,
-    /// The worker on which each task runs, may run or is being stopped.
-    pub(super) placements: IndexMap<Task, id::Worker>,
-    /// The tasks of which a worker may have a run, to be stopped, besides the one
-    /// where they are placed.
+    /// Where each task runs, may run or is being stopped.
+    pub(super) placements: IndexMap<Task, Place>,
+    /// The tasks of which a worker may have a run, to be stopped, besides that of
+    /// their placement.
     pub(super) superseded: IndexSet<Task>,
     /// The jobs that are not over yet.
     pub(super) open_jobs: OpenJobs,
@@ -282,13 +289,15 @@
     /// Stops a task's current run on the worker where it is placed, unless it is
     /// being stopped already.
     pub(super) fn stop_run(&mut self, task: &Task, cause: Cause, now: Time) {
-        let Some(worker) = self.placements.get(task).cloned() else {
-            return;
-        };
-        let Some(session) = self.sessions.get_mut(&worker) else {
+        let Some(Place {
+            worker,
+            run: number,
+        }) = self.placements.get(task).cloned()
+        else {
             return;
         };
-        let Some(run) = session.runs.get_mut(task) else {
+        let retry_at = now.after(self.setup.order_timeout);
+        let Some(run) = self.run_mut(&worker, task, number) else {
             return;
         };
         if run.state == RunState::Stopping {
@@ -297,8 +306,7 @@
         run.state = RunState::Stopping;
         run.confirmed_at = None;
         run.tries = 1;
-        run.retry_at = now.after(self.setup.order_timeout);
-        let number = run.number;
+        run.retry_at = retry_at;
         self.effects.decisions.push(Decision::Stop {
             task: *task,
             run: number,
@@ -310,24 +318,23 @@
             run: number,
         };
         let order = self.send_order(&worker, self.setup.order_timeout, stop, now);
-        if let Some(session) = self.sessions.get_mut(&worker)
-            && let Some(run) = session.runs.get_mut(task)
-        {
+        if let Some(run) = self.run_mut(&worker, task, number) {
             run.order = order;
         }
     }
 
     /// Frees a run's capacity and keeps its checkpoint. The task becomes pending
     /// again unless it is placed elsewhere or has completed.
-    pub(super) fn release_run(&mut self, worker: &id::Worker, task: &Task) {
+    pub(super) fn release_run(&mut self, worker: &id::Worker, task: &Task, number: u64) {
         let Some(session) = self.sessions.get_mut(worker) else {
             return;
         };
-        let Some(run) = session.remove(task) else {
+        let Some(run) = session.remove(task, number) else {
             return;
         };
         self.schedule.want();
-        if self.placements.get(task) == Some(worker) {
+        let place = self.placements.get(task);
+        if place.is_some_and(|place| place.worker == *worker && place.run == number) {
             self.placements.swap_remove(task);
             self.hold_superseded(task);
         }
@@ -339,8 +346,8 @@
             stage.checkpoints.insert(key, run.checkpoint);
         }
         let unit = if stage.step.gang { 0 } else { task.index };
-        // The task may be placed on another worker, for its current run or for one
-        // that is being stopped.
+        // The task may be placed for its current run or for another one that is being
+        // stopped.
         let placed = self.placements.contains_key(task);
         if !placed && !stage.done.contains(&unit) {
             stage.add_pending(task.index);
@@ -353,10 +360,17 @@
         if !self.superseded.contains(task) {
             return;
         }
-        let mut sessions = self.sessions.iter();
-        match sessions.find(|(_, session)| session.runs.contains_key(task)) {
-            Some((other, _)) => {
-                self.placements.insert(*task, other.clone());
+        let place = self.sessions.iter().find_map(|(worker, session)| {
+            let mut runs = session.runs.keys();
+            let (_, number) = runs.find(|(other, _)| other == task)?;
+            Some(Place {
+                worker: worker.clone(),
+                run: *number,
+            })
+        });
+        match place {
+            Some(place) => {
+                self.placements.insert(*task, place);
             }
             None => {
                 self.superseded.swap_remove(task);
--- a/crates/gentianlane/src/fleet/dispatch/event.rs
+++ b/crates/gentianlane/src/fleet/dispatch/event.rs
@@ -3,7 +3,7 @@
 use crate::fleet::decision::{Cause, Decision};
 use crate::fleet::dispatch::Dispatcher;
 use crate::fleet::dispatch::advice::Relay;
-use crate::fleet::dispatch::dispatcher::{OrderKind, PendingOrder};
+use crate::fleet::dispatch::dispatcher::{OrderKind, PendingOrder, Place};
 use crate::fleet::dispatch::session::{RunState, Session};
 use crate::fleet::dispatch::stage::Stage;
 use crate::fleet::dispatch::survey::Seen;
@@ -252,9 +252,9 @@
             incarnation: old.incarnation,
             cause: Cause::OtherIncarnation,
         });
-        for (task, mut run) in old.runs {
+        for ((task, number), mut run) in old.runs {
             // Of a start without an answer it isn't known when it arrives.
-            let in_doubt = session.runs.contains_key(&task);
+            let in_doubt = session.runs.contains_key(&(task, number));
             run.state = RunState::Stopping;
             run.order = None;
             run.confirmed_at = None;
@@ -273,14 +273,18 @@
         let Some(session) = self.sessions.get(worker) else {
             return;
         };
-        for task in session.runs.keys() {
+        for (task, number) in session.runs.keys() {
             match self.placements.get(task) {
-                Some(place) if place == worker => {}
+                Some(place) if place.worker == *worker && place.run == *number => {}
                 Some(_) => {
                     self.superseded.insert(*task);
                 }
                 None => {
-                    self.placements.insert(*task, worker.clone());
+                    let place = Place {
+                        worker: worker.clone(),
+                        run: *number,
+                    };
+                    self.placements.insert(*task, place);
                     if let Some(stage) = self.stages.get_mut(&task.stage) {
                         stage.pending.remove(&task.index);
                     }
@@ -306,7 +310,7 @@
     /// Records a start that may be carried out without an answer.
     pub(super) fn add_unconfirmed(&mut self, order: &PendingOrder, task: Task, run: u64) {
         let session = self.sessions.get(&order.worker);
-        let current = session.and_then(|session| session.runs.get(&task));
+        let current = session.and_then(|session| session.runs.get(&(task, run)));
         let stage = self.stages.get(&task.stage);
         let demand = current
             .map(|run| run.demand)
@@ -324,11 +328,7 @@
         if session.incarnation != *incarnation {
             return;
         }
-        let runs: Vec<(Task, u64)> = session
-            .runs
-            .iter()
-            .map(|(task, run)| (*task, run.number))
-            .collect();
+        let runs: Vec<(Task, u64)> = session.runs.keys().copied().collect();
         for (task, run) in runs {
             self.effects.decisions.push(Decision::RunLost {
                 task,
@@ -336,7 +336,7 @@
                 worker: worker.clone(),
                 cause,
             });
-            self.release_run(worker, &task);
+            self.release_run(worker, &task, run);
         }
         self.sessions.swap_remove(worker);
         self.fleet_revision += 1;
--- a/crates/gentianlane/src/fleet/dispatch/lease.rs
+++ b/crates/gentianlane/src/fleet/dispatch/lease.rs
@@ -5,6 +5,7 @@
 
 use crate::fleet::decision::{Cause, Decision};
 use crate::fleet::dispatch::Dispatcher;
+use crate::fleet::dispatch::dispatcher::Place;
 use crate::fleet::dispatch::session::{Run, RunState, Session};
 use crate::fleet::job::{self, Task};
 use crate::fleet::order::{Action, Start};
@@ -53,13 +54,13 @@
             let open = run.state != RunState::Running && run.confirmed_at.is_none();
             open && run.order.is_none() && run.retry_at <= now
         };
-        let due: Vec<(Task, RunState, u32)> = session
+        let due: Vec<(Task, u64, RunState, u32)> = session
             .runs
             .iter()
             .filter(|(_, run)| is_due(run))
-            .map(|(task, run)| (*task, run.state, run.tries))
+            .map(|((task, number), run)| (*task, *number, run.state, run.tries))
             .collect();
-        for (task, state, tries) in due {
+        for (task, number, state, tries) in due {
             let may_retry = tries < MAX_START_TRIES
                 && !draining
                 && self.stages.contains_key(&task.stage);
@@ -67,17 +68,21 @@
                 RunState::Starting
                     if tries == 0 && !self.may_start(worker, &task, now) =>
                 {
-                    if self.drop_unsent_run(worker, &task) {
+                    let place = Place {
+                        worker: worker.clone(),
+                        run: number,
+                    };
+                    if self.drop_unsent_run(&place, &task) {
                         self.break_gang(&task, now);
                     }
                 }
                 RunState::Starting if silent && !self.is_in_gang(&task) => {}
                 RunState::Starting if may_retry && !silent => {
-                    self.send_start(worker, &task, now);
+                    self.send_start(worker, &task, number, now);
                 }
                 RunState::Starting => self.give_up_start(&task, now),
                 _ if silent => {}
-                _ => self.send_stop(worker, &task, now),
+                _ => self.send_stop(worker, &task, number, now),
             }
         }
     }
@@ -101,47 +106,33 @@
         &mut self,
         worker: &id::Worker,
         task: &Task,
+        number: u64,
         now: Time,
     ) {
-        let Some(session) = self.sessions.get_mut(worker) else {
-            return;
-        };
-        let Some(run) = session.runs.get_mut(task) else {
+        let Some(run) = self.run_mut(worker, task, number) else {
             return;
         };
-        self.superseded.insert(*task);
         run.state = RunState::Stopping;
         run.confirmed_at = None;
         run.tries = 0;
-        let number = run.number;
+        self.superseded.insert(*task);
         self.effects.decisions.push(Decision::Stop {
             task: *task,
             run: number,
             worker: worker.clone(),
             cause: Cause::Superseded,
         });
-        self.send_stop(worker, task, now);
+        self.send_stop(worker, task, number, now);
     }
 
     /// Sends the order to stop a run, for the first time or again.
-    fn send_stop(&mut self, worker: &id::Worker, task: &Task, now: Time) {
-        let run = self
-            .sessions
-            .get(worker)
-            .and_then(|session| session.runs.get(task));
-        let Some(number) = run.map(|run| run.number) else {
-            return;
-        };
+    fn send_stop(&mut self, worker: &id::Worker, task: &Task, number: u64, now: Time) {
         let stop = Action::Stop {
             task: *task,
             run: number,
         };
         let order = self.send_order(worker, self.setup.order_timeout, stop, now);
-        if let Some(run) = self
-            .sessions
-            .get_mut(worker)
-            .and_then(|session| session.runs.get_mut(task))
-        {
+        if let Some(run) = self.run_mut(worker, task, number) {
             run.order = order;
             run.tries += 1;
             run.retry_at = now.after(RUN_ORDER_INTERVAL);
@@ -150,7 +141,13 @@
 
     /// Sends the order to start a run, for the first time or again. It extends
     /// the lease.
-    pub(super) fn send_start(&mut self, worker: &id::Worker, task: &Task, now: Time) {
+    pub(super) fn send_start(
+        &mut self,
+        worker: &id::Worker,
+        task: &Task,
+        number: u64,
+        now: Time,
+    ) {
         let Some(stage) = self.stages.get(&task.stage) else {
             return;
         };
@@ -168,7 +165,7 @@
         };
         let remaining = session.lease_remaining(now);
         let incarnation = session.incarnation.clone();
-        let Some(run) = session.runs.get_mut(task) else {
+        let Some(run) = session.runs.get_mut(&(*task, number)) else {
             return;
         };
         run.tries += 1;
@@ -195,11 +192,7 @@
         });
         let action = Action::Start(Box::new(start));
         let order = self.send_order(worker, self.setup.order_timeout, action, now);
-        if let Some(run) = self
-            .sessions
-            .get_mut(worker)
-            .and_then(|session| session.runs.get_mut(task))
-        {
+        if let Some(run) = self.run_mut(worker, task, number) {
             run.order = order;
         }
     }
@@ -213,11 +206,7 @@
         if now < session.lease_end || session.runs.is_empty() {
             return;
         }
-        let runs: Vec<(Task, u64)> = session
-            .runs
-            .iter()
-            .map(|(task, run)| (*task, run.number))
-            .collect();
+        let runs: Vec<(Task, u64)> = session.runs.keys().copied().collect();
         for (task, run) in runs {
             self.effects.decisions.push(Decision::RunLost {
                 task,
@@ -225,7 +214,7 @@
                 worker: worker.clone(),
                 cause: Cause::LeaseExpired,
             });
-            self.release_run(worker, &task);
+            self.release_run(worker, &task, run);
             self.break_gang(&task, now);
         }
     }
@@ -331,14 +320,10 @@
     /// members would wait for others that nobody starts.
     fn break_partial_gangs(&mut self, now: Time) {
         let mut gangs: IndexMap<job::Stage, Vec<(Task, u64)>> = IndexMap::new();
-        for (task, worker) in &self.placements {
-            let session = self.sessions.get(worker);
-            let run = session.and_then(|session| session.runs.get(task));
-            if let Some(run) = run
-                && self.is_in_gang(task)
-            {
+        for (task, place) in &self.placements {
+            if self.is_in_gang(task) {
                 let members = gangs.entry(task.stage).or_default();
-                members.push((*task, run.number));
+                members.push((*task, place.run));
             }
         }
         for (id, members) in gangs {
--- a/crates/gentianlane/src/fleet/dispatch/place.rs
+++ b/crates/gentianlane/src/fleet/dispatch/place.rs
@@ -11,6 +11,7 @@
 use crate::fleet::decision::Decision;
 use crate::fleet::dispatch::Dispatcher;
 use crate::fleet::dispatch::candidate::{Candidate, choose_gang};
+use crate::fleet::dispatch::dispatcher::Place;
 use crate::fleet::dispatch::estimate::NOMINAL;
 use crate::fleet::dispatch::progress::Progress;
 use crate::fleet::dispatch::rank::assess_deadline;
@@ -298,7 +299,7 @@
     /// Whether a worker may still have an earlier run of a task.
     fn has_run(&self, worker: &id::Worker, task: Task) -> bool {
         let session = self.sessions.get(worker);
-        session.is_some_and(|session| session.runs.contains_key(&task))
+        session.is_some_and(|session| session.has_run(&task))
     }
 
     /// How many workers are feasible for a step, see [`is_feasible`].
@@ -371,8 +372,12 @@
             ..Run::new(number, stage.step.demand(), RunState::Starting, now)
         };
         session.insert(task, run);
-        self.placements.insert(task, worker.clone());
-        self.send_start(worker, &task, now);
+        let place = Place {
+            worker: worker.clone(),
+            run: number,
+        };
+        self.placements.insert(task, place);
+        self.send_start(worker, &task, number, now);
     }
 }
 
--- a/crates/gentianlane/src/fleet/dispatch/preempt.rs
+++ b/crates/gentianlane/src/fleet/dispatch/preempt.rs
@@ -106,7 +106,7 @@
     fn preemptible_workers(&self, now: Time) -> Vec<usize> {
         let has_preemptible = |session: &Session| {
             let mut runs = session.runs.iter();
-            runs.any(|(task, run)| self.is_preemptible(TOP_PRIORITY, task, run, now))
+            runs.any(|((task, _), run)| self.is_preemptible(TOP_PRIORITY, task, run, now))
         };
         let sessions = self.sessions.values().enumerate();
         sessions
@@ -173,7 +173,7 @@
         let mut free = session.free();
         let priority = stage.queue.priority;
         let mut preemptible = Vec::new();
-        for (task, run) in &session.runs {
+        for ((task, _), run) in &session.runs {
             let ends = self.expected_end(task, run, now);
             let ends_soon = ends.is_some_and(|ends| ends < preemption_horizon);
             match ends_soon || run.state == RunState::Stopping {
@@ -229,11 +229,11 @@
         }
         let demand = stage.step.demand();
         let free = session.free();
-        let preemptible = session.runs.iter().filter(|(task, run)| {
+        let preemptible = session.runs.iter().filter(|((task, _), run)| {
             self.is_preemptible(stage.queue.priority, task, run, now)
                 && demand.fits(&free.plus(&run.demand))
         });
         let cheapest = preemptible.min_by_key(|(_, run)| run.demand.weight());
-        cheapest.map(|(task, _)| *task)
+        cheapest.map(|((task, _), _)| *task)
     }
 }
--- a/crates/gentianlane/src/fleet/dispatch/reconcile.rs
+++ b/crates/gentianlane/src/fleet/dispatch/reconcile.rs
@@ -4,7 +4,7 @@
 use crate::fleet::decision::{Cause, Decision};
 use crate::fleet::dispatch::Dispatcher;
 use crate::fleet::dispatch::answer::UNHEALTHY_BACKOFF;
-use crate::fleet::dispatch::dispatcher::PendingOrder;
+use crate::fleet::dispatch::dispatcher::{PendingOrder, Place};
 use crate::fleet::dispatch::estimate::smoothed_slowdown;
 use crate::fleet::dispatch::session::{Run, RunState};
 use crate::fleet::job::Task;
@@ -92,8 +92,7 @@
             return;
         }
         self.open_jobs.mark_started(&task.stage.job);
-        let run = session.runs.get_mut(&task);
-        let run = run.filter(|run| run.number == ended.run);
+        let run = session.runs.get_mut(&(task, ended.run));
         let from_start = run.as_ref().filter(|run| run.progress.is_from_start());
         let started_at = from_start.map(|run| run.started_at);
         let is_current = run.is_some();
@@ -147,7 +146,7 @@
         }
         self.count_failure(worker, &task, ended.outcome, now);
         if is_current {
-            self.release_run(worker, &task);
+            self.release_run(worker, &task, ended.run);
         }
         // A failed task isn't placed again before its failure is in the log, so
         // that it never starts more often than its attempts allow.
@@ -216,12 +215,9 @@
         let Some(session) = self.sessions.get_mut(worker) else {
             return;
         };
-        let Some(run) = session.runs.get_mut(&task) else {
+        let Some(run) = session.runs.get_mut(&(task, running.run)) else {
             return self.adopt_or_stop(state, worker, running, now);
         };
-        if run.number != running.run {
-            return;
-        }
         if run.state == RunState::Starting {
             run.state = RunState::Running;
             run.confirmed_at = Some(now);
@@ -275,7 +271,11 @@
         });
         if let Some(stage) = adopter {
             stage.pending.remove(&task.index);
-            self.placements.insert(task, worker.clone());
+            let place = Place {
+                worker: worker.clone(),
+                run: running.run,
+            };
+            self.placements.insert(task, place);
             self.open_jobs.mark_started(&task.stage.job);
             self.effects.decisions.push(Decision::Adopt {
                 task,
@@ -284,7 +284,7 @@
             });
             return;
         }
-        self.stop_superseded(worker, &task, now);
+        self.stop_superseded(worker, &task, running.run, now);
     }
 
     /// Drops the runs that a worker doesn't list any more, of those confirmed
@@ -305,24 +305,24 @@
         };
         // A renewal sent in the same millisecond as the order's answer arrived
         // may have been sent before it, and answered before the start.
-        let is_gone = |(task, run): &(&Task, &Run)| {
+        let is_gone = |((task, number), run): &(&(Task, u64), &Run)| {
             let confirmed = run.confirmed_at.is_some_and(|at| at < asked_at);
-            run.order.is_none() && confirmed && !listed(task, run.number)
+            run.order.is_none() && confirmed && !listed(task, *number)
         };
-        let gone: Vec<(Task, RunState)> = session
+        let gone: Vec<(Task, u64, RunState)> = session
             .runs
             .iter()
             .filter(is_gone)
-            .map(|(task, run)| (*task, run.state))
+            .map(|((task, number), run)| (*task, *number, run.state))
             .collect();
-        for (task, run_state) in gone {
+        for (task, number, run_state) in gone {
             match run_state {
                 RunState::Stopping => {
-                    self.release_run(worker, &task);
+                    self.release_run(worker, &task, number);
                     self.break_gang(&task, now);
                 }
                 RunState::Starting | RunState::Running => {
-                    self.drop_run(worker, &task, Cause::NotListed, now);
+                    self.drop_run(worker, &task, number, Cause::NotListed, now);
                 }
             }
         }
--- a/crates/gentianlane/src/fleet/dispatch/reserve.rs
+++ b/crates/gentianlane/src/fleet/dispatch/reserve.rs
@@ -228,7 +228,7 @@
         let mut ends: Vec<(Time, Resources)> = session
             .runs
             .iter()
-            .filter_map(|(task, run)| {
+            .filter_map(|((task, _), run)| {
                 Some((self.expected_end(task, run, now)?, run.demand))
             })
             .collect();
--- a/crates/gentianlane/src/fleet/dispatch/session.rs
+++ b/crates/gentianlane/src/fleet/dispatch/session.rs
@@ -64,8 +64,9 @@
     pub(crate) slowdown: u64,
     /// When a run last failed here.
     pub(crate) last_failure: Time,
-    /// The runs that are, may be or are being stopped on the worker.
-    pub(crate) runs: IndexMap<Task, Run>,
+    /// The runs that are, may be or are being stopped on the worker, by task and
+    /// number: a worker starts a run beside another one of its task.
+    pub(crate) runs: IndexMap<(Task, u64), Run>,
     /// The sum of these runs' demands.
     pub(crate) used: Resources,
     /// How many runs have been removed from `runs`, by which a placement pass sees
@@ -269,18 +270,18 @@
         self.profile.capacity.less(&self.used)
     }
 
-    /// Adds a run and reserves its demand; replaces an earlier run of the task.
+    /// Adds a run and reserves its demand; replaces what was known of the run.
     pub(crate) fn insert(&mut self, task: Task, run: Run) {
         self.used = self.used.plus(&run.demand);
-        if let Some(old) = self.runs.insert(task, run) {
+        if let Some(old) = self.runs.insert((task, run.number), run) {
             self.used = self.used.less(&old.demand);
             self.removed_runs += 1;
         }
     }
 
     /// Removes a task's run and frees its demand.
-    pub(crate) fn remove(&mut self, task: &Task) -> Option<Run> {
-        let run = self.runs.swap_remove(task)?;
+    pub(crate) fn remove(&mut self, task: &Task, number: u64) -> Option<Run> {
+        let run = self.runs.swap_remove(&(*task, number))?;
         self.used = self.used.less(&run.demand);
         self.removed_runs += 1;
         Some(run)
@@ -343,10 +344,15 @@
 
     /// The number of a step's tasks on this worker.
     pub(crate) fn count_of(&self, stage: &crate::fleet::job::Stage) -> u32 {
-        let of = self.runs.keys().filter(|task| task.stage == *stage);
+        let of = self.runs.keys().filter(|(task, _)| task.stage == *stage);
         u32::try_from(of.count()).unwrap_or(u32::MAX)
     }
 
+    /// Whether the worker may have a run of a task.
+    pub(crate) fn has_run(&self, task: &Task) -> bool {
+        self.runs.keys().any(|(other, _)| other == task)
+    }
+
     /// Whether a run that was placed since the last failure is still here.
     pub(crate) fn has_trial_run(&self) -> bool {
         self.runs
--- a/crates/gentianlane/src/fleet/dispatch/straggler.rs
+++ b/crates/gentianlane/src/fleet/dispatch/straggler.rs
@@ -44,7 +44,7 @@
             .runs
             .iter()
             .filter(|(_, run)| run.state == RunState::Running)
-            .filter_map(|(task, run)| self.diagnose(worker, session, task, run))
+            .filter_map(|((task, _), run)| self.diagnose(worker, session, task, run))
             .collect();
         let Some(&(_, cause, _)) = stragglers.first() else {
             return;
--- a/crates/gentianlane/src/fleet/dispatch/throttle.rs
+++ b/crates/gentianlane/src/fleet/dispatch/throttle.rs
@@ -63,7 +63,7 @@
             let Some(session) = self.sessions.get_mut(&colocation.worker) else {
                 return;
             };
-            let Some(current) = session.runs.get_mut(&task) else {
+            let Some(current) = session.runs.get_mut(&(task, run)) else {
                 continue;
             };
             if share == Some(target) || current.retry_at > now {
@@ -106,7 +106,7 @@
     let (tail, limit) = worst?;
     let best_effort: Vec<_> = running()
         .filter(|(_, run)| run.best_effort)
-        .map(|(task, run)| (*task, run.number, run.share))
+        .map(|((task, number), run)| (*task, *number, run.share))
         .collect();
     (!best_effort.is_empty()).then(|| Colocation {
         worker: worker.clone(),
--- a/crates/gentianlane/src/fleet/dispatch/unconfirmed.rs
+++ b/crates/gentianlane/src/fleet/dispatch/unconfirmed.rs
@@ -67,11 +67,7 @@
         let starts = self.starts.get(&session.incarnation.worker);
         for start in starts.into_iter().flatten() {
             let run = Run::stopping(start.run, start.demand, now);
-            let newer = session
-                .runs
-                .get(&start.task)
-                .is_some_and(|current| current.number >= start.run);
-            if now < start.sent_at.after(MAX_ORDER_DELAY) && !newer {
+            if now < start.sent_at.after(MAX_ORDER_DELAY) {
                 session.insert(start.task, run);
             }
         }
--- a/crates/gentianlane/tests/fleet/dispatch.rs
+++ b/crates/gentianlane/tests/fleet/dispatch.rs
@@ -664,6 +664,32 @@
     assert!(late_runs > 0, "no start was carried out late");
 }
 
+#[test]
+fn a_run_that_is_listed_beside_another_of_its_task_is_stopped() {
+    // Found by the random histories, seed 37 with unsound workers: a new incarnation
+    // carried out a start in doubt, but the leader remembered only the later run of
+    // the task, and neither stopped nor counted the one that was listed.
+    let mut late_runs = 0;
+    for seed in 1..=40 {
+        let mut world = World::new(1, seed).with_plan(plan(1, false));
+        world.run_time = 8_000;
+        world.faults.late_orders = 1_000;
+        world.submit(7, &job(1, 500));
+        world.run(460);
+        world.faults = Faults::default();
+        world.run(1_600);
+        world.crash("w0");
+        world.restart_worker("w0");
+        let worker = id::Worker::from("w0");
+        run_until_restarts(&mut world, &worker, 1);
+        late_runs += usize::from(world.workers[0].runs.contains_key(&(task(7, 0), 1)));
+        // The oracle fails on a second run beside the first.
+        world.run(20_000);
+        assert_eq!(phase(&mut world, 7), Some(Phase::Completed), "seed {seed}");
+    }
+    assert!(late_runs > 0, "no start was carried out late");
+}
+
 #[test]
 fn a_failed_task_is_tried_on_another_worker() {
     // Found at norrvik-panna, scale-2: a task with two attempts failed twice on
