--- a/crates/gentianlane/src/fleet/dispatch/unconfirmed.rs
+++ b/crates/gentianlane/src/fleet/dispatch/unconfirmed.rs
@@ -103,11 +103,10 @@
     pub(crate) fn add_stopping(&self, session: &mut Session, now: Time) {
         let worker = session.incarnation.worker.clone();
         for (&task, starts) in &self.starts {
-            let newest = starts
-                .iter()
-                .filter(|start| start.worker == worker && now < start.until)
-                .max_by_key(|start| start.run);
-            if let Some(start) = newest {
+            let starts = starts.iter();
+            for start in
+                starts.filter(|start| start.worker == worker && now < start.until)
+            {
                 let run = Run::stopping(start.run, start.demand, now);
                 session.insert(task, run);
             }
