Stop starts in doubt as soon as a later incarnation answers

What callers would see: a worker that is given more than it has room for (LIMIT), or a task that runs twice at a time (TWICE), where starts carry no tickets.

Cause: a start in doubt was stopped at a later incarnation once that had registered. An answer from it shows earlier, by its clock or its start time, that it is there, and until its report came, up to a heartbeat later, the late start found an incarnation that would carry it out.

Change: the first such answer has each start in doubt stopped there. The registration has them stopped again until the worker confirms it. An answer to a stop concerns runs that are being stopped only.

A first form had each such answer send the stops again: the answers to the stops are from that incarnation too, so their number grew until the test's process was killed for its memory. Now it is done once for each session.

--- a/crates/gentianlane/src/fleet/dispatch/answer.rs
+++ b/crates/gentianlane/src/fleet/dispatch/answer.rs
@@ -118,6 +118,7 @@
                         cause: Cause::OtherIncarnation,
                         duration: Span::ZERO,
                     });
+                    self.stop_unconfirmed(&order.worker, now);
                 }
             }
         }
@@ -393,6 +394,9 @@
         let Some(run) = self.run_mut(&order.worker, task, number) else {
             return;
         };
+        if run.state != RunState::Stopping {
+            return;
+        }
         run.order = None;
         match answer {
             Answer::Done { .. } => run.confirmed_at = Some(now),
--- a/crates/gentianlane/src/fleet/dispatch/event.rs
+++ b/crates/gentianlane/src/fleet/dispatch/event.rs
@@ -9,6 +9,7 @@
 use crate::fleet::dispatch::survey::Seen;
 use crate::fleet::dispatch::unconfirmed::{self, MAX_ORDER_DELAY};
 use crate::fleet::job::{self, Spec, Step, Task};
+use crate::fleet::order::Action;
 use crate::fleet::worker::{Incarnation, Report};
 use crate::fleet::{Command, Event, Job, State};
 use crate::id;
@@ -362,6 +363,23 @@
         }
     }
 
+    /// Has a worker's unknown incarnation refuse the starts without an answer.
+    ///
+    /// Its registration has each of them stopped again, until it confirms that.
+    pub(super) fn stop_unconfirmed(&mut self, worker: &id::Worker, now: Time) {
+        let Some(session) = self.sessions.get_mut(worker) else {
+            return;
+        };
+        // The answers to the stops come from that incarnation as well.
+        if std::mem::replace(&mut session.is_replaced, true) {
+            return;
+        }
+        for (task, run) in self.unconfirmed.sent_to(worker, now) {
+            let stop = Action::Stop { task, run };
+            self.send_order(worker, self.setup.order_timeout, stop, now);
+        }
+    }
+
     /// Takes over the starts without an answer that earlier leaders have recorded.
     pub(super) fn inherit_unconfirmed(&mut self, state: &State, now: Time, wall: Wall) {
         for start in state.unconfirmed() {
--- a/crates/gentianlane/src/fleet/dispatch/reconcile.rs
+++ b/crates/gentianlane/src/fleet/dispatch/reconcile.rs
@@ -43,6 +43,7 @@
             // until then none of its runs are known.
             session.unanswered += 1;
             session.next_renewal = now.after(UNHEALTHY_BACKOFF);
+            self.stop_unconfirmed(worker, now);
             return;
         }
         if session.unanswered > 0 || !session.reconciled {
--- a/crates/gentianlane/src/fleet/dispatch/session.rs
+++ b/crates/gentianlane/src/fleet/dispatch/session.rs
@@ -53,6 +53,8 @@
     /// Consecutive lease renewals without a usable answer; zero while the
     /// worker is responsive.
     pub(crate) unanswered: u32,
+    /// Whether a later incarnation, which hasn't registered yet, has answered.
+    pub(crate) is_replaced: bool,
     /// Consecutive orders for which nothing listened at the worker's address.
     pub(crate) unreachable: u32,
     /// The worker gets no new tasks before this time.
@@ -196,6 +198,7 @@
             last_report: now,
             report_sequence: 0,
             unanswered: 0,
+            is_replaced: false,
             unreachable: 0,
             avoid_until: now,
             failures: 0,
--- a/crates/gentianlane/src/fleet/dispatch/unconfirmed.rs
+++ b/crates/gentianlane/src/fleet/dispatch/unconfirmed.rs
@@ -98,6 +98,19 @@
         }
     }
 
+    /// The starts that were sent to a worker and may still be carried out, each as
+    /// its task and run.
+    pub(crate) fn sent_to(&self, worker: &id::Worker, now: Time) -> Vec<(Task, u64)> {
+        let starts = self
+            .starts
+            .iter()
+            .flat_map(|(task, starts)| starts.iter().map(move |start| (*task, start)));
+        starts
+            .filter(|(_, start)| start.worker == *worker && now < start.until)
+            .map(|(task, start)| (task, start.run))
+            .collect()
+    }
+
     /// Adds every start that a new incarnation may still carry out to the
     /// session's runs, to be stopped.
     pub(crate) fn add_stopping(&self, session: &mut Session, now: Time) {
--- a/crates/gentianlane/tests/fleet/late_start.rs
+++ b/crates/gentianlane/tests/fleet/late_start.rs
@@ -12,7 +12,7 @@
 
 use super::dispatch::{last_placed, phase};
 use super::simulated_worker::job;
-use super::world::{Faults, World, plan};
+use super::world::{Faults, World, plan, target};
 
 /// The task of the only job.
 const TASK: Task = Task {
@@ -116,6 +116,27 @@
     }
 }
 
+#[test]
+fn a_late_start_finds_no_room_at_an_incarnation_that_has_not_registered() {
+    for seed in 1..=8 {
+        let (mut world, placed) = world_with_late_start(seed);
+        let placed = placed.expect("a start");
+        world.call(Call::Cancel(target(7)));
+        let due = world.late_starts(&TASK).last().copied();
+        let due = due.expect("a late start");
+        // The leader notices a crash when a renewal is overdue, after 1.6 s, and asks
+        // again every 250 ms.
+        world.run(due.saturating_sub(world.now + 2_000));
+        world.crash(placed.as_str());
+        world.silent.insert(placed.clone());
+        world.restart_worker(placed.as_str());
+        world.run(3_000);
+        let runs = &world.observed_runs;
+        let late = runs.iter().find(|run| run.started_at >= due);
+        assert!(late.is_none(), "seed {seed}: {late:?}");
+    }
+}
+
 #[test]
 fn an_operator_sees_that_a_task_waits_for_a_late_start() {
     let (mut world, placed) = world_with_late_start(1);
--- a/crates/gentianlane/tests/fleet/world.rs
+++ b/crates/gentianlane/tests/fleet/world.rs
@@ -114,6 +114,8 @@
     pub(crate) isolated: BTreeSet<usize>,
     /// The workers that no order reaches and that send no reports.
     pub(crate) unreachable: BTreeSet<id::Worker>,
+    /// The workers that send no reports.
+    pub(crate) silent: BTreeSet<id::Worker>,
     /// The workers that run on while connections to them are refused.
     pub(crate) refusing: BTreeSet<id::Worker>,
     /// The workers on which tasks are slower, each with how many of every ten
@@ -197,6 +199,7 @@
             workers: Vec::new(),
             isolated: BTreeSet::new(),
             unreachable: BTreeSet::new(),
+            silent: BTreeSet::new(),
             refusing: BTreeSet::new(),
             slow: BTreeMap::new(),
             unhealthy: BTreeSet::new(),
@@ -364,6 +367,7 @@
             if !worker.up
                 || self.unreachable.contains(name)
                 || self.refusing.contains(name)
+                || self.silent.contains(name)
             {
                 continue;
             }
