Test that an earlier term's answer confirms no start

Change: the new test gives the answers to one term's orders to the dispatcher of the next, without chance.

--- a/crates/gentianlane/tests/fleet/main.rs
+++ b/crates/gentianlane/tests/fleet/main.rs
@@ -3,5 +3,6 @@
 mod dispatch;
 mod fuzz;
 mod late_start;
+mod regression;
 mod simulated_worker;
 mod world;
