Test that renewals to a silent worker acknowledge no end

Change: in the new test a worker has reported an end and falls silent. Its next incarnation carries out a late start, whose run ends, and then gets the renewal meant for the earlier one.

Measured: with the breakage put back the whole fleet test has one failure, in the new test: "assertion `left == right` failed: the end that no leader has received, left: 0, right: 1"; without it all pass.

--- a/crates/gentianlane/tests/fleet/regression.rs
+++ b/crates/gentianlane/tests/fleet/regression.rs
@@ -1,14 +1,26 @@
 //! Single failures that random histories found once, each set up without chance.
 
 use gentianlane::fleet::dispatch::{Dispatcher, Setup};
-use gentianlane::fleet::job::{Id, Resources};
-use gentianlane::fleet::order::{Action, Answer, CallId, Order, Status};
+use gentianlane::fleet::job::{Id, Resources, Stage, Task};
+use gentianlane::fleet::order::{
+    Action, Answer, CallId, EndedRun, Order, Outcome, Start, Status,
+};
 use gentianlane::fleet::{Command, State};
 use gentianlane::unit::{Span, Time, Wall};
 
 use super::simulated_worker::{Worker, job};
 use super::world::plan;
 
+/// The only task of a job.
+fn task(job: u64) -> Task {
+    let stage = Stage {
+        job: Id(job),
+        occurrence: 0,
+        step: 0,
+    };
+    Task { stage, index: 0 }
+}
+
 /// A leader's dispatcher with one worker, `w0`.
 struct Leader {
     state: State,
@@ -43,19 +55,26 @@
         self.dispatcher.take_effects().orders
     }
 
+    /// The lease renewal that is made after some milliseconds.
+    fn renewal(&mut self, after: u64) -> Option<Order> {
+        let mut orders = self.orders(after).into_iter();
+        let renewal = |order: &Order| matches!(order.action, Action::Renew { .. });
+        orders.find(renewal)
+    }
+
     fn answer(&mut self, id: CallId, answer: Answer) {
         let state = &self.state;
         self.dispatcher
             .handle_answer(state, id, answer, self.now, wall());
     }
 
-    /// Answers a renewal with the worker's status.
-    fn answer_status(&mut self, id: CallId) {
+    /// Answers a renewal with the worker's status and the runs that have ended.
+    fn answer_status(&mut self, id: CallId, ended: Vec<EndedRun>) {
         let status = Status {
             started_at: Some(self.worker.incarnation.started_at),
             clock: self.now.as_millis(),
             running: Vec::new(),
-            ended: Vec::new(),
+            ended,
         };
         self.answer(id, Answer::Status(status));
     }
@@ -98,7 +117,7 @@
     let mut leader = Leader::new(term);
     let mut orders = leader.orders(0);
     for renewal in &orders {
-        leader.answer_status(renewal.id);
+        leader.answer_status(renewal.id, Vec::new());
     }
     leader.submit(job);
     orders.extend(leader.orders(50));
@@ -121,3 +140,39 @@
     }
     assert!(leader.dispatcher.has_started(&Id(8)), "its own answer");
 }
+
+/// A renewal acknowledged an earlier incarnation's ends to one that numbers anew.
+#[test]
+fn a_renewal_to_a_silent_worker_has_no_later_incarnation_forget_an_end() {
+    let (mut leader, orders) = leader_with_start(1, 7);
+    let (starts, renewals): (Vec<_>, Vec<_>) =
+        orders.iter().partition(|order| is_start(order));
+    let (late_start, renewal) = (starts[0], renewals[1]);
+    let ended = EndedRun {
+        sequence: 1,
+        task: task(99),
+        run: 1,
+        outcome: Outcome::Done,
+        checkpoint: String::new(),
+    };
+    leader.answer_status(renewal.id, vec![ended]);
+    let renewal = leader.renewal(50).expect("a renewal");
+    let Action::Renew { acknowledged, .. } = renewal.action else {
+        unreachable!("{renewal:?} is a renewal");
+    };
+    assert_eq!(acknowledged, 1, "the incarnation that is known may forget");
+    leader.answer(renewal.id, Answer::Unreachable);
+
+    let mut later = new_worker();
+    let demand = Resources::default();
+    let spec = |_: &Start| (demand, Some(100), Outcome::Done);
+    let (_, started) = later.handle(late_start, false, spec, 0);
+    assert!(started.is_some(), "the late start is carried out");
+    assert_eq!(later.advance(200).len(), 1, "its run ends");
+    let renewal = leader.renewal(300).expect("another renewal");
+    let (answer, _) = later.handle(&renewal, false, spec, 300);
+    let Answer::Status(status) = answer else {
+        unreachable!("{answer:?} is a status");
+    };
+    assert_eq!(status.ended.len(), 1, "the end that no leader has received");
+}
