Test that a stopped start in doubt leaves the present run alone

Change: in the new test the starts of a task get no answer, their worker crashes, and the task runs on another one once the lease and the ticket are over. Then the first worker returns and confirms the stop of the start in doubt. The test checks that this stop was received, so that it can't pass without it.

--- a/crates/gentianlane/tests/fleet/regression.rs
+++ b/crates/gentianlane/tests/fleet/regression.rs
@@ -1,15 +1,16 @@
 //! Single failures that random histories found once, each set up without chance.
 
 use gentianlane::fleet::dispatch::{Dispatcher, Setup};
-use gentianlane::fleet::job::{Id, Resources, Stage, Task};
+use gentianlane::fleet::job::{Id, Phase, Resources, Stage, Task};
 use gentianlane::fleet::order::{
     Action, Answer, CallId, EndedRun, Order, Outcome, Start, Status,
 };
 use gentianlane::fleet::{Command, State};
 use gentianlane::unit::{Span, Time, Wall};
 
+use super::dispatch::{last_placed, phase};
 use super::simulated_worker::{Worker, job};
-use super::world::plan;
+use super::world::{Faults, World, plan};
 
 /// The only task of a job.
 fn task(job: u64) -> Task {
@@ -176,3 +177,30 @@
     };
     assert_eq!(status.ended.len(), 1, "the end that no leader has received");
 }
+
+/// A start in doubt, stopped in a later incarnation, had its task start once more.
+#[test]
+fn a_start_in_doubt_that_is_stopped_leaves_the_run_elsewhere_alone() {
+    let mut world = World::new(3, 1).with_plan(plan(1, true));
+    let scripted_runs = vec![(12_000, Outcome::Done); 4];
+    world.scripted_runs.insert(task(7), scripted_runs);
+    world.faults.delayed_orders = 1_000;
+    world.submit(7, &job(1, 500));
+    world.run(400);
+    world.faults = Faults::default();
+    let first = last_placed(&world).expect("a start");
+    world.crash(first.as_str());
+    while world.starts(&task(7)) == 0 {
+        world.run(1);
+    }
+    assert_ne!(world.observed_runs[0].worker, first);
+    world.restart_worker(first.as_str());
+    world.run(3_000);
+    let mut workers = world.workers.iter();
+    let restarted = workers.find(|worker| worker.incarnation.worker == first);
+    let stopped = restarted.is_some_and(|worker| worker.has_closed(&task(7)));
+    assert!(stopped, "the start in doubt is stopped");
+    world.run(12_000);
+    assert_eq!(world.starts(&task(7)), 1);
+    assert_eq!(phase(&mut world, 7), Some(Phase::Completed));
+}
--- a/crates/gentianlane/tests/fleet/simulated_worker.rs
+++ b/crates/gentianlane/tests/fleet/simulated_worker.rs
@@ -109,6 +109,11 @@
         self.fencing_token > 0
     }
 
+    /// Whether a run of a task was stopped or has ended here.
+    pub(crate) fn has_closed(&self, task: &Task) -> bool {
+        self.closed_runs.contains_key(task)
+    }
+
     /// The worker's own clock in milliseconds, which is 2% slow.
     fn clock(&self, now: u64) -> u64 {
         (now - self.spawned_at) * 98 / 100 + 5
