--- /dev/null
+++ b/crates/gentianlane/tests/fleet/regression.rs
@@ -0,0 +1,206 @@
+//! Single failures that random histories found once, each set up without chance.
+
+use gentianlane::fleet::dispatch::{Dispatcher, Setup};
+use gentianlane::fleet::job::{Id, Phase, Resources, Stage, Task};
+use gentianlane::fleet::order::{
+    Action, Answer, CallId, EndedRun, Order, Outcome, Start, Status,
+};
+use gentianlane::fleet::{Command, State};
+use gentianlane::unit::{Span, Time, Wall};
+
+use super::dispatch::{last_placed, phase};
+use super::simulated_worker::{Worker, job};
+use super::world::{Faults, World, plan};
+
+/// The only task of a job.
+fn task(job: u64) -> Task {
+    let stage = Stage {
+        job: Id(job),
+        occurrence: 0,
+        step: 0,
+    };
+    Task { stage, index: 0 }
+}
+
+/// A leader's dispatcher with one worker, `w0`.
+struct Leader {
+    state: State,
+    dispatcher: Dispatcher,
+    now: Time,
+    worker: Worker,
+}
+
+impl Leader {
+    fn new(term: u64) -> Self {
+        let now = Time::from_millis(10_000);
+        let worker = new_worker();
+        let mut state = State::default();
+        state.apply(Command::Plan(Box::new(plan(1, false))));
+        state.apply(Command::Join {
+            incarnation: worker.incarnation.clone(),
+            profile: worker.profile.clone(),
+        });
+        let dispatcher = Dispatcher::new(&state, term, Setup::default(), now, wall());
+        Self {
+            state,
+            dispatcher,
+            now,
+            worker,
+        }
+    }
+
+    /// The orders that the dispatcher makes after some milliseconds.
+    fn orders(&mut self, after: u64) -> Vec<Order> {
+        self.now = self.now.after(Span::from_millis(after));
+        self.dispatcher.tick(&self.state, self.now, wall());
+        self.dispatcher.take_effects().orders
+    }
+
+    /// The lease renewal that is made after some milliseconds.
+    fn renewal(&mut self, after: u64) -> Option<Order> {
+        let mut orders = self.orders(after).into_iter();
+        let renewal = |order: &Order| matches!(order.action, Action::Renew { .. });
+        orders.find(renewal)
+    }
+
+    fn answer(&mut self, id: CallId, answer: Answer) {
+        let state = &self.state;
+        self.dispatcher
+            .handle_answer(state, id, answer, self.now, wall());
+    }
+
+    /// Answers a renewal with the worker's status and the runs that have ended.
+    fn answer_status(&mut self, id: CallId, ended: Vec<EndedRun>) {
+        let status = Status {
+            started_at: Some(self.worker.incarnation.started_at),
+            clock: self.now.as_millis(),
+            running: Vec::new(),
+            ended,
+        };
+        self.answer(id, Answer::Status(status));
+    }
+
+    fn submit(&mut self, job_id: u64) {
+        let events = self.state.apply(Command::Submit {
+            at: wall(),
+            job: Id(job_id),
+            queue: "queue".to_owned(),
+            spec: Box::new(job(1, 500)),
+        });
+        for event in events {
+            let state = &self.state;
+            self.dispatcher
+                .handle_event(state, &event, self.now, wall());
+        }
+    }
+}
+
+fn wall() -> Wall {
+    Wall::from_millis(1_000_000)
+}
+
+/// An incarnation of `w0` that has just started.
+fn new_worker() -> Worker {
+    let capacity = Resources {
+        millicores: 4_000,
+        memory_mib: 4_000,
+        accelerators: 0,
+    };
+    Worker::new("w0", 1_000, capacity, 0)
+}
+
+fn is_start(order: &Order) -> bool {
+    matches!(order.action, Action::Start(_))
+}
+
+/// A leader that has sent the start of a job, and all its orders.
+fn leader_with_start(term: u64, job: u64) -> (Leader, Vec<Order>) {
+    let mut leader = Leader::new(term);
+    let mut orders = leader.orders(0);
+    for renewal in &orders {
+        leader.answer_status(renewal.id, Vec::new());
+    }
+    leader.submit(job);
+    orders.extend(leader.orders(50));
+    assert!(orders.iter().any(is_start), "{orders:?}");
+    (leader, orders)
+}
+
+/// The answer to an order of an earlier term counted as that to a present start.
+#[test]
+fn an_answer_to_an_order_of_an_earlier_term_confirms_no_start() {
+    let (_, earlier) = leader_with_start(1, 7);
+    let (mut leader, orders) = leader_with_start(2, 8);
+    let clock = leader.now.as_millis();
+    for order in earlier {
+        leader.answer(order.id, Answer::Done { clock });
+    }
+    assert!(!leader.dispatcher.has_started(&Id(8)), "an earlier answer");
+    for order in orders {
+        leader.answer(order.id, Answer::Done { clock });
+    }
+    assert!(leader.dispatcher.has_started(&Id(8)), "its own answer");
+}
+
+/// A renewal acknowledged an earlier incarnation's ends to one that numbers anew.
+#[test]
+fn a_renewal_to_a_silent_worker_has_no_later_incarnation_forget_an_end() {
+    let (mut leader, orders) = leader_with_start(1, 7);
+    let (starts, renewals): (Vec<_>, Vec<_>) =
+        orders.iter().partition(|order| is_start(order));
+    let (late_start, renewal) = (starts[0], renewals[1]);
+    let ended = EndedRun {
+        sequence: 1,
+        task: task(99),
+        run: 1,
+        outcome: Outcome::Done,
+        checkpoint: String::new(),
+    };
+    leader.answer_status(renewal.id, vec![ended]);
+    let renewal = leader.renewal(50).expect("a renewal");
+    let Action::Renew { acknowledged, .. } = renewal.action else {
+        unreachable!("{renewal:?} is a renewal");
+    };
+    assert_eq!(acknowledged, 1, "the incarnation that is known may forget");
+    leader.answer(renewal.id, Answer::Unreachable);
+
+    let mut later = new_worker();
+    let demand = Resources::default();
+    let spec = |_: &Start| (demand, Some(100), Outcome::Done);
+    let (_, started) = later.handle(late_start, false, spec, 0);
+    assert!(started.is_some(), "the late start is carried out");
+    assert_eq!(later.advance(200).len(), 1, "its run ends");
+    let renewal = leader.renewal(300).expect("another renewal");
+    let (answer, _) = later.handle(&renewal, false, spec, 300);
+    let Answer::Status(status) = answer else {
+        unreachable!("{answer:?} is a status");
+    };
+    assert_eq!(status.ended.len(), 1, "the end that no leader has received");
+}
+
+/// A start in doubt, stopped in a later incarnation, had its task start once more.
+#[test]
+fn a_start_in_doubt_that_is_stopped_leaves_the_run_elsewhere_alone() {
+    let mut world = World::new(3, 1).with_plan(plan(1, true));
+    let scripted_runs = vec![(12_000, Outcome::Done); 4];
+    world.scripted_runs.insert(task(7), scripted_runs);
+    world.faults.delayed_orders = 1_000;
+    world.submit(7, &job(1, 500));
+    world.run(400);
+    world.faults = Faults::default();
+    let first = last_placed(&world).expect("a start");
+    world.crash(first.as_str());
+    while world.starts(&task(7)) == 0 {
+        world.run(1);
+    }
+    assert_ne!(world.observed_runs[0].worker, first);
+    world.restart_worker(first.as_str());
+    world.run(3_000);
+    let mut workers = world.workers.iter();
+    let restarted = workers.find(|worker| worker.incarnation.worker == first);
+    let stopped = restarted.is_some_and(|worker| worker.has_closed(&task(7)));
+    assert!(stopped, "the start in doubt is stopped");
+    world.run(12_000);
+    assert_eq!(world.starts(&task(7)), 1);
+    assert_eq!(phase(&mut world, 7), Some(Phase::Completed));
+}
