Take no run for gone while a worker's list of ends is cut

What callers would see: a task that runs again after it was done (TWICE).

Cause: a worker lists at most 500 ends at a time. A run that had ended beyond them is in neither list, was taken for gone, and its task was placed again.

Change: a status says whether its ends may be cut, which they may be if it has 500. Then no run is dropped; its end follows once those before it are acknowledged.

--- a/crates/gentianlane/src/fleet/dispatch/reconcile.rs
+++ b/crates/gentianlane/src/fleet/dispatch/reconcile.rs
@@ -289,7 +289,8 @@
     }
 
     /// Drops the runs that a worker doesn't list any more, of those confirmed
-    /// before it was asked at `asked_at`.
+    /// before it was asked at `asked_at`; none if ends may be missing, as one of
+    /// them may have succeeded.
     fn drop_unlisted_runs(
         &mut self,
         worker: &id::Worker,
@@ -297,7 +298,7 @@
         asked_at: Time,
         now: Time,
     ) {
-        let Some(session) = self.sessions.get(worker) else {
+        let Some(session) = self.sessions.get(worker).filter(|_| !status.ends_cut) else {
             return;
         };
         let listed = |task: &Task, run: u64| {
--- a/crates/gentianlane/src/fleet/order.rs
+++ b/crates/gentianlane/src/fleet/order.rs
@@ -157,6 +157,9 @@
     pub running: Vec<ActiveRun>,
     /// The ended runs that weren't acknowledged yet, oldest first.
     pub ended: Vec<EndedRun>,
+    /// Whether there may be more ended runs than are listed, so that a run in
+    /// neither list may have ended.
+    pub ends_cut: bool,
 }
 
 /// A run that is active on a worker.
--- a/crates/gentianlane/tests/fleet/dispatch.rs
+++ b/crates/gentianlane/tests/fleet/dispatch.rs
@@ -690,6 +690,19 @@
     assert!(late_runs > 0, "no start was carried out late");
 }
 
+#[test]
+fn a_run_whose_end_is_cut_from_the_list_is_not_taken_for_gone() {
+    // A worker lists a limited number of ends at a time. A run that had ended beyond
+    // it was in neither list, and was started again.
+    let mut world = World::new(1, 1).with_plan(plan(1, false));
+    world.workers[0].ends_limit = 2;
+    world.run_time = 1_700;
+    world.submit(7, &job(4, 500));
+    world.run(5_000);
+    assert_eq!(phase(&mut world, 7), Some(Phase::Completed));
+    assert_eq!(world.observed_runs.len(), 4);
+}
+
 #[test]
 fn a_failed_task_is_tried_on_another_worker() {
     // Found at norrvik-panna, scale-2: a task with two attempts failed twice on
--- a/crates/gentianlane/tests/fleet/simulated_worker.rs
+++ b/crates/gentianlane/tests/fleet/simulated_worker.rs
@@ -56,6 +56,8 @@
     /// one of the same task.
     pub(crate) runs: BTreeMap<(Task, u64), Run>,
     pub(crate) ended: Vec<EndedRun>,
+    /// The most ends in a status.
+    pub(crate) ends_limit: usize,
     /// The highest sequence number of an end at the last time the lease was
     /// found expired.
     expired_sequence: u64,
@@ -98,6 +100,7 @@
             deadline: 0,
             runs: BTreeMap::new(),
             ended: Vec::new(),
+            ends_limit: 500,
             expired_sequence: 0,
             status_sent: false,
             acknowledged: Vec::new(),
@@ -305,7 +308,8 @@
             started_at: Some(self.incarnation.started_at),
             clock: self.clock(now),
             running: self.runs.iter().map(running).collect(),
-            ended: self.ended.clone(),
+            ended: self.ended.iter().take(self.ends_limit).cloned().collect(),
+            ends_cut: self.ended.len() >= self.ends_limit,
         }
     }
 }
