Adopt scheduled occurrences that an earlier leader found due first

Cause: whether an occurrence is due is read off the leader's wall clock. A leader whose clock is ahead starts an occurrence early; the next leader, by whose clock it isn't due yet, had no stage for it. It stopped the run as superseded and started the task beside it as soon as the occurrence was due, within the time that a stop takes; or, if the worker was silent, at once, as stages that open after a change of leader weren't held back.

Change: a stage of a scheduled job is opened as soon as a worker lists a run of it, so that the run is adopted; its other tasks wait until the due time. A stage of a scheduled job that opens during the recovery is held back until its end.

Measured: of the two tests, with the leader's clock ahead by 0.8 to 2.5 s, the first failed without the opening ("7.0.0.0 run 4097 starts at 6016 ms while another run is active"), the second without the holding back (the same line).

--- a/crates/gentianlane/src/fleet/dispatch/event.rs
+++ b/crates/gentianlane/src/fleet/dispatch/event.rs
@@ -1,5 +1,7 @@
 //! Handling of changes in the replicated state and of workers' reports.
 
+use indexmap::IndexSet;
+
 use crate::fleet::decision::{Cause, Decision};
 use crate::fleet::dispatch::Dispatcher;
 use crate::fleet::dispatch::advice::Relay;
@@ -8,6 +10,7 @@
 use crate::fleet::dispatch::stage::Stage;
 use crate::fleet::dispatch::survey::Seen;
 use crate::fleet::job::{self, Spec, Step, Task};
+use crate::fleet::order::Status;
 use crate::fleet::worker::{Incarnation, Report};
 use crate::fleet::{Command, Event, Job, State};
 use crate::id;
@@ -71,23 +74,66 @@
         let Some(job) = state.job(&id).filter(|job| job.is_open()) else {
             return;
         };
-        let Some(queue) = state.queue(&job.queue) else {
-            return;
-        };
-        let occurrences = u32::try_from(job.occurrences.len()).unwrap_or(u32::MAX);
-        let due =
+        let is_due =
             |occurrence: u32| job.spec.due(occurrence).is_none_or(|due| due <= wall);
-        if (0..occurrences).any(|occurrence| !due(occurrence)) {
+        let occurrences = u32::try_from(job.occurrences.len()).unwrap_or(u32::MAX);
+        if !(0..occurrences).all(is_due) {
             self.recurring_jobs.insert(id);
         } else {
             self.recurring_jobs.swap_remove(&id);
         }
+        let is_wanted = |stage: &job::Stage| is_due(stage.occurrence);
+        self.open_stages(state, id, is_wanted, now, wall);
+    }
+
+    /// Opens the stages of scheduled occurrences that aren't due yet by this
+    /// leader's wall clock, but of which a worker lists runs: they were due by the
+    /// clock of an earlier leader.
+    pub(super) fn open_listed_stages(
+        &mut self,
+        state: &State,
+        status: &Status,
+        now: Time,
+        wall: Wall,
+    ) {
+        let running = status.running.iter().map(|run| run.task.stage);
+        let ended = status.ended.iter().map(|run| run.task.stage);
+        let is_scheduled = |stage: &job::Stage| {
+            let job = state.job(&stage.job);
+            job.is_some_and(|job| job.spec.schedule.is_some())
+        };
+        let unopened: IndexSet<job::Stage> = running
+            .chain(ended)
+            .filter(|stage| !self.stages.contains_key(stage) && is_scheduled(stage))
+            .collect();
+        for listed in unopened {
+            self.open_stages(state, listed.job, |stage| *stage == listed, now, wall);
+        }
+    }
+
+    /// Opens those stages of a job that are wanted, aren't done and whose
+    /// predecessors are done.
+    fn open_stages(
+        &mut self,
+        state: &State,
+        id: job::Id,
+        is_wanted: impl Fn(&job::Stage) -> bool,
+        now: Time,
+        wall: Wall,
+    ) {
+        let Some(job) = state.job(&id).filter(|job| job.is_open()) else {
+            return;
+        };
+        let Some(queue) = state.queue(&job.queue) else {
+            return;
+        };
+        let occurrences = u32::try_from(job.occurrences.len()).unwrap_or(u32::MAX);
         let paths = self.remaining_paths(&job.queue, &job.spec);
         let critical_path = paths.iter().copied().max().unwrap_or_default();
         let open_job = self.open_jobs.get(&id);
         let (queued_at, prior_wait) =
             open_job.map_or((now, Span::ZERO), |job| (job.queued_at, job.prior_wait));
-        for occurrence in (0..occurrences).filter(|&occurrence| due(occurrence)) {
+        for occurrence in 0..occurrences {
             for (index, step) in job.spec.steps.iter().enumerate() {
                 let Ok(step_index) = u16::try_from(index) else {
                     break;
@@ -100,7 +146,10 @@
                 let done = job
                     .progress(&stage_id)
                     .is_none_or(crate::fleet::Progress::is_done);
-                if done || self.stages.contains_key(&stage_id) || !job.is_ready(&stage_id)
+                if !is_wanted(&stage_id)
+                    || done
+                    || self.stages.contains_key(&stage_id)
+                    || !job.is_ready(&stage_id)
                 {
                     continue;
                 }
@@ -111,7 +160,12 @@
                 stage.remaining_path = paths[index];
                 stage.work = job.spec.work();
                 (stage.queued_at, stage.prior_wait) = match job.spec.due(occurrence) {
-                    Some(due) => (now, wall.since(due)),
+                    Some(due) => {
+                        stage.not_before = now.after(due.since(wall));
+                        // An earlier leader may have opened it by another clock.
+                        stage.recovering = self.recovering;
+                        (now, wall.since(due))
+                    }
                     None => (queued_at, prior_wait),
                 };
                 self.stages.insert(stage_id, stage);
--- a/crates/gentianlane/src/fleet/dispatch/reconcile.rs
+++ b/crates/gentianlane/src/fleet/dispatch/reconcile.rs
@@ -55,6 +55,7 @@
         }
         session.unanswered = 0;
         session.reconciled = true;
+        self.open_listed_stages(state, status, now, wall);
         for ended in &status.ended {
             self.handle_run_end(state, worker, ended, now, wall);
         }
--- a/crates/gentianlane/tests/fleet/main.rs
+++ b/crates/gentianlane/tests/fleet/main.rs
@@ -2,5 +2,6 @@
 
 mod dispatch;
 mod fuzz;
+mod lease;
 mod simulated_worker;
 mod world;
--- a/crates/gentianlane/tests/fleet/world.rs
+++ b/crates/gentianlane/tests/fleet/world.rs
@@ -104,6 +104,8 @@
     /// The workers on which every run fails after 20 ms.
     pub(crate) failing: BTreeSet<id::Worker>,
     pub(crate) faults: Faults,
+    /// By how many milliseconds the wall clock of some cores is ahead.
+    pub(crate) wall_ahead: BTreeMap<usize, u64>,
     /// How long it takes to send one order, in milliseconds.
     pub(crate) send_interval: u64,
     /// The orders that wait to be sent, each with the end of its lease.
@@ -167,6 +169,7 @@
             unhealthy: BTreeSet::new(),
             failing: BTreeSet::new(),
             faults: Faults::default(),
+            wall_ahead: BTreeMap::new(),
             send_interval: 0,
             send_queue: VecDeque::new(),
             unsent_orders: 0,
@@ -238,9 +241,8 @@
     pub(crate) fn call(&mut self, call: Call) -> Ticket {
         self.last_ticket += 1;
         let ticket = Ticket(self.last_ticket);
-        let wall = self.wall();
         if let Some(at) = self.leader() {
-            let now = self.clock(at);
+            let (now, wall) = (self.clock(at), self.core_wall(at));
             if let Some(node) = &mut self.cores[at].node {
                 node.call(ticket, call, now, wall);
             }
@@ -269,6 +271,12 @@
         Wall::from_millis(1_000_000 + self.now)
     }
 
+    /// The time of day on a core's wall clock.
+    fn core_wall(&self, at: usize) -> Wall {
+        let ahead = self.wall_ahead.get(&at).copied().unwrap_or_default();
+        self.wall().after(Span::from_millis(ahead))
+    }
+
     fn send(&mut self, after: u64, item: InFlight) {
         self.last_item += 1;
         self.in_flight
@@ -342,7 +350,6 @@
     }
 
     fn deliver(&mut self, item: InFlight) {
-        let wall = self.wall();
         match item {
             InFlight::Message(from, to, message) => {
                 let (from_at, to_at) = (index(from), index(to));
@@ -355,7 +362,7 @@
                 }
             }
             InFlight::Answer(to, call_id, answer) => {
-                let now = self.clock(index(to));
+                let (now, wall) = (self.clock(index(to)), self.core_wall(index(to)));
                 if let Some(node) = &mut self.cores[index(to)].node {
                     node.handle_answer(call_id, answer, now, wall);
                 }
@@ -578,7 +585,7 @@
     }
 
     fn step_core(&mut self, at: usize) {
-        let (now, wall) = (self.clock(at), self.wall());
+        let (now, wall) = (self.clock(at), self.core_wall(at));
         let core = &mut self.cores[at];
         let Some(node) = &mut core.node else {
             return;
