Count leases of restarted workers by late grants to their predecessors

Cause: the deadline of a lease renewal or start refers to the clock of one incarnation. An order that is carried out late may meet the next one under the same name, whose clock starts anew, and which takes the deadline for the longest lease that it grants. The leader counted only its own orders to the new incarnation. If that fell silent, its tasks were started elsewhere while it still ran them.

Change: the leader remembers for 13 s when an order that extends the lease got no answer. The lease of a new incarnation of that name counts as lasting for the longest lease that workers grant, from the latest moment at which such an order may be carried out; without one, from its registration, as it may have carried out orders to its predecessor until then. A new leader, whom the old token can't precede once it has reached a worker, counts that lease from the first contact, for workers that started within the last 13 s. The longest lease comes from the settings.

Cost: tasks of a worker that restarts under its name and then falls silent within 13 s of an unanswered order start elsewhere up to 14 s later than before (18 s if workers grant 10 s).

Measured: a_grant_to_an_earlier_life_may_outlast_the_lease_of_the_next failed before ("7.0.0.0 run 2 starts at 19210 ms while another run is active"), and a_grant_of_an_earlier_leader_may_outlast_the_lease_that_the_next_one_counts failed without the rule for new leaders ("run 4098 starts at 18405 ms while another run is active"). Random histories delay no renewals.

--- a/crates/gentianlane-daemon/src/fleet/settings.rs
+++ b/crates/gentianlane-daemon/src/fleet/settings.rs
@@ -149,6 +149,7 @@
         let granted = Span::from_millis(self.lease_limit_ms).saturating_sub(LEASE_MARGIN);
         dispatch::Setup {
             lease: granted.min(MAX_LEASE),
+            lease_limit: Span::from_millis(self.lease_limit_ms),
             stop_time: Span::from_millis(self.stop_ms),
             ..dispatch::Setup::default()
         }
--- a/crates/gentianlane/src/fleet/dispatch/answer.rs
+++ b/crates/gentianlane/src/fleet/dispatch/answer.rs
@@ -59,6 +59,9 @@
         if let (OrderKind::Start(task, run), Answer::Lost) = (order.kind, &answer) {
             self.add_unconfirmed(&order, task, run);
         }
+        if order.extends_lease && answer == Answer::Lost {
+            self.unanswered_grants.add(&order.worker, order.sent_at);
+        }
         let Some(session) = self.sessions.get_mut(&order.worker) else {
             return;
         };
--- a/crates/gentianlane/src/fleet/dispatch/dispatcher.rs
+++ b/crates/gentianlane/src/fleet/dispatch/dispatcher.rs
@@ -8,6 +8,7 @@
 use crate::fleet::dispatch::advice::{Relay, Relays};
 use crate::fleet::dispatch::effort::Effort;
 use crate::fleet::dispatch::estimate::Estimator;
+use crate::fleet::dispatch::grant::UnansweredGrants;
 use crate::fleet::dispatch::open::OpenJobs;
 use crate::fleet::dispatch::schedule::{Schedule, Scope};
 use crate::fleet::dispatch::session::{RunState, Session};
@@ -40,6 +41,8 @@
     pub(super) started_at: Wall,
     pub(super) sent_at: Time,
     pub(super) kind: OrderKind,
+    /// Whether the order extends the worker's lease.
+    pub(super) extends_lease: bool,
 }
 
 /// The action of a pending order, with the run that it concerns.
@@ -68,6 +71,7 @@
     pub(super) pending_orders: IndexMap<CallId, PendingOrder>,
     pub(super) last_call_id: CallId,
     pub(super) unconfirmed: UnconfirmedStarts,
+    pub(super) unanswered_grants: UnansweredGrants,
     pub(super) relays: Relays,
     /// The last advice request for an expired job of each queue, by which queues
     /// take turns.
@@ -120,6 +124,7 @@
             pending_orders: IndexMap::new(),
             last_call_id: fencing_token << TERM_SHIFT,
             unconfirmed: UnconfirmedStarts::default(),
+            unanswered_grants: UnansweredGrants::default(),
             relays: Relays::default(),
             expired_requests: IndexMap::new(),
             estimator: Estimator::default(),
@@ -193,6 +198,7 @@
             self.activate_due(state, now, wall);
             self.expire_requests(now);
             self.unconfirmed.expire(now);
+            self.unanswered_grants.expire(now);
             self.check_sessions(state, now);
             self.check_recovery(now);
             self.throttle_best_effort(now);
@@ -257,11 +263,17 @@
             Action::Renew { .. } => OrderKind::Renew,
             Action::Throttle { .. } => OrderKind::Throttle,
         };
+        let extends_lease = match &action {
+            Action::Start(_) => true,
+            Action::Renew { deadline, .. } => deadline.is_some(),
+            Action::Stop { .. } | Action::Throttle { .. } => false,
+        };
         let order = PendingOrder {
             worker: worker.clone(),
             started_at: session.incarnation.started_at,
             sent_at: now,
             kind,
+            extends_lease,
         };
         self.pending_orders.insert(id, order);
         self.effects.orders.push(Order {
--- a/crates/gentianlane/src/fleet/dispatch/event.rs
+++ b/crates/gentianlane/src/fleet/dispatch/event.rs
@@ -6,7 +6,7 @@
 use crate::fleet::dispatch::Dispatcher;
 use crate::fleet::dispatch::advice::Relay;
 use crate::fleet::dispatch::dispatcher::{OrderKind, PendingOrder};
-use crate::fleet::dispatch::session::{RunState, Session};
+use crate::fleet::dispatch::session::{RunState, Session, longest_lease};
 use crate::fleet::dispatch::stage::Stage;
 use crate::fleet::dispatch::survey::Seen;
 use crate::fleet::job::{self, Spec, Step, Task};
@@ -292,13 +292,22 @@
             session.seen = Seen::default();
             return;
         }
-        self.add_pending_starts(worker);
+        self.add_pending_orders(worker);
         let mut new_session = Session::new(registered, self.setup.lease, now);
         self.unconfirmed.add_stopping(&mut new_session, now);
+        let limit = self.setup.lease_limit;
+        let late_end = self.unanswered_grants.lease_end(worker, limit, now);
+        if let Some(end) = late_end {
+            new_session.lease_end = new_session.lease_end.max(end);
+        }
         let Some(session) = self.sessions.get_mut(worker) else {
             self.sessions.insert(worker.clone(), new_session);
             return;
         };
+        // The new incarnation may have carried out and answered orders to the
+        // earlier one before it was registered.
+        let early_end = now.after(longest_lease(limit));
+        new_session.lease_end = new_session.lease_end.max(early_end);
         // An order to the earlier incarnation may have reached this one, so each
         // earlier run is stopped here before its task starts anywhere.
         let old = std::mem::replace(session, new_session);
@@ -321,14 +330,17 @@
         }
     }
 
-    /// Records the pending starts to a worker that has restarted as unconfirmed,
-    /// as they may reach the new incarnation.
-    fn add_pending_starts(&mut self, worker: &id::Worker) {
+    /// Records the pending orders to a worker that has restarted as unanswered, as
+    /// they may reach the new incarnation.
+    fn add_pending_orders(&mut self, worker: &id::Worker) {
         let pending = self
             .pending_orders
             .values()
             .filter(|order| order.worker == *worker);
         for order in pending.cloned().collect::<Vec<_>>() {
+            if order.extends_lease {
+                self.unanswered_grants.add(worker, order.sent_at);
+            }
             if let OrderKind::Start(task, run) = order.kind {
                 self.add_unconfirmed(&order, task, run);
             }
--- a/crates/gentianlane/src/fleet/dispatch/mod.rs
+++ b/crates/gentianlane/src/fleet/dispatch/mod.rs
@@ -17,6 +17,7 @@
 mod effort;
 mod estimate;
 mod event;
+mod grant;
 mod lease;
 mod open;
 mod place;
--- a/crates/gentianlane/src/fleet/dispatch/session.rs
+++ b/crates/gentianlane/src/fleet/dispatch/session.rs
@@ -24,6 +24,13 @@
 /// Added to a lease's end beyond the clock slack, for rounding and late timers.
 const LEASE_MARGIN: Span = Span::from_millis(50);
 
+/// The time on the leader's clock by which a lease that now begins has ended on
+/// the slowest clock of a worker.
+pub(crate) fn longest_lease(lease: Span) -> Span {
+    let slack = Span::from_millis(lease.as_millis() * CLOCK_SLACK / 1_000);
+    lease + slack + LEASE_MARGIN
+}
+
 /// The leader's state for one incarnation of a worker.
 #[derive(Debug, Clone)]
 pub(crate) struct Session {
--- a/crates/gentianlane/src/fleet/dispatch/setup.rs
+++ b/crates/gentianlane/src/fleet/dispatch/setup.rs
@@ -8,6 +8,8 @@
     /// The length of a worker's lease. Longer than a change of leader takes, so
     /// that runs survive one, and at most what workers accept.
     pub lease: Span,
+    /// The longest lease that workers grant, whatever an order asks for.
+    pub lease_limit: Span,
     /// How long a worker delays its answer to a lease renewal (a long poll)
     /// while no run ends there.
     pub renewal_wait: Span,
@@ -24,6 +26,7 @@
     fn default() -> Self {
         Self {
             lease: Span::from_millis(5_000),
+            lease_limit: Span::from_millis(6_000),
             renewal_wait: Span::from_millis(1_000),
             renewal_margin: Span::from_millis(600),
             order_timeout: Span::from_millis(150),
--- a/crates/gentianlane/src/fleet/dispatch/unconfirmed.rs
+++ b/crates/gentianlane/src/fleet/dispatch/unconfirmed.rs
@@ -15,7 +15,7 @@
 
 /// How long after it was sent a start may be carried out: the platform delays
 /// messages by up to 12 s, and 1 s is margin.
-const MAX_ORDER_DELAY: Span = Span::from_millis(13_000);
+pub(super) const MAX_ORDER_DELAY: Span = Span::from_millis(13_000);
 
 /// Start orders without an answer, by worker.
 #[derive(Debug, Default, Clone)]
--- a/crates/gentianlane/tests/fleet/lease.rs
+++ b/crates/gentianlane/tests/fleet/lease.rs
@@ -1,12 +1,12 @@
 //! Tests of when a task or a worker's room is given to others: only once no lease,
 //! old or new, lets the earlier run go on.
 
-use gentianlane::fleet::job::{Id, Schedule, Stage, Task};
+use gentianlane::fleet::job::{Id, Schedule, Spec, Stage, Task};
 use gentianlane::fleet::order::Outcome;
 use gentianlane::unit::{Span, Wall};
 
 use super::simulated_worker::job;
-use super::world::{World, plan};
+use super::world::{Delay, Faults, Kind, World, plan};
 
 fn task(job: u64, index: u32) -> Task {
     let stage = Stage {
@@ -21,7 +21,7 @@
 /// occurrence, and counts the starts until after its run would have ended.
 fn starts_of_early_occurrence(ahead: u64, disturb: impl Fn(&mut World)) -> usize {
     let mut world = World::new(2, 1).with_plan(plan(1, false));
-    let leader = world.leader().expect("a leader");
+    let leader = world.leader().unwrap_or(0);
     world.wall_ahead.insert(leader, ahead);
     let mut spec = job(1, 1_000);
     spec.schedule = Some(Schedule {
@@ -65,3 +65,73 @@
         assert_eq!(starts, 2, "ahead by {ahead} ms");
     }
 }
+
+/// A job of one task that takes a whole worker and has no end.
+fn lasting() -> Spec {
+    let mut spec = job(1, 4_000);
+    spec.steps[0].long_running = true;
+    spec
+}
+
+/// Waits until the next lease renewal to a worker is one that will be carried out
+/// late, then restarts the worker.
+fn restart_beside_late_grant(world: &mut World, millis: u64) {
+    world.run(8_000);
+    world.crash("w1");
+    world.delays.push(Delay {
+        worker: "w0".into(),
+        kind: Kind::Grant,
+        millis,
+    });
+    while !world.delays.is_empty() {
+        world.run(1);
+    }
+    world.crash("w0");
+    world.run(20);
+    world.restart_worker("w0");
+}
+
+#[test]
+fn a_grant_to_an_earlier_life_may_outlast_the_lease_of_the_next() {
+    for silent_after in (2_000..7_000).step_by(500) {
+        let mut world = World::new(2, 1).with_plan(plan(1, false));
+        restart_beside_late_grant(&mut world, silent_after + 150);
+        world.run(1_000);
+        world.submit(7, &lasting());
+        world.run(silent_after - 1_020);
+        assert_eq!(world.starts(&task(7, 0)), 1);
+        world.unreachable.insert("w0".into());
+        world.restart_worker("w1");
+        // The oracle fails on a second run beside the first.
+        world.run(25_000);
+        let starts = world.starts(&task(7, 0));
+        assert_eq!(starts, 2, "silent after {silent_after} ms");
+    }
+}
+
+#[test]
+fn a_grant_of_an_earlier_leader_may_outlast_the_lease_that_the_next_one_counts() {
+    for late in (300..1_500).step_by(50) {
+        let mut world = World::new(2, 1).with_plan(plan(1, false));
+        restart_beside_late_grant(&mut world, late);
+        world.run(600);
+        let leader = world.leader().expect("a leader");
+        world.kill(leader);
+        while world.leader().is_none() {
+            world.run(1);
+        }
+        world.submit(7, &lasting());
+        while world.starts(&task(7, 0)) == 0 {
+            world.run(1);
+        }
+        // The renewal that waits at the worker is cut off as well.
+        world.unreachable.insert("w0".into());
+        world.faults.lost_answers = 1_000;
+        world.run(1_700);
+        world.faults = Faults::default();
+        world.restart_worker("w1");
+        // The oracle fails on a second run beside the first.
+        world.run(25_000);
+        assert_eq!(world.starts(&task(7, 0)), 2, "late by {late} ms");
+    }
+}
--- a/crates/gentianlane/tests/fleet/world.rs
+++ b/crates/gentianlane/tests/fleet/world.rs
@@ -36,6 +36,8 @@
 enum InFlight {
     Message(id::Node, id::Node, Message),
     Order(id::Node, Order),
+    /// An order that its sender has given up, and which a worker carries out now.
+    LateOrder(Order),
     Answer(id::Node, CallId, Answer),
     Advice(id::Node, AdviceResponse),
     /// A lease renewal from a core that waits at the incarnation with this start
@@ -53,6 +55,36 @@
     pub(crate) delayed_orders: u32,
 }
 
+/// A kind of order that can be made late.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Kind {
+    /// A start.
+    Start,
+    /// A renewal that extends the lease.
+    Grant,
+}
+
+/// The next order of a kind to a worker gets no answer and is carried out late,
+/// whether or not the worker can be reached by then.
+#[derive(Debug, Clone)]
+pub(crate) struct Delay {
+    pub(crate) worker: id::Worker,
+    pub(crate) kind: Kind,
+    /// How late the order is carried out, in milliseconds.
+    pub(crate) millis: u64,
+}
+
+impl Delay {
+    fn concerns(&self, order: &Order) -> bool {
+        let kind = match &order.action {
+            Action::Start(_) => Some(Kind::Start),
+            Action::Renew { deadline, .. } => deadline.map(|_| Kind::Grant),
+            Action::Stop { .. } | Action::Throttle { .. } => None,
+        };
+        order.worker == self.worker && kind == Some(self.kind)
+    }
+}
+
 /// What placement has cost the leaders.
 #[derive(Debug, Default, Clone, Copy)]
 pub(crate) struct Effort {
@@ -104,6 +136,8 @@
     /// The workers on which every run fails after 20 ms.
     pub(crate) failing: BTreeSet<id::Worker>,
     pub(crate) faults: Faults,
+    /// The single orders to be carried out late.
+    pub(crate) delays: Vec<Delay>,
     /// By how many milliseconds the wall clock of some cores is ahead.
     pub(crate) wall_ahead: BTreeMap<usize, u64>,
     /// How long it takes to send one order, in milliseconds.
@@ -169,6 +203,7 @@
             unhealthy: BTreeSet::new(),
             failing: BTreeSet::new(),
             faults: Faults::default(),
+            delays: Vec::new(),
             wall_ahead: BTreeMap::new(),
             send_interval: 0,
             send_queue: VecDeque::new(),
@@ -374,6 +409,14 @@
                 }
             }
             InFlight::Order(from, order) => self.handle_order(from, order),
+            InFlight::LateOrder(order) => {
+                let at = self.workers.iter().position(|worker| {
+                    worker.up && worker.profile.address == order.address
+                });
+                if let Some(at) = at {
+                    self.execute(at, &order, false);
+                }
+            }
             InFlight::PendingRenewal(from, order, started_at, until) => {
                 self.handle_renewal(from, order, started_at, until, false);
             }
@@ -399,6 +442,11 @@
             return self.send(self.message_delay, answer);
         };
         let timeout = order.timeout.as_millis();
+        let delay = self.delays.iter().position(|delay| delay.concerns(&order));
+        if let Some(delay) = delay.map(|index| self.delays.remove(index)) {
+            self.send(timeout, InFlight::Answer(from, order.id, Answer::Lost));
+            return self.send(delay.millis, InFlight::LateOrder(order));
+        }
         if delayed && !matches!(order.action, Action::Renew { .. }) {
             let after = self.random.random_range(2_000..12_000u64);
             self.send(timeout, InFlight::Answer(from, order.id, Answer::Lost));
