--- a/crates/gentianlane/src/fleet/dispatch/answer.rs
+++ b/crates/gentianlane/src/fleet/dispatch/answer.rs
@@ -66,6 +66,9 @@
             });
             self.propose_unconfirmed(task, start, now, wall);
         }
+        if order.extends_lease && answer == Answer::Lost {
+            self.unanswered_grants.add(&order.worker, order.sent_at);
+        }
         let Some(session) = self.sessions.get_mut(&order.worker) else {
             return;
         };
--- a/crates/gentianlane/src/fleet/dispatch/dispatcher.rs
+++ b/crates/gentianlane/src/fleet/dispatch/dispatcher.rs
@@ -8,6 +8,7 @@
 use crate::fleet::dispatch::advice::{Relay, Relays};
 use crate::fleet::dispatch::effort::Effort;
 use crate::fleet::dispatch::estimate::Estimator;
+use crate::fleet::dispatch::grant::UnansweredGrants;
 use crate::fleet::dispatch::open::OpenJobs;
 use crate::fleet::dispatch::schedule::{Schedule, Scope};
 use crate::fleet::dispatch::session::{RunState, Session};
@@ -42,6 +43,8 @@
     /// When the ticket of a start has expired at the worker.
     pub(super) ticket_until: Option<Time>,
     pub(super) kind: OrderKind,
+    /// Whether the order extends the worker's lease.
+    pub(super) extends_lease: bool,
 }
 
 /// The action of a pending order, with the run that it concerns.
@@ -80,6 +83,7 @@
     pub(super) pending_orders: IndexMap<CallId, PendingOrder>,
     pub(super) last_call_id: CallId,
     pub(super) unconfirmed: UnconfirmedStarts,
+    pub(super) unanswered_grants: UnansweredGrants,
     pub(super) relays: Relays,
     /// The last advice request for an expired job of each queue, by which queues
     /// take turns.
@@ -133,6 +137,7 @@
             pending_orders: IndexMap::new(),
             last_call_id: fencing_token << TERM_SHIFT,
             unconfirmed: UnconfirmedStarts::default(),
+            unanswered_grants: UnansweredGrants::default(),
             relays: Relays::default(),
             expired_requests: IndexMap::new(),
             estimator: Estimator::default(),
@@ -207,6 +212,7 @@
             self.activate_due(state, now, wall);
             self.expire_requests(now);
             self.unconfirmed.expire(now);
+            self.unanswered_grants.expire(now);
             self.check_sessions(state, now);
             self.check_recovery(now);
             self.throttle_best_effort(now);
@@ -271,12 +277,18 @@
             Action::Renew { .. } => OrderKind::Renew,
             Action::Throttle { .. } => OrderKind::Throttle,
         };
+        let extends_lease = match &action {
+            Action::Start(_) => true,
+            Action::Renew { deadline, .. } => deadline.is_some(),
+            Action::Stop { .. } | Action::Throttle { .. } => false,
+        };
         let order = PendingOrder {
             worker: worker.clone(),
             started_at: session.incarnation.started_at,
             sent_at: now,
             ticket_until: self.ticket_until(worker, &action),
             kind,
+            extends_lease,
         };
         self.pending_orders.insert(id, order);
         self.effects.orders.push(Order {
--- a/crates/gentianlane/tests/fleet/main.rs
+++ b/crates/gentianlane/tests/fleet/main.rs
@@ -3,6 +3,7 @@
 mod dispatch;
 mod fuzz;
 mod late_start;
+mod lease;
 mod regression;
 mod simulated_worker;
 mod world;
--- a/crates/gentianlane/tests/fleet/regression.rs
+++ b/crates/gentianlane/tests/fleet/regression.rs
@@ -76,6 +76,7 @@
             clock: self.now.as_millis(),
             running: Vec::new(),
             ended,
+            ends_cut: false,
         };
         self.answer(id, Answer::Status(status));
     }
--- a/crates/gentianlane/tests/fleet/world.rs
+++ b/crates/gentianlane/tests/fleet/world.rs
@@ -38,6 +38,9 @@
     Order(id::Node, Order),
     /// An order that is carried out late, once, and that nobody waits for.
     LateOrder(Order),
+    /// An order that has reached its worker, which carries it out late, whether or not
+    /// it can be reached by then.
+    ArrivedOrder(Order),
     Answer(id::Node, CallId, Answer),
     Advice(id::Node, AdviceResponse),
     /// A lease renewal from a core that waits at the incarnation with this start
@@ -73,6 +76,36 @@
     Idle,
 }
 
+/// A kind of order that can be made late.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Kind {
+    /// A start.
+    Start,
+    /// A renewal that extends the lease.
+    Grant,
+}
+
+/// The next order of a kind to a worker gets no answer and is carried out late,
+/// whether or not the worker can be reached by then.
+#[derive(Debug, Clone)]
+pub(crate) struct Delay {
+    pub(crate) worker: id::Worker,
+    pub(crate) kind: Kind,
+    /// How late the order is carried out, in milliseconds.
+    pub(crate) millis: u64,
+}
+
+impl Delay {
+    fn concerns(&self, order: &Order) -> bool {
+        let kind = match &order.action {
+            Action::Start(_) => Some(Kind::Start),
+            Action::Renew { deadline, .. } => deadline.map(|_| Kind::Grant),
+            Action::Stop { .. } | Action::Throttle { .. } => None,
+        };
+        order.worker == self.worker && kind == Some(self.kind)
+    }
+}
+
 /// What placement has cost the leaders.
 #[derive(Debug, Default, Clone, Copy)]
 pub(crate) struct Effort {
@@ -133,6 +166,10 @@
     /// The workers on which every run fails after 20 ms.
     pub(crate) failing: BTreeSet<id::Worker>,
     pub(crate) faults: Faults,
+    /// The single orders to be carried out late.
+    pub(crate) delays: Vec<Delay>,
+    /// By how many milliseconds the wall clock of some cores is ahead.
+    pub(crate) wall_ahead: BTreeMap<usize, u64>,
     /// How long it takes to send one order, in milliseconds.
     pub(crate) send_interval: u64,
     /// The orders that wait to be sent, each with the end of its lease.
@@ -208,6 +245,8 @@
             ticket_validity: TICKET_VALIDITY_MS,
             failing: BTreeSet::new(),
             faults: Faults::default(),
+            delays: Vec::new(),
+            wall_ahead: BTreeMap::new(),
             send_interval: 0,
             send_queue: VecDeque::new(),
             unsent_orders: 0,
@@ -282,9 +321,8 @@
     pub(crate) fn call(&mut self, call: Call) -> Ticket {
         self.last_ticket += 1;
         let ticket = Ticket(self.last_ticket);
-        let wall = self.wall();
         if let Some(at) = self.leader() {
-            let now = self.clock(at);
+            let (now, wall) = (self.clock(at), self.core_wall(at));
             if let Some(node) = &mut self.cores[at].node {
                 node.call(ticket, call, now, wall);
             }
@@ -313,6 +351,12 @@
         Wall::from_millis(1_000_000 + self.now)
     }
 
+    /// The time of day on a core's wall clock.
+    fn core_wall(&self, at: usize) -> Wall {
+        let ahead = self.wall_ahead.get(&at).copied().unwrap_or_default();
+        self.wall().after(Span::from_millis(ahead))
+    }
+
     fn send(&mut self, after: u64, item: InFlight) {
         self.last_item += 1;
         self.in_flight
@@ -389,7 +433,6 @@
     }
 
     fn deliver(&mut self, item: InFlight) {
-        let wall = self.wall();
         match item {
             InFlight::Message(from, to, message) => {
                 let (from_at, to_at) = (index(from), index(to));
@@ -402,7 +445,7 @@
                 }
             }
             InFlight::Answer(to, call_id, answer) => {
-                let now = self.clock(index(to));
+                let (now, wall) = (self.clock(index(to)), self.core_wall(index(to)));
                 if let Some(node) = &mut self.cores[index(to)].node {
                     node.handle_answer(call_id, answer, now, wall);
                 }
@@ -415,6 +458,14 @@
             }
             InFlight::Order(from, order) => self.handle_order(from, order),
             InFlight::LateOrder(order) => self.handle_late_order(&order),
+            InFlight::ArrivedOrder(order) => {
+                let at = self.workers.iter().position(|worker| {
+                    worker.up && worker.profile.address == order.address
+                });
+                if let Some(at) = at {
+                    self.execute(at, &order, false);
+                }
+            }
             InFlight::PendingRenewal(from, order, started_at, until) => {
                 self.handle_renewal(from, order, started_at, until, false);
             }
@@ -440,6 +491,11 @@
             return self.send(self.message_delay, answer);
         };
         let timeout = order.timeout.as_millis();
+        let delay = self.delays.iter().position(|delay| delay.concerns(&order));
+        if let Some(delay) = delay.map(|index| self.delays.remove(index)) {
+            self.send(timeout, InFlight::Answer(from, order.id, Answer::Lost));
+            return self.send(delay.millis, InFlight::ArrivedOrder(order));
+        }
         if delayed && !matches!(order.action, Action::Renew { .. }) {
             let after = self.random.random_range(2_000..12_000u64);
             self.send(timeout, InFlight::Answer(from, order.id, Answer::Lost));
@@ -733,7 +789,7 @@
     }
 
     fn step_core(&mut self, at: usize) {
-        let (now, wall) = (self.clock(at), self.wall());
+        let (now, wall) = (self.clock(at), self.core_wall(at));
         let core = &mut self.cores[at];
         let Some(node) = &mut core.node else {
             return;
