Add a test of a late start at a worker that restarts behind a cut, and list one of a worker that leaves

To keep its tasks until nothing listens at its address or its lease has ended is the likely fix; what that costs when workers leave in the usual way hasn't been measured.

--- a/crates/gentianlane/tests/fleet/lease.rs
+++ b/crates/gentianlane/tests/fleet/lease.rs
@@ -1,6 +1,7 @@
 //! Tests of when a task or a worker's room is given to others: only once no lease,
 //! old or new, lets the earlier run go on.
 
+use gentianlane::fleet::call::{Call, Reply};
 use gentianlane::fleet::job::{Id, Schedule, Spec, Stage, Task};
 use gentianlane::fleet::order::Outcome;
 use gentianlane::unit::{Span, Wall};
@@ -135,3 +136,53 @@
         assert_eq!(world.starts(&task(7, 0)), 2, "late by {late} ms");
     }
 }
+
+#[test]
+fn a_start_without_an_answer_may_reach_a_later_life_of_a_silent_worker() {
+    for late in (4_000..12_000).step_by(1_000) {
+        let mut world = World::new(2, 1).with_plan(plan(1, false));
+        world.run(1_000);
+        world.crash("w1");
+        world.run(3_000);
+        world.delays.push(Delay {
+            worker: "w0".into(),
+            kind: Kind::Start,
+            millis: late,
+        });
+        let runs = vec![(12_000, Outcome::Done); 3];
+        world.scripted_runs.insert(task(7, 0), runs);
+        world.submit(7, &job(1, 4_000));
+        world.run(40);
+        assert!(world.delays.is_empty());
+        // A cut begins, behind which the worker restarts.
+        world.unreachable.insert("w0".into());
+        world.crash("w0");
+        world.run(500);
+        world.restart_worker("w0");
+        world.restart_worker("w1");
+        // The oracle fails on a second run beside the first.
+        world.run(40_000);
+        assert!(world.starts(&task(7, 0)) > 0, "late by {late} ms");
+    }
+}
+
+#[test]
+fn a_worker_that_leaves_without_a_confirmation_may_run_on() {
+    let mut world = World::new(2, 1).with_plan(plan(1, false));
+    world.submit(7, &lasting());
+    world.run(500);
+    let worker = world.observed_runs[0].worker.clone();
+    let mut workers = world.workers.iter();
+    let at = workers.position(|other| other.incarnation.worker == worker);
+    let at = at.expect("the worker is there");
+    world.workers[at].draining = true;
+    world.run(600);
+    let incarnation = world.workers[at].incarnation.clone();
+    let ticket = world.call(Call::Leave(incarnation));
+    // The confirmation is lost. The oracle fails on a second run beside the first.
+    world.run(1_000);
+    assert_eq!(world.replies.get(&ticket), Some(&Reply::Done));
+    world.crash(worker.as_str());
+    world.run(10_000);
+    assert_eq!(world.starts(&task(7, 0)), 2);
+}
