--- a/crates/gentianlane/src/fleet/dispatch/event.rs
+++ b/crates/gentianlane/src/fleet/dispatch/event.rs
@@ -5,13 +5,12 @@
 use crate::fleet::decision::{Cause, Decision};
 use crate::fleet::dispatch::Dispatcher;
 use crate::fleet::dispatch::advice::Relay;
-use crate::fleet::dispatch::dispatcher::{OrderKind, PendingOrder, Place};
+use crate::fleet::dispatch::dispatcher::{OrderKind, Place};
 use crate::fleet::dispatch::session::{RunState, Session, longest_lease};
 use crate::fleet::dispatch::stage::Stage;
 use crate::fleet::dispatch::survey::Seen;
-use crate::fleet::dispatch::unconfirmed::{self, MAX_ORDER_DELAY};
 use crate::fleet::job::{self, Spec, Step, Task};
-use crate::fleet::order::{Action, Status};
+use crate::fleet::order::Status;
 use crate::fleet::worker::{Incarnation, Report};
 use crate::fleet::{Command, Event, Job, State};
 use crate::id;
@@ -22,10 +21,6 @@
 /// be carried out by the new one within this time.
 const LATE_ORDER_DELAY: Span = Span::from_millis(400);
 
-/// How far the wall clock of another leader may be behind, or may have jumped
-/// ahead since.
-const WALL_CLOCK_SLACK: Span = Span::from_millis(5_000);
-
 impl Dispatcher {
     /// Handles a change that was applied to the replicated state.
     pub fn handle_event(&mut self, state: &State, event: &Event, now: Time, wall: Wall) {
@@ -380,98 +375,6 @@
         }
     }
 
-    /// Records a start that may be carried out without an answer, and returns it.
-    pub(super) fn add_unconfirmed(
-        &mut self,
-        order: &PendingOrder,
-        task: Task,
-        run: u64,
-    ) -> unconfirmed::Start {
-        let session = self.sessions.get(&order.worker);
-        let current = session.and_then(|session| session.runs.get(&(task, run)));
-        let stage = self.stages.get(&task.stage);
-        let demand = current
-            .map(|run| run.demand)
-            .or_else(|| stage.map(|stage| stage.step.demand()));
-        let until = order.sent_at.after(MAX_ORDER_DELAY);
-        let start = unconfirmed::Start {
-            worker: order.worker.clone(),
-            run,
-            demand,
-            until,
-            binds_until: match session.is_some_and(|session| session.draining) {
-                true => order.sent_at,
-                false => order.ticket_until.map_or(until, |end| end.min(until)),
-            },
-        };
-        self.unconfirmed.add(task, start.clone());
-        start
-    }
-
-    /// Proposes a start without an answer to the log, for the leaders that follow.
-    ///
-    /// They wait for a worker that they can't reach for as long as a lease anyway.
-    pub(super) fn propose_unconfirmed(
-        &mut self,
-        task: Task,
-        start: unconfirmed::Start,
-        now: Time,
-        wall: Wall,
-    ) {
-        if start.binds_until > now.after(self.setup.lease) {
-            self.effects.commands.push(Command::Unconfirmed {
-                at: wall,
-                worker: start.worker,
-                task,
-                run: start.run,
-            });
-        }
-    }
-
-    /// Has a worker's unknown incarnation refuse the starts without an answer.
-    ///
-    /// Its registration has each of them stopped again, until it confirms that.
-    pub(super) fn stop_unconfirmed(&mut self, worker: &id::Worker, now: Time) {
-        let Some(session) = self.sessions.get_mut(worker) else {
-            return;
-        };
-        // The answers to the stops come from that incarnation as well.
-        if std::mem::replace(&mut session.is_replaced, true) {
-            return;
-        }
-        for (task, run) in self.unconfirmed.sent_to(worker, now) {
-            let stop = Action::Stop { task, run };
-            self.send_order(worker, self.setup.order_timeout, stop, now);
-        }
-    }
-
-    /// Takes over the starts without an answer that earlier leaders have recorded.
-    pub(super) fn inherit_unconfirmed(&mut self, state: &State, now: Time, wall: Wall) {
-        for start in state.unconfirmed() {
-            let stage = &start.task.stage;
-            let job = state.job(&stage.job).filter(|job| job.is_open());
-            let steps = job.map(|job| &job.spec.steps);
-            let Some(step) = steps.and_then(|steps| steps.get(usize::from(stage.step)))
-            else {
-                continue;
-            };
-            let age = wall.since(start.at);
-            let until =
-                now.after((MAX_ORDER_DELAY + WALL_CLOCK_SLACK).saturating_sub(age));
-            let registered = state.worker(&start.worker);
-            let draining = registered.is_some_and(|worker| worker.draining);
-            let inherited = unconfirmed::Start {
-                worker: start.worker.clone(),
-                run: start.run,
-                demand: Some(step.demand()),
-                until,
-                binds_until: if draining { now } else { until },
-            };
-            self.unconfirmed.add(start.task, inherited);
-        }
-        self.unconfirmed.expire(now);
-    }
-
     /// Removes an incarnation that is over, and releases its runs.
     pub(super) fn remove_incarnation(&mut self, incarnation: &Incarnation, cause: Cause) {
         let worker = &incarnation.worker;
--- a/crates/gentianlane/src/fleet/dispatch/unconfirmed.rs
+++ b/crates/gentianlane/src/fleet/dispatch/unconfirmed.rs
@@ -9,15 +9,23 @@
 
 use indexmap::IndexMap;
 
+use crate::fleet::dispatch::Dispatcher;
+use crate::fleet::dispatch::dispatcher::PendingOrder;
 use crate::fleet::dispatch::session::{Run, RunState, Session};
 use crate::fleet::job::{Resources, Task};
+use crate::fleet::order::Action;
+use crate::fleet::{Command, State};
 use crate::id;
-use crate::unit::{Span, Time};
+use crate::unit::{Span, Time, Wall};
 
 /// How long after it was sent an order may be carried out: the platform delays
 /// messages by up to 12 s, and 1 s is margin.
 pub(super) const MAX_ORDER_DELAY: Span = Span::from_millis(13_000);
 
+/// How far the wall clock of another leader may be behind, or may have jumped
+/// ahead since.
+const WALL_CLOCK_SLACK: Span = Span::from_millis(5_000);
+
 /// Start orders without an answer, by task.
 #[derive(Debug, Default, Clone)]
 pub(crate) struct UnconfirmedStarts {
@@ -98,32 +106,123 @@
         }
     }
 
-    /// The starts that were sent to a worker and may still be carried out, each as
-    /// its task and run.
-    pub(crate) fn sent_to(&self, worker: &id::Worker, now: Time) -> Vec<(Task, u64)> {
+    /// The starts that were sent to a worker and may still be carried out.
+    fn sent_to<'a>(
+        &'a self,
+        worker: &'a id::Worker,
+        now: Time,
+    ) -> impl Iterator<Item = (Task, &'a Start)> {
         let starts = self
             .starts
             .iter()
             .flat_map(|(task, starts)| starts.iter().map(move |start| (*task, start)));
-        starts
-            .filter(|(_, start)| start.worker == *worker && now < start.until)
-            .map(|(task, start)| (task, start.run))
-            .collect()
+        starts.filter(move |(_, start)| start.worker == *worker && now < start.until)
     }
 
     /// Adds every start that a new incarnation may still carry out to the
     /// session's runs, to be stopped.
     pub(crate) fn add_stopping(&self, session: &mut Session, now: Time) {
         let worker = session.incarnation.worker.clone();
-        for (&task, starts) in &self.starts {
-            let starts = starts.iter();
-            for start in
-                starts.filter(|start| start.worker == worker && now < start.until)
-            {
-                let run = Run::stopping(start.run, start.demand, now);
-                session.insert(task, run);
-            }
+        for (task, start) in self.sent_to(&worker, now) {
+            let run = Run::stopping(start.run, start.demand, now);
+            session.insert(task, run);
+        }
+    }
+}
+
+impl Dispatcher {
+    /// Records a start that may be carried out without an answer, and returns it.
+    pub(super) fn add_unconfirmed(
+        &mut self,
+        order: &PendingOrder,
+        task: Task,
+        run: u64,
+    ) -> Start {
+        let session = self.sessions.get(&order.worker);
+        let current = session.and_then(|session| session.runs.get(&(task, run)));
+        let stage = self.stages.get(&task.stage);
+        let demand = current
+            .map(|run| run.demand)
+            .or_else(|| stage.map(|stage| stage.step.demand()));
+        let until = order.sent_at.after(MAX_ORDER_DELAY);
+        let start = Start {
+            worker: order.worker.clone(),
+            run,
+            demand,
+            until,
+            binds_until: match session.is_some_and(|session| session.draining) {
+                true => order.sent_at,
+                false => order.ticket_until.map_or(until, |end| end.min(until)),
+            },
+        };
+        self.unconfirmed.add(task, start.clone());
+        start
+    }
+
+    /// Proposes a start without an answer to the log, for the leaders that follow.
+    ///
+    /// They wait for a worker that they can't reach for as long as a lease anyway.
+    pub(super) fn propose_unconfirmed(
+        &mut self,
+        task: Task,
+        start: Start,
+        now: Time,
+        wall: Wall,
+    ) {
+        if start.binds_until > now.after(self.setup.lease) {
+            self.effects.commands.push(Command::Unconfirmed {
+                at: wall,
+                worker: start.worker,
+                task,
+                run: start.run,
+            });
+        }
+    }
+
+    /// Has a worker's unknown incarnation refuse the starts without an answer.
+    ///
+    /// Its registration has each of them stopped again, until it confirms that.
+    pub(super) fn stop_unconfirmed(&mut self, worker: &id::Worker, now: Time) {
+        let Some(session) = self.sessions.get_mut(worker) else {
+            return;
+        };
+        // The answers to the stops come from that incarnation as well.
+        if std::mem::replace(&mut session.is_replaced, true) {
+            return;
+        }
+        let starts = self.unconfirmed.sent_to(worker, now);
+        let starts: Vec<_> = starts.map(|(task, start)| (task, start.run)).collect();
+        for (task, run) in starts {
+            let stop = Action::Stop { task, run };
+            self.send_order(worker, self.setup.order_timeout, stop, now);
+        }
+    }
+
+    /// Takes over the starts without an answer that earlier leaders have recorded.
+    pub(super) fn inherit_unconfirmed(&mut self, state: &State, now: Time, wall: Wall) {
+        for start in state.unconfirmed() {
+            let stage = &start.task.stage;
+            let job = state.job(&stage.job).filter(|job| job.is_open());
+            let steps = job.map(|job| &job.spec.steps);
+            let Some(step) = steps.and_then(|steps| steps.get(usize::from(stage.step)))
+            else {
+                continue;
+            };
+            let age = wall.since(start.at);
+            let until =
+                now.after((MAX_ORDER_DELAY + WALL_CLOCK_SLACK).saturating_sub(age));
+            let registered = state.worker(&start.worker);
+            let draining = registered.is_some_and(|worker| worker.draining);
+            let inherited = Start {
+                worker: start.worker.clone(),
+                run: start.run,
+                demand: Some(step.demand()),
+                until,
+                binds_until: if draining { now } else { until },
+            };
+            self.unconfirmed.add(start.task, inherited);
         }
+        self.unconfirmed.expire(now);
     }
 }
 
