Forget superseded tasks whose last run is over

Cause: a task was noted as superseded whenever a run of it was stopped as such, and forgotten only when its placement was released. The tasks of a job that is over have no placement any more, so their notes stayed for the rest of the term.

Change: the note is dropped with the last run of a task that isn't placed. No behaviour changes otherwise.

--- a/crates/gentianlane/src/fleet/dispatch/dispatcher.rs
+++ b/crates/gentianlane/src/fleet/dispatch/dispatcher.rs
@@ -362,6 +362,8 @@
         let place = self.placements.get(task);
         if place.is_some_and(|place| place.worker == *worker && place.run == number) {
             self.placements.swap_remove(task);
+        }
+        if !self.placements.contains_key(task) {
             self.hold_superseded(task);
         }
         let Some(stage) = self.stages.get_mut(&task.stage) else {
