Place no failed task before its failure is in the log, whatever else of it ends

What callers would see: a task that starts more often than its attempts allow (BUDGET).

Cause: since runs are kept by number, a task that isn't placed any more is held while another run of it is being stopped, and becomes pending when that one is over. If its counted run had failed meanwhile, and the failure was still on its way into the log, the task was placed again at once. The code that kept it back looked at the first of the two.

Change: the dispatcher notes of which tasks an end is proposed and not applied, and makes none of them pending until the log has it.

Test: a_failed_task_waits_for_the_log_though_a_superseded_run_ends_too failed before with a start order in the same pass.

--- a/crates/gentianlane/src/fleet/dispatch/dispatcher.rs
+++ b/crates/gentianlane/src/fleet/dispatch/dispatcher.rs
@@ -76,6 +76,8 @@
     /// The tasks of which a worker may have a run, to be stopped, besides that of
     /// their placement.
     pub(super) superseded: IndexSet<Task>,
+    /// The tasks of which an end is proposed to the log and not applied yet.
+    pub(super) unlogged: IndexSet<Task>,
     /// The jobs that are not over yet.
     pub(super) open_jobs: OpenJobs,
     /// The jobs with occurrences that aren't due yet.
@@ -132,6 +134,7 @@
             stages: IndexMap::new(),
             placements: IndexMap::new(),
             superseded: IndexSet::new(),
+            unlogged: IndexSet::new(),
             open_jobs: OpenJobs::default(),
             recurring_jobs: IndexSet::new(),
             pending_orders: IndexMap::new(),
@@ -377,7 +380,10 @@
         // The task may be placed for its current run or for another one that is being
         // stopped.
         let placed = self.placements.contains_key(task);
-        if !placed && !stage.done.contains(&unit) {
+        // A failed task isn't placed again before its failure is in the log, so
+        // that it never starts more often than its attempts allow.
+        let unlogged = self.unlogged.contains(task);
+        if !placed && !unlogged && !stage.done.contains(&unit) {
             stage.add_pending(task.index);
         }
     }
--- a/crates/gentianlane/src/fleet/dispatch/event.rs
+++ b/crates/gentianlane/src/fleet/dispatch/event.rs
@@ -240,6 +240,7 @@
                 session.next_renewal = now;
             }
         }
+        self.unlogged.swap_remove(task);
         let id = task.stage.job;
         let Some(job) = state.job(&id).filter(|job| job.is_open()) else {
             return;
--- a/crates/gentianlane/src/fleet/dispatch/reconcile.rs
+++ b/crates/gentianlane/src/fleet/dispatch/reconcile.rs
@@ -119,6 +119,7 @@
             sequence: ended.sequence,
         });
         if logged {
+            self.unlogged.insert(task);
             self.effects.commands.push(Command::End {
                 at: wall,
                 task,
@@ -158,11 +159,6 @@
         if is_current {
             self.release_run(worker, &task, ended.run);
         }
-        // A failed task isn't placed again before its failure is in the log, so
-        // that it never starts more often than its attempts allow.
-        if logged && let Some(stage) = self.stages.get_mut(&task.stage) {
-            stage.pending.remove(&task.index);
-        }
     }
 
     /// Updates the worker's count of failures by the outcome of a run, and
--- a/crates/gentianlane/tests/fleet/regression.rs
+++ b/crates/gentianlane/tests/fleet/regression.rs
@@ -3,7 +3,7 @@
 use gentianlane::fleet::dispatch::{Dispatcher, Setup};
 use gentianlane::fleet::job::{Id, Phase, Resources, Stage, Task};
 use gentianlane::fleet::order::{
-    Action, Answer, CallId, EndedRun, Order, Outcome, Start, Status,
+    Action, ActiveRun, Answer, CallId, EndedRun, Order, Outcome, Start, Status,
 };
 use gentianlane::fleet::{Command, State};
 use gentianlane::unit::{Span, Time, Wall};
@@ -71,10 +71,22 @@
 
     /// Answers a renewal with the worker's status and the runs that have ended.
     fn answer_status(&mut self, id: CallId, ended: Vec<EndedRun>) {
+        self.answer_runs(id, &[], ended);
+    }
+
+    /// Answers a renewal with a status that lists these runs of job 7's task as active.
+    fn answer_runs(&mut self, id: CallId, running: &[u64], ended: Vec<EndedRun>) {
+        let active = |&run: &u64| ActiveRun {
+            task: task(7),
+            run,
+            checkpoint: String::new(),
+            progress: 10,
+            measurement: None,
+        };
         let status = Status {
             started_at: Some(self.worker.incarnation.started_at),
             clock: self.now.as_millis(),
-            running: Vec::new(),
+            running: running.iter().map(active).collect(),
             ended,
             ends_cut: false,
         };
@@ -205,3 +217,37 @@
     assert_eq!(world.starts(&task(7)), 1);
     assert_eq!(phase(&mut world, 7), Some(Phase::Completed));
 }
+
+/// A failed run and a superseded one ended in one status, and the task was placed again
+/// before its failure was in the log.
+#[test]
+fn a_failed_task_waits_for_the_log_though_a_superseded_run_ends_too() {
+    let mut leader = Leader::new(2);
+    leader.submit(7);
+    let renewal = leader.renewal(50).expect("a renewal");
+    leader.answer_runs(renewal.id, &[1, 2], Vec::new());
+    let orders = leader.orders(50);
+    let stops = orders.iter();
+    let stops = stops.filter(|order| matches!(order.action, Action::Stop { run: 2, .. }));
+    for stop in stops {
+        let clock = leader.now.as_millis();
+        leader.answer(stop.id, Answer::Done { clock });
+    }
+    let is_renewal = |order: &&Order| matches!(order.action, Action::Renew { .. });
+    let renewal = orders.iter().find(is_renewal).map(|order| order.id);
+    let renewal = renewal.or_else(|| leader.renewal(50).map(|order| order.id));
+    let end = |sequence, run, outcome| EndedRun {
+        sequence,
+        task: task(7),
+        run,
+        outcome,
+        checkpoint: String::new(),
+    };
+    let ended = vec![end(1, 1, Outcome::Failed), end(2, 2, Outcome::Stopped)];
+    leader.answer_runs(renewal.expect("a renewal"), &[], ended);
+    let orders = leader.orders(50);
+    let started = orders
+        .iter()
+        .any(|order| matches!(order.action, Action::Start(_)));
+    assert!(!started, "{orders:?}");
+}
