Wait for the ends that are cut from a worker's list after a takeover

What callers would see: a task that runs again after it was done (TWICE).

Cause: a new leader took a worker's first list for complete though ends may be missing from it, ended its recovery, and placed tasks whose ends it hadn't read.

Change: a worker counts as reconciled once it has sent a list that isn't cut.

--- a/crates/gentianlane/src/fleet/dispatch/reconcile.rs
+++ b/crates/gentianlane/src/fleet/dispatch/reconcile.rs
@@ -63,7 +63,8 @@
             session.lease_end = session.lease_end.max(end);
         }
         session.unanswered = 0;
-        session.reconciled = true;
+        // What ran under an earlier leader isn't known while ends are missing.
+        session.reconciled |= !status.ends_cut;
         self.open_listed_stages(state, status, now, wall);
         for ended in &status.ended {
             self.handle_run_end(state, worker, ended, now, wall);
--- a/crates/gentianlane/tests/fleet/regression.rs
+++ b/crates/gentianlane/tests/fleet/regression.rs
@@ -251,3 +251,25 @@
         .any(|order| matches!(order.action, Action::Start(_)));
     assert!(!started, "{orders:?}");
 }
+
+/// The next leader read a list of ends that was cut, and started tasks that were done.
+#[test]
+fn a_new_leader_waits_for_the_ends_that_are_cut_from_a_list() {
+    for seed in 1..=4 {
+        let mut world = World::new(1, seed).with_plan(plan(1, false));
+        world.workers[0].ends_limit = 1;
+        world.run_time = 1_700;
+        world.submit(7, &job(8, 500));
+        world.run(1_600);
+        let leader = world.leader().expect("a leader");
+        world.kill(leader);
+        assert!(world.workers[0].ended.is_empty(), "a run has ended early");
+        while world.workers[0].ended.len() < 8 {
+            world.run(1);
+        }
+        world.restart(leader);
+        world.run(10_000);
+        assert_eq!(phase(&mut world, 7), Some(Phase::Completed));
+        assert_eq!(world.observed_runs.len(), 8, "seed {seed}");
+    }
+}
--- a/crates/gentianlane/tests/fleet/world.rs
+++ b/crates/gentianlane/tests/fleet/world.rs
@@ -540,9 +540,6 @@
         }
     }
 
-    /// Answers a lease renewal at once if a run has ended, else at `until`.
-    ///
-    /// The answer is lost if the incarnation at which it waits has exited.
     /// How long an order is delayed, if it is, in milliseconds.
     fn draw_delay(&mut self) -> Option<u64> {
         let Faults {
@@ -578,6 +575,9 @@
         }
     }
 
+    /// Answers a lease renewal at once if a run has ended, else at `until`.
+    ///
+    /// The answer is lost if the incarnation at which it waits has exited.
     fn handle_renewal(
         &mut self,
         from: id::Node,
