Bind no task to a worker that has left

What callers would see: a task that waits up to 13 s for nothing, where starts carry no tickets. Found in review.

Cause: a worker that drained or whose address another had taken bound nothing, but one that had left did: its leaving released no binding, and a start that was still awaited when it left bound its task again.

Change: a worker that leaves binds nothing, and neither does one without a session.

--- a/crates/gentianlane/src/fleet/dispatch/event.rs
+++ b/crates/gentianlane/src/fleet/dispatch/event.rs
@@ -47,6 +47,7 @@
             }
             Event::WorkerLeft(incarnation) => {
                 self.remove_incarnation(incarnation, Cause::Left);
+                self.unconfirmed.unbind(&incarnation.worker, now);
             }
         }
     }
--- a/crates/gentianlane/src/fleet/dispatch/unconfirmed.rs
+++ b/crates/gentianlane/src/fleet/dispatch/unconfirmed.rs
@@ -150,7 +150,7 @@
             run,
             demand,
             until,
-            binds_until: match session.is_some_and(|session| session.draining) {
+            binds_until: match session.is_none_or(|session| session.draining) {
                 true => order.sent_at,
                 false => order.ticket_until.map_or(until, |end| end.min(until)),
             },
--- a/crates/gentianlane/tests/fleet/regression.rs
+++ b/crates/gentianlane/tests/fleet/regression.rs
@@ -1,5 +1,6 @@
 //! Single failures that random histories found once, each set up without chance.
 
+use gentianlane::fleet::call::Call;
 use gentianlane::fleet::dispatch::{Dispatcher, Setup};
 use gentianlane::fleet::job::{Id, Phase, Resources, Stage, Task};
 use gentianlane::fleet::order::{
@@ -273,3 +274,28 @@
         assert_eq!(world.observed_runs.len(), 8, "seed {seed}");
     }
 }
+
+/// A task stayed bound to a worker that had left.
+#[test]
+fn a_start_without_an_answer_binds_no_task_to_a_worker_that_has_left() {
+    for after in [10, 100, 300, 600] {
+        let mut world = World::new(2, 1).with_plan(plan(1, false));
+        world.faults.delayed_orders = 1_000;
+        world.submit(7, &job(1, 500));
+        let placed = loop {
+            world.run(1);
+            if let Some(placed) = last_placed(&world) {
+                break placed;
+            }
+        };
+        world.run(after);
+        world.faults = Faults::default();
+        let mut workers = world.workers.iter();
+        let worker = workers.find(|worker| worker.incarnation.worker == placed);
+        let incarnation = worker.expect("the worker").incarnation.clone();
+        world.call(Call::Leave(incarnation));
+        world.crash(placed.as_str());
+        world.run(1_000);
+        assert_eq!(world.starts(&task(7)), 1, "left after {after} ms");
+    }
+}
