--- a/crates/gentianlane/tests/fleet/late_start.rs
+++ b/crates/gentianlane/tests/fleet/late_start.rs
@@ -168,3 +168,40 @@
     let bytes = postcard::to_allocvec(&State::default()).expect("a snapshot");
     assert_eq!(State::decode(&bytes), Ok(State::default()));
 }
+
+#[test]
+fn a_worker_that_drained_may_restart_and_carry_out_a_late_start() {
+    for seed in 1..=8 {
+        let (mut world, placed) = world_with_late_start(seed);
+        let placed = placed.expect("a start");
+        let mut workers = world.workers.iter_mut();
+        let worker = workers.find(|worker| worker.incarnation.worker == placed);
+        worker.expect("the worker").draining = true;
+        world.run(600);
+        world.crash(placed.as_str());
+        restart_for_late_start(&mut world, &placed, seed);
+    }
+}
+
+#[test]
+fn a_leader_may_be_lost_before_it_records_that_a_start_got_no_answer() {
+    for seed in 1..=8 {
+        let mut world = World::new(2, seed).with_plan(plan(1, false));
+        let scripted_runs = vec![(9_000, Outcome::Done); 4];
+        world.scripted_runs.insert(TASK, scripted_runs);
+        world.faults.delayed_orders = 1_000;
+        world.submit(7, &job(1, 500));
+        let placed = loop {
+            world.run(1);
+            if let Some(placed) = last_placed(&world) {
+                break placed;
+            }
+        };
+        world.run(20);
+        world.faults = Faults::default();
+        change_leader(&mut world);
+        world.run(100);
+        world.crash(placed.as_str());
+        restart_for_late_start(&mut world, &placed, seed);
+    }
+}
--- a/crates/gentianlane/tests/fleet/lease.rs
+++ b/crates/gentianlane/tests/fleet/lease.rs
@@ -186,3 +186,35 @@
     world.run(10_000);
     assert_eq!(world.starts(&task(7, 0)), 2);
 }
+
+#[test]
+fn a_late_grant_outlasts_the_lease_counted_by_a_leader_that_reaches_no_worker() {
+    for late in [1_500, 2_500, 4_000] {
+        let mut world = World::new(2, 1).with_plan(plan(1, true));
+        world.checks_tickets = true;
+        world.run(8_000);
+        world.crash("w1");
+        world.delays.push(Delay {
+            worker: "w0".into(),
+            kind: Kind::Grant,
+            millis: late,
+        });
+        while !world.delays.is_empty() {
+            world.run(1);
+        }
+        world.crash("w0");
+        world.run(20);
+        world.restart_worker("w0");
+        world.run(600);
+        world.submit(7, &lasting());
+        while world.starts(&task(7, 0)) == 0 {
+            world.run(1);
+        }
+        let leader = world.leader().expect("a leader");
+        world.kill(leader);
+        world.unreachable.insert("w0".into());
+        world.restart_worker("w1");
+        // The oracle fails on a second run beside the first.
+        world.run(25_000);
+    }
+}
--- a/crates/gentianlane/tests/fleet/regression.rs
+++ b/crates/gentianlane/tests/fleet/regression.rs
@@ -2,7 +2,7 @@
 
 use gentianlane::fleet::call::Call;
 use gentianlane::fleet::dispatch::{Dispatcher, Setup};
-use gentianlane::fleet::job::{Id, Phase, Resources, Stage, Task};
+use gentianlane::fleet::job::{Id, Phase, Resources, Spec, Stage, Task};
 use gentianlane::fleet::order::{
     Action, ActiveRun, Answer, CallId, EndedRun, Order, Outcome, Start, Status,
 };
@@ -94,12 +94,36 @@
         self.answer(id, Answer::Status(status));
     }
 
+    /// Answers a renewal with a status that lists run 1 of each task, with its
+    /// measurement.
+    fn answer_tasks(&mut self, id: CallId, tasks: &[(Task, u64)]) {
+        let active = |&(task, measurement): &(Task, u64)| ActiveRun {
+            task,
+            run: 1,
+            checkpoint: String::new(),
+            progress: 10,
+            measurement: Some(measurement),
+        };
+        let status = Status {
+            started_at: Some(self.worker.incarnation.started_at),
+            clock: self.now.as_millis(),
+            running: tasks.iter().map(active).collect(),
+            ended: Vec::new(),
+            ends_cut: false,
+        };
+        self.answer(id, Answer::Status(status));
+    }
+
     fn submit(&mut self, job_id: u64) {
+        self.submit_job(job_id, job(1, 500));
+    }
+
+    fn submit_job(&mut self, job_id: u64, spec: Spec) {
         let events = self.state.apply(Command::Submit {
             at: wall(),
             job: Id(job_id),
             queue: "queue".to_owned(),
-            spec: Box::new(job(1, 500)),
+            spec: Box::new(spec),
         });
         for event in events {
             let state = &self.state;
@@ -299,3 +323,33 @@
         assert_eq!(world.starts(&task(7)), 1, "left after {after} ms");
     }
 }
+
+/// A throttling order without an answer counted as carried out.
+#[test]
+fn a_throttling_order_without_an_answer_is_sent_again() {
+    let mut leader = Leader::new(2);
+    let mut serving = job(1, 500);
+    serving.steps[0].long_running = true;
+    serving.steps[0].tail_limit = Some(Span::from_millis(100));
+    let mut filling = job(1, 500);
+    filling.steps[0].best_effort = true;
+    leader.submit_job(8, serving);
+    leader.submit_job(9, filling);
+    let mut throttled = 0;
+    for _ in 0..200 {
+        for order in leader.orders(50) {
+            match order.action {
+                // The tail of the serving task is nine times its limit.
+                Action::Renew { .. } => {
+                    leader.answer_tasks(order.id, &[(task(8), 900), (task(9), 500)]);
+                }
+                Action::Throttle { .. } => {
+                    throttled += 1;
+                    leader.answer(order.id, Answer::Lost);
+                }
+                Action::Start(_) | Action::Stop { .. } => {}
+            }
+        }
+    }
+    assert!(throttled > 1, "{throttled} orders in 10 s");
+}
