--- a/crates/gentianlane/src/fleet/dispatch/lease.rs
+++ b/crates/gentianlane/src/fleet/dispatch/lease.rs
@@ -279,12 +279,12 @@
         let at_once = !session.reconciled || session.unanswered > 0;
         // Runs that are being stopped, and refused starts of which an earlier try may
         // have been carried out.
-        let is_unsettled =
+        let is_in_doubt =
             |run: &Run| run.state != RunState::Running && run.confirmed_at.is_some();
-        let any_unsettled = session.runs.values().any(is_unsettled);
+        let any_in_doubt = session.runs.values().any(is_in_doubt);
         let wait = match at_once || deadline.is_none() {
             true => Span::ZERO,
-            false if any_unsettled => STOP_WAIT,
+            false if any_in_doubt => STOP_WAIT,
             false => self.setup.renewal_wait,
         };
         let timeout = wait + self.setup.renewal_margin;
--- a/crates/gentianlane/tests/fleet/fuzz.rs
+++ b/crates/gentianlane/tests/fleet/fuzz.rs
@@ -201,7 +201,7 @@
     );
 }
 
-/// What the workers of a history with unsound workers are told by.
+/// Whether the starts of a history with unsound workers carry tickets.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Starts {
     /// Starts carry tickets, each for one incarnation of a worker and 2 s.
--- a/crates/gentianlane/tests/fleet/lease.rs
+++ b/crates/gentianlane/tests/fleet/lease.rs
@@ -93,7 +93,7 @@
 }
 
 #[test]
-fn a_grant_to_an_earlier_life_may_outlast_the_lease_of_the_next() {
+fn a_grant_to_an_earlier_incarnation_may_outlast_the_lease_of_the_next() {
     for silent_after in (2_000..7_000).step_by(500) {
         let mut world = World::new(2, 1).with_plan(plan(1, false));
         restart_beside_late_grant(&mut world, silent_after + 150);
@@ -138,7 +138,7 @@
 }
 
 #[test]
-fn a_start_without_an_answer_may_reach_a_later_life_of_a_silent_worker() {
+fn a_start_without_an_answer_may_reach_a_later_incarnation_of_a_silent_worker() {
     for late in (4_000..12_000).step_by(1_000) {
         let mut world = World::new(2, 1).with_plan(plan(1, false));
         world.run(1_000);
--- a/crates/gentianlane/tests/fleet/regression.rs
+++ b/crates/gentianlane/tests/fleet/regression.rs
@@ -216,7 +216,8 @@
     assert_eq!(status.ended.len(), 1, "the end that no leader has received");
 }
 
-/// A start in doubt, stopped in a later incarnation, had its task start once more.
+/// The end of a start in doubt in a later incarnation had its task, which ran elsewhere,
+/// placed again.
 #[test]
 fn a_start_in_doubt_that_is_stopped_leaves_the_run_elsewhere_alone() {
     let mut world = World::new(3, 1).with_plan(plan(1, true));
--- a/crates/gentianlane/tests/fleet/world.rs
+++ b/crates/gentianlane/tests/fleet/world.rs
@@ -677,8 +677,8 @@
     /// a worker, and not expired.
     fn is_valid_ticket(&self, at: usize, ticket: &str) -> bool {
         let started_at = self.workers[at].incarnation.started_at;
-        let life = ticket.split_once('/').map(|(_, life)| life);
-        life == Some(started_at.as_millis().to_string().as_str())
+        let started = ticket.split_once('/').map(|(_, started)| started);
+        started == Some(started_at.as_millis().to_string().as_str())
             && !is_expired(Some(ticket), self.now)
     }
 
