--- a/crates/gentianlane-daemon/src/fleet/control.rs
+++ b/crates/gentianlane-daemon/src/fleet/control.rs
@@ -303,8 +303,8 @@
             return Ok(());
         }
         match self.write_durable() {
-            Err(Fault::DiskFull { .. }) if was_full => return Ok(()),
-            Err(fault @ Fault::DiskFull { .. }) => {
+            Err(fault) if fault.is_exhaustion() && was_full => return Ok(()),
+            Err(fault) if fault.is_exhaustion() => {
                 warn!(self.log, "disk_full"; "fault" => %fault);
                 return Ok(());
             }
--- a/crates/gentianlane-store/src/disk.rs
+++ b/crates/gentianlane-store/src/disk.rs
@@ -13,9 +13,14 @@
 const LOCK_FILE: &str = "lock";
 
 /// A folder in a real file system; files stay open after their first use.
+///
+/// Only a new file needs another descriptor, so that the files in use can be
+/// written and synced in a process that has none left.
 #[derive(Debug)]
 pub struct Disk {
     path: PathBuf,
+    /// The folder itself, for syncing it; `None` if it is read only.
+    folder: Option<File>,
     files: RefCell<IndexMap<String, File>>,
     writable: bool,
     /// Keeps the folder locked until it is dropped; `None` if it is read only.
@@ -46,6 +51,7 @@
         }
         Ok(Self {
             path: path.to_owned(),
+            folder: Some(File::open(path).map_err(fail)?),
             files: RefCell::default(),
             writable: true,
             _lock: Some(lock),
@@ -57,6 +63,7 @@
     pub fn read_only(path: impl AsRef<Path>) -> Self {
         Self {
             path: path.as_ref().to_owned(),
+            folder: None,
             files: RefCell::default(),
             writable: false,
             _lock: None,
@@ -124,9 +131,14 @@
     }
 
     fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
-        self.close(from);
-        self.close(to);
-        fs::rename(self.path.join(from), self.path.join(to))
+        fs::rename(self.path.join(from), self.path.join(to))?;
+        // An open file keeps its descriptor under the new name.
+        let mut files = self.files.borrow_mut();
+        files.swap_remove(to);
+        if let Some(file) = files.swap_remove(from) {
+            files.insert(to.to_owned(), file);
+        }
+        Ok(())
     }
 
     fn remove(&mut self, name: &str) -> io::Result<()> {
@@ -135,6 +147,9 @@
     }
 
     fn sync_folder(&mut self) -> io::Result<()> {
-        File::open(&self.path)?.sync_all()
+        match &self.folder {
+            Some(folder) => folder.sync_all(),
+            None => File::open(&self.path)?.sync_all(),
+        }
     }
 }
--- a/crates/gentianlane-store/src/fault.rs
+++ b/crates/gentianlane-store/src/fault.rs
@@ -7,9 +7,9 @@
 
 /// Why a data folder can't be opened, read or written.
 ///
-/// After a write that failed with [`Fault::DiskFull`], [`Fault::Encode`] or
-/// [`Fault::Gap`], the journal is as it was before and can still be used. Any
-/// other fault of a write ends its use.
+/// After a write that failed with [`Fault::DiskFull`], [`Fault::TooManyFiles`],
+/// [`Fault::Encode`] or [`Fault::Gap`], the journal is as it was before and can
+/// still be used. Any other fault of a write ends its use.
 #[derive(Debug, Display, Error)]
 pub enum Fault {
     /// An operation on a file failed.
@@ -28,6 +28,15 @@
         /// The name of the file that was written.
         file: String,
     },
+    /// The process has no file descriptor left to open a file with; nothing of the
+    /// write is kept.
+    #[display("{file}: {source}")]
+    TooManyFiles {
+        /// The name of the file, or `folder` for the folder itself.
+        file: String,
+        /// The error of the operating system.
+        source: io::Error,
+    },
     /// A sync failed, or a change whose outcome has to be known: written data
     /// may be lost, and a second sync may still report success, so the process
     /// has to exit.
@@ -85,9 +94,13 @@
 }
 
 impl Fault {
-    /// A failed read or write; [`Fault::DiskFull`] if space ran out.
+    /// A failed read or write; [`Fault::DiskFull`] if space ran out, and
+    /// [`Fault::TooManyFiles`] if descriptors did.
     pub(crate) fn from_io(file: &str, source: io::Error) -> Self {
         let file = file.to_owned();
+        if matches!(source.raw_os_error(), Some(EMFILE | ENFILE)) {
+            return Self::TooManyFiles { file, source };
+        }
         match source.kind() {
             io::ErrorKind::StorageFull
             | io::ErrorKind::QuotaExceeded
@@ -118,7 +131,22 @@
     pub fn leaves_usable(&self) -> bool {
         matches!(
             self,
-            Self::DiskFull { .. } | Self::Encode | Self::Gap { .. }
+            Self::DiskFull { .. }
+                | Self::TooManyFiles { .. }
+                | Self::Encode
+                | Self::Gap { .. }
         )
     }
+
+    /// Whether space or descriptors ran out, so that the same write can succeed
+    /// once there is room again.
+    #[must_use]
+    pub fn is_exhaustion(&self) -> bool {
+        matches!(self, Self::DiskFull { .. } | Self::TooManyFiles { .. })
+    }
 }
+
+/// The error numbers of a process and of a system without a free descriptor;
+/// [`io::ErrorKind`] has no kind for them.
+const EMFILE: i32 = 24;
+const ENFILE: i32 = 23;
--- a/crates/gentianlane-store/src/journal.rs
+++ b/crates/gentianlane-store/src/journal.rs
@@ -117,8 +117,9 @@
     ///
     /// # Errors
     ///
-    /// [`Fault::DiskFull`] if there is no space left: none of the records is
-    /// kept, and the journal can still be used. After a fault for which
+    /// [`Fault::DiskFull`] or [`Fault::TooManyFiles`] if there is no space or no
+    /// descriptor left: none of the records is kept, and the journal can still be
+    /// used. After a fault for which
     /// [`Fault::leaves_usable`] is false the process has to exit.
     pub fn append(&mut self, records: &[Record]) -> Result<(), Fault> {
         self.poison_on_fault(|journal| journal.append_records(records))
@@ -226,7 +227,7 @@
             Ok(()) => Ok(()),
             // Synced frames are durable without the mark.
             Err(source) => match Fault::from_io(&name, source) {
-                Fault::DiskFull { .. } => Ok(()),
+                fault if fault.is_exhaustion() => Ok(()),
                 fault => Err(fault),
             },
         }
@@ -341,7 +342,7 @@
         match self.write_frame(Kind::SnapshotPointer, &body) {
             // The snapshot is valid without its pointer, and removing obsolete
             // files frees space.
-            Err(Fault::DiskFull { .. }) => self.roll_back(start),
+            Err(fault) if fault.is_exhaustion() => self.roll_back(start),
             result => result,
         }
     }
@@ -353,7 +354,11 @@
         number: u64,
         first_segment: u64,
     ) -> Result<(), Fault> {
-        let names = recovery::file_names(&*self.folder)?;
+        let names = match recovery::file_names(&*self.folder) {
+            // The next snapshot removes them.
+            Err(Fault::TooManyFiles { .. }) => return Ok(()),
+            names => names?,
+        };
         let old = segment::numbers(&names)
             .into_iter()
             .filter(|&it| it < first_segment);
