Keep connections to workers within a budget of descriptors, and tell what never left

Cause: at 1,100 workers the leader ran out of its 4,324 descriptors: up to four idle connections were kept for each address, whatever the process could open.

Change: a pool without I/O (fleet/delivery/connection.rs in the core crate) decides which connection carries a request: the peer's idle one used last, a new one while the budget has room, then in place of the one idle longest. Renewals, whose answers are held back, may take half of it. The budget of workers, callers, links and a reserve comes from the process's limit, or from the settings, which are refused at start if they add up to more. A request that failed before a byte was sent is Unsent, with its reason, or Unreachable if no connection could be opened; one on a connection that was closed while idle goes over a new one. The leader lease is checked again once there is a connection.

Tests: connection_budget.rs (pool), client.rs (connection that dies before and after the first byte, budget used up, permission that ends while it waits, 1,100 workers within 1,200 connections), descriptors.rs (process at its limit). On the way the pool looped for ever on a waiter that its peer could not take; found by the random calls.

--- a/crates/gentianlane-daemon/src/fleet/core.rs
+++ b/crates/gentianlane-daemon/src/fleet/core.rs
@@ -34,6 +34,7 @@
     Control, EFFECT_QUEUE_LIMIT, Effect, Input, Inputs, Queued, ReplyTarget,
     control_address,
 };
+use crate::fleet::delivery::{Budget, OrderLosses};
 use crate::fleet::forward::{self, ForwardOutcome, Forwarder, lock};
 use crate::fleet::lateness::{self, Lateness};
 use crate::fleet::link;
@@ -42,7 +43,7 @@
 use crate::fleet::server::{self, HttpRequest, Server};
 use crate::fleet::settings::Fault;
 use crate::fleet::stop::{SignalRequest, Signals};
-use crate::fleet::traffic::{OrderLosses, Traffic};
+use crate::fleet::traffic::Traffic;
 
 /// The cell's name in frames between cores. A frame with another name comes
 /// from a node that isn't a fleet's core, and is dropped.
@@ -89,6 +90,8 @@
     pub(super) inputs: Inputs,
     /// Forwards calls to the leader while this node doesn't lead.
     pub(super) forwarder: Forwarder,
+    /// The process's descriptors.
+    pub(super) budget: Budget,
     /// The control thread's last hint, without the entries.
     pub(super) leader_hint: Arc<Mutex<LeaderHint>>,
     /// The connections from forwarders, by relay number.
@@ -142,8 +145,9 @@
     let log = log_writer.logger(&settings.node);
     let clock = Clock::start();
     let node = identity(&settings)?;
+    let budget = settings.descriptor_budget();
     info!(log, "starts"; "id" => %node, "bootstrap" => settings.bootstrap,
-        "seeds" => ?settings.seeds);
+        "seeds" => ?settings.seeds, "budget" => %budget);
     let (journal, durable_state) = open_journal(&settings, node)?;
     let built = build_node(&settings, node, durable_state, clock.now());
     let (inputs, receiver) = Inputs::queue(clock);
@@ -190,6 +194,7 @@
         clock,
         inputs,
         forwarder: Forwarder::new(&settings, clock, metrics.clone(), log.clone()),
+        budget,
         leader_hint: Arc::default(),
         links: Arc::default(),
         dial_wakers: Arc::default(),
@@ -293,7 +298,7 @@
     mut effect_wait: Lateness,
 ) -> Result<()> {
     let mut signals = Signals::listen().into_diagnostic()?;
-    let server = Server::new();
+    let server = Server::new(shared.budget.callers);
     let listener = TcpListener::bind(settings.link_address())
         .await
         .into_diagnostic()?;
@@ -422,11 +427,24 @@
 /// Accepts connections from other processes of the fleet.
 async fn accept(listener: TcpListener, node: id::Node, shared: Shared) {
     let mut last: Relay = OWN_RELAY;
+    // Each open link holds a clone.
+    let open = Arc::new(());
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
+            Ok((stream, address)) => {
+                let others = Arc::strong_count(&open) - 1;
+                if others >= shared.budget.links {
+                    warn!(shared.log, "link_refused"; "from" => %address,
+                        "open" => others);
+                    continue;
+                }
                 last += 1;
-                tokio::spawn(serve_link(stream, last, node, shared.clone()));
+                let served = serve_link(stream, last, node, shared.clone());
+                let open = open.clone();
+                tokio::spawn(async move {
+                    served.await;
+                    drop(open);
+                });
             }
             Err(error) => {
                 warn!(shared.log, "accept"; "error" => %error);
--- a/crates/gentianlane-daemon/src/fleet/delivery/client.rs
+++ b/crates/gentianlane-daemon/src/fleet/delivery/client.rs
@@ -1,10 +1,15 @@
-//! The HTTP client for workers and the adviser, with a pool of idle connections.
+//! The HTTP client for workers and the adviser. Its connections keep within a
+//! budget, and what couldn't be sent is told from what may have arrived.
 
 use std::collections::HashMap;
+use std::io;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use gentianlane::fleet::delivery::connection::{
+    Claim, Class, Grant, Limits, Pool, Waiter,
+};
 use gentianlane::fleet::order::{AdviceRequest, AdviceResponse};
 use gentianlane_platform::OutgoingRequest;
 use http_body_util::{BodyExt, Full, Limited};
@@ -14,24 +19,29 @@
 use hyper::{Method, Request};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::sync::oneshot;
+use tokio::time::{Instant, timeout};
 
 use crate::fleet::deadline;
 
-/// The time limit for opening a connection.
+/// The time limit for getting a connection: for waiting until the budget has room,
+/// and for opening it.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// The longest response body, in bytes.
 const BODY_LIMIT: usize = 8 << 20;
 
-/// The most idle connections to one address that are kept.
-const IDLE_LIMIT: usize = 4;
-
 /// A client; clones share its connections.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub(crate) struct Client {
-    /// The idle connections, by address.
-    idle: Arc<Mutex<HashMap<SocketAddr, Vec<Connection>>>>,
+    connections: Arc<Mutex<Connections>>,
+}
+
+#[derive(Debug)]
+struct Connections {
+    pool: Pool<SocketAddr, Connection>,
+    /// The requests that wait for a connection.
+    waiting: HashMap<Waiter, oneshot::Sender<Lease>>,
 }
 
 type Connection = SendRequest<Full<Bytes>>;
@@ -41,98 +51,283 @@
 pub(crate) enum RequestOutcome {
     /// A complete response: its status and body.
     Answered(u16, Bytes),
-    /// The connection was refused, so the request can't have had an effect.
-    Refused,
+    /// No byte was sent, for a reason on this side.
+    Unsent(Hindrance),
+    /// No connection could be opened, so no byte was sent.
+    Unreachable,
     /// The connection failed; the request may have had an effect.
     Lost,
     /// No complete response came in time; the request may have had an effect.
     TimedOut,
 }
 
+/// Why a process didn't send a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Hindrance {
+    /// The permission to send it had ended.
+    Expired,
+    /// The budget of connections was used up for too long.
+    NoConnection,
+    /// The process had no descriptor left.
+    NoDescriptor,
+    /// The request can't be encoded.
+    Malformed,
+}
+
 impl Client {
-    /// Sends a request and waits for the complete response, within the limit.
+    /// A client without connections.
+    pub(crate) fn new(limits: Limits) -> Self {
+        let connections = Connections {
+            pool: Pool::new(limits),
+            waiting: HashMap::new(),
+        };
+        Self {
+            connections: Arc::new(Mutex::new(connections)),
+        }
+    }
+
+    /// The connections that are open or being opened.
+    pub(crate) fn open_connections(&self) -> usize {
+        self.lock().pool.open()
+    }
+
+    /// Sends a request, if `is_permitted` says so once it has a connection, and
+    /// waits for the complete response within the limit.
     pub(crate) async fn send(
         &self,
         address: SocketAddr,
         outgoing: OutgoingRequest,
+        class: Class,
         limit: Duration,
+        is_permitted: impl Fn() -> bool,
     ) -> RequestOutcome {
-        let exchange = self.exchange(address, outgoing);
-        let outcome = deadline::timeout(limit, exchange).await;
-        let outcome = outcome.unwrap_or(RequestOutcome::TimedOut);
-        if matches!(outcome, RequestOutcome::Lost | RequestOutcome::TimedOut) {
+        let Some(request) = request(address, outgoing) else {
+            return RequestOutcome::Unsent(Hindrance::Malformed);
+        };
+        match self
+            .try_send(address, request, class, limit, &is_permitted)
+            .await
+        {
+            Ok(outcome) => outcome,
+            // The connection had been closed meanwhile.
+            Err(request) => {
+                self.close_idle(address);
+                let again = self.try_send(address, request, class, limit, &is_permitted);
+                again.await.unwrap_or(RequestOutcome::Unreachable)
+            }
+        }
+    }
+
+    /// As [`Client::send`]; gives the request back if its connection turns out to be
+    /// closed before any of it was sent.
+    async fn try_send(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        class: Class,
+        limit: Duration,
+        is_permitted: &impl Fn() -> bool,
+    ) -> Result<RequestOutcome, Request<Full<Bytes>>> {
+        let mut lease = match self.connection(address, class).await {
+            Ok(lease) => lease,
+            Err(outcome) => return Ok(outcome),
+        };
+        if !is_permitted() {
+            return Ok(RequestOutcome::Unsent(Hindrance::Expired));
+        }
+        let exchange = deadline::timeout(limit, lease.exchange(request)).await;
+        let outcome = exchange.unwrap_or(Ok(RequestOutcome::TimedOut));
+        drop(lease);
+        if matches!(outcome, Ok(RequestOutcome::Lost | RequestOutcome::TimedOut)) {
             // The other connections to the address may be dead as well.
-            self.lock().remove(&address);
+            self.close_idle(address);
         }
         outcome
     }
 
-    async fn exchange(
+    /// An open connection to an address.
+    async fn connection(
         &self,
         address: SocketAddr,
-        outgoing: OutgoingRequest,
-    ) -> RequestOutcome {
-        let Some(request) = request(address, outgoing) else {
-            return RequestOutcome::Lost;
-        };
-        let mut connection = match self.take_idle(address) {
-            Some(connection) => connection,
-            None => match connect(address).await {
-                Ok(connection) => connection,
-                Err(outcome) => return outcome,
-            },
+        class: Class,
+    ) -> Result<Lease, RequestOutcome> {
+        let started = Instant::now();
+        let mut lease = self.claim(address, class).await?;
+        if lease.connection.is_none() {
+            let left = CONNECT_TIMEOUT.saturating_sub(started.elapsed());
+            lease.connection = Some(connect(address, left).await?);
+        }
+        Ok(lease)
+    }
+
+    /// Claims an idle connection or the permission to open one.
+    async fn claim(
+        &self,
+        address: SocketAddr,
+        class: Class,
+    ) -> Result<Lease, RequestOutcome> {
+        let no_connection = RequestOutcome::Unsent(Hindrance::NoConnection);
+        let (waiter, receiver) = {
+            let mut connections = self.lock();
+            match connections.claim(&address, class) {
+                Claim::Granted(grant) => {
+                    return Ok(self.lease(address, class, grant));
+                }
+                Claim::Refused => return Err(no_connection),
+                Claim::Waits(waiter) => {
+                    let (sender, receiver) = oneshot::channel();
+                    connections.waiting.insert(waiter, sender);
+                    (waiter, receiver)
+                }
+            }
         };
-        let Ok(response) = connection.send_request(request).await else {
-            return RequestOutcome::Lost;
+        let wait = Wait {
+            client: self.clone(),
+            waiter,
         };
-        let status = response.status().as_u16();
-        let body = Limited::new(response.into_body(), BODY_LIMIT);
-        let Ok(body) = body.collect().await else {
-            return RequestOutcome::Lost;
+        let granted = timeout(CONNECT_TIMEOUT, receiver).await;
+        drop(wait);
+        match granted {
+            Ok(Ok(lease)) => Ok(lease),
+            Ok(Err(_)) | Err(_) => Err(no_connection),
+        }
+    }
+
+    fn lease(
+        &self,
+        address: SocketAddr,
+        class: Class,
+        grant: Grant<Connection>,
+    ) -> Lease {
+        let connection = match grant {
+            Grant::Reuse(connection) => Some(connection),
+            Grant::Open => None,
         };
-        self.return_idle(address, connection);
-        RequestOutcome::Answered(status, body.to_bytes())
+        Lease {
+            client: self.clone(),
+            address,
+            class,
+            connection,
+        }
     }
 
-    /// Takes an idle connection that is still open.
-    fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
-        let mut idle = self.lock();
-        let connections = idle.get_mut(&address)?;
+    /// Closes the idle connections to an address.
+    fn close_idle(&self, address: SocketAddr) {
+        self.change(|pool| pool.close_idle(&address));
+    }
+
+    /// Changes the pool, and lets those requests go on that can now.
+    fn change(&self, change: impl FnOnce(&mut Pool<SocketAddr, Connection>)) {
+        let mut connections = self.lock();
+        change(&mut connections.pool);
+        let mut granted = Vec::new();
+        while let Some((waiter, address, class, grant)) = connections.pool.next_grant() {
+            let lease = self.lease(address, class, grant);
+            granted.push((connections.waiting.remove(&waiter), lease));
+        }
+        drop(connections);
+        for (sender, lease) in granted {
+            // A lease that nobody waits for any more is given back on its drop.
+            let _ = sender.map(|sender| sender.send(lease));
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Connections> {
+        self.connections
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Connections {
+    /// Claims a connection; idle ones that the other side has closed are left out.
+    fn claim(&mut self, address: &SocketAddr, class: Class) -> Claim<Connection> {
         loop {
-            let connection = connections.pop()?;
-            if connection.is_ready() {
-                return Some(connection);
+            match self.pool.claim(address, class) {
+                Claim::Granted(Grant::Reuse(connection)) if !connection.is_ready() => {
+                    self.pool.give_back(address, class, None);
+                }
+                claim => return claim,
             }
         }
     }
+}
 
-    fn return_idle(&self, address: SocketAddr, connection: Connection) {
-        let mut idle = self.lock();
-        let connections = idle.entry(address).or_default();
-        if connections.len() < IDLE_LIMIT {
-            connections.push(connection);
-        }
+/// A waiting request, which is cancelled on drop.
+struct Wait {
+    client: Client,
+    waiter: Waiter,
+}
+
+impl Drop for Wait {
+    fn drop(&mut self) {
+        let mut connections = self.client.lock();
+        connections.pool.cancel(self.waiter);
+        connections.waiting.remove(&self.waiter);
+    }
+}
+
+/// A share of the budget, with its connection once that is open. It is given back
+/// on drop.
+#[derive(Debug)]
+struct Lease {
+    client: Client,
+    address: SocketAddr,
+    class: Class,
+    connection: Option<Connection>,
+}
+
+impl Lease {
+    /// Sends a request and reads the response. The connection is kept only if both
+    /// succeed.
+    async fn exchange(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<RequestOutcome, Request<Full<Bytes>>> {
+        let Some(mut connection) = self.connection.take() else {
+            return Err(request);
+        };
+        let response = match connection.try_send_request(request).await {
+            Ok(response) => response,
+            Err(mut error) => match error.take_message() {
+                Some(request) => return Err(request),
+                None => return Ok(RequestOutcome::Lost),
+            },
+        };
+        let status = response.status().as_u16();
+        let body = Limited::new(response.into_body(), BODY_LIMIT);
+        let Ok(body) = body.collect().await else {
+            return Ok(RequestOutcome::Lost);
+        };
+        self.connection = Some(connection);
+        Ok(RequestOutcome::Answered(status, body.to_bytes()))
     }
+}
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, Vec<Connection>>> {
-        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+impl Drop for Lease {
+    fn drop(&mut self) {
+        let connection = self.connection.take().filter(|it| !it.is_closed());
+        self.client
+            .change(|pool| pool.give_back(&self.address, self.class, connection));
     }
 }
 
-async fn connect(address: SocketAddr) -> Result<Connection, RequestOutcome> {
-    let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+async fn connect(
+    address: SocketAddr,
+    limit: Duration,
+) -> Result<Connection, RequestOutcome> {
+    let stream = match timeout(limit, TcpStream::connect(address)).await {
         Ok(Ok(stream)) => stream,
-        Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
-            return Err(RequestOutcome::Refused);
+        Ok(Err(error)) if is_out_of_descriptors(&error) => {
+            return Err(RequestOutcome::Unsent(Hindrance::NoDescriptor));
         }
-        Ok(Err(_)) => return Err(RequestOutcome::Lost),
-        Err(_) => return Err(RequestOutcome::TimedOut),
+        Ok(Err(_)) | Err(_) => return Err(RequestOutcome::Unreachable),
     };
     if stream.set_nodelay(true).is_err() {
-        return Err(RequestOutcome::Lost);
+        return Err(RequestOutcome::Unreachable);
     }
     let Ok((sender, connection)) = http1::handshake(TokioIo::new(stream)).await else {
-        return Err(RequestOutcome::Lost);
+        return Err(RequestOutcome::Unreachable);
     };
     tokio::spawn(async move {
         // The request sender reports the connection's error to its user.
@@ -141,6 +336,12 @@
     Ok(sender)
 }
 
+fn is_out_of_descriptors(error: &io::Error) -> bool {
+    use nix::errno::Errno;
+    let number = error.raw_os_error().map(Errno::from_raw);
+    matches!(number, Some(Errno::EMFILE | Errno::ENFILE))
+}
+
 fn request(
     address: SocketAddr,
     outgoing: OutgoingRequest,
@@ -166,14 +367,20 @@
     let outgoing = gentianlane_platform::adviser::encode_request(request);
     let limit = request.timeout.into();
     let outcome = match adviser {
-        Some(address) => client.send(address, outgoing, limit).await,
-        None => RequestOutcome::Lost,
+        Some(address) => {
+            let sent = client.send(address, outgoing, Class::Prompt, limit, || true);
+            sent.await
+        }
+        None => RequestOutcome::Unreachable,
     };
     match outcome {
         RequestOutcome::Answered(status, body) => {
             gentianlane_platform::adviser::decode_response(request, status, &body)
         }
-        RequestOutcome::Refused | RequestOutcome::Lost | RequestOutcome::TimedOut => {
+        RequestOutcome::Unsent(_)
+        | RequestOutcome::Unreachable
+        | RequestOutcome::Lost
+        | RequestOutcome::TimedOut => {
             gentianlane_platform::adviser::decode_response(request, 0, b"")
         }
     }
--- a/crates/gentianlane-daemon/src/fleet/entry.rs
+++ b/crates/gentianlane-daemon/src/fleet/entry.rs
@@ -32,6 +32,9 @@
 /// The balancer checks every second anyway.
 const NOT_READY_RETRY: Span = Span::from_millis(1_000);
 
+/// The most connections for readiness checks and metrics.
+const BALANCER_CONNECTIONS: usize = 32;
+
 /// How often the settings file is checked for changes.
 const SETTINGS_POLL_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -53,7 +56,8 @@
     let settings = Settings::read(path)?;
     let log_writer = LogWriter::start();
     let log = log_writer.logger(&settings.node);
-    info!(log, "starts"; "seeds" => ?settings.seeds);
+    let budget = settings.descriptor_budget();
+    info!(log, "starts"; "seeds" => ?settings.seeds, "budget" => %budget);
     let forwarder = Forwarder::new(&settings, Clock::start(), Metrics::default(), log);
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
@@ -66,7 +70,8 @@
     let front = settings.front.ok_or(Fault::Missing { field: "front" })?;
     let ready = settings.ready.ok_or(Fault::Missing { field: "ready" })?;
     let mut signals = Signals::listen().into_diagnostic()?;
-    let server = Server::new();
+    let budget = settings.descriptor_budget();
+    let server = Server::new(budget.callers);
     tokio::spawn(forward::maintain_link(
         forwarder.clone(),
         settings.link_port,
@@ -74,7 +79,8 @@
     let link_listener = TcpListener::bind(settings.link_address())
         .await
         .into_diagnostic()?;
-    tokio::spawn(forward::accept(link_listener, forwarder.clone()));
+    let accepting = forward::accept(link_listener, forwarder.clone(), budget.links);
+    tokio::spawn(accepting);
     let caller_forwarder = forwarder.clone();
     server
         .listen(front, move |request| {
@@ -83,7 +89,7 @@
         .await
         .into_diagnostic()?;
     let (ready_forwarder, own_server) = (forwarder.clone(), server.clone());
-    let balancer = Server::new();
+    let balancer = Server::new(BALANCER_CONNECTIONS);
     balancer
         .listen(ready, move |_| {
             readiness(ready_forwarder.clone(), own_server.clone())
--- a/crates/gentianlane-daemon/src/fleet/forward.rs
+++ b/crates/gentianlane-daemon/src/fleet/forward.rs
@@ -23,7 +23,7 @@
 
 use crate::clock::Clock;
 use crate::fleet::Settings;
-use crate::fleet::client::{Client, request_advice};
+use crate::fleet::delivery::{Client, request_advice};
 use crate::fleet::link;
 use crate::fleet::metrics::Metrics;
 
@@ -133,7 +133,7 @@
             adviser: Arc::new(Mutex::new(settings.adviser_address())),
             downstream: Arc::default(),
             directory: Arc::new(Mutex::new(directory)),
-            client: Client::default(),
+            client: Client::new(settings.descriptor_budget().worker_limits()),
             metrics,
             is_leader: Arc::new(watch::Sender::new(false)),
             log,
@@ -364,10 +364,15 @@
 
 /// Accepts connections from downstream entries: those that can't reach the
 /// leader themselves.
-pub(crate) async fn accept(listener: TcpListener, forwarder: Forwarder) {
+///
+/// At most `limit` of them are served at a time.
+pub(crate) async fn accept(listener: TcpListener, forwarder: Forwarder, limit: usize) {
     let mut last = 0;
     loop {
         match listener.accept().await {
+            Ok((_, address)) if lock(&forwarder.downstream).len() >= limit => {
+                warn!(forwarder.log, "link_refused"; "from" => %address, "open" => limit);
+            }
             Ok((stream, _)) => {
                 last += 1;
                 tokio::spawn(serve_downstream(stream, last, forwarder.clone()));
--- a/crates/gentianlane-daemon/src/fleet/mod.rs
+++ b/crates/gentianlane-daemon/src/fleet/mod.rs
@@ -2,10 +2,10 @@
 //! send orders to workers, and entries, which forward callers' requests to the
 //! leader.
 
-mod client;
 mod control;
 mod core;
 mod deadline;
+mod delivery;
 mod entry;
 mod forward;
 mod lateness;
--- a/crates/gentianlane-daemon/src/fleet/server.rs
+++ b/crates/gentianlane-daemon/src/fleet/server.rs
@@ -33,10 +33,6 @@
 /// are the longest in use. A refusal's text repeats the number.
 const BODY_LIMIT: usize = 4 << 20;
 
-/// The most connections that are served at a time, far below the limit of the
-/// process's file descriptors. Further ones are closed.
-const CONNECTION_LIMIT: usize = 2_500;
-
 /// The parts of a request that a handler gets.
 #[derive(Debug)]
 pub(crate) struct HttpRequest {
@@ -55,15 +51,19 @@
     /// Whether responses ask to close their connection.
     stopping: Arc<AtomicBool>,
     open_connections: Arc<AtomicUsize>,
+    /// The most connections that are served at a time; further ones are closed.
+    connection_limit: usize,
     /// Whether no more connections are accepted and idle ones are closed.
     closing: watch::Sender<bool>,
 }
 
 impl Server {
-    pub(crate) fn new() -> Self {
+    /// A server for at most `connection_limit` connections at a time.
+    pub(crate) fn new(connection_limit: usize) -> Self {
         Self {
             stopping: Arc::default(),
             open_connections: Arc::default(),
+            connection_limit,
             closing: watch::Sender::new(false),
         }
     }
@@ -126,7 +126,7 @@
                 },
                 _ = closing.changed() => return,
             };
-            if self.open_connections() >= CONNECTION_LIMIT {
+            if self.open_connections() >= self.connection_limit {
                 continue;
             }
             let server = self.clone();
--- a/crates/gentianlane-daemon/src/fleet/settings.rs
+++ b/crates/gentianlane-daemon/src/fleet/settings.rs
@@ -11,6 +11,8 @@
 use miette::Diagnostic;
 use serde::Deserialize;
 
+use crate::fleet::delivery::{Budget, Descriptors};
+
 /// How much shorter leases are than the longest that workers grant, so that a
 /// lease computed from a slightly old reading of the worker's clock never asks
 /// for more than that.
@@ -68,6 +70,9 @@
     pub(crate) stop_ms: u64,
     /// The stop grace: the time from SIGTERM to SIGKILL, in seconds.
     pub(crate) grace_s: f64,
+    /// How the process divides its file descriptors among its uses.
+    #[serde(default)]
+    pub(crate) descriptors: Descriptors,
 }
 
 /// A fault of a settings file.
@@ -91,6 +96,22 @@
         #[error(source)]
         error: serde_json::Error,
     },
+    /// The budgets of descriptors exceed what the process may open.
+    #[display(
+        "{}: line {line}: the descriptors add up to {sum}, but the process may open {limit}",
+        path.display()
+    )]
+    #[diagnostic(help("lower a budget, or raise the process's limit of open files"))]
+    Descriptors {
+        /// The path of the file.
+        path: PathBuf,
+        /// The line of the key.
+        line: usize,
+        /// The sum of the budgets, of which those left out have their defaults.
+        sum: usize,
+        /// How many descriptors the process may open.
+        limit: usize,
+    },
     /// A key that this kind of process needs is missing.
     #[display("the settings lack the key {field}, which this process needs")]
     #[diagnostic(help("a core needs control and data, an entry front and ready"))]
@@ -106,20 +127,44 @@
     ///
     /// # Errors
     ///
-    /// [`Fault::File`], or [`Fault::Content`] with the line and column.
+    /// [`Fault::File`], [`Fault::Content`] with the line and column, or
+    /// [`Fault::Descriptors`].
     pub(crate) fn read(path: &Path) -> Result<Self, Fault> {
         let text = std::fs::read(path).map_err(|error| Fault::File {
             path: path.to_owned(),
             error,
         })?;
-        serde_json::from_reader(StripComments::new(text.as_slice())).map_err(|error| {
-            Fault::Content {
-                path: path.to_owned(),
-                error,
-            }
+        let parsed = serde_json::from_reader(StripComments::new(text.as_slice()));
+        let settings: Self = parsed.map_err(|error| Fault::Content {
+            path: path.to_owned(),
+            error,
+        })?;
+        settings.check_descriptors(path, &text)?;
+        Ok(settings)
+    }
+
+    /// Fails if the process can't open as many descriptors as its budgets add up to.
+    fn check_descriptors(&self, path: &Path, text: &[u8]) -> Result<(), Fault> {
+        let budget = self.descriptor_budget();
+        if budget.sum() <= budget.limit {
+            return Ok(());
+        }
+        let key = b"\"descriptors\"";
+        let mut lines = text.split(|&byte| byte == b'\n');
+        let at = lines.position(|line| line.windows(key.len()).any(|part| part == key));
+        Err(Fault::Descriptors {
+            path: path.to_owned(),
+            line: at.map_or(1, |at| at + 1),
+            sum: budget.sum(),
+            limit: budget.limit,
         })
     }
 
+    /// How the process divides its descriptors.
+    pub(crate) fn descriptor_budget(&self) -> Budget {
+        Budget::of_process(self.descriptors)
+    }
+
     /// The address for connections from other processes of the fleet.
     pub(crate) fn link_address(&self) -> SocketAddr {
         (self.ip, self.link_port).into()
--- a/crates/gentianlane-daemon/src/fleet/traffic.rs
+++ b/crates/gentianlane-daemon/src/fleet/traffic.rs
@@ -3,26 +3,24 @@
 
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 
 use flume::{Receiver, Sender};
 use gentianlane::consensus;
 use gentianlane::fleet::call::Reply;
 use gentianlane::fleet::dispatch::Relay;
 use gentianlane::fleet::link::Packet;
-use gentianlane::fleet::order::{Action, AdviceRequest, AdviceResponse, Answer, Order};
+use gentianlane::fleet::order::{AdviceRequest, AdviceResponse};
 use gentianlane::id;
-use gentianlane::unit::{Span, Time};
+use gentianlane::unit::Time;
 use gentianlane::wire::{Frame, VERSION};
-use gentianlane_platform as platform;
 use indexmap::IndexMap;
 use slog::{Logger, info, warn};
 use tokio::sync::Notify;
 
 use crate::clock::Clock;
-use crate::fleet::client::{RequestOutcome, request_advice};
 use crate::fleet::control::{Effect, Input, ReplyTarget};
 use crate::fleet::core::{CELL_NAME, OWN_RELAY, RECONNECT_DELAY, Shared, submit_input};
+use crate::fleet::delivery::{request_advice, send_order};
 use crate::fleet::forward::lock;
 use crate::fleet::link;
 
@@ -184,97 +182,3 @@
         }
     }
 }
-
-/// Why an order counts as lost.
-#[derive(Debug, Clone, Copy)]
-enum Loss {
-    /// The leader lease had ended before the order was sent.
-    Unsent,
-    /// The connection failed.
-    Broken,
-    /// No response came in time.
-    TimedOut,
-}
-
-/// The orders lost since the last line about them.
-#[derive(Debug, Default)]
-pub(super) struct OrderLosses {
-    unsent: u64,
-    broken: u64,
-    timed_out: u64,
-    reported_at: Time,
-}
-
-/// The shortest time between two lines on lost orders.
-const LOSS_REPORT_INTERVAL: Span = Span::from_millis(1_000);
-
-/// Counts an order as lost, and writes the counts if the last line is old enough.
-fn count_loss(shared: &Shared, loss: Loss) {
-    let now = shared.clock.now();
-    let mut losses = lock(&shared.order_losses);
-    match loss {
-        Loss::Unsent => losses.unsent += 1,
-        Loss::Broken => losses.broken += 1,
-        Loss::TimedOut => losses.timed_out += 1,
-    }
-    if now.since(losses.reported_at) >= LOSS_REPORT_INTERVAL {
-        let OrderLosses {
-            unsent,
-            broken,
-            timed_out,
-            ..
-        } = *losses;
-        warn!(shared.log, "orders_lost"; "unsent" => unsent, "broken" => broken,
-            "timed_out" => timed_out);
-        *losses = OrderLosses {
-            reported_at: now,
-            ..OrderLosses::default()
-        };
-    }
-}
-
-/// Sends a worker an order and hands its answer to the control thread. Once the
-/// leader lease is over the order isn't sent.
-async fn send_order(shared: Shared, order: Order, until: Option<Time>) {
-    shared.order_backlog.fetch_sub(1, Ordering::Relaxed);
-    let order_id = order.id;
-    let started = shared.clock.now();
-    let answer = match until {
-        Some(until) if started < until => {
-            let is_renewal = matches!(order.action, Action::Renew { .. });
-            let outgoing = platform::worker::encode_order(&order);
-            let limit = order.timeout.into();
-            let outcome = shared
-                .forwarder
-                .client
-                .send(order.address, outgoing, limit)
-                .await;
-            let took = shared.clock.now().since(started);
-            if !is_renewal {
-                shared.metrics.time("order", took.into());
-            }
-            match outcome {
-                RequestOutcome::Answered(status, body) => {
-                    platform::worker::decode_response(is_renewal, status, &body)
-                }
-                RequestOutcome::Refused => Answer::Unreachable,
-                RequestOutcome::Lost => {
-                    count_loss(&shared, Loss::Broken);
-                    Answer::Lost
-                }
-                RequestOutcome::TimedOut => {
-                    count_loss(&shared, Loss::TimedOut);
-                    Answer::Lost
-                }
-            }
-        }
-        _ => {
-            count_loss(&shared, Loss::Unsent);
-            Answer::Unsent
-        }
-    };
-    shared
-        .inputs
-        .send_async(Input::Answer(order_id, answer))
-        .await;
-}
--- a/crates/gentianlane-daemon/tests/client.rs
+++ b/crates/gentianlane-daemon/tests/client.rs
@@ -1,21 +1,40 @@
-//! The HTTP client of cores and entries, on a thread that runs late.
+//! The HTTP client of cores and entries: what it says of requests without an
+//! answer, also on a thread that runs late, and the budget of its connections.
 #![allow(clippy::unwrap_used, clippy::panic, reason = "a test ends at a fault")]
 
 #[path = "../src/fleet"]
 mod fleet {
-    #[allow(dead_code, reason = "the tests send orders only")]
-    pub(crate) mod client;
     pub(crate) mod deadline;
+    pub(crate) mod delivery {
+        #[allow(dead_code, reason = "the tests send orders only")]
+        pub(crate) mod client;
+    }
 }
 
+use std::cell::Cell;
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::thread;
 use std::time::Duration;
 
-use fleet::client::{Client, RequestOutcome};
+use fleet::delivery::client::{Client, Hindrance, RequestOutcome};
+use gentianlane::fleet::delivery::connection::{Class, Limits};
 use gentianlane_platform::OutgoingRequest;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::runtime::Runtime;
+use tokio::task::LocalSet;
+
+const LIMITS: Limits = Limits {
+    total: 8,
+    per_peer: 4,
+    delayed: 8,
+    waiting: 8,
+};
 
 /// The time limit of a request.
 const LIMIT: Duration = Duration::from_millis(400);
@@ -61,6 +80,11 @@
     }
 }
 
+async fn send(client: &Client, address: SocketAddr, limit: Duration) -> RequestOutcome {
+    let sent = client.send(address, request(), Class::Prompt, limit, || true);
+    sent.await
+}
+
 fn runtime() -> Runtime {
     tokio::runtime::Builder::new_current_thread()
         .enable_all()
@@ -70,10 +94,8 @@
 
 /// A client with an idle connection to the server.
 async fn connected(address: SocketAddr) -> Client {
-    let client = Client::default();
-    let first = client
-        .send(address, request(), Duration::from_secs(60))
-        .await;
+    let client = Client::new(LIMITS);
+    let first = send(&client, address, Duration::from_secs(60)).await;
     assert!(matches!(first, RequestOutcome::Answered(200, _)));
     client
 }
@@ -91,8 +113,7 @@
 fn send_and_block(address: SocketAddr, block: Block) -> RequestOutcome {
     runtime().block_on(async {
         let client = connected(address).await;
-        let sent =
-            tokio::spawn(async move { client.send(address, request(), LIMIT).await });
+        let sent = tokio::spawn(async move { send(&client, address, LIMIT).await });
         match block {
             // Runs between the task that sends and the connection's task, which
             // the former wakes.
@@ -133,3 +154,210 @@
         assert!(matches!(outcome, RequestOutcome::TimedOut), "{outcome:?}");
     }
 }
+
+/// A server that answers the first `answered` requests on each connection, and then
+/// closes it: at once, or once it has read another request. Returns its address and
+/// how many requests it has read.
+fn serve_and_close(answered: usize, at_once: bool) -> (SocketAddr, Arc<AtomicU32>) {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let address = listener.local_addr().unwrap();
+    let read = Arc::new(AtomicU32::new(0));
+    let count = read.clone();
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.unwrap();
+            let mut request = [0; 4_096];
+            let requests = answered + usize::from(!at_once);
+            for at in 0..requests {
+                if stream.read(&mut request).is_ok_and(|read| read > 0) {
+                    count.fetch_add(1, Ordering::Relaxed);
+                }
+                if at < answered {
+                    let response = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}";
+                    stream.write_all(response).unwrap();
+                }
+            }
+        }
+    });
+    (address, read)
+}
+
+#[test]
+fn a_request_on_a_connection_that_was_closed_while_idle_goes_over_a_new_one() {
+    let (address, read) = serve_and_close(1, true);
+    runtime().block_on(async {
+        let client = connected(address).await;
+        for _ in 0..10 {
+            // Leaves the runtime no time to notice that the connection is closed.
+            thread::sleep(ANSWER_DELAY);
+            let outcome = send(&client, address, LIMIT).await;
+            assert!(
+                matches!(outcome, RequestOutcome::Answered(200, _)),
+                "{outcome:?}"
+            );
+        }
+    });
+    assert_eq!(read.load(Ordering::Relaxed), 11, "none was sent twice");
+}
+
+#[test]
+fn a_connection_that_breaks_after_the_request_leaves_its_fate_open() {
+    let (address, read) = serve_and_close(1, false);
+    runtime().block_on(async {
+        let client = connected(address).await;
+        let outcome = send(&client, address, LIMIT).await;
+        assert!(matches!(outcome, RequestOutcome::Lost), "{outcome:?}");
+    });
+    assert_eq!(read.load(Ordering::Relaxed), 2, "it isn't sent again");
+}
+
+#[test]
+fn a_request_to_an_address_where_nothing_listens_was_not_sent() {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let address = listener.local_addr().unwrap();
+    drop(listener);
+    runtime().block_on(async {
+        let client = Client::new(LIMITS);
+        let outcome = send(&client, address, LIMIT).await;
+        assert!(
+            matches!(outcome, RequestOutcome::Unreachable),
+            "{outcome:?}"
+        );
+        assert_eq!(client.open_connections(), 0);
+    });
+}
+
+#[test]
+fn a_request_beyond_the_budget_waits_and_is_given_up_unsent() {
+    let (silent, answering) = (serve(false), serve(true));
+    runtime().block_on(async {
+        let client = Client::new(Limits {
+            total: 1,
+            per_peer: 1,
+            delayed: 1,
+            waiting: 1,
+        });
+        let first = send(&client, silent, LIMIT).await;
+        assert!(matches!(first, RequestOutcome::Answered(200, _)));
+        let holder = client.clone();
+        let held = tokio::spawn(async move {
+            send(&holder, silent, Duration::from_millis(1_500)).await
+        });
+        tokio::task::yield_now().await;
+        let outcome = send(&client, answering, LIMIT).await;
+        let hindrance = Hindrance::NoConnection;
+        assert!(
+            matches!(outcome, RequestOutcome::Unsent(it) if it == hindrance),
+            "{outcome:?}"
+        );
+        // One that is in time waits for the connection and gets it.
+        let held = held.await.unwrap();
+        assert!(matches!(held, RequestOutcome::TimedOut), "{held:?}");
+        let outcome = send(&client, answering, LIMIT).await;
+        assert!(
+            matches!(outcome, RequestOutcome::Answered(..)),
+            "{outcome:?}"
+        );
+        assert_eq!(client.open_connections(), 1);
+    });
+}
+
+/// A leader lease that ends while an order waits for a connection.
+#[test]
+fn a_request_whose_permission_ends_while_it_waits_is_not_sent() {
+    let (silent, (other, read)) = (serve(false), serve_and_close(1, true));
+    runtime().block_on(async {
+        let client = Client::new(Limits {
+            total: 1,
+            per_peer: 1,
+            delayed: 1,
+            waiting: 1,
+        });
+        send(&client, silent, LIMIT).await;
+        let holder = client.clone();
+        tokio::spawn(async move {
+            send(&holder, silent, Duration::from_millis(200)).await;
+        });
+        tokio::task::yield_now().await;
+        let asked = Cell::new(0);
+        let ended = || {
+            asked.set(asked.get() + 1);
+            false
+        };
+        let outcome = client.send(other, request(), Class::Prompt, LIMIT, ended);
+        let outcome = outcome.await;
+        let hindrance = Hindrance::Expired;
+        assert!(
+            matches!(outcome, RequestOutcome::Unsent(it) if it == hindrance),
+            "{outcome:?}"
+        );
+        assert_eq!(asked.get(), 1);
+    });
+    assert_eq!(read.load(Ordering::Relaxed), 0);
+}
+
+/// Serves every address of the loopback net on one port; each connection answers its
+/// requests one by one. Returns the port, and counts connections.
+async fn serve_net(accepted: Rc<Cell<u32>>) -> u16 {
+    let listener = tokio::net::TcpListener::bind((Ipv4Addr::UNSPECIFIED, 0));
+    let listener = listener.await.unwrap();
+    let port = listener.local_addr().unwrap().port();
+    tokio::task::spawn_local(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            accepted.set(accepted.get() + 1);
+            tokio::task::spawn_local(async move {
+                let mut request = [0; 4_096];
+                while stream.read(&mut request).await.is_ok_and(|read| read > 0) {
+                    let response = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}";
+                    if stream.write_all(response).await.is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    port
+}
+
+/// At most a tenth of the orders may open a connection, and none may exceed the
+/// budget: a third of what each worker could take.
+#[test]
+fn a_client_with_1100_workers_keeps_within_its_budget() {
+    const WORKERS: u32 = 1_100;
+    const ORDERS: u32 = 22_000;
+    let budget = Limits {
+        total: 1_200,
+        per_peer: 3,
+        delayed: 600,
+        waiting: 512,
+    };
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    LocalSet::new().block_on(&runtime(), async {
+        let accepted = Rc::new(Cell::new(0));
+        let port = serve_net(accepted.clone()).await;
+        let client = Client::new(budget);
+        let mut sent = Vec::new();
+        for order in 0..ORDERS {
+            let worker: u32 = rng.random_range(0..WORKERS);
+            let [high, low, ..] = (worker as u16).to_be_bytes();
+            let address = SocketAddr::from((Ipv4Addr::new(127, 99, high, low), port));
+            let sender = client.clone();
+            sent.push(tokio::task::spawn_local(async move {
+                send(&sender, address, Duration::from_secs(60)).await
+            }));
+            // Up to a hundred orders are in flight.
+            if order % 100 == 99 {
+                for sent in sent.drain(..) {
+                    let outcome = sent.await.unwrap();
+                    assert!(
+                        matches!(outcome, RequestOutcome::Answered(200, _)),
+                        "{outcome:?}"
+                    );
+                }
+            }
+            assert!(client.open_connections() <= budget.total);
+        }
+        let opened = accepted.get();
+        assert!(opened * 10 <= ORDERS, "{opened} of {ORDERS}");
+    });
+}
--- a/crates/gentianlane/src/fleet/mod.rs
+++ b/crates/gentianlane/src/fleet/mod.rs
@@ -8,6 +8,7 @@
 pub mod call;
 pub mod command;
 pub mod decision;
+pub mod delivery;
 pub mod discovery;
 pub mod dispatch;
 pub mod job;
--- a/crates/gentianlane/src/fleet/order.rs
+++ b/crates/gentianlane/src/fleet/order.rs
@@ -99,12 +99,14 @@
     },
     /// The process at the address is another worker or incarnation.
     OtherIncarnation,
-    /// The connection was refused, so that the order can't have arrived.
+    /// No connection to the worker could be opened, so that the order can't have
+    /// arrived.
     Unreachable,
     /// No valid answer arrived in time; the order may have been or may yet be
     /// carried out.
     Lost,
-    /// The order was never sent, as the leader lease had ended by then. This says
+    /// No byte of the order was sent, for a reason on this side: the leader lease had
+    /// ended by then, or there was no connection or descriptor left. This says
     /// nothing about the worker.
     Unsent,
 }
