Look at those workers only that an input concerns, and hash short keys faster

Change: the workers that reported an end are kept by run; the retry of orders copies the names of unsettled workers only; runs being stopped are counted only by passes that plan; maps of the dispatch use a quicker seeded hash (ahash).

--- a/crates/gentianlane/src/fleet/delivery/connection.rs
+++ b/crates/gentianlane/src/fleet/delivery/connection.rs
@@ -11,7 +11,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::hash::Hash;
 
-use indexmap::IndexMap;
+use crate::collections::IndexMap;
 
 /// The sizes of a budget, in connections.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -118,13 +118,13 @@
     pub fn new(limits: Limits) -> Self {
         Self {
             limits,
-            peers: IndexMap::new(),
+            peers: IndexMap::default(),
             open: 0,
             delayed: 0,
             idle: BTreeMap::new(),
             last_use: 0,
             last_waiter: 0,
-            requests: IndexMap::new(),
+            requests: IndexMap::default(),
             for_room: VecDeque::new(),
             for_delayed: VecDeque::new(),
             ready: VecDeque::new(),
--- a/crates/gentianlane/src/fleet/dispatch/advice.rs
+++ b/crates/gentianlane/src/fleet/dispatch/advice.rs
@@ -4,7 +4,7 @@
 //! therefore sends its requests through relays, which are its own process and
 //! the entries connected to it, with one request in flight on each.
 
-use indexmap::IndexMap;
+use crate::collections::IndexMap;
 
 use crate::fleet::job::Stage;
 use crate::fleet::order::{AdviceRequest, CallId};
--- a/crates/gentianlane/src/fleet/dispatch/ask.rs
+++ b/crates/gentianlane/src/fleet/dispatch/ask.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 
-use indexmap::IndexMap;
+use crate::collections::IndexMap;
 
 use crate::fleet::dispatch::Dispatcher;
 use crate::fleet::dispatch::backlog::Room;
@@ -101,7 +101,7 @@
         if idle == 0 || order.is_empty() {
             return;
         }
-        let mut queues: IndexMap<String, VecDeque<job::Stage>> = IndexMap::new();
+        let mut queues: IndexMap<String, VecDeque<job::Stage>> = IndexMap::default();
         for id in order {
             if let Some(stage) = self.stages.get(id) {
                 let steps = queues.entry(stage.queue_name.clone()).or_default();
@@ -142,7 +142,7 @@
     /// What the advice requests in flight may lead to.
     fn advice_claims(&self) -> Claims {
         let mut claims = Claims {
-            requests: IndexMap::new(),
+            requests: IndexMap::default(),
             room: self.pool_room(),
         };
         let asking = self.relays.asking_stages();
--- a/crates/gentianlane/src/fleet/dispatch/backlog.rs
+++ b/crates/gentianlane/src/fleet/dispatch/backlog.rs
@@ -1,6 +1,6 @@
 //! The backlog of each pool and the headroom for it, as input for [`rank`].
 
-use indexmap::IndexMap;
+use crate::collections::IndexMap;
 
 use crate::fleet::dispatch::Dispatcher;
 use crate::fleet::dispatch::rank::{self, Entry, FULL_POOL, Headroom, assess_deadline};
@@ -89,7 +89,7 @@
 
     /// Each pool's capacity and use, without silent and draining workers.
     fn pool_usage(&self) -> IndexMap<String, Usage> {
-        let mut usages: IndexMap<String, Usage> = IndexMap::new();
+        let mut usages: IndexMap<String, Usage> = IndexMap::default();
         let sessions = self.sessions.values();
         for session in sessions.filter(|session| session.is_available()) {
             let usage = match usages.get_mut(&session.profile.pool) {
@@ -119,7 +119,7 @@
     /// at an even rate.
     pub(super) fn pool_turnovers(&self, now: Time) -> IndexMap<String, Span> {
         let usages = self.pool_usage();
-        let mut running: IndexMap<&str, Running> = IndexMap::new();
+        let mut running: IndexMap<&str, Running> = IndexMap::default();
         let sessions = self.sessions.values();
         for session in sessions.filter(|session| session.is_available()) {
             let pool = &session.profile.pool;
--- a/crates/gentianlane/src/fleet/dispatch/candidate.rs
+++ b/crates/gentianlane/src/fleet/dispatch/candidate.rs
@@ -1,6 +1,6 @@
 //! Candidates for a step's tasks, and the choice of those for a gang.
 
-use indexmap::IndexMap;
+use crate::collections::IndexMap;
 
 use crate::fleet::job::Resources;
 use crate::id;
@@ -70,7 +70,7 @@
     one_rack: bool,
 ) -> Option<Vec<(Candidate, u32)>> {
     if one_rack {
-        let mut racks: IndexMap<Option<String>, Vec<Candidate>> = IndexMap::new();
+        let mut racks: IndexMap<Option<String>, Vec<Candidate>> = IndexMap::default();
         for candidate in &candidates {
             racks
                 .entry(candidate.rack.clone())
--- a/crates/gentianlane/src/fleet/dispatch/dispatcher.rs
+++ b/crates/gentianlane/src/fleet/dispatch/dispatcher.rs
@@ -1,7 +1,7 @@
 //! The dispatcher: the leader's model of jobs, workers and runs, and the orders
 //! that it sends.
 
-use indexmap::{IndexMap, IndexSet};
+use crate::collections::{IndexMap, IndexSet};
 
 use crate::fleet::decision::{Cause, Decision};
 use crate::fleet::dispatch::Setup;
@@ -78,6 +78,8 @@
     pub(super) superseded: IndexSet<Task>,
     /// The tasks of which an end is proposed to the log and not applied yet.
     pub(super) unlogged: IndexSet<Task>,
+    /// The workers that reported such an end, by the task and the run's number.
+    pub(super) reporters: IndexMap<(Task, u64), Vec<id::Worker>>,
     /// The jobs that are not over yet.
     pub(super) open_jobs: OpenJobs,
     /// The jobs with occurrences that aren't due yet.
@@ -130,26 +132,27 @@
         let mut dispatcher = Self {
             setup,
             fencing_token,
-            sessions: IndexMap::new(),
-            stages: IndexMap::new(),
-            placements: IndexMap::new(),
-            superseded: IndexSet::new(),
-            unlogged: IndexSet::new(),
+            sessions: IndexMap::default(),
+            stages: IndexMap::default(),
+            placements: IndexMap::default(),
+            superseded: IndexSet::default(),
+            unlogged: IndexSet::default(),
+            reporters: IndexMap::default(),
             open_jobs: OpenJobs::default(),
-            recurring_jobs: IndexSet::new(),
-            pending_orders: IndexMap::new(),
+            recurring_jobs: IndexSet::default(),
+            pending_orders: IndexMap::default(),
             last_call_id: fencing_token << TERM_SHIFT,
             unconfirmed: UnconfirmedStarts::default(),
             unanswered_grants: UnansweredGrants::default(),
             relays: Relays::default(),
-            expired_requests: IndexMap::new(),
+            expired_requests: IndexMap::default(),
             estimator: Estimator::default(),
             recovery_deadline: now.after(Span::from_millis(longest_lease)),
             recovering: true,
             schedule: Schedule::new(now),
             reserved_workers: Vec::new(),
             fleet_revision: 1,
-            turnovers: IndexMap::new(),
+            turnovers: IndexMap::default(),
             effort: Effort::default(),
             next_tick: now,
             effects: Effects::default(),
--- a/crates/gentianlane/src/fleet/dispatch/estimate.rs
+++ b/crates/gentianlane/src/fleet/dispatch/estimate.rs
@@ -3,7 +3,7 @@
 //! Callers' estimates are off by up to 90%. They are averaged with the measured
 //! mean run time of the step's image or, if that is unknown, of its queue.
 
-use indexmap::IndexMap;
+use crate::collections::IndexMap;
 
 use crate::fleet::job::Step;
 use crate::unit::Span;
--- a/crates/gentianlane/src/fleet/dispatch/event.rs
+++ b/crates/gentianlane/src/fleet/dispatch/event.rs
@@ -1,6 +1,6 @@
 //! Handling of changes in the replicated state and of workers' reports.
 
-use indexmap::IndexSet;
+use crate::collections::IndexSet;
 
 use crate::fleet::decision::{Cause, Decision};
 use crate::fleet::dispatch::Dispatcher;
@@ -236,8 +236,12 @@
         now: Time,
         wall: Wall,
     ) {
-        for session in self.sessions.values_mut() {
-            if session.mark_durable(task, run) && session.renewal.is_none() {
+        let reporters = self.reporters.swap_remove(&(*task, run));
+        for worker in reporters.unwrap_or_default() {
+            if let Some(session) = self.sessions.get_mut(&worker)
+                && session.mark_durable(task, run)
+                && session.renewal.is_none()
+            {
                 session.next_renewal = now;
             }
         }
--- a/crates/gentianlane/src/fleet/dispatch/grant.rs
+++ b/crates/gentianlane/src/fleet/dispatch/grant.rs
@@ -5,7 +5,7 @@
 //! starts anew, so a worker that has restarted under the same name takes such a
 //! deadline for the longest lease that it grants.
 
-use indexmap::IndexMap;
+use crate::collections::IndexMap;
 
 use crate::fleet::dispatch::session::longest_lease;
 use crate::fleet::dispatch::unconfirmed::MAX_ORDER_DELAY;
--- a/crates/gentianlane/src/fleet/dispatch/lease.rs
+++ b/crates/gentianlane/src/fleet/dispatch/lease.rs
@@ -1,7 +1,7 @@
 //! Leases of workers: renewal, retry of orders, and release of what ran under an
 //! expired lease.
 
-use indexmap::IndexMap;
+use crate::collections::IndexMap;
 
 use crate::fleet::decision::{Cause, Decision};
 use crate::fleet::dispatch::Dispatcher;
@@ -30,7 +30,12 @@
     /// Retries unanswered orders, expires leases and removes workers that are
     /// gone.
     pub(super) fn check_sessions(&mut self, state: &State, now: Time) {
-        let workers: Vec<id::Worker> = self.sessions.keys().cloned().collect();
+        let unsettled = self
+            .sessions
+            .iter()
+            .filter(|(_, session)| is_unsettled(session, now));
+        let workers: Vec<id::Worker> =
+            unsettled.map(|(worker, _)| worker.clone()).collect();
         for worker in workers {
             self.retry_orders(&worker, now);
             self.expire_lease(&worker, now);
@@ -319,7 +324,7 @@
     /// Breaks the gangs that the earlier leader didn't start as a whole: their
     /// members would wait for others that nobody starts.
     fn break_partial_gangs(&mut self, now: Time) {
-        let mut gangs: IndexMap<job::Stage, Vec<(Task, u64)>> = IndexMap::new();
+        let mut gangs: IndexMap<job::Stage, Vec<(Task, u64)>> = IndexMap::default();
         for (task, place) in &self.placements {
             if self.is_in_gang(task) {
                 let members = gangs.entry(task.stage).or_default();
@@ -341,6 +346,15 @@
 /// progress or a start in doubt; short, so that the freed capacity is known soon.
 const STOP_WAIT: Span = Span::from_millis(250);
 
+/// Whether an order to a worker may have to be sent again, its lease has ended or it
+/// may be gone. Most workers need nothing at most times.
+fn is_unsettled(session: &Session, now: Time) -> bool {
+    let mut runs = session.runs.values();
+    session.unanswered > 0
+        || now >= session.lease_end
+        || runs.any(|run| run.state != RunState::Running)
+}
+
 /// Whether a renewal is due, and the reported ends are durable or have been
 /// waited for long enough.
 fn is_renewal_due(session: &Session, now: Time) -> bool {
--- a/crates/gentianlane/src/fleet/dispatch/open.rs
+++ b/crates/gentianlane/src/fleet/dispatch/open.rs
@@ -1,7 +1,7 @@
 //! The jobs that are not over yet, and how many of each queue wait for their
 //! first task to start.
 
-use indexmap::IndexMap;
+use crate::collections::IndexMap;
 
 use crate::fleet::job::Id;
 use crate::unit::{Span, Time};
--- a/crates/gentianlane/src/fleet/dispatch/place.rs
+++ b/crates/gentianlane/src/fleet/dispatch/place.rs
@@ -5,7 +5,7 @@
 //! its data and the other members of its gang. A worker's capacity is never
 //! exceeded.
 
-use indexmap::IndexMap;
+use crate::collections::IndexMap;
 
 use crate::fleet::State;
 use crate::fleet::decision::Decision;
--- a/crates/gentianlane/src/fleet/dispatch/rank.rs
+++ b/crates/gentianlane/src/fleet/dispatch/rank.rs
@@ -14,7 +14,7 @@
 
 use std::collections::BinaryHeap;
 
-use indexmap::IndexMap;
+use crate::collections::IndexMap;
 
 use crate::fleet::dispatch::stage::Stage;
 use crate::fleet::job;
@@ -130,9 +130,9 @@
     headrooms: &IndexMap<String, Headroom>,
 ) -> Vec<bool> {
     let mut deferred = vec![false; waiting.len()];
-    let mut backlogs: IndexMap<&str, Backlog> = IndexMap::new();
-    let mut late: IndexMap<&str, LargestFirst> = IndexMap::new();
-    let mut on_time: IndexMap<(&str, u32), LargestFirst> = IndexMap::new();
+    let mut backlogs: IndexMap<&str, Backlog> = IndexMap::default();
+    let mut late: IndexMap<&str, LargestFirst> = IndexMap::default();
+    let mut on_time: IndexMap<(&str, u32), LargestFirst> = IndexMap::default();
     for (index, step) in waiting.iter().enumerate() {
         let Some(headroom) = headrooms.get(step.pool) else {
             continue;
--- a/crates/gentianlane/src/fleet/dispatch/reconcile.rs
+++ b/crates/gentianlane/src/fleet/dispatch/reconcile.rs
@@ -121,6 +121,8 @@
         });
         if logged {
             self.unlogged.insert(task);
+            let reporters = self.reporters.entry((task, ended.run)).or_default();
+            reporters.push(worker.clone());
             self.effects.commands.push(Command::End {
                 at: wall,
                 task,
--- a/crates/gentianlane/src/fleet/dispatch/reserve.rs
+++ b/crates/gentianlane/src/fleet/dispatch/reserve.rs
@@ -6,7 +6,7 @@
 //! take lower ranked tasks only by backfilling: those that are expected to end
 //! in time.
 
-use indexmap::IndexMap;
+use crate::collections::IndexMap;
 
 use crate::fleet::dispatch::Dispatcher;
 use crate::fleet::dispatch::place::{is_available, matches_constraints};
@@ -278,7 +278,7 @@
 fn smallest_capacities<'a>(
     sessions: impl Iterator<Item = &'a Session>,
 ) -> IndexMap<&'a str, Resources> {
-    let mut smallest: IndexMap<&str, Resources> = IndexMap::new();
+    let mut smallest: IndexMap<&str, Resources> = IndexMap::default();
     for session in sessions {
         let capacity = session.profile.capacity;
         let least = smallest
--- a/crates/gentianlane/src/fleet/dispatch/session.rs
+++ b/crates/gentianlane/src/fleet/dispatch/session.rs
@@ -1,7 +1,7 @@
 //! The leader's session with one worker: its clock, its lease, its runs and the
 //! ends of runs that it has reported.
 
-use indexmap::IndexMap;
+use crate::collections::IndexMap;
 use std::collections::VecDeque;
 
 use crate::fleet::Worker;
@@ -211,7 +211,7 @@
             failures: 0,
             slowdown: NOMINAL,
             last_failure: now,
-            runs: IndexMap::new(),
+            runs: IndexMap::default(),
             used: Resources::default(),
             removed_runs: 0,
             seen: Seen::default(),
--- a/crates/gentianlane/src/fleet/dispatch/stage.rs
+++ b/crates/gentianlane/src/fleet/dispatch/stage.rs
@@ -1,6 +1,6 @@
 //! A step that is ready to run, with the tasks that still have to be placed.
 
-use indexmap::{IndexMap, IndexSet};
+use crate::collections::{IndexMap, IndexSet};
 use std::collections::BTreeSet;
 
 use crate::fleet::job::{Stage as Id, Step};
@@ -122,9 +122,9 @@
             done: BTreeSet::new(),
             recovering: false,
             starts: 0,
-            checkpoints: IndexMap::new(),
+            checkpoints: IndexMap::default(),
             not_before: now,
-            failed_on: IndexMap::new(),
+            failed_on: IndexMap::default(),
             best_pace: None,
             blocked_since: None,
             reserved: Vec::new(),
@@ -134,7 +134,7 @@
             examined: false,
             eligible: None,
             open_request: None,
-            asked: IndexSet::new(),
+            asked: IndexSet::default(),
             may_ask: true,
         }
     }
--- a/crates/gentianlane/src/fleet/dispatch/survey.rs
+++ b/crates/gentianlane/src/fleet/dispatch/survey.rs
@@ -32,7 +32,7 @@
     pub(crate) room: Resources,
     /// What the pass has to look at.
     pub(crate) scope: Scope,
-    /// The number of runs that are being stopped.
+    /// The number of runs that are being stopped; zero in a pass that doesn't plan.
     pub(crate) stopping: usize,
     /// The indexes of the workers with a run that a step of the highest priority may
     /// preempt, in ascending order; none until a step needs them.
@@ -84,9 +84,11 @@
             if state.available && !before.available {
                 available_again.push(worker.clone());
             }
-            let runs = session.runs.values();
-            let stopping = runs.filter(|run| run.state == RunState::Stopping);
-            survey.stopping += stopping.count();
+            if scope.plans {
+                let runs = session.runs.values();
+                let stopping = runs.filter(|run| run.state == RunState::Stopping);
+                survey.stopping += stopping.count();
+            }
         }
         self.offer_for_advice(&available_again);
         // A worker that was reserved may take other steps' tasks once it isn't.
--- a/crates/gentianlane/src/fleet/dispatch/unconfirmed.rs
+++ b/crates/gentianlane/src/fleet/dispatch/unconfirmed.rs
@@ -7,7 +7,7 @@
 //! each such run before it gets any tasks. As it may carry out the start before any
 //! order reaches it, the task is placed on no other worker meanwhile.
 
-use indexmap::IndexMap;
+use crate::collections::IndexMap;
 
 use crate::fleet::dispatch::Dispatcher;
 use crate::fleet::dispatch::dispatcher::PendingOrder;
--- a/crates/gentianlane/src/fleet/node.rs
+++ b/crates/gentianlane/src/fleet/node.rs
@@ -3,7 +3,7 @@
 
 mod calls;
 
-use indexmap::IndexMap;
+use crate::collections::IndexMap;
 
 pub use crate::cell::Ticket;
 use crate::consensus::{self, Entry, Index, Message, Payload, Role};
@@ -109,7 +109,7 @@
             dispatcher: None,
             relays: Vec::new(),
             proposals: Vec::new(),
-            pending_replies: IndexMap::new(),
+            pending_replies: IndexMap::default(),
             unsaved_bytes: 0,
             expire_at: now.after(EXPIRE_INTERVAL),
             order_backlog: 0,
--- a/crates/gentianlane/src/fleet/state.rs
+++ b/crates/gentianlane/src/fleet/state.rs
@@ -1,6 +1,6 @@
 //! The replicated state: the plan, the jobs and the registered workers.
 
-use indexmap::IndexMap;
+use crate::collections::IndexMap;
 use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
 
--- a/crates/gentianlane/src/lib.rs
+++ b/crates/gentianlane/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod admit;
 pub mod api;
 pub mod cell;
+mod collections;
 pub mod consensus;
 pub mod digest;
 pub mod fleet;
