Let preemption and reservations grow with the fleet

Cause: at most 12 runs were stopping at a time and at most 4 steps held reserved workers, whatever the fleet's size.

Change: one run for each four workers may be stopping, and steps may reserve while less than a sixth of the workers is; small fleets keep 12 and 4.

Tests: two loads in tests/fleet/large.rs, a burst of urgent jobs while tasks with checkpoints hold all room, and many tasks that need a whole worker. Both fail with the old limits: the burst isn't done after 0.8 s, and 20 of 30 large tasks have started 1.7 s after the first.

Tried for the test and dropped: small tasks in step with each other, and large ones that have expired, show no difference.

--- a/crates/gentianlane/src/fleet/dispatch/preempt.rs
+++ b/crates/gentianlane/src/fleet/dispatch/preempt.rs
@@ -25,9 +25,12 @@
 /// to the next.
 const MIN_RUN_TIME: Span = Span::from_millis(1_000);
 
-/// The most runs that preemption may have stopping at the same time; runs that
-/// stop for other reasons count too.
-const STOP_LIMIT: usize = 12;
+/// The most runs that preemption may have stopping at the same time in a small
+/// fleet; runs that stop for other reasons count too.
+const MIN_STOP_LIMIT: usize = 12;
+
+/// How many workers a larger fleet has for each such run.
+const WORKERS_PER_STOP: usize = 4;
 
 /// How much sooner preemption has to free a reserved worker to be worth it:
 /// each victim loses up to a second of work.
@@ -57,7 +60,7 @@
             return;
         }
         // Each run that is stopping already frees capacity for a pending task.
-        let needed = stage.pending.len().min(STOP_LIMIT);
+        let needed = stage.pending.len().min(self.stop_limit());
         let mut wanted = needed.saturating_sub(survey.stopping);
         if wanted == 0 {
             return self.restart_blocked_time(id, now);
@@ -91,6 +94,11 @@
         self.restart_blocked_time(id, now);
     }
 
+    /// The most runs that preemption may have stopping at the same time.
+    fn stop_limit(&self) -> usize {
+        MIN_STOP_LIMIT.max(self.sessions.len() / WORKERS_PER_STOP)
+    }
+
     /// Lets a step wait anew before it preempts more; a long-running one's wait also
     /// sets its rank.
     fn restart_blocked_time(&mut self, id: &job::Stage, now: Time) {
@@ -135,7 +143,7 @@
         if !waited {
             return;
         }
-        let mut budget = STOP_LIMIT.saturating_sub(survey.stopping);
+        let mut budget = self.stop_limit().saturating_sub(survey.stopping);
         let mut victims = Vec::new();
         for (worker, available_at) in reserved {
             let blocking = self.blocking_tasks(stage, worker, *available_at, now);
--- a/crates/gentianlane/src/fleet/dispatch/reserve.rs
+++ b/crates/gentianlane/src/fleet/dispatch/reserve.rs
@@ -18,9 +18,13 @@
 use crate::id;
 use crate::unit::{Span, Time};
 
-/// The most steps that hold reservations at the same time.
+/// How many steps may hold reservations at the same time in any fleet.
 const STEP_LIMIT: usize = 4;
 
+/// In a larger fleet further steps may, while less than one worker of so many is
+/// reserved.
+const WORKERS_PER_RESERVED: usize = 6;
+
 /// The most steps for which workers are sought in one pass; the others follow in
 /// the next ones.
 const TRY_LIMIT: usize = 16;
@@ -92,7 +96,7 @@
         let expired = assess_deadline(stage, now).0 == Timeliness::Expired;
         let wanted = stage.needs_reservation && !expired && now >= stage.reserve_after;
         let tries = wanted
-            && reservations.steps < STEP_LIMIT
+            && self.may_reserve(reservations)
             && reservations.failed_tries < TRY_LIMIT;
         let reserved = match tries {
             true => self.reserve(reservations, stage, now),
@@ -108,6 +112,13 @@
         }
     }
 
+    /// Whether another step may reserve workers.
+    fn may_reserve(&self, reservations: &Reservations) -> bool {
+        let reserved = reservations.workers.len();
+        reservations.steps < STEP_LIMIT
+            || reserved * WORKERS_PER_RESERVED < self.sessions.len()
+    }
+
     /// Enters the workers that were reserved for a step when reservations were
     /// last planned, unless another step has one of them by now.
     pub(super) fn keep_reservation(
@@ -120,7 +131,7 @@
         };
         let is_taken = |worker| reservations.workers.contains_key(worker);
         let any_taken = stage.reserved.iter().any(|(worker, _)| is_taken(worker));
-        if stage.reserved.is_empty() || any_taken || reservations.steps >= STEP_LIMIT {
+        if stage.reserved.is_empty() || any_taken || !self.may_reserve(reservations) {
             return;
         }
         reservations.steps += 1;
--- a/crates/gentianlane/tests/fleet/dispatch.rs
+++ b/crates/gentianlane/tests/fleet/dispatch.rs
@@ -18,7 +18,7 @@
 /// How long a worker lets a gang's task wait for the others, in milliseconds.
 const GANG_WAIT_MS: u64 = 4_000;
 
-fn task(job: u64, index: u32) -> Task {
+pub(crate) fn task(job: u64, index: u32) -> Task {
     let stage = Stage {
         job: Id(job),
         occurrence: 0,
@@ -481,7 +481,7 @@
 }
 
 /// A plan with an urgent queue under `/q/` and a less urgent one under `/s/`.
-fn two_queues(attempts: u32) -> Plan {
+pub(crate) fn two_queues(attempts: u32) -> Plan {
     let mut plan = plan(1, false);
     for queue in plan.queues.values_mut() {
         queue.max_attempts = attempts;
@@ -495,7 +495,7 @@
     plan
 }
 
-fn slow_target(job: u64) -> Target {
+pub(crate) fn slow_target(job: u64) -> Target {
     Target {
         host: "host".to_owned(),
         path: format!("/s/{job:016x}"),
--- a/crates/gentianlane/tests/fleet/main.rs
+++ b/crates/gentianlane/tests/fleet/main.rs
@@ -2,6 +2,7 @@
 
 mod dispatch;
 mod fuzz;
+mod large;
 mod late_start;
 mod lease;
 mod regression;
