Send a throttling order without an answer again, and check the budget at start

Of the same kind as orders that never left: with the budget of connections an order may now be unsent more often.

Change: the share stays in doubt until an answer confirms it, and is sent again.

--- a/crates/gentianlane-daemon/tests/fleet.rs
+++ b/crates/gentianlane-daemon/tests/fleet.rs
@@ -392,3 +392,39 @@
     let read = fleet.operate("GET", "/v1/config/read", "");
     assert_eq!(read["version"], 2);
 }
+
+/// Budgets beyond the limit of open files are refused before anything starts.
+#[test]
+fn budgets_that_exceed_the_limit_of_descriptors_are_refused_with_line_and_sum() {
+    let folder = TempDir::new().unwrap();
+    let path = folder.path().join("core.json");
+    let check = |workers: u32| {
+        let text = format!(
+            r#"// A core.
+{{
+  "node": "core-1", "ip": "127.0.0.1", "domain": "d", "link_port": 1,
+  "control": "127.0.0.1:2", "data": "data", "seeds": [], "losses": 1,
+  "lease_limit_ms": 6000, "stop_ms": 200, "grace_s": 6,
+  // Most of what the process may open.
+  "descriptors": {{ "workers": {workers}, "callers": 100, "links": 20, "reserve": 30 }}
+}}"#
+        );
+        fs::write(&path, text).unwrap();
+        let script = "ulimit -n 1000; exec \"$0\" core --check --settings \"$1\"";
+        let checked = std::process::Command::new("bash")
+            .args(["-c", script, env!("CARGO_BIN_EXE_gentianlaned")])
+            .arg(&path)
+            .output()
+            .unwrap();
+        let said = String::from_utf8_lossy(&checked.stderr).into_owned();
+        (checked.status.success(), said)
+    };
+    let (fine, said) = check(850);
+    assert!(fine, "{said}");
+    let (fine, said) = check(851);
+    assert!(!fine);
+    // The report is wrapped.
+    let said = said.split_whitespace().collect::<Vec<_>>().join(" ");
+    assert!(said.contains("line 7"), "{said}");
+    assert!(said.contains("1001") && said.contains("1000"), "{said}");
+}
--- a/crates/gentianlane/src/fleet/dispatch/answer.rs
+++ b/crates/gentianlane/src/fleet/dispatch/answer.rs
@@ -139,6 +139,17 @@
             (OrderKind::Stop(task, run), answer) => {
                 self.handle_stop_answer(&order, &task, run, &answer, now);
             }
+            (
+                OrderKind::Throttle(task, run),
+                Answer::Lost
+                | Answer::Unreachable
+                | Answer::Refused {
+                    reason: Reason::Unhealthy,
+                    ..
+                },
+            ) => {
+                self.repeat_throttling(&order.worker, &task, run, now);
+            }
             _ => {}
         }
     }
@@ -163,8 +174,9 @@
                     run.retry_at = retry_at;
                 }
             }
-            // Throttling is adjusted at intervals anyway.
-            OrderKind::Throttle => {}
+            OrderKind::Throttle(task, run) => {
+                self.repeat_throttling(&order.worker, &task, run, now);
+            }
         }
     }
 
@@ -411,6 +423,20 @@
         }
     }
 
+    /// Lets a throttling order that may not have been carried out be sent again.
+    fn repeat_throttling(
+        &mut self,
+        worker: &id::Worker,
+        task: &Task,
+        run: u64,
+        now: Time,
+    ) {
+        if let Some(run) = self.run_mut(worker, task, run) {
+            run.share_in_doubt = true;
+            run.retry_at = now.after(ORDER_RETRY_DELAY);
+        }
+    }
+
     /// Handles the answer to an advice request from the relay that sent it.
     pub fn handle_advice(&mut self, relay: Relay, response: AdviceResponse, now: Time) {
         let Some(query) = self.relays.complete(relay, response.id) else {
--- a/crates/gentianlane/src/fleet/dispatch/dispatcher.rs
+++ b/crates/gentianlane/src/fleet/dispatch/dispatcher.rs
@@ -53,7 +53,7 @@
     Renew,
     Start(Task, u64),
     Stop(Task, u64),
-    Throttle,
+    Throttle(Task, u64),
 }
 
 /// The run of a task that counts, and the worker that has it.
@@ -281,7 +281,7 @@
             Action::Start(start) => OrderKind::Start(start.task, start.run),
             Action::Stop { task, run } => OrderKind::Stop(*task, *run),
             Action::Renew { .. } => OrderKind::Renew,
-            Action::Throttle { .. } => OrderKind::Throttle,
+            Action::Throttle { task, run, .. } => OrderKind::Throttle(*task, *run),
         };
         let extends_lease = match &action {
             Action::Start(_) => true,
--- a/crates/gentianlane/src/fleet/dispatch/session.rs
+++ b/crates/gentianlane/src/fleet/dispatch/session.rs
@@ -132,6 +132,8 @@
     /// The share to which the task is throttled, in percent; none if an earlier
     /// leader may have set it.
     pub(crate) share: Option<u8>,
+    /// Whether the order that set the share has no answer that says so.
+    pub(crate) share_in_doubt: bool,
     /// Whether the demand is unknown, as the job's specification is gone.
     pub(crate) unknown_demand: bool,
     /// The adviser's ticket that the start order carries.
@@ -161,6 +163,7 @@
             measurement: None,
             progress: Progress::default(),
             share: None,
+            share_in_doubt: false,
             unknown_demand: false,
             ticket: None,
         }
--- a/crates/gentianlane/src/fleet/dispatch/throttle.rs
+++ b/crates/gentianlane/src/fleet/dispatch/throttle.rs
@@ -66,10 +66,12 @@
             let Some(current) = session.runs.get_mut(&(task, run)) else {
                 continue;
             };
-            if share == Some(target) || current.retry_at > now {
+            let is_set = share == Some(target) && !current.share_in_doubt;
+            if is_set || current.retry_at > now {
                 continue;
             }
             current.share = Some(target);
+            current.share_in_doubt = false;
             current.retry_at = now.after(CHANGE_INTERVAL);
             self.effects.decisions.push(Decision::Throttle {
                 worker: colocation.worker.clone(),
