Ask for slow advice in parts while relays are idle

Cause: the adviser takes time for each worker that a request names, one request at a time for each calling machine.

Change: where that saves 100 ms or more, a step's request is split into parts of about 34 workers, through as many relays, as long as half of all relays remain idle. Each part has some of the best workers, and tasks are placed from the first answer.

Test: slow_advice_is_asked_for_in_parts_while_relays_are_idle, which fails without the split (one request).

--- a/crates/gentianlane/src/fleet/dispatch/answer.rs
+++ b/crates/gentianlane/src/fleet/dispatch/answer.rs
@@ -452,7 +452,7 @@
                 elapsed,
             });
             if let Some(stage) = self.stages.get_mut(&stage_id) {
-                stage.open_request = None;
+                stage.open_requests.retain(|&open| open != query.id);
             }
             return;
         };
@@ -465,7 +465,7 @@
         let Some(stage) = self.stages.get_mut(&stage_id) else {
             return;
         };
-        stage.open_request = None;
+        stage.open_requests.retain(|&open| open != query.id);
         let Some(advice) = stage.queue.advice else {
             return;
         };
--- a/crates/gentianlane/src/fleet/dispatch/ask.rs
+++ b/crates/gentianlane/src/fleet/dispatch/ask.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 
-use crate::collections::IndexMap;
+use crate::collections::{IndexMap, IndexSet};
 
 use crate::fleet::dispatch::Dispatcher;
 use crate::fleet::dispatch::backlog::Room;
@@ -10,6 +10,7 @@
 use crate::fleet::dispatch::rank::{Timeliness, assess_deadline};
 use crate::fleet::dispatch::stage::Stage;
 use crate::fleet::job;
+use crate::fleet::plan::Advice;
 use crate::id;
 use crate::unit::{Span, Time};
 
@@ -20,6 +21,12 @@
 /// no more relays than that, it may still use one.
 const RELAY_RESERVE: usize = 2;
 
+/// How many workers a part of a split request names, about.
+const PART_SIZE: usize = 34;
+
+/// How much sooner a split request has to be answered to be worth further calls.
+const MIN_SPLIT_GAIN: Span = Span::from_millis(100);
+
 /// What advice requests in flight may lead to.
 #[derive(Debug)]
 struct Claims {
@@ -67,7 +74,7 @@
             if idle == 0 {
                 return;
             }
-            idle -= usize::from(self.ask_for_step(id, fresh, now));
+            idle -= self.ask_for_step(id, fresh, now);
         }
         if idle == 0 {
             return;
@@ -79,7 +86,7 @@
                 if idle <= reserve {
                     break;
                 }
-                idle -= usize::from(self.ask_for_step(id, fresh, now));
+                idle -= self.ask_for_step(id, fresh, now);
             }
         }
         self.ask_for_expired(&expired, idle.saturating_sub(reserve), now);
@@ -128,13 +135,13 @@
                 .get(&id)
                 .is_some_and(|stage| claims.allow(stage));
             if allowed
-                && (self.ask_for_step(&id, true, now)
-                    || self.ask_for_step(&id, false, now))
+                && (self.ask_for_step(&id, true, now) > 0
+                    || self.ask_for_step(&id, false, now) > 0)
                 && let Some(stage) = self.stages.get(&id)
             {
                 claims.add(stage);
                 self.expired_requests.insert(queue, self.last_call_id);
-                idle -= 1;
+                idle = idle.saturating_sub(1);
             }
         }
     }
@@ -145,8 +152,8 @@
             requests: IndexMap::default(),
             room: self.pool_room(),
         };
-        let asking = self.relays.asking_stages();
-        for stage in asking.filter_map(|id| self.stages.get(id)) {
+        let asking: IndexSet<&job::Stage> = self.relays.asking_stages().collect();
+        for stage in asking.into_iter().filter_map(|id| self.stages.get(id)) {
             claims.add(stage);
         }
         claims
@@ -154,20 +161,20 @@
 
     /// Requests advice for one step: about the workers that it hasn't asked
     /// about if `fresh`, or else about those whose tickets expire soon. Returns
-    /// whether a relay was given the request.
-    fn ask_for_step(&mut self, id: &job::Stage, fresh: bool, now: Time) -> bool {
+    /// how many relays were given a request.
+    fn ask_for_step(&mut self, id: &job::Stage, fresh: bool, now: Time) -> usize {
         let Some(stage) = self.stages.get(id) else {
-            return false;
+            return 0;
         };
         let Some(advice) = stage.queue.advice else {
-            return false;
+            return 0;
         };
         let is_waiting = !stage.pending.is_empty() && !stage.recovering;
-        if stage.open_request.is_some() || stage.not_before > now || !is_waiting {
-            return false;
+        if !stage.open_requests.is_empty() || stage.not_before > now || !is_waiting {
+            return 0;
         }
         if fresh && !stage.may_ask {
-            return false;
+            return 0;
         }
         let workers = match fresh {
             true => self.unasked_workers(stage, now),
@@ -177,22 +184,41 @@
             if let Some(stage) = self.stages.get_mut(id) {
                 stage.may_ask &= !fresh;
             }
-            return false;
+            return 0;
         }
-        let Some(relay) = self.relays.idle(now) else {
-            return false;
-        };
-        self.last_call_id += 1;
-        let call_id = self.last_call_id;
-        let duration = advice.duration(workers.len());
-        let request = self
-            .relays
-            .assign(relay, call_id, *id, workers, duration, now);
-        self.effects.advice_requests.push((relay, request));
+        let parts = self.part_count(&advice, workers.len(), now);
+        let mut asked = Vec::new();
+        for part in split(&workers, parts) {
+            let Some(relay) = self.relays.idle(now) else {
+                break;
+            };
+            self.last_call_id += 1;
+            let call_id = self.last_call_id;
+            let duration = advice.duration(part.len());
+            let request = self.relays.assign(relay, call_id, *id, part, duration, now);
+            self.effects.advice_requests.push((relay, request));
+            asked.push(call_id);
+        }
+        let count = asked.len();
         if let Some(stage) = self.stages.get_mut(id) {
-            stage.open_request = Some(call_id);
+            stage.open_requests = asked;
         }
-        true
+        count
+    }
+
+    /// Into how many requests, through as many relays, those about a step's workers
+    /// are split: the adviser takes time for each worker that a request names. Half
+    /// of the relays remain for other steps.
+    fn part_count(&self, advice: &Advice, workers: usize, now: Time) -> usize {
+        let whole = advice.duration(workers);
+        let parts = workers.div_ceil(PART_SIZE).max(1);
+        let gain = whole.saturating_sub(advice.duration(workers / parts));
+        if gain < MIN_SPLIT_GAIN {
+            return 1;
+        }
+        let spare = self.relays.idle_count(now);
+        let spare = spare.saturating_sub(self.relays.count() / 2);
+        parts.min(spare).max(1)
     }
 
     /// The available workers of sufficient capacity that a step hasn't asked
@@ -261,12 +287,18 @@
     pub(super) fn expire_requests(&mut self, now: Time) {
         for query in self.relays.take_expired(now) {
             if let Some(stage) = self.stages.get_mut(&query.stage) {
-                stage.open_request = None;
+                stage.open_requests.retain(|&open| open != query.id);
             }
         }
     }
 }
 
+/// Splits workers, given best first, into parts that each have some of the best.
+fn split(workers: &[id::Worker], parts: usize) -> Vec<Vec<id::Worker>> {
+    let part = |first| workers.iter().skip(first).step_by(parts).cloned().collect();
+    (0..parts).map(part).collect()
+}
+
 /// How long before its tickets expire a step requests new ones, beyond the
 /// time that the request takes.
 const REFRESH_MARGIN: Span = Span::from_millis(100);
--- a/crates/gentianlane/src/fleet/dispatch/event.rs
+++ b/crates/gentianlane/src/fleet/dispatch/event.rs
@@ -460,7 +460,7 @@
         if let Some(query) = self.relays.remove(relay)
             && let Some(stage) = self.stages.get_mut(&query.stage)
         {
-            stage.open_request = None;
+            stage.open_requests.retain(|&open| open != query.id);
             self.schedule.want();
         }
     }
--- a/crates/gentianlane/src/fleet/dispatch/stage.rs
+++ b/crates/gentianlane/src/fleet/dispatch/stage.rs
@@ -70,8 +70,8 @@
     /// The workers that advice allows; none before the first answer, or if the
     /// queue needs no advice.
     pub(crate) eligible: Option<IndexMap<id::Worker, Permit>>,
-    /// The advice request that waits for its answer.
-    pub(crate) open_request: Option<CallId>,
+    /// The advice requests that wait for their answers.
+    pub(crate) open_requests: Vec<CallId>,
     /// The workers named in advice requests so far.
     pub(crate) asked: IndexSet<id::Worker>,
     /// Whether there may be workers to ask about that weren't asked about.
@@ -133,7 +133,7 @@
             revision: 0,
             examined: false,
             eligible: None,
-            open_request: None,
+            open_requests: Vec::new(),
             asked: IndexSet::default(),
             may_ask: true,
         }
--- a/crates/gentianlane/tests/fleet/large.rs
+++ b/crates/gentianlane/tests/fleet/large.rs
@@ -1,13 +1,20 @@
 //! Loads of a large fleet: what a small one does a few at a time has to grow with the
 //! number of workers.
 
-use gentianlane::fleet::job::Phase;
-use gentianlane::fleet::order::Outcome;
-use gentianlane::unit::Span;
+use std::collections::BTreeSet;
+
+use gentianlane::fleet::dispatch::{Dispatcher, Relay, Setup};
+use gentianlane::fleet::job::{Id, Phase, Resources};
+use gentianlane::fleet::order::{
+    Action, AdviceRequest, AdviceResponse, Answer, Outcome, Status,
+};
+use gentianlane::fleet::{Command, State};
+use gentianlane::id;
+use gentianlane::unit::{Span, Time, Wall};
 
 use super::dispatch::{phase, slow_target, task, two_queues};
-use super::simulated_worker::job;
-use super::world::World;
+use super::simulated_worker::{Worker, job};
+use super::world::{World, plan};
 
 /// A burst of urgent jobs while tasks that save checkpoints hold all capacity.
 #[test]
@@ -68,3 +75,95 @@
     let soon = starts.iter().filter(|&&start| start <= first + 1_700);
     assert_eq!(soon.count(), 30, "{starts:?}");
 }
+
+/// The advice requests of a step in a fleet of 200 workers, with this many relays,
+/// and the orders to start once the first is answered. The adviser takes as long as
+/// that of a queue whose tasks take a whole worker: 0.56 s and 8 ms a worker.
+fn advice_requests(relays: Relay) -> (Vec<(Relay, AdviceRequest)>, usize) {
+    let (now, wall) = (Time::from_millis(10_000), Wall::from_millis(1_000_000));
+    let mut state = State::default();
+    let mut plan = plan(1, true);
+    for queue in plan.queues.values_mut() {
+        if let Some(advice) = &mut queue.advice {
+            advice.base = Span::from_millis(560);
+            advice.per_worker_micros = 8_000;
+        }
+    }
+    state.apply(Command::Plan(Box::new(plan)));
+    let capacity = Resources {
+        millicores: 4_000,
+        memory_mib: 4_000,
+        accelerators: 0,
+    };
+    for at in 0..200 {
+        let worker = Worker::new(&format!("w{at}"), 1_000 + at, capacity, 0);
+        state.apply(Command::Join {
+            incarnation: worker.incarnation,
+            profile: worker.profile,
+        });
+    }
+    let mut dispatcher = Dispatcher::new(&state, 1, Setup::default(), now, wall);
+    for relay in 0..relays {
+        dispatcher.add_relay(relay);
+    }
+    dispatcher.tick(&state, now, wall);
+    for order in dispatcher.take_effects().orders {
+        let status = Status {
+            started_at: None,
+            clock: 20_000,
+            running: Vec::new(),
+            ended: Vec::new(),
+            ends_cut: false,
+        };
+        let answer = Answer::Status(status);
+        dispatcher.handle_answer(&state, order.id, answer, now, wall);
+    }
+    for event in state.apply(Command::Submit {
+        job: Id(7),
+        queue: "queue".to_owned(),
+        spec: Box::new(job(8, 4_000)),
+        at: wall,
+    }) {
+        dispatcher.handle_event(&state, &event, now, wall);
+    }
+    dispatcher.tick(&state, now, wall);
+    let requests = dispatcher.take_effects().advice_requests;
+    let (relay, first) = requests[0].clone();
+    let eligible = first.workers.iter().step_by(4);
+    let response = AdviceResponse {
+        id: first.id,
+        eligible: Some(
+            eligible
+                .map(|it| (it.clone(), "ticket".to_owned()))
+                .collect(),
+        ),
+    };
+    let now = now.after(Span::from_millis(900));
+    dispatcher.handle_advice(relay, response, now);
+    dispatcher.tick(&state, now, wall);
+    let orders = dispatcher.take_effects().orders;
+    let starts = orders
+        .iter()
+        .filter(|order| matches!(order.action, Action::Start(_)));
+    (requests, starts.count())
+}
+
+/// An adviser that takes 1.4 s for a hundred workers, of which a quarter is eligible.
+#[test]
+fn slow_advice_is_asked_for_in_parts_while_relays_are_idle() {
+    let (requests, starts) = advice_requests(12);
+    let relays: BTreeSet<Relay> = requests.iter().map(|(relay, _)| *relay).collect();
+    assert_eq!((requests.len(), relays.len()), (3, 3));
+    let workers = || requests.iter().flat_map(|(_, request)| &request.workers);
+    let different: BTreeSet<&id::Worker> = workers().collect();
+    assert_eq!((workers().count(), different.len()), (100, 100));
+    assert!(
+        requests
+            .iter()
+            .all(|(_, request)| request.workers.len() <= 34)
+    );
+    assert_eq!(starts, 8, "the first answer is enough to start all tasks");
+    let (requests, _) = advice_requests(2);
+    assert_eq!(requests.len(), 1, "half of the relays remain for others");
+    assert_eq!(requests[0].1.workers.len(), 100);
+}
