--- a/crates/gentianlane-daemon/src/fleet/delivery/order.rs
+++ b/crates/gentianlane-daemon/src/fleet/delivery/order.rs
@@ -9,9 +9,9 @@
 use slog::warn;
 
 use crate::fleet::control::Input;
-use crate::fleet::core::Shared;
 use crate::fleet::delivery::client::{Hindrance, RequestOutcome};
 use crate::fleet::forward::lock;
+use crate::fleet::shared::Shared;
 
 /// Sends a worker an order and hands its answer to the control thread. Once the
 /// leader lease is over the order isn't sent.
--- a/crates/gentianlane-daemon/src/fleet/entry.rs
+++ b/crates/gentianlane-daemon/src/fleet/entry.rs
@@ -14,6 +14,7 @@
 
 use crate::clock::Clock;
 use crate::fleet::Settings;
+use crate::fleet::downstream;
 use crate::fleet::forward::{self, ForwardOutcome, Forwarder};
 use crate::fleet::log::LogWriter;
 use crate::fleet::metrics::Metrics;
@@ -79,7 +80,7 @@
     let link_listener = TcpListener::bind(settings.link_address())
         .await
         .into_diagnostic()?;
-    let accepting = forward::accept(link_listener, forwarder.clone(), budget.links);
+    let accepting = downstream::accept(link_listener, forwarder.clone(), budget.links);
     tokio::spawn(accepting);
     let caller_forwarder = forwarder.clone();
     server
--- a/crates/gentianlane-daemon/src/fleet/forward.rs
+++ b/crates/gentianlane-daemon/src/fleet/forward.rs
@@ -13,25 +13,22 @@
 use flume::{Receiver, Sender};
 use gentianlane::fleet::call::{Call, Refusal, Reply};
 use gentianlane::fleet::discovery::{Directory, leader_wait};
-use gentianlane::fleet::link::{LeaderHint, Packet};
+use gentianlane::fleet::link::Packet;
 use gentianlane::unit::{Span, Time};
 use indexmap::IndexMap;
 use slog::{Logger, info, warn};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 use tokio::sync::{Notify, oneshot, watch};
 use tokio::time::{sleep, timeout};
 
 use crate::clock::Clock;
 use crate::fleet::Settings;
 use crate::fleet::delivery::{Client, request_advice};
+use crate::fleet::downstream::notify_downstream;
 use crate::fleet::link;
 use crate::fleet::metrics::Metrics;
 
-/// The time limit for a call of a downstream entry.
-const DOWNSTREAM_CALL_TIMEOUT: Duration = Duration::from_millis(3_000);
-
-/// The delay before the directory is searched again while it has no candidate,
-/// and after a failed accept.
+/// The delay before the directory is searched again while it has no candidate.
 const IDLE_RETRY_DELAY: Duration = Duration::from_secs(1);
 
 /// The retry delay for callers while [`OPEN_CALL_LIMIT`] is reached.
@@ -69,7 +66,7 @@
     pub(crate) adviser: Arc<Mutex<Option<SocketAddr>>>,
     /// The connections from entries that reach the leader through this process,
     /// by number.
-    downstream: Arc<Mutex<IndexMap<u64, Sender<Packet>>>>,
+    pub(super) downstream: Arc<Mutex<IndexMap<u64, Sender<Packet>>>>,
     /// The known processes, and which of them leads.
     pub(crate) directory: Arc<Mutex<Directory>>,
     pub(crate) client: Client,
@@ -173,6 +170,16 @@
         ever.then(|| self.clock.now().since(calls.last_linked))
     }
 
+    /// Whether the connection is to the leader itself.
+    pub(super) fn is_direct(&self) -> bool {
+        lock(&self.calls).direct
+    }
+
+    /// Gives up a call whose reply isn't needed any more.
+    pub(super) fn drop_call(&self, number: u64) {
+        lock(&self.calls).open.swap_remove(&number);
+    }
+
     /// Forwards a call to the leader, and to its successor if the leader is lost,
     /// until a reply comes or the time limit is over.
     ///
@@ -229,7 +236,7 @@
 
 /// Registers a call, and sends it if the leader is reached. `None` if
 /// [`OPEN_CALL_LIMIT`] is reached.
-fn open_call(
+pub(super) fn open_call(
     forwarder: &Forwarder,
     call: Call,
 ) -> Option<(u64, oneshot::Receiver<Reply>)> {
@@ -362,90 +369,7 @@
     }
 }
 
-/// Accepts connections from downstream entries: those that can't reach the
-/// leader themselves.
-///
-/// At most `limit` of them are served at a time.
-pub(crate) async fn accept(listener: TcpListener, forwarder: Forwarder, limit: usize) {
-    let mut last = 0;
-    loop {
-        match listener.accept().await {
-            Ok((_, address)) if lock(&forwarder.downstream).len() >= limit => {
-                warn!(forwarder.log, "link_refused"; "from" => %address, "open" => limit);
-            }
-            Ok((stream, _)) => {
-                last += 1;
-                tokio::spawn(serve_downstream(stream, last, forwarder.clone()));
-            }
-            Err(error) => {
-                warn!(forwarder.log, "accept"; "error" => %error);
-                sleep(IDLE_RETRY_DELAY).await;
-            }
-        }
-    }
-}
-
-/// Serves a downstream entry: forwards its calls, and tells it whether this
-/// process reaches the leader.
-async fn serve_downstream(stream: TcpStream, number: u64, forwarder: Forwarder) {
-    if stream.set_nodelay(true).is_err() {
-        return;
-    }
-    let (sender, outgoing) = flume::bounded(link::SEND_QUEUE_LIMIT);
-    let handle_packet = |packet| match packet {
-        Packet::Hello { .. } => {
-            // Can't fail: the queue of a new connection is empty.
-            let _ = sender.try_send(Packet::LeaderHint(own_hint(&forwarder)));
-            lock(&forwarder.downstream).insert(number, sender.clone());
-        }
-        Packet::Call(number, call) => {
-            let (forwarder, sender) = (forwarder.clone(), sender.clone());
-            tokio::spawn(async move {
-                if let Some(reply) = forward_downstream_call(&forwarder, *call).await {
-                    // If the send queue is full the reply is lost, and the
-                    // downstream entry sends its call again.
-                    let _ = sender.try_send(Packet::Reply(number, reply));
-                }
-            });
-        }
-        _ => {}
-    };
-    // An error needs no handling: the other side reconnects.
-    let _ = link::exchange_packets(stream, &outgoing, false, handle_packet).await;
-    lock(&forwarder.downstream).swap_remove(&number);
-}
-
-/// The leader hint for downstream entries.
-fn own_hint(forwarder: &Forwarder) -> LeaderHint {
-    let direct = lock(&forwarder.calls).direct;
-    lock(&forwarder.directory).hint(direct)
-}
-
-/// Sends the current leader hint to all downstream entries.
-fn notify_downstream(forwarder: &Forwarder) {
-    let hint = own_hint(forwarder);
-    for sender in lock(&forwarder.downstream).values() {
-        // An entry whose send queue is full finds out by its own pings.
-        let _ = sender.try_send(Packet::LeaderHint(hint.clone()));
-    }
-}
-
-/// Forwards a downstream entry's call; `None` if no reply came in time.
-async fn forward_downstream_call(forwarder: &Forwarder, call: Call) -> Option<Reply> {
-    forwarder.metrics.count("relayed", 1);
-    let Some((number, reply)) = open_call(forwarder, call) else {
-        return Some(busy_reply());
-    };
-    match timeout(DOWNSTREAM_CALL_TIMEOUT, reply).await {
-        Ok(reply) => reply.ok(),
-        Err(_) => {
-            lock(&forwarder.calls).open.swap_remove(&number);
-            None
-        }
-    }
-}
-
-fn busy_reply() -> Reply {
+pub(super) fn busy_reply() -> Reply {
     Reply::Refused {
         retry_after: BUSY_RETRY,
         reason: Refusal::Busy,
--- a/crates/gentianlane-daemon/src/fleet/mod.rs
+++ b/crates/gentianlane-daemon/src/fleet/mod.rs
@@ -6,14 +6,18 @@
 mod core;
 mod deadline;
 mod delivery;
+mod downstream;
 mod entry;
 mod forward;
 mod lateness;
 mod link;
+mod link_server;
 mod log;
 mod metrics;
+mod replica;
 mod server;
 mod settings;
+mod shared;
 mod stop;
 mod traffic;
 
--- a/crates/gentianlane-daemon/src/fleet/traffic.rs
+++ b/crates/gentianlane-daemon/src/fleet/traffic.rs
@@ -19,10 +19,10 @@
 
 use crate::clock::Clock;
 use crate::fleet::control::{Effect, Input, ReplyTarget};
-use crate::fleet::core::{CELL_NAME, OWN_RELAY, RECONNECT_DELAY, Shared, submit_input};
 use crate::fleet::delivery::{request_advice, send_order};
 use crate::fleet::forward::lock;
 use crate::fleet::link;
+use crate::fleet::shared::{CELL_NAME, OWN_RELAY, RECONNECT_DELAY, Shared, submit_input};
 
 /// Executes effects, and keeps the connections to other cores.
 pub(super) struct Traffic {
