--- a/crates/gentianlane/tests/fleet/main.rs
+++ b/crates/gentianlane/tests/fleet/main.rs
@@ -7,4 +7,5 @@
 mod lease;
 mod regression;
 mod simulated_worker;
+mod whole_core;
 mod world;
