Let workers take turns where there are more of them than connections for renewals

Change: the dispatcher knows how many renewals may be under way and sends those first that have been due for longest; workers may then delay their answers only for so long that all have their turn within half a lease. Fleets within the limit see no change.

Test: workers_beyond_the_limit_on_renewals_take_turns_within_their_leases, which fails without the limit (330 under way instead of 50).

--- a/crates/gentianlane-daemon/src/fleet/settings.rs
+++ b/crates/gentianlane-daemon/src/fleet/settings.rs
@@ -196,6 +196,7 @@
             lease: granted.min(MAX_LEASE),
             lease_limit: Span::from_millis(self.lease_limit_ms),
             stop_time: Span::from_millis(self.stop_ms),
+            renewal_limit: self.descriptor_budget().worker_limits().delayed,
             ..dispatch::Setup::default()
         }
     }
--- a/crates/gentianlane/src/fleet/dispatch/lease.rs
+++ b/crates/gentianlane/src/fleet/dispatch/lease.rs
@@ -247,19 +247,42 @@
         }
     }
 
-    /// Sends the lease renewals that are due.
+    /// Sends the lease renewals that are due; those that have been for longest, if
+    /// not all may be under way.
     pub(super) fn send_due_renewals(&mut self, now: Time) {
-        let due: Vec<id::Worker> = self
+        let sessions = self.sessions.values();
+        let pending = sessions.filter(|session| session.renewal.is_some()).count();
+        let due = self
             .sessions
             .iter()
-            .filter(|(_, session)| is_renewal_due(session, now))
-            .map(|(worker, _)| worker.clone())
+            .filter(|(_, session)| is_renewal_due(session, now));
+        let mut due: Vec<(Time, id::Worker)> = due
+            .map(|(worker, session)| (session.next_renewal, worker.clone()))
             .collect();
-        for worker in due {
+        let room = self.setup.renewal_limit.saturating_sub(pending);
+        if due.len() > room {
+            due.sort_by_key(|(since, _)| *since);
+            due.truncate(room);
+        }
+        for (_, worker) in due {
             self.send_renewal(&worker, now);
         }
     }
 
+    /// How long a worker may delay its answer to a renewal: so long that all workers
+    /// have had their turn within half a lease.
+    fn renewal_wait(&self) -> Span {
+        let turns = self
+            .sessions
+            .len()
+            .div_ceil(self.setup.renewal_limit.max(1));
+        let turn = self.setup.lease.as_millis() / 2 / (turns as u64).max(1);
+        match turns {
+            0 | 1 => self.setup.renewal_wait,
+            _ => self.setup.renewal_wait.min(Span::from_millis(turn)),
+        }
+    }
+
     /// Sends a lease renewal, which also asks for the worker's status.
     fn send_renewal(&mut self, worker: &id::Worker, now: Time) {
         let lease = self.setup.lease;
@@ -290,7 +313,7 @@
         let wait = match at_once || deadline.is_none() {
             true => Span::ZERO,
             false if any_in_doubt => STOP_WAIT,
-            false => self.setup.renewal_wait,
+            false => self.renewal_wait(),
         };
         let timeout = wait + self.setup.renewal_margin;
         let action = Action::Renew {
--- a/crates/gentianlane/src/fleet/dispatch/setup.rs
+++ b/crates/gentianlane/src/fleet/dispatch/setup.rs
@@ -2,7 +2,7 @@
 
 use crate::unit::Span;
 
-/// The dispatcher's timeouts.
+/// The dispatcher's timeouts and limits.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Setup {
     /// The length of a worker's lease. Longer than a change of leader takes, so
@@ -13,6 +13,9 @@
     /// How long a worker delays its answer to a lease renewal (a long poll)
     /// while no run ends there.
     pub renewal_wait: Span,
+    /// The most renewals under way at a time; each takes a connection for as long as
+    /// its worker delays the answer. With more workers than that they take turns.
+    pub renewal_limit: usize,
     /// How long the answer to a renewal may take beyond that wait.
     pub renewal_margin: Span,
     /// The timeout of all other orders. Workers execute these at once, and a
@@ -28,6 +31,7 @@
             lease: Span::from_millis(5_000),
             lease_limit: Span::from_millis(6_000),
             renewal_wait: Span::from_millis(1_000),
+            renewal_limit: usize::MAX,
             renewal_margin: Span::from_millis(600),
             order_timeout: Span::from_millis(150),
             stop_time: Span::from_millis(1_000),
--- a/crates/gentianlane/tests/fleet/large.rs
+++ b/crates/gentianlane/tests/fleet/large.rs
@@ -1,13 +1,14 @@
 //! Loads of a large fleet: what a small one does a few at a time has to grow with the
 //! number of workers.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use gentianlane::fleet::dispatch::{Dispatcher, Relay, Setup};
 use gentianlane::fleet::job::{Id, Phase, Resources};
 use gentianlane::fleet::order::{
-    Action, AdviceRequest, AdviceResponse, Answer, Outcome, Status,
+    Action, AdviceRequest, AdviceResponse, Answer, CallId, Outcome, Status,
 };
+use gentianlane::fleet::plan::Plan;
 use gentianlane::fleet::{Command, State};
 use gentianlane::id;
 use gentianlane::unit::{Span, Time, Wall};
@@ -76,47 +77,98 @@
     assert_eq!(soon.count(), 30, "{starts:?}");
 }
 
-/// The advice requests of a step in a fleet of 200 workers, with this many relays,
-/// and the orders to start once the first is answered. The adviser takes as long as
-/// that of a queue whose tasks take a whole worker: 0.56 s and 8 ms a worker.
-fn advice_requests(relays: Relay) -> (Vec<(Relay, AdviceRequest)>, usize) {
-    let (now, wall) = (Time::from_millis(10_000), Wall::from_millis(1_000_000));
+/// A dispatcher's state with this many registered workers.
+fn fleet(workers: u16, plan: Plan) -> State {
     let mut state = State::default();
-    let mut plan = plan(1, true);
-    for queue in plan.queues.values_mut() {
-        if let Some(advice) = &mut queue.advice {
-            advice.base = Span::from_millis(560);
-            advice.per_worker_micros = 8_000;
-        }
-    }
     state.apply(Command::Plan(Box::new(plan)));
     let capacity = Resources {
         millicores: 4_000,
         memory_mib: 4_000,
         accelerators: 0,
     };
-    for at in 0..200 {
+    for at in 0..workers {
         let worker = Worker::new(&format!("w{at}"), 1_000 + at, capacity, 0);
         state.apply(Command::Join {
             incarnation: worker.incarnation,
             profile: worker.profile,
         });
     }
+    state
+}
+
+/// A worker's status without runs, by its clock.
+fn idle(clock: u64) -> Answer {
+    Answer::Status(Status {
+        started_at: None,
+        clock,
+        running: Vec::new(),
+        ended: Vec::new(),
+        ends_cut: false,
+    })
+}
+
+/// More workers than connections for delayed answers: no more renewals are under way
+/// than may be, and every lease is renewed long before it ends.
+#[test]
+fn workers_beyond_the_limit_on_renewals_take_turns_within_their_leases() {
+    const LIMIT: usize = 50;
+    let wall = Wall::from_millis(1_000_000);
+    let state = fleet(330, plan(1, false));
+    let setup = Setup {
+        renewal_limit: LIMIT,
+        ..Setup::default()
+    };
+    let start = Time::from_millis(10_000);
+    let mut dispatcher = Dispatcher::new(&state, 1, setup, start, wall);
+    let mut pending: Vec<(Time, CallId)> = Vec::new();
+    let mut renewed: BTreeMap<id::Worker, Time> = BTreeMap::new();
+    for millis in (0..20_000).step_by(5) {
+        let now = start.after(Span::from_millis(millis));
+        let (answered, open): (Vec<_>, Vec<_>) =
+            pending.into_iter().partition(|(at, _)| *at <= now);
+        pending = open;
+        for (_, call) in answered {
+            dispatcher.handle_answer(&state, call, idle(20_000 + millis), now, wall);
+        }
+        dispatcher.tick(&state, now, wall);
+        for order in dispatcher.take_effects().orders {
+            let Action::Renew { wait, .. } = order.action else {
+                panic!("nothing to start or stop: {order:?}");
+            };
+            // Nothing ends, so each worker delays its answer for as long as it may.
+            pending.push((now.after(wait).after(Span::from_millis(4)), order.id));
+            if let Some(last) = renewed.insert(order.worker.clone(), now) {
+                let gap = now.since(last);
+                assert!(gap < setup.lease, "{}: {gap:?} between two", order.worker);
+            }
+        }
+        assert!(pending.len() <= LIMIT, "{} at {now}", pending.len());
+    }
+    assert_eq!(renewed.len(), 330);
+    let late = |at: &&Time| start.after(Span::from_secs(20)).since(**at) >= setup.lease;
+    assert_eq!(renewed.values().filter(late).count(), 0);
+}
+
+/// The advice requests of a step in a fleet of 200 workers, with this many relays,
+/// and the orders to start once the first is answered. The adviser takes as long as
+/// that of a queue whose tasks take a whole worker: 0.56 s and 8 ms a worker.
+fn advice_requests(relays: Relay) -> (Vec<(Relay, AdviceRequest)>, usize) {
+    let (now, wall) = (Time::from_millis(10_000), Wall::from_millis(1_000_000));
+    let mut plan = plan(1, true);
+    for queue in plan.queues.values_mut() {
+        if let Some(advice) = &mut queue.advice {
+            advice.base = Span::from_millis(560);
+            advice.per_worker_micros = 8_000;
+        }
+    }
+    let mut state = fleet(200, plan);
     let mut dispatcher = Dispatcher::new(&state, 1, Setup::default(), now, wall);
     for relay in 0..relays {
         dispatcher.add_relay(relay);
     }
     dispatcher.tick(&state, now, wall);
     for order in dispatcher.take_effects().orders {
-        let status = Status {
-            started_at: None,
-            clock: 20_000,
-            running: Vec::new(),
-            ended: Vec::new(),
-            ends_cut: false,
-        };
-        let answer = Answer::Status(status);
-        dispatcher.handle_answer(&state, order.id, answer, now, wall);
+        dispatcher.handle_answer(&state, order.id, idle(20_000), now, wall);
     }
     for event in state.apply(Command::Submit {
         job: Id(7),
