Wait for a connection that was given back just now instead of closing it

Cause, by reading: a connection is given back before its task has run, and isn't ready until then. A request that claimed it in between took it for closed and opened another.

Change: only closed connections are left out; a request waits until its connection is ready, within the limit on getting one, and opens another if that fails.

Tests: those of the client, which pass before and after.

--- a/crates/gentianlane-daemon/src/fleet/delivery/client.rs
+++ b/crates/gentianlane-daemon/src/fleet/delivery/client.rs
@@ -153,10 +153,16 @@
     ) -> Result<Lease, RequestOutcome> {
         let started = Instant::now();
         let mut lease = self.claim(address, class).await?;
-        if lease.connection.is_none() {
-            let left = CONNECT_TIMEOUT.saturating_sub(started.elapsed());
-            lease.connection = Some(connect(address, left).await?);
+        let left = || CONNECT_TIMEOUT.saturating_sub(started.elapsed());
+        if let Some(connection) = &mut lease.connection {
+            // One that was given back just now becomes ready after its task has run;
+            // one that the other side has closed meanwhile never does.
+            let ready = timeout(left(), connection.ready()).await;
+            if matches!(ready, Ok(Ok(()))) {
+                return Ok(lease);
+            }
         }
+        lease.connection = Some(connect(address, left()).await?);
         Ok(lease)
     }
 
@@ -244,7 +250,7 @@
     fn claim(&mut self, address: &SocketAddr, class: Class) -> Claim<Connection> {
         loop {
             match self.pool.claim(address, class) {
-                Claim::Granted(Grant::Reuse(connection)) if !connection.is_ready() => {
+                Claim::Granted(Grant::Reuse(connection)) if connection.is_closed() => {
                     self.pool.give_back(address, class, None);
                 }
                 claim => return claim,
