Log crashes of workers with the runs lost, and changes of capacity

The log showed the departure of a worker that signed off and of one whose address was taken in the same words, and no change of capacity, so the hypotheses of the incident couldn't be told apart.

No change of leader is needed. Decisions are the same as before.

--- a/crates/gentianlane/src/fleet/decision.rs
+++ b/crates/gentianlane/src/fleet/decision.rs
@@ -3,7 +3,7 @@
 use derive_more::Display;
 
 use crate::fleet::call::Refusal;
-use crate::fleet::job::{Id, Phase, Stage, Task};
+use crate::fleet::job::{Id, Phase, Resources, Stage, Task};
 use crate::fleet::order::{Outcome, Reason};
 use crate::fleet::worker::Incarnation;
 use crate::id;
@@ -203,6 +203,42 @@
         /// How the leader learnt of the end.
         cause: Cause,
     },
+    /// A worker's incarnation ended without having announced it.
+    #[display("event=worker_crashed life={incarnation} why={cause} runs={runs}")]
+    WorkerCrashed {
+        /// The incarnation that crashed.
+        incarnation: Incarnation,
+        /// How the leader learnt of it.
+        cause: Cause,
+        /// The number of runs that were lost.
+        runs: usize,
+    },
+    /// A run was lost in the crash of its worker.
+    #[display("event=run_crashed task={task} run={run} worker={worker} ran_ms={}", ran.as_millis())]
+    RunCrashed {
+        /// The task that ran, or was to be started.
+        task: Task,
+        /// The number of the run.
+        run: u64,
+        /// The worker that crashed.
+        worker: id::Worker,
+        /// The time from the run's start to the worker's last answer.
+        ran: Span,
+    },
+    /// A worker reported a capacity other than before.
+    #[display(
+        "event=capacity_changed life={incarnation} from={from} to={to} used={used}"
+    )]
+    CapacityChanged {
+        /// The incarnation that reported it.
+        incarnation: Incarnation,
+        /// The capacity before.
+        from: Resources,
+        /// The capacity from now on.
+        to: Resources,
+        /// What its runs use.
+        used: Resources,
+    },
     /// A worker gets no new tasks for a time.
     #[display("event=worker_avoided worker={worker} why={cause} for_ms={}", duration.as_millis())]
     WorkerAvoided {
@@ -280,6 +316,9 @@
     /// Another worker or incarnation answers at the address.
     #[display("other_life")]
     OtherIncarnation,
+    /// Another worker or incarnation has registered with the address.
+    #[display("address_taken")]
+    AddressTaken,
     /// Nothing listens at the address.
     #[display("unreachable")]
     Unreachable,
--- a/crates/gentianlane/src/fleet/dispatch/answer.rs
+++ b/crates/gentianlane/src/fleet/dispatch/answer.rs
@@ -183,6 +183,7 @@
     /// Removes an incarnation that has ended, with its runs, and proposes its
     /// removal to the log.
     fn end_incarnation(&mut self, incarnation: &Incarnation, cause: Cause, now: Time) {
+        self.log_crash(incarnation, cause);
         self.remove_incarnation(incarnation, cause);
         // Another worker listens at the address and refuses what comes late.
         self.unconfirmed.unbind(&incarnation.worker, now);
--- a/crates/gentianlane/src/fleet/dispatch/event.rs
+++ b/crates/gentianlane/src/fleet/dispatch/event.rs
@@ -286,20 +286,37 @@
         });
         // Only one process listens at an address, so an older incarnation that
         // is registered there under another name is gone.
-        for earlier in replaced {
-            let incarnation = earlier.incarnation.clone();
+        let replaced: Vec<Incarnation> = replaced
+            .map(|session| session.incarnation.clone())
+            .collect();
+        for incarnation in replaced {
+            self.log_crash(&incarnation, Cause::AddressTaken);
             self.effects.commands.push(Command::Leave { incarnation });
         }
         self.fleet_revision += 1;
-        let current = self.sessions.get_mut(worker);
-        if let Some(session) = current
+        let mut current = self.sessions.get_mut(worker);
+        if let Some(session) = &mut current
             && session.incarnation == registered.incarnation
         {
+            let from = session.profile.capacity;
             session.profile = registered.profile.clone();
+            let to = session.profile.capacity;
+            if from != to {
+                self.effects.decisions.push(Decision::CapacityChanged {
+                    incarnation: session.incarnation.clone(),
+                    from,
+                    to,
+                    used: session.used,
+                });
+            }
             // What has changed may matter to any step.
             session.seen = Seen::default();
             return;
         }
+        let earlier = current.map(|session| session.incarnation.clone());
+        if let Some(earlier) = earlier {
+            self.log_crash(&earlier, Cause::OtherIncarnation);
+        }
         self.add_pending_orders(worker);
         let mut new_session = Session::new(registered, self.setup.lease, now);
         self.unconfirmed.add_stopping(&mut new_session, now);
--- a/crates/gentianlane/src/fleet/dispatch/mod.rs
+++ b/crates/gentianlane/src/fleet/dispatch/mod.rs
@@ -13,6 +13,7 @@
 mod ask;
 mod backlog;
 mod candidate;
+mod crash;
 mod dispatcher;
 mod effort;
 mod estimate;
--- a/crates/gentianlane/src/fleet/job.rs
+++ b/crates/gentianlane/src/fleet/job.rs
@@ -72,8 +72,10 @@
     pub index: u32,
 }
 
-/// An amount of each resource, as demanded by a task or offered by a worker.
-#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+/// An amount of each resource, as demanded by a task or offered by a worker; shown
+/// as millicores, MiB and accelerators, separated by slashes.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Display, Serialize, Deserialize)]
+#[display("{millicores}/{memory_mib}/{accelerators}")]
 pub struct Resources {
     /// Processor time, in thousandths of a core.
     pub millicores: u64,
