Add failing tests for tasks that crash their workers, and for capacity that shrinks

The simulated workers can now be crashed by the tasks that they start, and come back under their name or another one, sooner or later than their lease ends.

--- a/crates/gentianlane/tests/fleet/main.rs
+++ b/crates/gentianlane/tests/fleet/main.rs
@@ -1,5 +1,7 @@
 //! Tests of the fleet scheduler with simulated workers in virtual time.
 
+mod capacity;
+mod crash;
 mod dispatch;
 mod fuzz;
 mod large;
--- a/crates/gentianlane/tests/fleet/world.rs
+++ b/crates/gentianlane/tests/fleet/world.rs
@@ -28,6 +28,9 @@
 /// How long a ticket of the adviser is valid, in milliseconds.
 const TICKET_VALIDITY_MS: u64 = 2_000;
 
+/// How long after its start a deadly task crashes its worker, in milliseconds.
+const DEADLY_MS: u64 = 10;
+
 /// How far the virtual time advances in one step, in milliseconds.
 const STEP_MS: u64 = 1;
 
@@ -106,6 +109,15 @@
     }
 }
 
+/// What is to happen to the worker at an index.
+#[derive(Debug, Clone, Copy)]
+enum Due {
+    /// The incarnation with this start time crashes under a task.
+    Crash(usize, Wall, Task),
+    /// A new incarnation starts.
+    Return(usize),
+}
+
 /// What placement has cost the leaders.
 #[derive(Debug, Default, Clone, Copy)]
 pub(crate) struct Effort {
@@ -203,6 +215,16 @@
     pub(crate) effort: Effort,
     /// How long a run takes that isn't scripted, in milliseconds.
     pub(crate) run_time: u64,
+    /// The tasks that crash each worker that starts them, 10 ms after the start.
+    pub(crate) deadly: BTreeSet<Task>,
+    /// When a crashed worker is back, after the crash, in milliseconds.
+    pub(crate) crash_time: u64,
+    /// Whether a worker that is back has another name.
+    pub(crate) renames: bool,
+    /// The crashes that deadly tasks have caused, each with its time and task.
+    pub(crate) crashes: Vec<(u64, Task)>,
+    /// The crashes and returns of workers to come, by time.
+    due_crashes: BTreeMap<u64, Vec<Due>>,
     /// The durations in milliseconds and outcomes of a task's next runs; a run
     /// that isn't listed succeeds after [`World::run_time`].
     pub(crate) scripted_runs: BTreeMap<Task, Vec<(u64, Outcome)>>,
@@ -216,7 +238,7 @@
     last_item: u64,
     last_ticket: u64,
     random: ChaCha8Rng,
-    next_report: u64,
+    pub(crate) next_report: u64,
 }
 
 const TIMING: consensus::Timing = consensus::Timing {
@@ -265,6 +287,11 @@
             flush_time: 0,
             effort: Effort::default(),
             run_time: 300,
+            deadly: BTreeSet::new(),
+            crash_time: 3_000,
+            renames: false,
+            crashes: Vec::new(),
+            due_crashes: BTreeMap::new(),
             scripted_runs: BTreeMap::new(),
             report_calls: BTreeMap::new(),
             registered: BTreeMap::new(),
@@ -368,6 +395,7 @@
         let end = self.now + millis;
         while self.now < end {
             self.now += STEP_MS;
+            self.carry_out_crashes();
             self.end_runs();
             self.report();
             for _ in 0..self.rounds_per_step {
@@ -380,6 +408,48 @@
         }
     }
 
+    /// Crashes the workers that have started a deadly task, and brings them back.
+    fn carry_out_crashes(&mut self) {
+        while let Some(entry) = self.due_crashes.first_entry() {
+            if *entry.key() > self.now {
+                return;
+            }
+            for due in entry.remove() {
+                match due {
+                    Due::Crash(at, started_at, task) => {
+                        let worker = &self.workers[at];
+                        if worker.up && worker.incarnation.started_at == started_at {
+                            let name = worker.incarnation.worker.to_string();
+                            self.crash(&name);
+                            self.crashes.push((self.now, task));
+                            self.add_due(self.crash_time, Due::Return(at));
+                        }
+                    }
+                    Due::Return(at) => self.bring_back(at),
+                }
+            }
+        }
+    }
+
+    fn add_due(&mut self, after: u64, due: Due) {
+        self.due_crashes
+            .entry(self.now + after)
+            .or_default()
+            .push(due);
+    }
+
+    /// Starts a new incarnation of a crashed worker at its address, under its name or
+    /// another one.
+    fn bring_back(&mut self, at: usize) {
+        let worker = &self.workers[at];
+        let name = match self.renames {
+            true => format!("w{at}-{}", self.now),
+            false => worker.incarnation.worker.to_string(),
+        };
+        let (port, capacity) = (worker.profile.address.port(), worker.profile.capacity);
+        self.workers[at] = Worker::new(&name, port, capacity, self.now);
+    }
+
     fn end_runs(&mut self) {
         let now = self.now;
         for worker in self.workers.iter_mut().filter(|worker| worker.up) {
@@ -654,6 +724,10 @@
             self.workers[at].handle(order, repeated, run_spec, self.now);
         if let Some((task, run)) = started {
             self.trace(|| format!("{} starts {task} run {run}", order.worker));
+            if self.deadly.contains(&task) {
+                let started_at = self.workers[at].incarnation.started_at;
+                self.add_due(DEADLY_MS, Due::Crash(at, started_at, task));
+            }
             self.check_start(at, task, run, before_contact);
         }
         answer
