Break a gang at once when the worker of a member has gone

What callers saw: a gang of which one worker had crashed or left went on holding the room of the others until these noticed it by themselves.

Cause: the other members were stopped when a lease ended or a run wasn't listed, but not when an incarnation was removed, though that comes first where the worker is soon back.

--- a/crates/gentianlane/src/fleet/dispatch/event.rs
+++ b/crates/gentianlane/src/fleet/dispatch/event.rs
@@ -69,7 +69,7 @@
         now: Time,
     ) {
         self.clear_doubts(incarnation);
-        self.remove_incarnation(incarnation, cause);
+        self.remove_incarnation(incarnation, cause, now);
         // Without a later incarnation nothing carries out a late start.
         if state.worker(&incarnation.worker).is_none() {
             self.unconfirmed.unbind(&incarnation.worker, now);
@@ -430,7 +430,12 @@
     }
 
     /// Removes an incarnation that is over, and releases its runs.
-    pub(super) fn remove_incarnation(&mut self, incarnation: &Incarnation, cause: Cause) {
+    pub(super) fn remove_incarnation(
+        &mut self,
+        incarnation: &Incarnation,
+        cause: Cause,
+        now: Time,
+    ) {
         let worker = &incarnation.worker;
         let Some(session) = self.sessions.get(worker) else {
             return;
@@ -448,6 +453,9 @@
             });
             self.release_run(worker, &task, run);
         }
+        for (task, _) in &runs {
+            self.break_gang(task, now);
+        }
         self.sessions.swap_remove(worker);
         self.fleet_revision += 1;
         let incarnation = incarnation.clone();
--- a/crates/gentianlane/src/fleet/dispatch/lease.rs
+++ b/crates/gentianlane/src/fleet/dispatch/lease.rs
@@ -241,7 +241,7 @@
         }
         let incarnation = session.incarnation.clone();
         self.clear_doubts(&incarnation);
-        self.remove_incarnation(&incarnation, Cause::Unreported);
+        self.remove_incarnation(&incarnation, Cause::Unreported, now);
         if state
             .worker(worker)
             .is_some_and(|registered| registered.incarnation == incarnation)
