Let no late report undo a newer change of a worker's profile

What callers would have seen: tasks on a worker that has less room than the leader believes (LIMIT).

Cause: a report that differs from the registered profile was taken over before its sequence number was looked at, and a new leader knows no sequence numbers. So a report that was on its way while the worker shrank restored the capacity that the worker had taken back.

Change: a report that isn't newer than the last one is ignored. A change of profile goes into the log as a command of its own, with the sequence number of the report; the state ignores a lower one, also under the next leader. Reports have a module of their own.

--- a/crates/gentianlane/src/fleet/command.rs
+++ b/crates/gentianlane/src/fleet/command.rs
@@ -108,6 +108,16 @@
         /// elsewhere.
         widespread: bool,
     },
+    /// Replace the profile of a registered incarnation, unless a later report has done
+    /// so already.
+    Update {
+        /// The incarnation that reported the profile.
+        incarnation: Incarnation,
+        /// The worker's address, pool, capacity and labels.
+        profile: Profile,
+        /// The sequence number of the report.
+        sequence: u64,
+    },
 }
 
 /// A command that can't be encoded, or bytes that aren't a command.
--- a/crates/gentianlane/src/fleet/dispatch/event.rs
+++ b/crates/gentianlane/src/fleet/dispatch/event.rs
@@ -11,8 +11,8 @@
 use crate::fleet::dispatch::survey::Seen;
 use crate::fleet::job::{self, Spec, Step, Task};
 use crate::fleet::order::Status;
-use crate::fleet::worker::{Incarnation, Report};
-use crate::fleet::{Command, Event, Job, State};
+use crate::fleet::worker::Incarnation;
+use crate::fleet::{Event, Job, State};
 use crate::id;
 use crate::unit::{Span, Time, Wall};
 
@@ -329,17 +329,7 @@
         if let Some(session) = &mut current
             && session.incarnation == registered.incarnation
         {
-            let from = session.profile.capacity;
             session.profile = registered.profile.clone();
-            let to = session.profile.capacity;
-            if from != to {
-                self.effects.decisions.push(Decision::CapacityChanged {
-                    incarnation: session.incarnation.clone(),
-                    from,
-                    to,
-                    used: session.used,
-                });
-            }
             // What has changed may matter to any step.
             session.seen = Seen::default();
             return;
@@ -464,52 +454,6 @@
             .push(Decision::WorkerGone { incarnation, cause });
     }
 
-    /// Handles a worker's report; returns a command if it changes the replicated
-    /// state.
-    ///
-    /// The report that begins a drain is answered only once the drain is in the
-    /// log, so that a new leader knows of every acknowledged drain.
-    pub fn handle_report(
-        &mut self,
-        state: &State,
-        report: &Report,
-        now: Time,
-    ) -> Option<Command> {
-        let Report {
-            incarnation,
-            profile,
-            ..
-        } = report;
-        let join = || Command::Join {
-            incarnation: incarnation.clone(),
-            profile: profile.clone(),
-        };
-        let Some(registered) = state.worker(&incarnation.worker) else {
-            return Some(join());
-        };
-        if registered.incarnation.started_at > incarnation.started_at {
-            return None;
-        }
-        if registered.incarnation != *incarnation || registered.profile != *profile {
-            return Some(join());
-        }
-        let session = self.sessions.get_mut(&incarnation.worker)?;
-        if report.sequence <= session.report_sequence {
-            return None;
-        }
-        session.report_sequence = report.sequence;
-        session.last_report = now;
-        if report.draining {
-            session.draining = true;
-            if !registered.draining {
-                return Some(Command::Drain {
-                    incarnation: incarnation.clone(),
-                });
-            }
-        }
-        None
-    }
-
     /// Removes a relay; the advice request that it was handling is sent again
     /// through another.
     pub fn remove_relay(&mut self, relay: Relay) {
--- a/crates/gentianlane/src/fleet/dispatch/mod.rs
+++ b/crates/gentianlane/src/fleet/dispatch/mod.rs
@@ -26,6 +26,7 @@
 mod progress;
 mod rank;
 mod reconcile;
+mod report;
 mod reserve;
 mod schedule;
 mod session;
--- a/crates/gentianlane/src/fleet/node/calls.rs
+++ b/crates/gentianlane/src/fleet/node/calls.rs
@@ -164,10 +164,14 @@
         let Some(dispatcher) = &mut self.dispatcher else {
             return;
         };
-        match dispatcher.handle_report(&self.state, report, now) {
-            Some(command) => self.propose(command, Some(ticket)),
-            None => self.reply(ticket, Reply::Done),
+        let mut commands = dispatcher.handle_report(&self.state, report, now);
+        let Some(last) = commands.pop() else {
+            return self.reply(ticket, Reply::Done);
+        };
+        for command in commands {
+            self.propose(command, None);
         }
+        self.propose(last, Some(ticket));
     }
 
     fn leave(&mut self, incarnation: &Incarnation, ticket: Ticket) {
--- a/crates/gentianlane/src/fleet/state.rs
+++ b/crates/gentianlane/src/fleet/state.rs
@@ -32,6 +32,10 @@
     /// follow in turn.
     #[serde(skip)]
     crashes: Ledger,
+    /// The sequence number of the report that last changed a worker's profile, if one
+    /// has since it registered.
+    #[serde(skip)]
+    report_sequences: IndexMap<id::Worker, u64>,
 }
 
 /// A start without an answer, which its worker may carry out seconds later.
@@ -290,6 +294,11 @@
                 incarnation,
                 widespread,
             } => self.record_crash(at, incarnation, widespread),
+            Command::Update {
+                incarnation,
+                profile,
+                sequence,
+            } => self.update_profile(&incarnation, profile, sequence),
         }
     }
 
@@ -404,9 +413,37 @@
             draining,
         };
         self.workers.insert(name.clone(), worker);
+        self.report_sequences.swap_remove(&name);
         vec![Event::WorkerJoined(name)]
     }
 
+    fn update_profile(
+        &mut self,
+        incarnation: &Incarnation,
+        profile: Profile,
+        sequence: u64,
+    ) -> Vec<Event> {
+        let name = &incarnation.worker;
+        let is_late = sequence <= self.report_sequence(name);
+        match self.workers.get_mut(name) {
+            Some(worker) if worker.incarnation == *incarnation && !is_late => {
+                worker.profile = profile;
+                self.report_sequences.insert(name.clone(), sequence);
+                vec![Event::WorkerJoined(name.clone())]
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    /// The sequence number of the report that last changed a worker's profile; zero if
+    /// none has since it registered.
+    pub(crate) fn report_sequence(&self, worker: &id::Worker) -> u64 {
+        self.report_sequences
+            .get(worker)
+            .copied()
+            .unwrap_or_default()
+    }
+
     fn drain(&mut self, incarnation: &Incarnation) -> Vec<Event> {
         match self.workers.get_mut(&incarnation.worker) {
             Some(worker) if worker.incarnation == *incarnation => {
@@ -428,6 +465,7 @@
         let current = self.workers.get(&incarnation.worker);
         if current.is_some_and(|worker| worker.incarnation == *incarnation) {
             self.workers.swap_remove(&incarnation.worker);
+            self.report_sequences.swap_remove(&incarnation.worker);
         }
     }
 
--- a/crates/gentianlane/src/fleet/state/codec.rs
+++ b/crates/gentianlane/src/fleet/state/codec.rs
@@ -27,7 +27,8 @@
         let bytes = postcard::to_allocvec(self).map_err(|_| CodecError)?;
         let bytes =
             postcard::to_extend(&self.unconfirmed, bytes).map_err(|_| CodecError)?;
-        postcard::to_extend(&self.crashes, bytes).map_err(|_| CodecError)
+        let bytes = postcard::to_extend(&self.crashes, bytes).map_err(|_| CodecError)?;
+        postcard::to_extend(&self.report_sequences, bytes).map_err(|_| CodecError)
     }
 
     /// Decodes the state from a snapshot, which an earlier version may have written.
@@ -52,9 +53,11 @@
         let (unconfirmed, rest) =
             postcard::take_from_bytes(rest).map_err(|_| CodecError)?;
         state.unconfirmed = unconfirmed;
-        if !rest.is_empty() {
-            state.crashes = postcard::from_bytes(rest).map_err(|_| CodecError)?;
+        if rest.is_empty() {
+            return Ok(state);
         }
+        (state.crashes, state.report_sequences) =
+            postcard::from_bytes(rest).map_err(|_| CodecError)?;
         Ok(state)
     }
 }
