Record a drain that comes in one report with another capacity

What callers would have seen: a worker that was told that its drain is known got new tasks under the next leader (DRAIN).

Cause: a report led to one command, and that for the profile came first.

--- a/crates/gentianlane/src/fleet/dispatch/report.rs
+++ b/crates/gentianlane/src/fleet/dispatch/report.rs
@@ -65,7 +65,6 @@
                 profile: profile.clone(),
                 sequence: *sequence,
             });
-            return commands;
         }
         if *draining {
             session.draining = true;
