Send no start again to a worker that has shrunk below its runs

What callers would have seen: a task on a worker that has no room for it (LIMIT).

Cause: a start without an answer is sent again, up to three times, and one that couldn't be sent is sent later; whether the worker still has the room that was reserved at placement wasn't looked at again.

Change: while a worker's runs use more than its capacity, no start is sent to it again: one that may have arrived is stopped, one that was never sent is dropped and its task placed anew. What runs is left alone, as a shrink alone gives no worker more than it has, and stopping would throw work away; the worker takes new tasks once they fit.

Evidence: a_start_without_an_answer_is_not_sent_again_to_a_worker_that_has_shrunk failed on ("exceeds the capacity of w0") and passes.

--- a/crates/gentianlane/src/fleet/dispatch/answer.rs
+++ b/crates/gentianlane/src/fleet/dispatch/answer.rs
@@ -234,7 +234,8 @@
         now: Time,
     ) {
         let session = self.sessions.get(&order.worker);
-        let draining = session.is_some_and(|session| session.draining);
+        let may_repeat = session
+            .is_some_and(|session| !session.draining && !session.is_overcommitted());
         let Some(run) = self.run_mut(&order.worker, task, number) else {
             return;
         };
@@ -278,7 +279,7 @@
                 self.drop_run(&order.worker, task, number, Cause::Unreachable, now);
             }
             // Sending it again is safe: a worker starts a run at most once.
-            Answer::Lost if run.tries < MAX_START_TRIES && !draining => {
+            Answer::Lost if run.tries < MAX_START_TRIES && may_repeat => {
                 self.send_start(&order.worker, task, number, now);
             }
             _ => run.retry_at = now.after(ORDER_RETRY_DELAY),
--- a/crates/gentianlane/src/fleet/dispatch/lease.rs
+++ b/crates/gentianlane/src/fleet/dispatch/lease.rs
@@ -55,6 +55,7 @@
         };
         let silent = session.unanswered > 0;
         let draining = session.draining;
+        let overcommitted = session.is_overcommitted();
         let is_due = |run: &Run| {
             let open = run.state != RunState::Running && run.confirmed_at.is_none();
             open && run.order.is_none() && run.retry_at <= now
@@ -68,6 +69,7 @@
         for (task, number, state, tries, unrecorded) in due {
             let may_retry = tries < MAX_START_TRIES
                 && !draining
+                && !overcommitted
                 && self.stages.contains_key(&task.stage);
             match state {
                 RunState::Starting
@@ -104,7 +106,7 @@
         let permit = stage.permit(worker);
         let permitted =
             !stage.needs_advice() || permit.is_some_and(|permit| permit.is_valid(now));
-        permitted && session.is_usable(now)
+        permitted && session.is_usable(now) && !session.is_overcommitted()
     }
 
     /// Stops a run that isn't its task's current one.
--- a/crates/gentianlane/src/fleet/dispatch/session.rs
+++ b/crates/gentianlane/src/fleet/dispatch/session.rs
@@ -299,6 +299,11 @@
         self.profile.capacity.less(&self.used)
     }
 
+    /// Whether the runs use more than the worker has, as it has shrunk.
+    pub(crate) fn is_overcommitted(&self) -> bool {
+        !self.used.fits(&self.profile.capacity)
+    }
+
     /// Adds a run and reserves its demand; replaces what was known of the run.
     pub(crate) fn insert(&mut self, task: Task, run: Run) {
         self.used = self.used.plus(&run.demand);
