Charge no task for crashes that its runs show not to be its doing

Cause: a crash alone weighed 2 though the task had run past that point before, and settled runs were charged in a crash of many workers too. What a task was charged with lapsed only after a run of a minute.

Change: a crash weighs 1 where an earlier run had lasted over 1 s longer; many workers that crash together charge no settled run; a run of 20 s lapses what was charged before.

--- a/crates/gentianlane/src/fleet/crash.rs
+++ b/crates/gentianlane/src/fleet/crash.rs
@@ -21,7 +21,11 @@
 pub(crate) const SETTLING_TIME: Span = Span::from_millis(3_000);
 
 /// How long a run has to last for what its task was charged before to lapse.
-const LAPSE_TIME: Span = Span::from_secs(60);
+const LAPSE_TIME: Span = Span::from_secs(20);
+
+/// How much longer than at a crash a task has to have run elsewhere to show that it
+/// doesn't crash its workers at that point.
+const INCONSISTENCY: Span = Span::from_secs(1);
 
 /// The points for a crash that no other task can have caused.
 const POINTS_ALONE: u32 = 2;
@@ -56,6 +60,8 @@
     /// The highest run that was charged: a gang's run may be on several workers that
     /// crash.
     last_run: u64,
+    /// The longest that a run had lasted at a crash.
+    longest: Span,
 }
 
 impl Suspicion {
@@ -144,13 +150,13 @@
     }
 
     /// The runs that may have caused the crash of the worker that they were on: those
-    /// that hadn't settled, or all if all had.
-    pub(crate) fn suspects(&self, runs: &[Run]) -> Vec<Run> {
+    /// that hadn't settled. If all had, any of them may, unless many workers crashed.
+    pub(crate) fn suspects(&self, runs: &[Run], widespread: bool) -> Vec<Run> {
         let may_be_cause = |run: &&Run| {
             run.ran < SETTLING_TIME || self.suspicions.contains_key(&run.task)
         };
         let unsettled: Vec<Run> = runs.iter().filter(may_be_cause).copied().collect();
-        match unsettled.is_empty() {
+        match unsettled.is_empty() && !widespread {
             true => runs.to_vec(),
             false => unsettled,
         }
@@ -166,9 +172,14 @@
         if run.ran >= LAPSE_TIME {
             *suspicion = Suspicion::default();
         }
+        let consistent = suspicion.longest <= run.ran + INCONSISTENCY;
+        suspicion.longest = suspicion.longest.max(run.ran);
         suspicion.last_run = run.run;
         suspicion.crashes += 1;
-        suspicion.points += if alone { POINTS_ALONE } else { POINTS_SHARED };
+        suspicion.points += match alone && consistent {
+            true => POINTS_ALONE,
+            false => POINTS_SHARED,
+        };
         Some(*suspicion)
     }
 }
--- a/crates/gentianlane/src/fleet/state/crash.rs
+++ b/crates/gentianlane/src/fleet/state/crash.rs
@@ -31,13 +31,14 @@
         runs.dedup_by_key(|run| run.task);
         self.deregister(&incarnation);
         let mut events = vec![Event::WorkerCrashed(incarnation)];
-        let suspects = self.crashes.suspects(&runs);
+        let suspects = self.crashes.suspects(&runs, widespread);
         let alone = !widespread && suspects.len() == 1;
         for suspect in suspects {
             if !self.is_unit_open(&suspect.task) {
                 continue;
             }
-            // Of a gang, which is on several workers, any crash hits one more often.
+            // A gang is on several workers, so that a crash hits one of its members more
+            // often.
             let alone = alone && !self.is_in_gang(&suspect.task);
             let Some(suspicion) = self.crashes.charge(&suspect, alone) else {
                 continue;
@@ -51,11 +52,11 @@
         events
     }
 
-    /// Whether a task's step runs as a gang.
+    /// Whether a task has to run together with others.
     fn is_in_gang(&self, task: &Task) -> bool {
         let job = self.jobs.get(&task.stage.job);
         let step = job.and_then(|job| job.spec.steps.get(usize::from(task.stage.step)));
-        step.is_some_and(|step| step.gang)
+        step.is_some_and(|step| step.gang && step.count > 1)
     }
 
     /// The task that stands for a task's unit of completion.
--- a/crates/gentianlane/tests/fleet/main.rs
+++ b/crates/gentianlane/tests/fleet/main.rs
@@ -2,6 +2,7 @@
 
 mod capacity;
 mod crash;
+mod crash_fuzz;
 mod dispatch;
 mod fuzz;
 mod large;
