Try suspect gangs on workers of their own too

Cause: only single tasks had trials.

Change: a trial may take several workers, as many as the gang needs; each member is in the log before it starts. A gang of one counts as a single task.

--- a/crates/gentianlane/src/fleet/dispatch/place.rs
+++ b/crates/gentianlane/src/fleet/dispatch/place.rs
@@ -63,7 +63,7 @@
             }
             match stage.step.gang {
                 _ if candidates.is_empty() => {}
-                true => self.place_gang(id, candidates, now),
+                true => self.place_gang(id, candidates, now, wall),
                 false => self.place_tasks(id, candidates, now, wall),
             }
             self.handle_unplaced(id, &mut reservations, &mut survey, now);
@@ -373,11 +373,18 @@
     }
 
     /// Places all members of a gang, or none.
-    fn place_gang(&mut self, id: &job::Stage, mut candidates: Vec<Candidate>, now: Time) {
-        candidates.retain(|candidate| candidate.trial.is_none());
+    fn place_gang(
+        &mut self,
+        id: &job::Stage,
+        mut candidates: Vec<Candidate>,
+        now: Time,
+        wall: Wall,
+    ) {
         let Some(stage) = self.stages.get_mut(id) else {
             return;
         };
+        let trial = stage.suspect(0).needs_trial().then_some(0);
+        candidates.retain(|candidate| candidate.trial == trial);
         let demand = stage.step.demand();
         let count = stage.step.count;
         let has_not_failed =
@@ -404,7 +411,12 @@
             let ticket = candidate.ticket.clone();
             let task = Task { stage: *id, index };
             self.assign_run(&task, &candidate.worker, number, ticket, now);
-            self.send_start(&candidate.worker, &task, number, now);
+            match trial {
+                None => self.send_start(&candidate.worker, &task, number, now),
+                Some(_) => {
+                    self.expose_start(&candidate.worker, &task, number, now, wall);
+                }
+            }
         }
     }
 
--- a/crates/gentianlane/src/fleet/dispatch/trial.rs
+++ b/crates/gentianlane/src/fleet/dispatch/trial.rs
@@ -22,18 +22,23 @@
 /// How long a worker is kept free for a trial that doesn't begin.
 const TRIAL_WAIT: Span = Span::from_secs(6);
 
-/// The worker on which a task is tried.
+/// The workers on which a task is tried; several for a gang, which is named by its
+/// first member.
 #[derive(Debug, Clone)]
 pub(crate) struct Trial {
-    worker: id::Worker,
+    workers: Vec<id::Worker>,
     chosen_at: Time,
 }
 
 /// A worker that may be chosen for a trial.
 struct Offer {
+    /// Whether the task has failed there.
+    has_failed: bool,
     /// When its unsettled runs will have ended or settled.
     clear_at: Time,
     worker: id::Worker,
+    /// How many of the step's tasks it can take then.
+    tasks: u32,
 }
 
 impl Dispatcher {
@@ -46,35 +51,43 @@
         }
         self.end_trials(now);
         self.join_running_suspects(now);
-        let is_kept_free = |(task, trial): &(&Task, &Trial)| {
-            let session = self.sessions.get(&trial.worker);
-            session.is_some_and(|session| !self.is_clear_for(session, task, now))
-        };
-        let mut kept_free = self.trials.iter().filter(is_kept_free).count();
+        let mut kept_free = self.kept_free(now);
         let limit = (self.sessions.len() / WORKERS_PER_TRIAL).max(1);
         for task in self.untried_suspects(now) {
-            let Some(offer) = self.trial_offer(&task, now) else {
+            let offers = self.trial_offers(&task, now);
+            let unclear = offers.iter().filter(|offer| offer.clear_at > now);
+            let unclear = unclear.count();
+            let may_wait = kept_free == 0 || kept_free + unclear <= limit;
+            if offers.is_empty() || (unclear > 0 && !may_wait) {
                 continue;
-            };
-            if offer.clear_at > now {
-                if kept_free >= limit {
-                    continue;
-                }
-                kept_free += 1;
             }
-            self.begin_trial(task, offer.worker, now);
+            kept_free += unclear;
+            let workers = offers.into_iter().map(|offer| offer.worker);
+            self.begin_trial(task, workers.collect(), now);
         }
     }
 
-    fn begin_trial(&mut self, task: Task, worker: id::Worker, now: Time) {
-        if let Some(session) = self.sessions.get_mut(&worker) {
-            session.trial = Some(task);
+    /// How many workers are kept free for trials that can't begin yet.
+    fn kept_free(&self, now: Time) -> usize {
+        let kept = self.trials.iter().flat_map(|(task, trial)| {
+            let sessions = trial.workers.iter();
+            let sessions = sessions.filter_map(|worker| self.sessions.get(worker));
+            sessions.filter(|session| !self.is_clear_for(session, task, now))
+        });
+        kept.count()
+    }
+
+    fn begin_trial(&mut self, task: Task, workers: Vec<id::Worker>, now: Time) {
+        for worker in &workers {
+            if let Some(session) = self.sessions.get_mut(worker) {
+                session.trial = Some(task);
+            }
         }
         if let Some(stage) = self.stages.get_mut(&task.stage) {
             stage.examined = false;
         }
         let chosen_at = now;
-        self.trials.insert(task, Trial { worker, chosen_at });
+        self.trials.insert(task, Trial { workers, chosen_at });
     }
 
     /// Opens the workers of trials that are over to other tasks.
@@ -83,15 +96,15 @@
         let over = trials.filter(|(task, trial)| self.is_trial_over(task, trial, now));
         let over: Vec<Task> = over.map(|(task, _)| *task).collect();
         for task in over {
-            let Some(trial) = self.trials.swap_remove(&task) else {
-                continue;
-            };
-            if let Some(session) = self.sessions.get_mut(&trial.worker)
-                && session.trial == Some(task)
-            {
-                session.trial = None;
-                session.seen = Seen::default();
-                self.clear_trial_record(&trial.worker);
+            let trial = self.trials.swap_remove(&task);
+            for worker in trial.into_iter().flat_map(|trial| trial.workers) {
+                if let Some(session) = self.sessions.get_mut(&worker)
+                    && session.trial == Some(task)
+                {
+                    session.trial = None;
+                    session.seen = Seen::default();
+                    self.clear_trial_record(&worker);
+                }
             }
         }
     }
@@ -117,7 +130,7 @@
             })
         });
         for (task, worker) in running.collect::<Vec<_>>() {
-            self.begin_trial(task, worker, now);
+            self.begin_trial(task, vec![worker], now);
         }
     }
 
@@ -125,22 +138,26 @@
         let Some(stage) = self.stages.get(&task.stage) else {
             return true;
         };
-        let session = self.sessions.get(&trial.worker);
-        let Some(session) = session.filter(|session| session.trial == Some(*task)) else {
-            return true;
+        let is_kept = |worker: &id::Worker| {
+            let session = self.sessions.get(worker);
+            session.is_some_and(|session| {
+                session.trial == Some(*task) && session.is_available()
+            })
         };
         let needed = stage.suspect(task.index).needs_trial();
-        if !needed || stage.done.contains(&task.index) || !session.is_available() {
+        if !needed
+            || stage.done.contains(&task.index)
+            || !trial.workers.iter().all(is_kept)
+        {
             return true;
         }
-        match self.placements.get(task) {
-            None => now.since(trial.chosen_at) >= TRIAL_WAIT,
-            Some(place) if place.worker == trial.worker => session
-                .runs
-                .get(&(*task, place.run))
-                .is_none_or(|run| has_lasted(run, now)),
-            Some(_) => true,
-        }
+        let Some(place) = self.placements.get(task) else {
+            return now.since(trial.chosen_at) >= TRIAL_WAIT;
+        };
+        let session = self.sessions.get(&place.worker);
+        let run = session.and_then(|session| session.runs.get(&(*task, place.run)));
+        !trial.workers.contains(&place.worker)
+            || run.is_none_or(|run| has_lasted(run, now))
     }
 
     /// The tasks that wait for a trial for which no worker is chosen, at most one of
@@ -151,8 +168,7 @@
         let stages = self.suspect_stages.iter();
         let stages = stages.filter(|id| !on_trial.contains(*id));
         let stages = stages.filter_map(|id| self.stages.get(id));
-        let placeable =
-            stages.filter(|stage| !stage.step.gang && stage.is_placeable(now));
+        let placeable = stages.filter(|stage| stage.is_placeable(now));
         let first_suspect = |stage: &Stage| {
             let waits = |index: &&u32| {
                 let suspect = stage.suspect(**index);
@@ -161,30 +177,58 @@
             let &index = stage.pending.iter().find(waits)?;
             Some(Task {
                 stage: stage.id,
-                index,
+                index: stage.unit_key(index),
             })
         };
         placeable.filter_map(first_suspect).collect()
     }
 
-    /// The worker that can be clear for a task's trial soonest.
-    fn trial_offer(&self, task: &Task, now: Time) -> Option<Offer> {
-        let stage = self.stages.get(&task.stage)?;
-        let demand = stage.step.demand();
+    /// The workers that can be clear for a task's trial soonest: one, or as many as a
+    /// gang needs; none if there aren't enough.
+    fn trial_offers(&self, task: &Task, now: Time) -> Vec<Offer> {
+        let Some(stage) = self.stages.get(&task.stage) else {
+            return Vec::new();
+        };
         let permitted = self.permitted_sessions(stage).into_iter();
         let suitable = permitted.filter(|(worker, session)| {
             is_available(stage, session)
                 && session.is_usable(now)
                 && session.trial.is_none()
                 && !self.reserved_workers.contains(worker)
-                && !stage.avoids(task.index, worker, usize::MAX)
-                && demand.fits(&self.room_beside_settled(session, now))
         });
         let offers = suitable.map(|(worker, session)| Offer {
+            has_failed: stage.avoids(task.index, worker, usize::MAX),
             clear_at: self.clear_at(session, now),
             worker: worker.clone(),
+            tasks: self.tasks_beside_settled(stage, session, now),
         });
-        offers.min_by_key(|offer| offer.clear_at)
+        let mut offers: Vec<Offer> = offers.filter(|offer| offer.tasks > 0).collect();
+        offers.sort_by_key(|offer| (offer.has_failed, offer.clear_at));
+        let mut wanted = if stage.step.gang { stage.step.count } else { 1 };
+        let mut chosen = Vec::new();
+        for offer in offers {
+            if wanted == 0 {
+                break;
+            }
+            wanted = wanted.saturating_sub(offer.tasks);
+            chosen.push(offer);
+        }
+        if wanted == 0 { chosen } else { Vec::new() }
+    }
+
+    /// How many of a step's tasks fit on a worker once all but its settled runs have
+    /// ended.
+    fn tasks_beside_settled(&self, stage: &Stage, session: &Session, now: Time) -> u32 {
+        let demand = stage.step.demand();
+        let mut room = self.room_beside_settled(session, now);
+        let limit = stage.step.max_per_worker.unwrap_or(u32::MAX);
+        let limit = limit.min(stage.step.count);
+        let mut tasks = 0;
+        while tasks < limit && demand.fits(&room) {
+            room = room.less(&demand);
+            tasks += 1;
+        }
+        tasks
     }
 
     /// What a worker has free once all but its settled runs have ended.
@@ -216,9 +260,17 @@
         clear_at.max().unwrap_or(now).max(now)
     }
 
-    /// Whether a worker has no runs that could be blamed beside a task.
+    /// Whether a worker has no runs that could be blamed beside a task or its gang.
     pub(super) fn is_clear_for(&self, session: &Session, task: &Task, now: Time) -> bool {
-        let mut others = session.runs.iter().filter(|((other, _), _)| other != task);
+        let stage = self.stages.get(&task.stage);
+        let is_same = |other: &Task| {
+            let unit = stage.map_or(other.index, |stage| stage.unit_key(other.index));
+            other.stage == task.stage && unit == task.index
+        };
+        let mut others = session
+            .runs
+            .iter()
+            .filter(|((other, _), _)| !is_same(other));
         others.all(|((other, _), run)| self.is_settled(other, run, now))
     }
 
@@ -241,7 +293,7 @@
         !stage.suspects.is_empty()
             && pending.all(|&index| {
                 let suspect = stage.suspect(index);
-                suspect.is_held() || (suspect.needs_trial() && !stage.step.gang)
+                suspect.is_held() || suspect.needs_trial()
             })
     }
 }
