Keep few workers for trials, and ask for their advice first

Cause: a worker without unsettled runs was kept for a trial whatever their number. The task's ticket had expired by then, and late jobs ask for advice last, so each trial held an idle worker for 6 s, ended, and took the next.

Change: all workers that are kept for trials not begun count against the limit, an eighth of the fleet; steps with a trial ask first; a task that gets a trial gives up an earlier one.

--- a/crates/gentianlane/src/fleet/dispatch/ask.rs
+++ b/crates/gentianlane/src/fleet/dispatch/ask.rs
@@ -62,15 +62,14 @@
     pub(super) fn ask_for_advice(&mut self, order: &[job::Stage], now: Time) {
         let reserve = RELAY_RESERVE.min(self.relays.count().saturating_sub(1));
         let mut idle = self.relays.idle_count(now);
-        // The users of a long-running task have no service until it runs, so
-        // these steps ask first.
-        let is_long_running = |id: &&job::Stage| {
+        // The users of a long-running task have no service until it runs, and workers
+        // are kept for a trial, so these steps ask first.
+        let is_first = |id: &&job::Stage| {
             let stage = self.stages.get(*id);
-            stage.is_some_and(|stage| stage.step.long_running)
+            stage.is_some_and(|stage| stage.step.long_running) || self.has_trial(id)
         };
-        let long_running: Vec<job::Stage> =
-            order.iter().filter(is_long_running).copied().collect();
-        for (id, fresh) in long_running.iter().flat_map(|id| [(id, true), (id, false)]) {
+        let first: Vec<job::Stage> = order.iter().filter(is_first).copied().collect();
+        for (id, fresh) in first.iter().flat_map(|id| [(id, true), (id, false)]) {
             if idle == 0 {
                 return;
             }
--- a/crates/gentianlane/src/fleet/dispatch/trial.rs
+++ b/crates/gentianlane/src/fleet/dispatch/trial.rs
@@ -16,7 +16,7 @@
 use crate::id;
 use crate::unit::{Span, Time};
 
-/// How many workers there are for each that may be kept free for a trial at a time.
+/// How many workers there are for each that may be kept for a trial that hasn't begun.
 const WORKERS_PER_TRIAL: usize = 8;
 
 /// How long a worker is kept free for a trial that doesn't begin.
@@ -42,7 +42,8 @@
 }
 
 impl Dispatcher {
-    /// Ends the trials that are over, and chooses workers for tasks that wait for one.
+    /// Ends the trials that are over, and chooses workers for tasks that wait for one,
+    /// as long as few workers are kept for trials that haven't begun.
     pub(super) fn update_trials(&mut self, now: Time) {
         let stages = &self.stages;
         self.suspect_stages.retain(|id| stages.contains_key(id));
@@ -51,33 +52,26 @@
         }
         self.end_trials(now);
         self.join_running_suspects(now);
-        let mut kept_free = self.kept_free(now);
+        let waiting = self.trials.iter();
+        let waiting = waiting.filter(|(task, _)| !self.placements.contains_key(*task));
+        let mut kept: usize = waiting.map(|(_, trial)| trial.workers.len()).sum();
         let limit = (self.sessions.len() / WORKERS_PER_TRIAL).max(1);
         for task in self.untried_suspects(now) {
+            if kept >= limit {
+                return;
+            }
             let offers = self.trial_offers(&task, now);
-            let unclear = offers.iter().filter(|offer| offer.clear_at > now);
-            let unclear = unclear.count();
-            let may_wait = kept_free == 0 || kept_free + unclear <= limit;
-            if offers.is_empty() || (unclear > 0 && !may_wait) {
+            if offers.is_empty() || (kept > 0 && kept + offers.len() > limit) {
                 continue;
             }
-            kept_free += unclear;
+            kept += offers.len();
             let workers = offers.into_iter().map(|offer| offer.worker);
             self.begin_trial(task, workers.collect(), now);
         }
     }
 
-    /// How many workers are kept free for trials that can't begin yet.
-    fn kept_free(&self, now: Time) -> usize {
-        let kept = self.trials.iter().flat_map(|(task, trial)| {
-            let sessions = trial.workers.iter();
-            let sessions = sessions.filter_map(|worker| self.sessions.get(worker));
-            sessions.filter(|session| !self.is_clear_for(session, task, now))
-        });
-        kept.count()
-    }
-
     fn begin_trial(&mut self, task: Task, workers: Vec<id::Worker>, now: Time) {
+        self.end_trial(&task);
         for worker in &workers {
             if let Some(session) = self.sessions.get_mut(worker) {
                 session.trial = Some(task);
@@ -96,19 +90,30 @@
         let over = trials.filter(|(task, trial)| self.is_trial_over(task, trial, now));
         let over: Vec<Task> = over.map(|(task, _)| *task).collect();
         for task in over {
-            let trial = self.trials.swap_remove(&task);
-            for worker in trial.into_iter().flat_map(|trial| trial.workers) {
-                if let Some(session) = self.sessions.get_mut(&worker)
-                    && session.trial == Some(task)
-                {
-                    session.trial = None;
-                    session.seen = Seen::default();
-                    self.clear_trial_record(&worker);
-                }
+            self.end_trial(&task);
+        }
+    }
+
+    /// Opens the workers of a task's trial, if it has one, to other tasks.
+    fn end_trial(&mut self, task: &Task) {
+        let trial = self.trials.swap_remove(task);
+        for worker in trial.into_iter().flat_map(|trial| trial.workers) {
+            if let Some(session) = self.sessions.get_mut(&worker)
+                && session.trial == Some(*task)
+            {
+                session.trial = None;
+                session.seen = Seen::default();
+                self.clear_trial_record(&worker);
             }
         }
     }
 
+    /// Whether workers are kept for the trial of a task of a step.
+    pub(super) fn has_trial(&self, id: &job::Stage) -> bool {
+        self.suspect_stages.contains(id)
+            && self.trials.keys().any(|task| task.stage == *id)
+    }
+
     /// Makes trials of runs that an earlier leader started, and of those that became
     /// suspect as they ran.
     fn join_running_suspects(&mut self, now: Time) {
--- a/crates/gentianlane/tests/fleet/crash_fuzz.rs
+++ b/crates/gentianlane/tests/fleet/crash_fuzz.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeSet;
 
 use gentianlane::fleet::call::{Call, Reply};
-use gentianlane::fleet::job::{Phase, Resources, Spec, Task};
+use gentianlane::fleet::job::{Phase, Spec, Task};
 
 use super::dispatch::{phase, task};
 use super::fuzz::{check_end, chosen_seeds};
