Ask for a trial's tickets once its workers are clear, and only then

Cause: a step renews its tickets only when all of them have expired, so a trial waited up to a ticket's life for that of its own worker; suspect steps that couldn't have a trial yet went on asking for advice, about one worker at a time, and took the relays from the others; and an eighth of the fleet was the limit of workers kept for trials however idle the fleet was.

Change: a step with a trial asks about the workers of that trial, once they are clear and a ticket has expired; one that waits for its turn asks nothing while it knows workers that may run it. Workers with a valid ticket are chosen first. Up to half of the workers without runs may be kept.

--- a/crates/gentianlane/src/fleet/dispatch/ask.rs
+++ b/crates/gentianlane/src/fleet/dispatch/ask.rs
@@ -172,16 +172,19 @@
         if !stage.open_requests.is_empty() || stage.not_before > now || !is_waiting {
             return 0;
         }
-        if fresh && !stage.may_ask {
+        if fresh && !stage.may_ask && !self.has_trial(id) {
             return 0;
         }
-        let workers = match fresh {
-            true => self.unasked_workers(stage, now),
-            false => self.expiring_workers(stage, advice.base, now),
+        let workers = match self.trial_question(stage, now) {
+            Some(workers) if fresh => workers,
+            Some(_) => Vec::new(),
+            None if fresh => self.unasked_workers(stage, now),
+            None => self.expiring_workers(stage, advice.base, now),
         };
         if workers.is_empty() {
+            let has_trial = self.has_trial(id);
             if let Some(stage) = self.stages.get_mut(id) {
-                stage.may_ask &= !fresh;
+                stage.may_ask &= !fresh || has_trial;
             }
             return 0;
         }
--- a/crates/gentianlane/src/fleet/dispatch/trial.rs
+++ b/crates/gentianlane/src/fleet/dispatch/trial.rs
@@ -19,6 +19,9 @@
 /// How many workers there are for each that may be kept for a trial that hasn't begun.
 const WORKERS_PER_TRIAL: usize = 8;
 
+/// How many workers without runs there are for each that may.
+const IDLE_WORKERS_PER_TRIAL: usize = 2;
+
 /// How long a worker is kept free for a trial that doesn't begin.
 const TRIAL_WAIT: Span = Span::from_secs(6);
 
@@ -34,6 +37,8 @@
 struct Offer {
     /// Whether the task has failed there.
     has_failed: bool,
+    /// Whether a start there needs a new ticket.
+    lacks_ticket: bool,
     /// When its unsettled runs will have ended or settled.
     clear_at: Time,
     worker: id::Worker,
@@ -55,7 +60,13 @@
         let waiting = self.trials.iter();
         let waiting = waiting.filter(|(task, _)| !self.placements.contains_key(*task));
         let mut kept: usize = waiting.map(|(_, trial)| trial.workers.len()).sum();
-        let limit = (self.sessions.len() / WORKERS_PER_TRIAL).max(1);
+        // While many workers have nothing to run, more of them may be kept.
+        let idle = self
+            .sessions
+            .values()
+            .filter(|session| session.runs.is_empty());
+        let idle = idle.count() / IDLE_WORKERS_PER_TRIAL;
+        let limit = (self.sessions.len() / WORKERS_PER_TRIAL).max(idle).max(1);
         for task in self.untried_suspects(now) {
             if kept >= limit {
                 return;
@@ -108,6 +119,35 @@
         }
     }
 
+    /// The workers to request advice on for a step whose tasks wait for a trial: those
+    /// kept for it, once they are clear and any of their tickets has expired. None if
+    /// the step isn't such a one, or has no worker to choose for a trial.
+    pub(super) fn trial_question(
+        &self,
+        stage: &Stage,
+        now: Time,
+    ) -> Option<Vec<id::Worker>> {
+        if !self.waits_for_trial(stage) {
+            return None;
+        }
+        let mut trials = self.trials.iter();
+        let Some((task, trial)) = trials.find(|(task, _)| task.stage == stage.id) else {
+            let mut permitted = self.permitted_sessions(stage).into_iter();
+            let may_choose = permitted.any(|(_, session)| is_available(stage, session));
+            return may_choose.then(Vec::new);
+        };
+        let sessions = trial.workers.iter();
+        let mut sessions = sessions.filter_map(|worker| self.sessions.get(worker));
+        let clear = sessions.all(|session| self.is_clear_for(session, task, now));
+        let mut permits = trial.workers.iter().map(|worker| stage.permit(worker));
+        let expired =
+            permits.any(|permit| permit.is_none_or(|permit| !permit.is_valid(now)));
+        match clear && expired {
+            true => Some(trial.workers.clone()),
+            false => Some(Vec::new()),
+        }
+    }
+
     /// Whether workers are kept for the trial of a task of a step.
     pub(super) fn has_trial(&self, id: &job::Stage) -> bool {
         self.suspect_stages.contains(id)
@@ -201,14 +241,20 @@
                 && session.trial.is_none()
                 && !self.reserved_workers.contains(worker)
         });
+        let is_valid = |worker| {
+            let mut permit = stage.permit(worker).into_iter();
+            permit.any(|permit| permit.is_valid(now))
+        };
         let offers = suitable.map(|(worker, session)| Offer {
             has_failed: stage.avoids(task.index, worker, usize::MAX),
+            lacks_ticket: stage.needs_advice() && !is_valid(worker),
             clear_at: self.clear_at(session, now),
             worker: worker.clone(),
             tasks: self.tasks_beside_settled(stage, session, now),
         });
         let mut offers: Vec<Offer> = offers.filter(|offer| offer.tasks > 0).collect();
-        offers.sort_by_key(|offer| (offer.has_failed, offer.clear_at));
+        offers
+            .sort_by_key(|offer| (offer.has_failed, offer.clear_at, offer.lacks_ticket));
         let mut wanted = if stage.step.gang { stage.step.count } else { 1 };
         let mut chosen = Vec::new();
         for offer in offers {
