Let a suspect step ask about other workers when it knows too few

Cause: a step that waits for a trial asked nothing as long as one worker that may run it was left, though its gang needs several.

Change: it asks unless the workers that it knows are enough for the trial.

--- a/crates/gentianlane/src/fleet/dispatch/trial.rs
+++ b/crates/gentianlane/src/fleet/dispatch/trial.rs
@@ -121,7 +121,7 @@
 
     /// The workers to request advice on for a step whose tasks wait for a trial: those
     /// kept for it, once they are clear and any of their tickets has expired. None if
-    /// the step isn't such a one, or has no worker to choose for a trial.
+    /// the step isn't such a one, or knows too few workers for a trial.
     pub(super) fn trial_question(
         &self,
         stage: &Stage,
@@ -132,9 +132,9 @@
         }
         let mut trials = self.trials.iter();
         let Some((task, trial)) = trials.find(|(task, _)| task.stage == stage.id) else {
-            let mut permitted = self.permitted_sessions(stage).into_iter();
-            let may_choose = permitted.any(|(_, session)| is_available(stage, session));
-            return may_choose.then(Vec::new);
+            let has_offers = |task| !self.trial_offers(&task, now).is_empty();
+            let may_wait = first_suspect(stage).is_none_or(has_offers);
+            return may_wait.then(Vec::new);
         };
         let sessions = trial.workers.iter();
         let mut sessions = sessions.filter_map(|worker| self.sessions.get(worker));
@@ -214,17 +214,6 @@
         let stages = stages.filter(|id| !on_trial.contains(*id));
         let stages = stages.filter_map(|id| self.stages.get(id));
         let placeable = stages.filter(|stage| stage.is_placeable(now));
-        let first_suspect = |stage: &Stage| {
-            let waits = |index: &&u32| {
-                let suspect = stage.suspect(**index);
-                suspect.needs_trial() && !suspect.is_held()
-            };
-            let &index = stage.pending.iter().find(waits)?;
-            Some(Task {
-                stage: stage.id,
-                index: stage.unit_key(index),
-            })
-        };
         placeable.filter_map(first_suspect).collect()
     }
 
@@ -349,6 +338,19 @@
     }
 }
 
+/// The first pending task of a step that waits for a trial, or the step's gang.
+fn first_suspect(stage: &Stage) -> Option<Task> {
+    let waits = |index: &&u32| {
+        let suspect = stage.suspect(**index);
+        suspect.needs_trial() && !suspect.is_held()
+    };
+    let &index = stage.pending.iter().find(waits)?;
+    Some(Task {
+        stage: stage.id,
+        index: stage.unit_key(index),
+    })
+}
+
 /// Whether a run has lasted so long that it is no cause of a crash by itself.
 fn has_lasted(run: &Run, now: Time) -> bool {
     run.state == RunState::Running && now.since(run.started_at) >= SETTLING_TIME
