Charge only what had just started when many workers crash together

Cause: a common loss charged every task on every worker. That many fell silent together was taken into account only for the weight of a crash, and not seen at all where answers time out instead of connections that break: their time-outs are up to 1.6 s apart.

Change: when many workers fall silent together only runs of less than 250 ms are charged. Silences that were noticed by a time-out count as together within the time that an answer may take. A deadly task whose crash falls together with three others by chance within 100 ms is charged all the same, as it had just started.

--- a/crates/gentianlane/src/fleet/crash.rs
+++ b/crates/gentianlane/src/fleet/crash.rs
@@ -20,6 +20,9 @@
 /// charged before or no run on the worker is younger.
 pub(crate) const SETTLING_TIME: Span = Span::from_millis(3_000);
 
+/// How long a run has to last to be no cause of a crash that came with many others.
+const STARTING_TIME: Span = Span::from_millis(250);
+
 /// How long a run has to last for what its task was charged before to lapse.
 const LAPSE_TIME: Span = Span::from_secs(20);
 
@@ -150,13 +153,18 @@
     }
 
     /// The runs that may have caused the crash of the worker that they were on: those
-    /// that hadn't settled. If all had, any of them may, unless many workers crashed.
+    /// that hadn't settled, or any if all had. If many workers crashed together, only
+    /// those that had just started.
     pub(crate) fn suspects(&self, runs: &[Run], widespread: bool) -> Vec<Run> {
+        if widespread {
+            let starting = runs.iter().filter(|run| run.ran < STARTING_TIME);
+            return starting.copied().collect();
+        }
         let may_be_cause = |run: &&Run| {
             run.ran < SETTLING_TIME || self.suspicions.contains_key(&run.task)
         };
         let unsettled: Vec<Run> = runs.iter().filter(may_be_cause).copied().collect();
-        match unsettled.is_empty() && !widespread {
+        match unsettled.is_empty() {
             true => runs.to_vec(),
             false => unsettled,
         }
--- a/crates/gentianlane/src/fleet/dispatch/answer.rs
+++ b/crates/gentianlane/src/fleet/dispatch/answer.rs
@@ -101,7 +101,8 @@
                         self.effects
                             .decisions
                             .push(Decision::WorkerSilent { incarnation, lease });
-                        self.silences.begin(&order.worker, now);
+                        let is_timeout = now.since(order.sent_at) >= order.timeout;
+                        self.silences.begin(&order.worker, is_timeout, now);
                     }
                 }
                 self.record_silence(&order.worker, now, wall);
--- a/crates/gentianlane/src/fleet/dispatch/crash.rs
+++ b/crates/gentianlane/src/fleet/dispatch/crash.rs
@@ -19,7 +19,8 @@
 /// single answer is lost now and then.
 const SILENT_RENEWALS: u32 = 2;
 
-/// Workers that fall silent within this time of each other may have a common cause.
+/// Workers whose connections break within this time of each other may have a common
+/// cause.
 const COINCIDENCE: Span = Span::from_millis(100);
 
 /// The least number of other workers that have to fall silent with one for a common
@@ -65,31 +66,53 @@
     }
 }
 
+/// When a worker fell silent.
+#[derive(Debug, Clone)]
+struct Silence {
+    worker: id::Worker,
+    at: Time,
+    /// Whether its answer was overdue, instead of a connection that broke: then the
+    /// worker may have been gone for as long as the answer might take.
+    is_timeout: bool,
+}
+
 /// When workers fell silent, oldest first, and the tasks whose leases have ended on
 /// those that haven't been heard since.
 #[derive(Debug, Default, Clone)]
 pub(crate) struct Silences {
-    began: VecDeque<(Time, id::Worker)>,
+    began: VecDeque<Silence>,
     doubts: IndexMap<Incarnation, Vec<Task>>,
 }
 
 impl Silences {
     /// Notes that a worker has fallen silent.
-    pub(crate) fn begin(&mut self, worker: &id::Worker, now: Time) {
-        let is_old = |(at, _): &(Time, id::Worker)| now.since(*at) > SILENCE_RETENTION;
+    pub(crate) fn begin(&mut self, worker: &id::Worker, is_timeout: bool, now: Time) {
+        let is_old = |silence: &Silence| now.since(silence.at) > SILENCE_RETENTION;
         while self.began.len() >= SILENCE_LIMIT || self.began.front().is_some_and(is_old)
         {
             self.began.pop_front();
         }
-        self.began.push_back((now, worker.clone()));
+        self.began.push_back(Silence {
+            worker: worker.clone(),
+            at: now,
+            is_timeout,
+        });
     }
 
     /// How many other workers fell silent when this one did; none if that isn't known.
-    fn coincident(&self, worker: &id::Worker) -> Option<usize> {
+    ///
+    /// `overdue` is how much sooner than noticed a worker may be gone whose answer was
+    /// overdue.
+    fn coincident(&self, worker: &id::Worker, overdue: Span) -> Option<usize> {
         let mut latest_first = self.began.iter().rev();
-        let (at, _) = latest_first.find(|(_, other)| other == worker)?;
-        let is_near = |other: Time| other.max(*at).since(other.min(*at)) <= COINCIDENCE;
-        let near = self.began.iter().filter(|(other, _)| is_near(*other));
+        let own = latest_first.find(|silence| silence.worker == *worker)?;
+        let near = self.began.iter().filter(|other| {
+            let window = match own.is_timeout {
+                true if other.is_timeout => overdue,
+                _ => COINCIDENCE,
+            };
+            other.at.max(own.at).since(other.at.min(own.at)) <= window
+        });
         Some(near.count().saturating_sub(1))
     }
 }
@@ -235,7 +258,8 @@
 
     fn propose_crash(&mut self, incarnation: &Incarnation, wall: Wall) {
         let least = MIN_COINCIDENT.max(self.sessions.len() / WORKERS_PER_COINCIDENT);
-        let coincident = self.silences.coincident(&incarnation.worker);
+        let overdue = self.setup.renewal_wait + self.setup.renewal_margin;
+        let coincident = self.silences.coincident(&incarnation.worker, overdue);
         self.effects.commands.push(Command::Crash {
             at: wall,
             incarnation: incarnation.clone(),
--- a/crates/gentianlane/src/fleet/dispatch/dispatcher.rs
+++ b/crates/gentianlane/src/fleet/dispatch/dispatcher.rs
@@ -42,6 +42,8 @@
     /// When the addressed incarnation of the worker started.
     pub(super) started_at: Wall,
     pub(super) sent_at: Time,
+    /// How long its answer may take.
+    pub(super) timeout: Span,
     /// When the ticket of a start has expired at the worker.
     pub(super) ticket_until: Option<Time>,
     pub(super) kind: OrderKind,
@@ -307,6 +309,7 @@
             worker: worker.clone(),
             started_at: session.incarnation.started_at,
             sent_at: now,
+            timeout,
             ticket_until: self.ticket_until(worker, &action),
             kind,
             extends_lease,
--- a/crates/gentianlane/tests/fleet/crash.rs
+++ b/crates/gentianlane/tests/fleet/crash.rs
@@ -183,3 +183,33 @@
     assert_eq!(phase(&mut world, 2), Some(Phase::Completed));
     assert_eq!(phase(&mut world, 3), Some(Phase::Running));
 }
+
+#[test]
+fn a_suspect_gang_asks_about_other_workers_once_its_own_are_gone() {
+    let mut world = World::new(6, 1).with_plan(plan(1, true));
+    world.resets_connections = true;
+    world.renames = true;
+    world.ineligible = vec!["w3", "w4", "w5"];
+    world.run_time = 1_500;
+    let mut spec = job(2, 3_000);
+    spec.steps[0].gang = true;
+    world.submit(1, &spec);
+    for crashed in 0..2 {
+        let end = world.now + 15_000;
+        while world.starts(&task(1, 0)) == crashed && world.now < end {
+            world.run(1);
+        }
+        world.run(300);
+        let worker = world.observed_runs.iter().rev();
+        let worker = worker.map(|run| run.worker.clone()).next();
+        let names = world
+            .workers
+            .iter()
+            .map(|worker| &worker.incarnation.worker);
+        let at = names.clone().position(|name| Some(name) == worker.as_ref());
+        world.crash_for(at.unwrap_or(0), 3_000);
+    }
+    // Whichever of the three workers has not crashed can't hold the gang alone.
+    world.run(15_000);
+    assert_eq!(phase(&mut world, 1), Some(Phase::Completed));
+}
--- a/crates/gentianlane/tests/fleet/world.rs
+++ b/crates/gentianlane/tests/fleet/world.rs
@@ -224,6 +224,8 @@
     pub(crate) crash_time: u64,
     /// Whether the end of a worker's process is noticed at once, by its connections.
     pub(crate) resets_connections: bool,
+    /// The prefixes of the names of workers that advice allows for no step.
+    pub(crate) ineligible: Vec<&'static str>,
     /// Whether a worker that is back has another name.
     pub(crate) renames: bool,
     /// The crashes that deadly tasks have caused, each with its time and task.
@@ -298,6 +300,7 @@
             deadly: BTreeSet::new(),
             crash_time: 3_000,
             resets_connections: false,
+            ineligible: Vec::new(),
             renames: false,
             crashes: Vec::new(),
             earlier_capacities: BTreeMap::new(),
@@ -943,6 +946,11 @@
                     let eligible = request
                         .workers
                         .iter()
+                        .filter(|worker| {
+                            let name = worker.as_str();
+                            let mut ineligible = self.ineligible.iter();
+                            !ineligible.any(|prefix| name.starts_with(prefix))
+                        })
                         .map(|worker| (worker.clone(), self.ticket(worker, expires)));
                     let response = AdviceResponse {
                         id: request.id,
