Let a run that has lasted settle, whatever its task was charged with

Found by the histories with deadly tasks.

A run that lasts over a second longer than at any earlier crash lapses what its task was charged before, as a run of 20 s does.

--- a/crates/gentianlane/src/fleet/crash.rs
+++ b/crates/gentianlane/src/fleet/crash.rs
@@ -177,7 +177,8 @@
         if run.run <= suspicion.last_run {
             return None;
         }
-        if run.ran >= LAPSE_TIME {
+        // It has outlived the point at which it was charged before.
+        if run.ran >= LAPSE_TIME || run.ran > suspicion.longest + INCONSISTENCY {
             *suspicion = Suspicion::default();
         }
         let consistent = suspicion.longest <= run.ran + INCONSISTENCY;
