Renew expired tickets together with questions about new workers

Cause: a step asks about workers that it hasn't asked about before it renews its tickets, one request at a time. Where workers crash and come back under other names all the time there are always such workers, and with slow advice all other tickets had expired by the time it found room.

Evidence: a_gang_renews_its_tickets_while_new_workers_keep_appearing failed before ("the gang hasn't started") and passes.

--- a/crates/gentianlane/src/fleet/dispatch/ask.rs
+++ b/crates/gentianlane/src/fleet/dispatch/ask.rs
@@ -178,7 +178,16 @@
         let workers = match self.trial_question(stage, now) {
             Some(workers) if fresh => workers,
             Some(_) => Vec::new(),
-            None if fresh => self.unasked_workers(stage, now),
+            None if fresh => {
+                let mut workers = self.unasked_workers(stage, now);
+                // Where workers keep appearing, questions about them alone would leave
+                // no time to renew expired tickets.
+                if !workers.is_empty() {
+                    workers.extend(self.expiring_workers(stage, advice.base, now));
+                    workers.truncate(WORKER_LIMIT);
+                }
+                workers
+            }
             None => self.expiring_workers(stage, advice.base, now),
         };
         if workers.is_empty() {
--- a/crates/gentianlane/tests/fleet/regression.rs
+++ b/crates/gentianlane/tests/fleet/regression.rs
@@ -354,3 +354,26 @@
     }
     assert!(throttled > 1, "{throttled} orders in 10 s");
 }
+
+#[test]
+fn a_gang_renews_its_tickets_while_new_workers_keep_appearing() {
+    // Found at swd-apostille-grown, deadly with seed 1: workers crashed and came back
+    // under other names all the time. A gang asked about these alone, so that the
+    // tickets of all others had expired when it found room.
+    let mut world = World::new(6, 1).with_plan(plan(1, true));
+    world.advice_delay = 700;
+    world.renames = true;
+    world.run_time = 4_000;
+    // Four workers are full at first; the last two come and go.
+    world.ineligible = vec!["w4", "w5"];
+    world.submit(1, &job(4, 3_000));
+    world.run(1_500);
+    let mut gang = job(4, 2_500);
+    gang.steps[0].gang = true;
+    world.submit(2, &gang);
+    for round in 0..30 {
+        world.run(250);
+        world.crash_for(4 + round % 2, 200);
+    }
+    assert!(world.starts(&task(2)) > 0, "the gang hasn't started");
+}
--- a/crates/gentianlane/tests/fleet/world.rs
+++ b/crates/gentianlane/tests/fleet/world.rs
@@ -224,6 +224,8 @@
     pub(crate) crash_time: u64,
     /// Whether the end of a worker's process is noticed at once, by its connections.
     pub(crate) resets_connections: bool,
+    /// How long the adviser takes to answer, in milliseconds.
+    pub(crate) advice_delay: u64,
     /// The prefixes of the names of workers that advice allows for no step.
     pub(crate) ineligible: Vec<&'static str>,
     /// Whether a worker that is back has another name.
@@ -300,6 +302,7 @@
             deadly: BTreeSet::new(),
             crash_time: 3_000,
             resets_connections: false,
+            advice_delay: 20,
             ineligible: Vec::new(),
             renames: false,
             crashes: Vec::new(),
@@ -942,7 +945,7 @@
                 }
                 Output::RequestAdvice(_, request) => {
                     self.note_registrations();
-                    let expires = self.now + 20 + self.ticket_validity;
+                    let expires = self.now + self.advice_delay + self.ticket_validity;
                     let eligible = request
                         .workers
                         .iter()
@@ -956,7 +959,7 @@
                         id: request.id,
                         eligible: Some(eligible.collect()),
                     };
-                    self.send(20, InFlight::Advice(me, response));
+                    self.send(self.advice_delay, InFlight::Advice(me, response));
                     self.advice_requests.push(request);
                 }
                 Output::Role(_) => {}
