Try equal suspects of a step one after another also after restarts

Found by a test for a step of six deadly tasks: 24 workers crashed, four for each task, where 13 are needed.

Cause: the runs of an earlier incarnation that are being stopped at the next one were taken for running suspects, and each got a trial of its own. A trial also ended when its worker fell silent, or when a later incarnation answered in its place, as if its run had lasted.

Change: what is being stopped has no trial; a trial lasts until it is known what became of its run, and a run on a silent worker hasn't settled.

Evidence: equal_deadly_tasks_of_a_step_are_tried_one_after_another fails before (24 crashes, 14 with the first change alone) and passes.

--- a/crates/gentianlane/src/fleet/dispatch/place.rs
+++ b/crates/gentianlane/src/fleet/dispatch/place.rs
@@ -196,7 +196,7 @@
         };
         // A worker that is kept for a trial takes the task once it is clear.
         if let Some(task) = &session.trial
-            && (task.stage != stage.id || !self.is_clear_for(session, task, now))
+            && (task.stage != stage.id || !self.is_clear_for(session, task))
         {
             return None;
         }
--- a/crates/gentianlane/src/fleet/dispatch/trial.rs
+++ b/crates/gentianlane/src/fleet/dispatch/trial.rs
@@ -138,7 +138,7 @@
         };
         let sessions = trial.workers.iter();
         let mut sessions = sessions.filter_map(|worker| self.sessions.get(worker));
-        let clear = sessions.all(|session| self.is_clear_for(session, task, now));
+        let clear = sessions.all(|session| self.is_clear_for(session, task));
         let mut permits = trial.workers.iter().map(|worker| stage.permit(worker));
         let expired =
             permits.any(|permit| permit.is_none_or(|permit| !permit.is_valid(now)));
@@ -170,7 +170,9 @@
                 let place = self.placements.get(&task)?;
                 let session = self.sessions.get(&place.worker)?;
                 let run = session.runs.get(&(task, place.run))?;
-                let joins = session.trial.is_none() && !has_lasted(run, now);
+                let joins = session.trial.is_none()
+                    && run.state != RunState::Stopping
+                    && !has_lasted(session, run);
                 joins.then(|| (task, place.worker.clone()))
             })
         });
@@ -183,10 +185,13 @@
         let Some(stage) = self.stages.get(&task.stage) else {
             return true;
         };
+        let place = self.placements.get(task);
+        // A worker that has fallen silent under the task may have crashed.
         let is_kept = |worker: &id::Worker| {
             let session = self.sessions.get(worker);
             session.is_some_and(|session| {
-                session.trial == Some(*task) && session.is_available()
+                session.trial == Some(*task)
+                    && (place.is_some() || session.is_available())
             })
         };
         let needed = stage.suspect(task.index).needs_trial();
@@ -196,13 +201,15 @@
         {
             return true;
         }
-        let Some(place) = self.placements.get(task) else {
+        let Some(place) = place else {
             return now.since(trial.chosen_at) >= TRIAL_WAIT;
         };
-        let session = self.sessions.get(&place.worker);
-        let run = session.and_then(|session| session.runs.get(&(*task, place.run)));
+        let has_lasted = |session: &Session| {
+            let run = session.runs.get(&(*task, place.run));
+            run.is_none_or(|run| has_lasted(session, run))
+        };
         !trial.workers.contains(&place.worker)
-            || run.is_none_or(|run| has_lasted(run, now))
+            || self.sessions.get(&place.worker).is_none_or(has_lasted)
     }
 
     /// The tasks that wait for a trial for which no worker is chosen, at most one of
@@ -239,7 +246,7 @@
             lacks_ticket: stage.needs_advice() && !is_valid(worker),
             clear_at: self.clear_at(session, now),
             worker: worker.clone(),
-            tasks: self.tasks_beside_settled(stage, session, now),
+            tasks: Self::tasks_beside_settled(stage, session),
         });
         let mut offers: Vec<Offer> = offers.filter(|offer| offer.tasks > 0).collect();
         offers
@@ -258,9 +265,9 @@
 
     /// How many of a step's tasks fit on a worker once all but its settled runs have
     /// ended.
-    fn tasks_beside_settled(&self, stage: &Stage, session: &Session, now: Time) -> u32 {
+    fn tasks_beside_settled(stage: &Stage, session: &Session) -> u32 {
         let demand = stage.step.demand();
-        let mut room = self.room_beside_settled(session, now);
+        let mut room = Self::room_beside_settled(session);
         let limit = stage.step.max_per_worker.unwrap_or(u32::MAX);
         let limit = limit.min(stage.step.count);
         let mut tasks = 0;
@@ -272,9 +279,9 @@
     }
 
     /// What a worker has free once all but its settled runs have ended.
-    fn room_beside_settled(&self, session: &Session, now: Time) -> Resources {
+    fn room_beside_settled(session: &Session) -> Resources {
         let runs = session.runs.iter();
-        let settled = runs.filter(|(_, run)| has_lasted(run, now));
+        let settled = runs.filter(|(_, run)| has_lasted(session, run));
         let used = settled.fold(Resources::default(), |used, (_, run)| {
             used.plus(&run.demand)
         });
@@ -284,7 +291,7 @@
     /// When a worker's unsettled runs will have ended or settled.
     fn clear_at(&self, session: &Session, now: Time) -> Time {
         let unsettled = session.runs.iter();
-        let unsettled = unsettled.filter(|(_, run)| !has_lasted(run, now));
+        let unsettled = unsettled.filter(|(_, run)| !has_lasted(session, run));
         let clear_at = unsettled.map(|((task, _), run)| {
             let ends = self.expected_end(task, run, now);
             let settles = run.started_at.after(SETTLING_TIME);
@@ -300,7 +307,7 @@
     }
 
     /// Whether a worker has no runs that could be blamed beside a task or its gang.
-    pub(super) fn is_clear_for(&self, session: &Session, task: &Task, now: Time) -> bool {
+    pub(super) fn is_clear_for(&self, session: &Session, task: &Task) -> bool {
         let stage = self.stages.get(&task.stage);
         let is_same = |other: &Task| {
             let unit = stage.map_or(other.index, |stage| stage.unit_key(other.index));
@@ -310,7 +317,7 @@
             .runs
             .iter()
             .filter(|((other, _), _)| !is_same(other));
-        others.all(|(_, run)| has_lasted(run, now))
+        others.all(|(_, run)| has_lasted(session, run))
     }
 
     /// Whether anything is held against a task; also if its job is over, as that isn't
@@ -345,7 +352,9 @@
     })
 }
 
-/// Whether a run has lasted so long that it is no cause of a crash by itself.
-fn has_lasted(run: &Run, now: Time) -> bool {
-    run.state == RunState::Running && now.since(run.started_at) >= SETTLING_TIME
+/// Whether a run has lasted so long that it is no cause of a crash by itself; what a
+/// silent worker still runs isn't known.
+fn has_lasted(session: &Session, run: &Run) -> bool {
+    let ran = session.last_answer.since(run.started_at);
+    run.state == RunState::Running && session.unanswered == 0 && ran >= SETTLING_TIME
 }
--- a/crates/gentianlane/tests/fleet/crash.rs
+++ b/crates/gentianlane/tests/fleet/crash.rs
@@ -1,7 +1,9 @@
 //! Tasks that crash each worker that starts them, and workers that crash for other
 //! reasons.
 
+use gentianlane::fleet::decision::Decision;
 use gentianlane::fleet::job::{Phase, Spec, Task};
+use gentianlane::fleet::{Command, State};
 
 use super::dispatch::{phase, task};
 use super::simulated_worker::job;
@@ -213,3 +215,87 @@
     world.run(15_000);
     assert_eq!(phase(&mut world, 1), Some(Phase::Completed));
 }
+
+#[test]
+fn equal_deadly_tasks_of_a_step_are_tried_one_after_another() {
+    let mut world = World::new(8, 1).with_plan(plan(1, false));
+    world.resets_connections = true;
+    world
+        .deadly
+        .extend((0..6).map(|index| task(DEADLY_JOB, index)));
+    world.submit(DEADLY_JOB, &job(6, 3_000));
+    world.run(60_000);
+    assert_eq!(phase(&mut world, DEADLY_JOB), Some(Phase::Failed));
+    // Each twice, as nothing tells them from others before, and one in a trial.
+    assert!(world.crashes.len() <= 13, "{} crashes", world.crashes.len());
+}
+
+#[test]
+fn workers_that_are_cut_off_and_come_back_charge_no_task() {
+    let mut world = World::new(4, 1).with_plan(plan(1, true));
+    let mut lasting = job(1, 500);
+    lasting.steps[0].long_running = true;
+    world.submit(1, &lasting);
+    world.run(500);
+    for _ in 0..6 {
+        let worker = world.observed_runs.last().map(|run| run.worker.clone());
+        world.unreachable.extend(worker);
+        world.run(8_000);
+        world.unreachable.clear();
+        world.run(1_000);
+    }
+    assert_eq!(phase(&mut world, 1), Some(Phase::Running));
+    assert_eq!(world.starts(&task(1, 0)), 7);
+}
+
+#[test]
+fn workers_that_leave_after_a_drain_charge_no_task() {
+    let mut world = World::new(4, 1).with_plan(plan(1, true));
+    world.run_time = 5_000;
+    world.submit(1, &job(1, 500));
+    world.run(500);
+    for _ in 0..6 {
+        let worker = world.observed_runs.last().map(|run| run.worker.clone());
+        let mut workers = world.workers.iter_mut();
+        let at =
+            workers.position(|other| Some(&other.incarnation.worker) == worker.as_ref());
+        let at = at.unwrap_or(0);
+        world.workers[at].draining = true;
+        world.run(1_000);
+        world.crash_for(at, 500);
+        world.run(7_000);
+    }
+    world.run(10_000);
+    assert_eq!(phase(&mut world, 1), Some(Phase::Completed));
+    let suspected =
+        |decision: &&Decision| matches!(decision, Decision::TaskSuspected { .. });
+    assert_eq!(world.decisions.iter().filter(suspected).count(), 0);
+}
+
+#[test]
+fn a_snapshot_keeps_what_runs_on_silent_workers_and_what_tasks_are_charged_with() {
+    let mut world = World::new(4, 1).with_plan(plan(1, false));
+    world.resets_connections = true;
+    world.deadly.insert(task(DEADLY_JOB, 0));
+    world.submit(DEADLY_JOB, &job(2, 500));
+    // Charged once, and its second worker is silent.
+    while world.crashes.len() < 2 && world.now < 20_000 {
+        world.run(100);
+    }
+    world.run(500);
+    let node = world.cores[0].node.as_ref().expect("a node");
+    let bytes = node.state().encode().expect("a snapshot");
+    let state = State::decode(&bytes).expect("a state");
+    assert_eq!(&state, node.state());
+    let mut without = state.clone();
+    without.apply(Command::Clear {
+        incarnation: world
+            .workers
+            .iter()
+            .find(|worker| !worker.up)
+            .expect("a crashed worker")
+            .incarnation
+            .clone(),
+    });
+    assert_ne!(without, state, "the silent worker isn't recorded");
+}
