Say what the constants of trials and silences stand for

Comments and the name of one field, as a newcomer's reading asked for: the field said "suspects" of tasks beside another that says "suspect" of workers. No change of behaviour.

--- a/crates/gentianlane/src/fleet/dispatch/candidate.rs
+++ b/crates/gentianlane/src/fleet/dispatch/candidate.rs
@@ -26,8 +26,8 @@
     pub(super) has_runs: bool,
     /// The index of the step's only task that may go there, for its trial.
     pub(super) trial: Option<u32>,
-    /// Whether the worker has a run of a task against which something is held.
-    pub(super) has_suspects: bool,
+    /// Whether the worker has a run of a task that was charged with a crash, or may be.
+    pub(super) has_charged_tasks: bool,
 }
 
 impl Candidate {
--- a/crates/gentianlane/src/fleet/dispatch/crash.rs
+++ b/crates/gentianlane/src/fleet/dispatch/crash.rs
@@ -23,19 +23,21 @@
 /// cause.
 const COINCIDENCE: Span = Span::from_millis(100);
 
-/// The least number of other workers that have to fall silent with one for a common
-/// cause, in a small fleet.
+/// How many other workers have to fall silent with one for a common cause, in a small
+/// fleet.
 const MIN_COINCIDENT: usize = 3;
 
-/// Of how many workers in a larger fleet one has to.
+/// How many workers a larger fleet has for each of these.
 const WORKERS_PER_COINCIDENT: usize = 16;
 
 /// How long a start waits for the record of its run, which an elected leader makes
 /// within a fraction of this.
 const RECORD_WAIT: Span = Span::from_secs(2);
 
-/// How long it is remembered when a worker fell silent, and for how many workers.
+/// How long it is remembered when a worker fell silent.
 const SILENCE_RETENTION: Span = Span::from_secs(60);
+
+/// For how many workers it is remembered.
 const SILENCE_LIMIT: usize = 4_096;
 
 /// What is held against one task.
--- a/crates/gentianlane/src/fleet/dispatch/place.rs
+++ b/crates/gentianlane/src/fleet/dispatch/place.rs
@@ -200,7 +200,7 @@
         {
             return None;
         }
-        let has_suspects = || {
+        let has_charged_tasks = || {
             let mut tasks = session.runs.keys().map(|(task, _)| task);
             tasks.any(|task| self.is_suspected(task))
         };
@@ -227,7 +227,7 @@
             ticket,
             has_runs: present > 0,
             trial: session.trial.map(|task| task.index),
-            has_suspects: !stage.suspects.is_empty() && has_suspects(),
+            has_charged_tasks: !stage.suspects.is_empty() && has_charged_tasks(),
         })
     }
 
@@ -318,7 +318,7 @@
                 })
                 .min_by_key(|candidate| {
                     // Apart from each other, suspects are told apart by a crash.
-                    let is_beside = suspect.is_suspected() && candidate.has_suspects;
+                    let is_beside = suspect.is_suspected() && candidate.has_charged_tasks;
                     (is_beside, candidate.cost(&demand))
                 });
             let Some(best) = best else {
@@ -326,7 +326,7 @@
             };
             best.free = best.free.less(&demand);
             best.task_limit = best.task_limit.saturating_sub(1);
-            best.has_suspects |= suspect.is_suspected();
+            best.has_charged_tasks |= suspect.is_suspected();
             let (worker, ticket) = (best.worker.clone(), best.ticket.clone());
             let Some(stage) = self.stages.get_mut(id) else {
                 return;
--- a/crates/gentianlane/src/fleet/dispatch/trial.rs
+++ b/crates/gentianlane/src/fleet/dispatch/trial.rs
@@ -16,13 +16,14 @@
 use crate::id;
 use crate::unit::{Span, Time};
 
-/// How many workers there are for each that may be kept for a trial that hasn't begun.
+/// How many workers a fleet has for each one that may be kept for a trial before it
+/// begins.
 const WORKERS_PER_TRIAL: usize = 8;
 
-/// How many workers without runs there are for each that may.
+/// How many workers without runs it has for each of these, if that allows more.
 const IDLE_WORKERS_PER_TRIAL: usize = 2;
 
-/// How long a worker is kept free for a trial that doesn't begin.
+/// How long a worker is kept for a trial that doesn't begin.
 const TRIAL_WAIT: Span = Span::from_secs(6);
 
 /// The workers on which a task is tried; several for a gang, which is named by its
@@ -39,7 +40,7 @@
     has_failed: bool,
     /// Whether a start there needs a new ticket.
     lacks_ticket: bool,
-    /// When its unsettled runs will have ended or settled.
+    /// When its runs will have ended or settled.
     clear_at: Time,
     worker: id::Worker,
     /// How many of the step's tasks it can take then.
@@ -154,8 +155,8 @@
             && self.trials.keys().any(|task| task.stage == *id)
     }
 
-    /// Makes trials of runs that an earlier leader started, and of those that became
-    /// suspect as they ran.
+    /// Makes trials of suspects that run already, as an earlier leader started them or
+    /// they have become suspects since.
     fn join_running_suspects(&mut self, now: Time) {
         let stages = self.suspect_stages.iter();
         let stages = stages.filter_map(|id| self.stages.get(id));
@@ -288,7 +289,7 @@
         session.profile.capacity.less(&used)
     }
 
-    /// When a worker's unsettled runs will have ended or settled.
+    /// When a worker's runs will have ended or settled.
     fn clear_at(&self, session: &Session, now: Time) -> Time {
         let unsettled = session.runs.iter();
         let unsettled = unsettled.filter(|(_, run)| !has_lasted(session, run));
