Renew tickets with new questions only for gangs and large tasks

Cause, by reading: each question about a few new workers took along up to a hundred expired tickets, also for steps that need but one worker with room.

Change: only steps that consider all workers, gangs and large tasks, ask both at once. Whether a step has a trial is looked up only while there is one.

--- a/crates/gentianlane/src/fleet/dispatch/ask.rs
+++ b/crates/gentianlane/src/fleet/dispatch/ask.rs
@@ -181,8 +181,8 @@
             None if fresh => {
                 let mut workers = self.unasked_workers(stage, now);
                 // Where workers keep appearing, questions about them alone would leave
-                // no time to renew expired tickets.
-                if !workers.is_empty() {
+                // no time to renew the tickets that a gang or a large task needs.
+                if !workers.is_empty() && stage.needs_reservation {
                     workers.extend(self.expiring_workers(stage, advice.base, now));
                     workers.truncate(WORKER_LIMIT);
                 }
--- a/crates/gentianlane/src/fleet/dispatch/trial.rs
+++ b/crates/gentianlane/src/fleet/dispatch/trial.rs
@@ -151,8 +151,7 @@
 
     /// Whether workers are kept for the trial of a task of a step.
     pub(super) fn has_trial(&self, id: &job::Stage) -> bool {
-        self.suspect_stages.contains(id)
-            && self.trials.keys().any(|task| task.stage == *id)
+        !self.trials.is_empty() && self.trials.keys().any(|task| task.stage == *id)
     }
 
     /// Makes trials of suspects that run already, as an earlier leader started them or
