--- a/crates/gentianlane/src/fleet/crash.rs
+++ b/crates/gentianlane/src/fleet/crash.rs
@@ -82,7 +82,8 @@
     runs: Vec<Run>,
 }
 
-/// The workers that may have crashed and the charged tasks. A gang is charged as its first member.
+/// The workers that may have crashed and the charged tasks. A gang is charged as its
+/// first member.
 #[derive(Debug, Default, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Ledger {
     exposures: IndexMap<Incarnation, Exposure>,
