--- a/crates/gentianlane-cli/src/command/fleet.rs
+++ b/crates/gentianlane-cli/src/command/fleet.rs
@@ -15,7 +15,7 @@
 
 pub(super) fn command() -> Command {
     Command::new("fleet")
-        .about("Shows a fleet's plan, voters, queues, waiting steps and workers")
+        .about("Shows a fleet's plan, voters, queues, teams, waiting steps and workers")
         .arg(
             Arg::new("CORE")
                 .required(true)
@@ -68,6 +68,19 @@
             queue.running
         );
     }
+    for team in &overview.teams {
+        println!(
+            "team      {:<16} {:>6.1} jobs/s, uses {} of {}, {:>4} jobs, {:>3} steps wait \
+             for its limit, {:>3} beyond its share",
+            team.name,
+            team.share_permille as f64 / 1_000.0,
+            team.used,
+            team.limit,
+            team.jobs,
+            team.held_steps,
+            team.steps_beyond_share
+        );
+    }
     for step in &overview.steps {
         println!(
             "step      {:<24} {:<12} {:>3} tasks wait for {}, {:>3} run, waited {} ms, slack {} ms",
--- a/crates/gentianlane-daemon/src/fleet/entry.rs
+++ b/crates/gentianlane-daemon/src/fleet/entry.rs
@@ -152,6 +152,7 @@
         host,
         path,
         deadline,
+        credential,
         body,
     } = request;
     let call = match platform::front::decode(&method, &host, &path, &body) {
@@ -161,6 +162,10 @@
             return Response::malformed(&fault);
         }
     };
+    let call = match credential {
+        Some(credential) => Call::Authorized(credential, Box::new(call)),
+        None => call,
+    };
     let started = Instant::now();
     let deadline = deadline.unwrap_or(DEFAULT_DEADLINE);
     let response = forward_call(&forwarder, call, deadline).await;
--- a/crates/gentianlane-daemon/src/fleet/server.rs
+++ b/crates/gentianlane-daemon/src/fleet/server.rs
@@ -8,7 +8,9 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
+use gentianlane::fleet::team::Credential;
 use gentianlane_platform::Response as ApiResponse;
+use gentianlane_platform::front::CREDENTIAL_HEADER;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Bytes, Incoming};
 use hyper::header::{CONNECTION, CONTENT_TYPE, HOST, HeaderValue, LOCATION, RETRY_AFTER};
@@ -42,6 +44,8 @@
     pub(crate) path: String,
     /// How long the caller waits, from its `Deadline-Ms` header.
     pub(crate) deadline: Option<Duration>,
+    /// The caller's key, if the request has one.
+    pub(crate) credential: Option<Credential>,
     pub(crate) body: Bytes,
 }
 
@@ -189,6 +193,7 @@
     let (head, body) = request.into_parts();
     let header = |name: &str| head.headers.get(name)?.to_str().ok();
     let deadline = header("Deadline-Ms").and_then(|text| text.parse().ok());
+    let credential = header(CREDENTIAL_HEADER).map(Credential::from);
     let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
     let host = head
         .headers
@@ -207,6 +212,7 @@
         host: host.to_owned(),
         path: path.to_owned(),
         deadline: deadline.map(Duration::from_millis),
+        credential,
         body: body.to_bytes(),
     })
     .await
--- a/crates/gentianlane/src/fleet/call.rs
+++ b/crates/gentianlane/src/fleet/call.rs
@@ -5,6 +5,7 @@
 
 use crate::fleet::job::{Phase, Spec};
 use crate::fleet::plan::Plan;
+use crate::fleet::team::{Access, Credential};
 use crate::fleet::worker::{Incarnation, Report};
 use crate::id;
 use crate::unit::Span;
@@ -34,13 +35,20 @@
     Leave(Incarnation),
     /// Read the leader's view of queues, steps and workers.
     Overview,
+    /// A caller's call with the key that came with it.
+    Authorized(Credential, Box<Call>),
+    /// Replace the plan by a newer version that has teams.
+    ReplacePlanWithAccess(Box<Plan>, Box<Access>),
 }
 
 impl Call {
     /// Whether the call only reads, so that repeating it is always safe.
     #[must_use]
-    pub const fn is_read_only(&self) -> bool {
-        matches!(self, Self::Status(_) | Self::ReadPlan | Self::Overview)
+    pub fn is_read_only(&self) -> bool {
+        match self {
+            Self::Authorized(_, call) => call.is_read_only(),
+            _ => matches!(self, Self::Status(_) | Self::ReadPlan | Self::Overview),
+        }
     }
 }
 
@@ -84,6 +92,9 @@
     Malformed(String),
     /// The leader's view, as JSON.
     Overview(String),
+    /// No team of the plan in force has the call's key, or it has none; the call was
+    /// rejected and will have no effect.
+    Unauthorized,
 }
 
 /// Why a call was rejected.
@@ -100,4 +111,10 @@
     /// The node already holds as many pending calls as it may.
     #[display("the node is busy")]
     Busy,
+    /// Tasks that have to start together use more than their team may run.
+    #[display("the job needs more at once than its team may run")]
+    TeamLimit,
+    /// The team sends more than its share, and its waiting jobs already take too long.
+    #[display("the team sends more than its share and than can be served in time")]
+    TeamShare,
 }
--- a/crates/gentianlane/src/fleet/command.rs
+++ b/crates/gentianlane/src/fleet/command.rs
@@ -5,6 +5,7 @@
 use crate::fleet::crash;
 use crate::fleet::job::{Id, Spec, Task};
 use crate::fleet::plan::Plan;
+use crate::fleet::team::Access;
 use crate::fleet::worker::{Incarnation, Profile};
 use crate::id;
 use crate::unit::Wall;
@@ -118,6 +119,23 @@
         /// The sequence number of the report.
         sequence: u64,
     },
+    /// Replace the plan, if this one has a higher version, by one that has teams.
+    PlanWithAccess(Box<Plan>, Box<Access>),
+    /// Add a job of a team, unless its id is taken.
+    SubmitFor {
+        /// The team whose caller submitted it.
+        team: id::Team,
+        /// Whether the team submitted it beyond its share.
+        beyond_share: bool,
+        /// When the leader accepted the job, by its wall clock.
+        at: Wall,
+        /// The id that the caller chose.
+        job: Id,
+        /// The name of the queue that the job belongs to.
+        queue: String,
+        /// The job's steps and schedule.
+        spec: Box<Spec>,
+    },
 }
 
 /// A command that can't be encoded, or bytes that aren't a command.
--- a/crates/gentianlane/src/fleet/decision.rs
+++ b/crates/gentianlane/src/fleet/decision.rs
@@ -264,6 +264,50 @@
         /// How long the worker is avoided.
         duration: Span,
     },
+    /// Tasks of a stage wait because their team runs as much as it may.
+    #[display(
+        "event=held_by_limit stage={stage} team={team} pending={pending} used={used}"
+    )]
+    HeldByLimit {
+        /// The stage that waits.
+        stage: Stage,
+        /// The team that owns the job.
+        team: id::Team,
+        /// The number of tasks that wait.
+        pending: usize,
+        /// What the team's runs use.
+        used: Resources,
+    },
+    /// A team's job was refused admission.
+    #[display("event=team_refused job={job} queue={queue} team={team} reason=\"{reason}\" retry_ms={}", retry_after.as_millis())]
+    TeamRefused {
+        /// The id of the job.
+        job: Id,
+        /// The name of the job's queue.
+        queue: String,
+        /// The team whose caller submitted it.
+        team: id::Team,
+        /// Why the job was refused.
+        reason: Refusal,
+        /// How long the caller is told to wait before it submits again.
+        retry_after: Span,
+    },
+    /// A job was accepted for a team.
+    #[display("event=owned job={job} team={team} beyond_share={beyond_share}")]
+    Owned {
+        /// The id of the job.
+        job: Id,
+        /// The team whose caller submitted it.
+        team: id::Team,
+        /// Whether it lies beyond the team's share.
+        beyond_share: bool,
+    },
+    /// A call to a queue was rejected, as no team has its key.
+    #[display("event=unauthorized queue={queue}")]
+    Unauthorized {
+        /// The name of the queue.
+        queue: String,
+    },
     /// What placement has cost in the last second, if steps waited.
     #[display(
         "event=placement inputs={inputs} passes={passes} waiting={waiting_steps} examined={examined}"
--- a/crates/gentianlane/src/fleet/dispatch/answer.rs
+++ b/crates/gentianlane/src/fleet/dispatch/answer.rs
@@ -6,7 +6,7 @@
 use crate::fleet::dispatch::advice::Relay;
 use crate::fleet::dispatch::dispatcher::{OrderKind, PendingOrder, Place};
 use crate::fleet::dispatch::lease::MAX_START_TRIES;
-use crate::fleet::dispatch::session::{Run, RunState};
+use crate::fleet::dispatch::session::{Run, RunState, Session};
 use crate::fleet::dispatch::stage::Permit;
 use crate::fleet::job::Task;
 use crate::fleet::order::{AdviceResponse, Answer, CallId, Reason};
@@ -235,8 +235,14 @@
         now: Time,
     ) {
         let session = self.sessions.get(&order.worker);
-        let may_repeat = session
-            .is_some_and(|session| !session.draining && !session.is_overcommitted());
+        let exceeds_limit = |session: &Session| {
+            let run = session.runs.get(&(*task, number));
+            let charge = run.and_then(|run| run.charge.as_ref());
+            charge.is_some_and(|charge| self.ledger.is_exceeded_by(charge))
+        };
+        let may_repeat = session.is_some_and(|session| {
+            !session.draining && !session.is_overcommitted() && !exceeds_limit(session)
+        });
         let Some(run) = self.run_mut(&order.worker, task, number) else {
             return;
         };
--- a/crates/gentianlane/src/fleet/dispatch/backlog.rs
+++ b/crates/gentianlane/src/fleet/dispatch/backlog.rs
@@ -72,7 +72,8 @@
             let drain_ms = headroom.map_or(0, |headroom| headroom.turnover.as_millis());
             let slack = slack.saturating_sub_unsigned(drain_ms);
             let usage = usages.get(&stage.queue.pool).copied().unwrap_or_default();
-            let tasks = stage.pending.len() as u64;
+            let allowance = self.team_allowance(stage) as usize;
+            let tasks = stage.pending.len().min(allowance) as u64;
             Entry {
                 id: stage.id,
                 pool: &stage.queue.pool,
@@ -82,6 +83,7 @@
                 demand: tasks * dominant_share(&stage.step.demand(), &usage.capacity),
                 run_time: self.expected_run_time(stage),
                 exempt: needs_reservation || stage.step.long_running,
+                beyond_share: stage.beyond_share,
             }
         });
         entries.collect()
--- a/crates/gentianlane/src/fleet/dispatch/dispatcher.rs
+++ b/crates/gentianlane/src/fleet/dispatch/dispatcher.rs
@@ -18,6 +18,7 @@
 use crate::fleet::dispatch::unconfirmed::UnconfirmedStarts;
 use crate::fleet::job::{self, Task};
 use crate::fleet::order::{Action, AdviceRequest, CallId, Order};
+use crate::fleet::team::{Ledger, Shares};
 use crate::fleet::{Command, State};
 use crate::id;
 use crate::unit::{Span, Time, Wall};
@@ -117,6 +118,10 @@
     pub(super) turnovers: IndexMap<String, Span>,
     /// What placement has cost lately.
     pub(super) effort: Effort,
+    /// What each team used when the last placement pass began, and has started since.
+    pub(super) ledger: Ledger,
+    /// What is left of each team's share.
+    pub(super) shares: Shares,
     /// When leases, retries and tickets are checked again.
     pub(super) next_tick: Time,
     pub(super) effects: Effects,
@@ -166,6 +171,8 @@
             fleet_revision: 1,
             turnovers: IndexMap::default(),
             effort: Effort::default(),
+            ledger: Ledger::default(),
+            shares: Shares::default(),
             next_tick: now,
             effects: Effects::default(),
         };
@@ -188,6 +195,7 @@
             stage.recovering = true;
         }
         dispatcher.inherit_unconfirmed(state, now, wall);
+        dispatcher.inherit_shares(state, now, wall);
         for worker in state.workers() {
             dispatcher.declare_succeeded(state, &worker.incarnation.worker, wall);
         }
@@ -256,6 +264,7 @@
             self.update_trials(now);
         }
         self.update_reservation_needs();
+        self.rebuild_ledger(state, now, wall);
         let order = self.ranked_steps(now);
         self.effort.count_pass(order.len());
         let survey = self.survey(scope, now);
--- a/crates/gentianlane/src/fleet/dispatch/event.rs
+++ b/crates/gentianlane/src/fleet/dispatch/event.rs
@@ -26,7 +26,10 @@
     pub fn handle_event(&mut self, state: &State, event: &Event, now: Time, wall: Wall) {
         self.require_placement();
         match event {
-            Event::PlanReplaced => self.apply_plan(state),
+            Event::PlanReplaced => {
+                self.apply_plan(state);
+                self.rebuild_ledger(state, now, wall);
+            }
             Event::JobSubmitted(job) => {
                 if let Some(submitted) = state.job(job) {
                     self.open_jobs.add(*job, &submitted.queue, now, Span::ZERO);
@@ -92,6 +95,9 @@
             stage.examined = false;
             stage.queue = queue.clone();
         }
+        let access = state.owners().access();
+        self.shares
+            .retain(|team| access.is_some_and(|access| access.team(team).is_some()));
         self.fleet_revision += 1;
     }
 
@@ -186,6 +192,10 @@
                 stage.critical_path = critical_path;
                 stage.remaining_path = paths[index];
                 stage.work = job.spec.work();
+                if let Some(owner) = state.owners().of(&id) {
+                    stage.owner = Some(owner.team.clone());
+                    stage.beyond_share = owner.beyond_share;
+                }
                 (stage.queued_at, stage.prior_wait) = match job.spec.due(occurrence) {
                     Some(due) => {
                         stage.not_before = now.after(due.since(wall));
--- a/crates/gentianlane/src/fleet/dispatch/lease.rs
+++ b/crates/gentianlane/src/fleet/dispatch/lease.rs
@@ -61,20 +61,29 @@
             open && run.order.is_none() && run.retry_at <= now
         };
         let due = session.runs.iter().filter(|(_, run)| is_due(run));
-        let due: Vec<(Task, u64, RunState, u32, bool)> = due
+        let exceeds_limit = |run: &Run| {
+            let charge = run.charge.as_ref();
+            charge.is_some_and(|charge| self.ledger.is_exceeded_by(charge))
+        };
+        let due: Vec<(Task, u64, RunState, u32, bool, bool)> = due
             .map(|((task, number), run)| {
-                (*task, *number, run.state, run.tries, run.awaits_record)
+                let unrecorded = run.awaits_record;
+                let exceeds = exceeds_limit(run);
+                (*task, *number, run.state, run.tries, unrecorded, exceeds)
             })
             .collect();
-        for (task, number, state, tries, unrecorded) in due {
+        for (task, number, state, tries, unrecorded, exceeds) in due {
             let may_retry = tries < MAX_START_TRIES
                 && !draining
                 && !overcommitted
+                && !exceeds
                 && self.stages.contains_key(&task.stage);
             match state {
                 RunState::Starting
                     if tries == 0
-                        && (unrecorded || !self.may_start(worker, &task, now)) =>
+                        && (unrecorded
+                            || exceeds
+                            || !self.may_start(worker, &task, now)) =>
                 {
                     let place = Place {
                         worker: worker.clone(),
--- a/crates/gentianlane/src/fleet/dispatch/mod.rs
+++ b/crates/gentianlane/src/fleet/dispatch/mod.rs
@@ -34,6 +34,7 @@
 mod stage;
 mod straggler;
 mod survey;
+mod team;
 mod throttle;
 mod trial;
 mod unconfirmed;
--- a/crates/gentianlane/src/fleet/dispatch/open.rs
+++ b/crates/gentianlane/src/fleet/dispatch/open.rs
@@ -79,6 +79,11 @@
         self.jobs.len()
     }
 
+    /// The ids of all open jobs.
+    pub(crate) fn ids(&self) -> impl Iterator<Item = &Id> {
+        self.jobs.keys()
+    }
+
     /// The queue of each open job.
     pub(crate) fn queues(&self) -> impl Iterator<Item = &str> {
         self.jobs.values().map(|job| job.queue.as_str())
--- a/crates/gentianlane/src/fleet/dispatch/place.rs
+++ b/crates/gentianlane/src/fleet/dispatch/place.rs
@@ -55,6 +55,10 @@
             if !stage.is_placeable(now) {
                 continue;
             }
+            if self.team_allowance(stage) == 0 {
+                self.hold_for_limit(id, now);
+                continue;
+            }
             let candidates = self.candidates(stage, &reservations, &survey, now);
             let still_blocked =
                 candidates.is_empty() && stage.examined && stage.blocked_since.is_some();
@@ -66,6 +70,10 @@
                 true => self.place_gang(id, candidates, now, wall),
                 false => self.place_tasks(id, candidates, now, wall),
             }
+            if self.is_held_by_limit(id) {
+                self.hold_for_limit(id, now);
+                continue;
+            }
             self.handle_unplaced(id, &mut reservations, &mut survey, now);
         }
         self.reserved_workers = reservations.into_workers();
@@ -291,7 +299,9 @@
             false => self.feasible_count(stage),
         };
         for index in pending {
-            if !candidates.iter().any(|candidate| candidate.fits(&demand)) {
+            if self.is_held_by_limit(id)
+                || !candidates.iter().any(|candidate| candidate.fits(&demand))
+            {
                 return;
             }
             let Some(stage) = self.stages.get(id) else {
@@ -473,8 +483,13 @@
             tail_limit: stage.step.tail_limit,
             share: Some(100),
             ticket,
+            charge: stage.charge(),
             ..Run::new(number, stage.step.demand(), RunState::Starting, now)
         };
+        if let Some(charge) = &run.charge {
+            self.ledger.charge(charge);
+        }
+        stage.held_by_limit = false;
         session.insert(*task, run);
         let place = Place {
             worker: worker.clone(),
--- a/crates/gentianlane/src/fleet/dispatch/preempt.rs
+++ b/crates/gentianlane/src/fleet/dispatch/preempt.rs
@@ -49,7 +49,10 @@
             return;
         };
         let (timeliness, slack) = assess_deadline(stage, now);
-        if effective_priority(stage, slack) != TOP_PRIORITY || stage.step.gang {
+        if effective_priority(stage, slack) != TOP_PRIORITY
+            || stage.step.gang
+            || stage.beyond_share
+        {
             return;
         }
         let attainable = timeliness != Timeliness::Expired;
--- a/crates/gentianlane/src/fleet/dispatch/rank.rs
+++ b/crates/gentianlane/src/fleet/dispatch/rank.rs
@@ -11,6 +11,9 @@
 //! makes the next one late. So where steps could each be on time, but not all
 //! of them, late steps and then the largest ones are deferred, to have as many
 //! as possible on time.
+//!
+//! Jobs that a team sends beyond its share rank after those of all teams that are
+//! within theirs, and never defer or preempt any of them.
 
 use std::collections::BinaryHeap;
 
@@ -48,6 +51,8 @@
     /// has to be drained of other tasks for it, or it is a long-running task
     /// whose users have no service until it runs.
     pub(crate) exempt: bool,
+    /// Whether its team submitted the job beyond its share.
+    pub(crate) beyond_share: bool,
 }
 
 /// What a pool has free, and how quickly the rest gets free.
@@ -113,9 +118,20 @@
 }
 
 /// A step's sort key; the lowest goes first.
-fn rank_key(step: &Entry<'_>, deferred: bool) -> (bool, bool, u32, i64, job::Stage) {
+fn rank_key(
+    step: &Entry<'_>,
+    deferred: bool,
+) -> (bool, bool, bool, u32, i64, job::Stage) {
     let expired = step.timeliness == Timeliness::Expired;
-    (expired, deferred, step.priority, step.slack, step.id)
+    let beyond_share = step.beyond_share;
+    (
+        expired,
+        beyond_share,
+        deferred,
+        step.priority,
+        step.slack,
+        step.id,
+    )
 }
 
 /// Steps as their demand with their index, the largest demand first.
@@ -137,7 +153,8 @@
         let Some(headroom) = headrooms.get(step.pool) else {
             continue;
         };
-        if step.timeliness == Timeliness::Expired {
+        // What lies beyond a team's share makes nobody else wait.
+        if step.timeliness == Timeliness::Expired || step.beyond_share {
             continue;
         }
         let backlog = backlogs.entry(step.pool).or_default();
--- a/crates/gentianlane/src/fleet/dispatch/reconcile.rs
+++ b/crates/gentianlane/src/fleet/dispatch/reconcile.rs
@@ -258,6 +258,8 @@
         let Some(session) = self.sessions.get_mut(worker) else {
             return;
         };
+        let owner = state.owners().of(&task.stage.job);
+        let charge = owner.and_then(|owner| owner.charge(&task));
         // The demand of a run whose job is over isn't known any more, so the
         // worker gets no tasks until that run has ended.
         let unknown_demand = requirements.is_none();
@@ -269,6 +271,7 @@
             tail_limit,
             measurement: running.measurement,
             unknown_demand,
+            charge,
             ..Run::new(running.run, demand, RunState::Running, now)
         };
         session.insert(task, run);
--- a/crates/gentianlane/src/fleet/dispatch/session.rs
+++ b/crates/gentianlane/src/fleet/dispatch/session.rs
@@ -10,7 +10,9 @@
 use crate::fleet::dispatch::survey::Seen;
 use crate::fleet::job::{Resources, Task};
 use crate::fleet::order::CallId;
+use crate::fleet::team::Charge;
 use crate::fleet::worker::{Incarnation, Profile};
+use crate::id;
 use crate::unit::{Span, Time};
 
 /// How much slower than the leader's clock a worker's may run, in thousandths;
@@ -87,6 +89,8 @@
     pub(crate) runs: IndexMap<(Task, u64), Run>,
     /// The sum of these runs' demands.
     pub(crate) used: Resources,
+    /// The sum of what they count for, by team.
+    pub(crate) charges: IndexMap<id::Team, Resources>,
     /// How many runs have been removed from `runs`, by which a placement pass sees
     /// that the worker has changed.
     pub(crate) removed_runs: u64,
@@ -149,6 +153,8 @@
     pub(crate) ticket: Option<String>,
     /// Whether the run has to be in the log before it is started.
     pub(crate) awaits_record: bool,
+    /// What the run counts for against its team's limit, if its job has an owner.
+    pub(crate) charge: Option<Charge>,
 }
 
 impl Run {
@@ -178,6 +184,7 @@
             unknown_demand: false,
             ticket: None,
             awaits_record: false,
+            charge: None,
         }
     }
 
@@ -232,6 +239,7 @@
             last_failure: now,
             runs: IndexMap::default(),
             used: Resources::default(),
+            charges: IndexMap::default(),
             removed_runs: 0,
             seen: Seen::default(),
             last_end: 0,
@@ -307,18 +315,34 @@
     /// Adds a run and reserves its demand; replaces what was known of the run.
     pub(crate) fn insert(&mut self, task: Task, run: Run) {
         self.used = self.used.plus(&run.demand);
+        if let Some(charge) = &run.charge {
+            let sum = self.charges.entry(charge.team.clone()).or_default();
+            *sum = sum.plus(&charge.amount);
+        }
         if let Some(old) = self.runs.insert((task, run.number), run) {
-            self.used = self.used.less(&old.demand);
-            self.removed_runs += 1;
+            self.discount(&old);
         }
     }
 
     /// Removes a task's run and frees its demand.
     pub(crate) fn remove(&mut self, task: &Task, number: u64) -> Option<Run> {
         let run = self.runs.swap_remove(&(*task, number))?;
+        self.discount(&run);
+        Some(run)
+    }
+
+    /// Takes a run that was removed off the sums.
+    fn discount(&mut self, run: &Run) {
         self.used = self.used.less(&run.demand);
         self.removed_runs += 1;
-        Some(run)
+        if let Some(charge) = &run.charge
+            && let Some(sum) = self.charges.get_mut(&charge.team)
+        {
+            *sum = sum.less(&charge.amount);
+            if *sum == Resources::default() {
+                self.charges.swap_remove(&charge.team);
+            }
+        }
     }
 
     /// Records a run's end; false if it was recorded before.
--- a/crates/gentianlane/src/fleet/dispatch/stage.rs
+++ b/crates/gentianlane/src/fleet/dispatch/stage.rs
@@ -79,6 +79,12 @@
     pub(crate) asked: IndexSet<id::Worker>,
     /// Whether there may be workers to ask about that weren't asked about.
     pub(crate) may_ask: bool,
+    /// The team that the job belongs to, if it was submitted with a key.
+    pub(crate) owner: Option<id::Team>,
+    /// Whether the team submitted the job beyond its share.
+    pub(crate) beyond_share: bool,
+    /// Whether pending tasks wait because the team runs as much as it may.
+    pub(crate) held_by_limit: bool,
 }
 
 /// The adviser's permission to run a step on a worker.
@@ -140,6 +146,9 @@
             open_requests: Vec::new(),
             asked: IndexSet::default(),
             may_ask: true,
+            owner: None,
+            beyond_share: false,
+            held_by_limit: false,
         }
     }
 
--- /dev/null
+++ b/crates/gentianlane/src/fleet/dispatch/team.rs
@@ -0,0 +1,213 @@
+//! Holds teams to their limits and shares.
+//!
+//! Limits answer a team that has far more work than it may run. A step whose team
+//! has no room left isn't placed, reserves and preempts nothing and doesn't count
+//! as backlog of its pool. Shares answer a team that sends many times its usual:
+//! jobs beyond its share rank after those of all other teams.
+
+use crate::fleet::State;
+use crate::fleet::call::Refusal;
+use crate::fleet::decision::Decision;
+use crate::fleet::dispatch::Dispatcher;
+use crate::fleet::dispatch::rank::{Timeliness, assess_deadline};
+use crate::fleet::dispatch::stage::Stage;
+use crate::fleet::job::{self, Phase, Resources, Spec};
+use crate::fleet::team::{Charge, Ledger, Team, can_ever_start};
+use crate::id;
+use crate::unit::{Span, Time, Wall};
+
+/// For how long after a job was cancelled or has failed its runs may go on at workers
+/// that a new leader hasn't reached: a lease, and by how much wall clocks may differ.
+const FINISHED_JOB_WINDOW: Span = Span::from_millis(15_000);
+
+/// The shortest and longest time after which a caller may submit again that was
+/// refused because of its team's backlog.
+const MIN_BACKLOG_RETRY: Span = Span::from_millis(1_000);
+const MAX_BACKLOG_RETRY: Span = Span::from_millis(8_000);
+
+impl Stage {
+    /// What a run of a task counts for; none if the job has no owner.
+    pub(super) fn charge(&self) -> Option<Charge> {
+        self.owner.clone().map(|team| Charge {
+            team,
+            amount: self.step.resources,
+        })
+    }
+}
+
+impl Dispatcher {
+    /// Recounts what each team uses. Nothing is counted without teams.
+    pub(super) fn rebuild_ledger(&mut self, state: &State, now: Time, wall: Wall) {
+        let mut teams = state.owners().teams().peekable();
+        if teams.peek().is_none() {
+            self.ledger = Ledger::default();
+            return;
+        }
+        let mut ledger = Ledger::new(teams);
+        for session in self.sessions.values() {
+            for (team, used) in &session.charges {
+                ledger.add(team, used);
+            }
+        }
+        let has_session = |worker: &id::Worker| self.sessions.contains_key(worker);
+        for charge in self.unconfirmed.charges_elsewhere(has_session, now) {
+            ledger.charge(charge);
+        }
+        if self.recovering {
+            self.add_unknown_runs(&mut ledger, state, wall);
+        }
+        self.ledger = ledger;
+    }
+
+    /// Counts the runs that an earlier leader may have left on workers that haven't
+    /// listed theirs yet: those of each task that isn't known to run elsewhere, and of
+    /// jobs that have ended lately, but no more than these workers can hold.
+    fn add_unknown_runs(&self, ledger: &mut Ledger, state: &State, wall: Wall) {
+        let unlisted = self.sessions.values().filter(|session| !session.reconciled);
+        let capacity = unlisted.fold(Resources::default(), |sum, session| {
+            sum.plus(&session.profile.capacity)
+        });
+        let mut unknown: indexmap::IndexMap<&id::Team, Resources> =
+            indexmap::IndexMap::new();
+        for stage in self.stages.values().filter(|stage| stage.recovering) {
+            if let Some(team) = &stage.owner {
+                let tasks = stage.step.resources.times(stage.pending.len() as u64);
+                let sum = unknown.entry(team).or_default();
+                *sum = sum.plus(&tasks);
+            }
+        }
+        for (id, owner) in state.owners().jobs() {
+            let outcome = state.job(id).and_then(|job| job.outcome);
+            let may_run = outcome.is_some_and(|(phase, at)| {
+                phase != Phase::Completed && wall.since(at) < FINISHED_JOB_WINDOW
+            });
+            if may_run {
+                let sum = unknown.entry(&owner.team).or_default();
+                *sum = sum.plus(&owner.total());
+            }
+        }
+        for (team, amount) in unknown {
+            ledger.add(team, &amount.least(&capacity));
+        }
+    }
+
+    /// How many of a step's pending tasks its team may start now; all members of a
+    /// gang or none.
+    pub(super) fn team_allowance(&self, stage: &Stage) -> u32 {
+        let Some(team) = &stage.owner else {
+            return u32::MAX;
+        };
+        let task = &stage.step.resources;
+        match stage.step.gang {
+            true if self.ledger.allows_gang(team, task, stage.step.count) => u32::MAX,
+            true => 0,
+            false => self.ledger.allowance(team, task),
+        }
+    }
+
+    /// Whether a step has pending tasks and its team may start none of them now.
+    pub(super) fn is_held_by_limit(&self, id: &job::Stage) -> bool {
+        let stage = self.stages.get(id);
+        stage.is_some_and(|stage| {
+            !stage.pending.is_empty() && self.team_allowance(stage) == 0
+        })
+    }
+
+    /// Notes that a step waits for its team's limit; it needs no capacity meanwhile.
+    ///
+    /// What it needs next is kept free of the team's steps that rank below it, so that
+    /// their small tasks don't keep a gang or a large task from ever starting.
+    pub(super) fn hold_for_limit(&mut self, id: &job::Stage, now: Time) {
+        let Some(stage) = self.stages.get_mut(id) else {
+            return;
+        };
+        let Some(team) = stage.owner.clone() else {
+            return;
+        };
+        stage.blocked_since = None;
+        stage.reserved.clear();
+        stage.examined = false;
+        let newly_held = !std::mem::replace(&mut stage.held_by_limit, true);
+        let pending = stage.pending.len();
+        let task = stage.step.resources;
+        let next = match stage.step.gang {
+            true => task.times(u64::from(stage.step.count)),
+            false => task,
+        };
+        let has_value = assess_deadline(stage, now).0 != Timeliness::Expired;
+        if newly_held {
+            self.effects.decisions.push(Decision::HeldByLimit {
+                stage: *id,
+                team: team.clone(),
+                pending,
+                used: self.ledger.used(&team).unwrap_or_default(),
+            });
+        }
+        if has_value {
+            self.ledger.claim(&team, next);
+        }
+    }
+
+    /// Takes the jobs that an earlier leader has accepted lately off the teams' shares,
+    /// so that a change of leader gives no team more than its share.
+    pub(super) fn inherit_shares(&mut self, state: &State, now: Time, wall: Wall) {
+        let Some(access) = state.owners().access() else {
+            return;
+        };
+        for (id, owner) in state.owners().jobs().filter(|(_, it)| !it.beyond_share) {
+            let job = state.job(id);
+            let is_recent = job.is_some_and(|it| {
+                wall.since(it.submitted_at) < crate::fleet::team::BURST_WINDOW
+            });
+            if let (true, Some(team)) = (is_recent, access.team(&owner.team)) {
+                self.shares.take(&owner.team, team.share_permille, now);
+            }
+        }
+    }
+
+    /// Why a team's job is refused; otherwise whether it lies beyond the team's share.
+    ///
+    /// # Errors
+    ///
+    /// The reason, and after what time the caller may retry.
+    pub fn admit_for_team(
+        &mut self,
+        name: &id::Team,
+        team: &Team,
+        spec: &Spec,
+        now: Time,
+    ) -> Result<bool, (Refusal, Span)> {
+        let never_starts = |step: &job::Step| {
+            step.gang && !can_ever_start(&team.limit, &step.resources, step.count)
+        };
+        if spec.steps.iter().any(never_starts) {
+            return Err((Refusal::TeamLimit, MAX_BACKLOG_RETRY));
+        }
+        if self.shares.take(name, team.share_permille, now) {
+            return Ok(false);
+        }
+        match self.hopeless_backlog(name, now) {
+            Some(retry_after) => Err((Refusal::TeamShare, retry_after)),
+            None => Ok(true),
+        }
+    }
+
+    /// After what time a team may submit beyond its share again, if what it has
+    /// submitted beyond it so far already waits for longer than it has value.
+    fn hopeless_backlog(&self, name: &id::Team, now: Time) -> Option<Span> {
+        let waiting = self.stages.values().filter(|stage| {
+            stage.beyond_share
+                && stage.owner.as_ref() == Some(name)
+                && !stage.pending.is_empty()
+        });
+        let expired = waiting
+            .filter(|stage| assess_deadline(stage, now).0 == Timeliness::Expired)
+            .count();
+        if expired == 0 {
+            return None;
+        }
+        // Callers come back at different times, since the backlog is longer for each.
+        let retry = MIN_BACKLOG_RETRY.saturating_mul(expired as u64);
+        Some(retry.min(MAX_BACKLOG_RETRY))
+    }
+}
--- a/crates/gentianlane/src/fleet/dispatch/unconfirmed.rs
+++ b/crates/gentianlane/src/fleet/dispatch/unconfirmed.rs
@@ -12,8 +12,10 @@
 use crate::fleet::dispatch::Dispatcher;
 use crate::fleet::dispatch::dispatcher::PendingOrder;
 use crate::fleet::dispatch::session::{Run, RunState, Session};
+use crate::fleet::dispatch::stage::Stage;
 use crate::fleet::job::{Resources, Task};
 use crate::fleet::order::Action;
+use crate::fleet::team::Charge;
 use crate::fleet::{Command, State};
 use crate::id;
 use crate::unit::{Span, Time, Wall};
@@ -39,6 +41,8 @@
     pub(crate) run: u64,
     /// The task's demand, if it is known.
     pub(crate) demand: Option<Resources>,
+    /// What the run counts for against its team's limit, if its job has an owner.
+    pub(crate) charge: Option<Charge>,
     /// From when on it can't be carried out any more.
     pub(crate) until: Time,
     /// Until when it binds the task to the worker.
@@ -119,12 +123,26 @@
         starts.filter(move |(_, start)| start.worker == *worker && now < start.until)
     }
 
+    /// What starts count for that were sent to workers without a session, and may
+    /// still be carried out by their next incarnations.
+    pub(crate) fn charges_elsewhere<'a>(
+        &'a self,
+        has_session: impl Fn(&id::Worker) -> bool + 'a,
+        now: Time,
+    ) -> impl Iterator<Item = &'a Charge> {
+        let starts = self.starts.values().flatten();
+        let open = starts.filter(move |start| now < start.until);
+        open.filter(move |start| !has_session(&start.worker))
+            .filter_map(|start| start.charge.as_ref())
+    }
+
     /// Adds every start that a new incarnation may still carry out to the
     /// session's runs, to be stopped.
     pub(crate) fn add_stopping(&self, session: &mut Session, now: Time) {
         let worker = session.incarnation.worker.clone();
         for (task, start) in self.sent_to(&worker, now) {
-            let run = Run::stopping(start.run, start.demand, now);
+            let mut run = Run::stopping(start.run, start.demand, now);
+            run.charge.clone_from(&start.charge);
             session.insert(task, run);
         }
     }
@@ -144,11 +162,14 @@
         let demand = current
             .map(|run| run.demand)
             .or_else(|| stage.map(|stage| stage.step.demand()));
+        let charge = current
+            .map_or_else(|| stage.and_then(Stage::charge), |run| run.charge.clone());
         let until = order.sent_at.after(MAX_ORDER_DELAY);
         let start = Start {
             worker: order.worker.clone(),
             run,
             demand,
+            charge,
             until,
             binds_until: match session.is_none_or(|session| session.draining) {
                 true => order.sent_at,
@@ -208,6 +229,7 @@
             else {
                 continue;
             };
+            let owner = state.owners().of(&stage.job);
             let age = wall.since(start.at);
             let until =
                 now.after((MAX_ORDER_DELAY + WALL_CLOCK_SLACK).saturating_sub(age));
@@ -217,6 +239,7 @@
                 worker: start.worker.clone(),
                 run: start.run,
                 demand: Some(step.demand()),
+                charge: owner.and_then(|owner| owner.charge(&start.task)),
                 until,
                 binds_until: if draining { now } else { until },
             };
--- a/crates/gentianlane/src/fleet/dispatch/view.rs
+++ b/crates/gentianlane/src/fleet/dispatch/view.rs
@@ -9,6 +9,9 @@
 use crate::fleet::dispatch::Dispatcher;
 use crate::fleet::dispatch::rank::assess_deadline;
 use crate::fleet::dispatch::stage::Stage;
+use crate::fleet::job::Resources;
+use crate::fleet::team::Access;
+use crate::id;
 use crate::unit::Time;
 
 /// A snapshot of the leader's view.
@@ -31,6 +34,9 @@
     pub runs: usize,
     /// The queues of the plan in force.
     pub queues: Vec<Queue>,
+    /// The teams of the plan in force that have a share or a limit.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub teams: Vec<Team>,
     /// The steps with pending tasks in rank order, at most the first hundred.
     pub steps: Vec<Step>,
     /// All workers that the leader knows.
@@ -54,6 +60,27 @@
     pub running: usize,
 }
 
+/// One team of the plan in force.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Team {
+    /// Its name, as in the plan.
+    pub name: String,
+    /// Its share, in thousandths of a job per second; zero if all of its jobs are
+    /// within it.
+    pub share_permille: u64,
+    /// What its runs may use, zero if there is no limit, for each resource.
+    pub limit: Resources,
+    /// What they use, as far as the leader knows, and what earlier runs may use that it
+    /// doesn't know of yet.
+    pub used: Resources,
+    /// The number of its jobs that are not over yet.
+    pub jobs: usize,
+    /// How many of its steps wait for its limit.
+    pub held_steps: usize,
+    /// How many of its waiting steps lie beyond its share.
+    pub steps_beyond_share: usize,
+}
+
 /// One step with pending tasks.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Step {
@@ -100,6 +127,9 @@
     /// own or to learn what became of silent workers.
     #[display("a trial")]
     Trial,
+    /// The team that owns the job runs as much as it may.
+    #[display("the team's limit")]
+    TeamLimit,
     /// The workers that may run it are full or reserved for other steps.
     #[display("room")]
     Room,
@@ -168,6 +198,7 @@
             waiting_steps: waiting.count(),
             runs: self.placements.len(),
             queues: self.queues(state),
+            teams: self.team_rows(state),
             steps: self.steps(now),
             workers: self.sessions.values().map(worker).collect(),
         };
@@ -205,6 +236,43 @@
         queues.map(queue).collect()
     }
 
+    /// The teams of the plan in force that have a share or a limit.
+    fn team_rows(&self, state: &State) -> Vec<Team> {
+        let mut jobs: BTreeMap<&id::Team, usize> = BTreeMap::new();
+        let owners = state.owners();
+        let open = self.open_jobs.ids().filter_map(|job| owners.of(job));
+        for owner in open {
+            *jobs.entry(&owner.team).or_default() += 1;
+        }
+        let mut held: BTreeMap<&id::Team, usize> = BTreeMap::new();
+        let mut beyond: BTreeMap<&id::Team, usize> = BTreeMap::new();
+        let waiting = self.stages.values().filter(|it| !it.pending.is_empty());
+        for stage in waiting {
+            let Some(team) = &stage.owner else {
+                continue;
+            };
+            *held.entry(team).or_default() +=
+                usize::from(self.team_allowance(stage) == 0);
+            *beyond.entry(team).or_default() += usize::from(stage.beyond_share);
+        }
+        let count = |counts: &BTreeMap<&id::Team, usize>, team: &id::Team| {
+            counts.get(team).copied().unwrap_or_default()
+        };
+        let teams = owners.access().into_iter().flat_map(Access::teams);
+        let bounded = teams.filter(|(_, team)| **team != Default::default());
+        bounded
+            .map(|(name, team)| Team {
+                name: name.to_string(),
+                share_permille: team.share_permille,
+                limit: team.limit,
+                used: self.ledger.used(name).unwrap_or_default(),
+                jobs: count(&jobs, name),
+                held_steps: count(&held, name),
+                steps_beyond_share: count(&beyond, name),
+            })
+            .collect()
+    }
+
     /// The first steps with pending tasks, in rank order.
     fn steps(&self, now: Time) -> Vec<Step> {
         let order = self.ranked_steps(now);
@@ -231,6 +299,7 @@
             () if stage.recovering => Blocker::EarlierRuns,
             () if unanswered => Blocker::Advice,
             () if stage.not_before > now => Blocker::Pause,
+            () if self.team_allowance(stage) == 0 => Blocker::TeamLimit,
             () if self.is_bound(stage, now) => Blocker::LateStart,
             () if self.waits_for_trial(stage) => Blocker::Trial,
             () if self.feasible_count(stage) == 0 => Blocker::Worker,
--- a/crates/gentianlane/src/fleet/job.rs
+++ b/crates/gentianlane/src/fleet/job.rs
@@ -114,6 +114,24 @@
         }
     }
 
+    /// Each resource times a number.
+    #[must_use]
+    pub(crate) const fn times(&self, count: u64) -> Self {
+        Self {
+            millicores: self.millicores.saturating_mul(count),
+            memory_mib: self.memory_mib.saturating_mul(count),
+            accelerators: self.accelerators.saturating_mul(count),
+        }
+    }
+
+    /// Whether an amount stays within this limit, of which zero is no limit.
+    #[must_use]
+    pub(crate) const fn admits(&self, amount: &Self) -> bool {
+        (self.millicores == 0 || amount.millicores <= self.millicores)
+            && (self.memory_mib == 0 || amount.memory_mib <= self.memory_mib)
+            && (self.accelerators == 0 || amount.accelerators <= self.accelerators)
+    }
+
     /// The larger amount of each resource.
     #[must_use]
     pub(crate) fn most(&self, other: &Self) -> Self {
--- a/crates/gentianlane/src/fleet/mod.rs
+++ b/crates/gentianlane/src/fleet/mod.rs
@@ -18,6 +18,7 @@
 pub mod order;
 pub mod plan;
 mod state;
+pub mod team;
 pub mod worker;
 
 pub use command::Command;
--- a/crates/gentianlane/src/fleet/node/calls.rs
+++ b/crates/gentianlane/src/fleet/node/calls.rs
@@ -6,9 +6,18 @@
 use crate::fleet::job::{Id, Phase, Spec};
 use crate::fleet::node::{Node, Output, Ticket};
 use crate::fleet::plan::Plan;
+use crate::fleet::team::{Access, Credential};
 use crate::fleet::worker::{Incarnation, Report};
+use crate::id;
 use crate::unit::{Span, Time, Wall};
 
+/// The times at which a call is handled, by the two clocks.
+#[derive(Debug, Clone, Copy)]
+struct Clock {
+    now: Time,
+    wall: Wall,
+}
+
 /// The retry delay while no plan is in force.
 const NO_PLAN_RETRY: Span = Span::from_millis(1_000);
 
@@ -25,14 +34,29 @@
                 None,
             ));
         }
+        let (credential, call) = match call {
+            Call::Authorized(credential, call) => (Some(credential), *call),
+            call => (None, call),
+        };
+        let credential = credential.as_ref();
         match call {
-            Call::Submit { target, spec } => self.submit(&target, *spec, ticket, wall),
+            Call::Submit { target, spec } => {
+                let clock = Clock { now, wall };
+                self.submit(&target, credential, *spec, ticket, clock);
+            }
             Call::Status(target) => {
-                let reply = self.status(&target);
+                let reply = self.status(&target, credential);
                 self.reply(ticket, reply);
             }
-            Call::Cancel(target) => self.cancel(&target, ticket, wall),
-            Call::ReplacePlan(plan) => self.replace_plan(*plan, ticket),
+            Call::Cancel(target) => self.cancel(&target, credential, ticket, wall),
+            Call::ReplacePlan(plan) => self.replace_plan(*plan, None, ticket),
+            Call::ReplacePlanWithAccess(plan, access) => {
+                self.replace_plan(*plan, Some(access), ticket);
+            }
+            Call::Authorized(..) => {
+                let detail = "the call has two keys".to_owned();
+                self.reply(ticket, Reply::Malformed(detail));
+            }
             Call::ReadPlan => {
                 let text = self.state.plan().map(|plan| plan.text.clone());
                 let reply = text.map_or(no_plan(), Reply::Plan);
@@ -47,21 +71,31 @@
         }
     }
 
-    fn submit(&mut self, target: &Target, spec: Spec, ticket: Ticket, wall: Wall) {
-        let Some(plan) = self.state.plan() else {
-            return self.reply(ticket, no_plan());
-        };
-        let version = plan.version;
-        let Some((name, _, rest)) = plan.find_queue(&target.host, &target.path) else {
-            return self.reply(ticket, Reply::NoQueue);
+    fn submit(
+        &mut self,
+        target: &Target,
+        credential: Option<&Credential>,
+        spec: Spec,
+        ticket: Ticket,
+        clock: Clock,
+    ) {
+        let (queue, team, rest) = match self.authorize(target, credential) {
+            Ok(authorized) => authorized,
+            Err(reply) => return self.reply(ticket, reply),
         };
+        let version = self.state.plan().map_or(0, |plan| plan.version);
         let Some(job) = job_id(rest) else {
             let detail =
                 "the path doesn't end with a job id of 16 hexadecimal digits".to_owned();
             return self.reply(ticket, Reply::Malformed(detail));
         };
+        let queue = queue.to_owned();
         if self.state.job(&job).is_some() {
-            return self.reply(ticket, Reply::Done);
+            let reply = match self.may_access(&job, &queue, team.as_ref()) {
+                true => Reply::Done,
+                false => Reply::Malformed("the job's id is taken".to_owned()),
+            };
+            return self.reply(ticket, reply);
         }
         if !spec.is_valid() {
             let detail = "the steps are invalid: a job needs at least one and not too \
@@ -69,15 +103,14 @@
                 .to_owned();
             return self.reply(ticket, Reply::Malformed(detail));
         }
-        let Some(dispatcher) = &self.dispatcher else {
+        let Some(dispatcher) = &mut self.dispatcher else {
             return;
         };
-        let name = name.to_owned();
         if let Some(refusal) = dispatcher.admission_refusal() {
             let (reason, retry_after) = refusal;
             self.outputs.push(Output::Decision(Decision::Refused {
                 job,
-                queue: name,
+                queue,
                 reason,
                 retry_after,
             }));
@@ -89,36 +122,120 @@
                 },
             );
         }
+        let access = self.state.owners().access();
+        let owner = team.and_then(|name| {
+            Some((access?.team(&name).copied().unwrap_or_default(), name))
+        });
+        let owner = match owner {
+            None => None,
+            Some((team, name)) => {
+                match dispatcher.admit_for_team(&name, &team, &spec, clock.now) {
+                    Ok(beyond_share) => Some((name, beyond_share)),
+                    Err((reason, retry_after)) => {
+                        self.outputs.push(Output::Decision(Decision::TeamRefused {
+                            job,
+                            queue,
+                            team: name,
+                            reason,
+                            retry_after,
+                        }));
+                        let reply = Reply::Refused {
+                            retry_after,
+                            reason,
+                        };
+                        return self.reply(ticket, reply);
+                    }
+                }
+            }
+        };
         self.outputs.push(Output::Decision(Decision::Accepted {
             job,
-            queue: name.clone(),
+            queue: queue.clone(),
             tasks: spec.steps.iter().map(|step| step.count).sum(),
             plan: version,
             waiting: dispatcher.open_jobs(),
         }));
-        let command = Command::Submit {
-            at: wall,
-            job,
-            queue: name,
-            spec: Box::new(spec),
+        let (at, spec) = (clock.wall, Box::new(spec));
+        let command = match owner {
+            None => Command::Submit {
+                at,
+                job,
+                queue,
+                spec,
+            },
+            Some((team, beyond_share)) => {
+                self.outputs.push(Output::Decision(Decision::Owned {
+                    job,
+                    team: team.clone(),
+                    beyond_share,
+                }));
+                Command::SubmitFor {
+                    team,
+                    beyond_share,
+                    at,
+                    job,
+                    queue,
+                    spec,
+                }
+            }
         };
         self.propose(command, Some(ticket));
     }
 
-    fn status(&self, target: &Target) -> Reply {
+    /// Finds the queue that a caller addresses, and the caller's team.
+    ///
+    /// Gives the queue's name, the team if the call has its key, and the rest of the
+    /// path; otherwise the reply that rejects the call. The leader alone decides this,
+    /// by the plan in force, so that no other process can act on a withdrawn key.
+    fn authorize<'a>(
+        &mut self,
+        target: &'a Target,
+        credential: Option<&Credential>,
+    ) -> Result<(String, Option<id::Team>, &'a str), Reply> {
         let Some(plan) = self.state.plan() else {
-            return no_plan();
+            return Err(no_plan());
         };
         let Some((name, _, rest)) = plan.find_queue(&target.host, &target.path) else {
-            return Reply::NoQueue;
+            return Err(Reply::NoQueue);
+        };
+        let name = name.to_owned();
+        let Some(access) = self.state.owners().access() else {
+            return Ok((name, None, rest));
+        };
+        let team = credential.and_then(|credential| access.identify(credential));
+        match team {
+            None if !access.is_public(&name) => {
+                let rejected = Decision::Unauthorized { queue: name };
+                self.outputs.push(Output::Decision(rejected));
+                Err(Reply::Unauthorized)
+            }
+            team => Ok((name, team.cloned(), rest)),
+        }
+    }
+
+    /// Whether a caller of a queue may read and cancel a job: its own team's, one
+    /// without an owner, or any job of a public queue.
+    fn may_access(&self, job: &Id, queue: &str, team: Option<&id::Team>) -> bool {
+        let owners = self.state.owners();
+        let (Some(access), Some(owner)) = (owners.access(), owners.of(job)) else {
+            return true;
+        };
+        let is_in_queue = || self.state.job(job).is_some_and(|job| job.queue == queue);
+        Some(&owner.team) == team || (access.is_public(queue) && is_in_queue())
+    }
+
+    fn status(&mut self, target: &Target, credential: Option<&Credential>) -> Reply {
+        let (name, team, rest) = match self.authorize(target, credential) {
+            Ok(authorized) => authorized,
+            Err(reply) => return reply,
         };
         let Some(dispatcher) = &self.dispatcher else {
             return no_plan();
         };
         if rest.is_empty() {
-            return Reply::Waiting(dispatcher.waiting_jobs(name));
+            return Reply::Waiting(dispatcher.waiting_jobs(&name));
         }
-        let job = job_id(rest);
+        let job = job_id(rest).filter(|id| self.may_access(id, &name, team.as_ref()));
         let found = job.and_then(|id| Some((id, self.state.job(&id)?)));
         let Some((id, job)) = found else {
             return Reply::NoJob;
@@ -131,14 +248,18 @@
         Reply::Phase(phase)
     }
 
-    fn cancel(&mut self, target: &Target, ticket: Ticket, wall: Wall) {
-        let Some(plan) = self.state.plan() else {
-            return self.reply(ticket, no_plan());
+    fn cancel(
+        &mut self,
+        target: &Target,
+        credential: Option<&Credential>,
+        ticket: Ticket,
+        wall: Wall,
+    ) {
+        let (name, team, rest) = match self.authorize(target, credential) {
+            Ok(authorized) => authorized,
+            Err(reply) => return self.reply(ticket, reply),
         };
-        let Some((_, _, rest)) = plan.find_queue(&target.host, &target.path) else {
-            return self.reply(ticket, Reply::NoQueue);
-        };
-        let job = job_id(rest);
+        let job = job_id(rest).filter(|id| self.may_access(id, &name, team.as_ref()));
         let found = job.and_then(|id| Some((id, self.state.job(&id)?)));
         match found {
             Some((job, current)) if current.is_open() => {
@@ -149,15 +270,20 @@
         }
     }
 
-    fn replace_plan(&mut self, plan: Plan, ticket: Ticket) {
+    fn replace_plan(&mut self, plan: Plan, access: Option<Box<Access>>, ticket: Ticket) {
         if let Err(fault) = plan.check() {
             return self.reply(ticket, Reply::Malformed(fault.to_string()));
         }
         let current = self.state.plan().map_or(0, |plan| plan.version);
-        match plan.version > current {
-            true => self.propose(Command::Plan(Box::new(plan)), Some(ticket)),
-            false => self.reply(ticket, Reply::Done),
+        if plan.version <= current {
+            return self.reply(ticket, Reply::Done);
         }
+        let plan = Box::new(plan);
+        let command = match access {
+            None => Command::Plan(plan),
+            Some(access) => Command::PlanWithAccess(plan, access),
+        };
+        self.propose(command, Some(ticket));
     }
 
     fn report(&mut self, report: &Report, ticket: Ticket, now: Time) {
--- a/crates/gentianlane/src/fleet/plan.rs
+++ b/crates/gentianlane/src/fleet/plan.rs
@@ -155,11 +155,11 @@
     /// assert!(plan.find_queue("h", "/b/7").is_none());
     /// ```
     #[must_use]
-    pub fn find_queue<'a>(
+    pub fn find_queue<'a, 'b>(
         &'a self,
         host: &str,
-        path: &'a str,
-    ) -> Option<(&'a str, &'a Queue, &'a str)> {
+        path: &'b str,
+    ) -> Option<(&'a str, &'a Queue, &'b str)> {
         let host = host.split(':').next().unwrap_or(host);
         let matches = |queue: &Queue| {
             queue.host.eq_ignore_ascii_case(host) && path.starts_with(&queue.path_prefix)
--- a/crates/gentianlane/src/fleet/state.rs
+++ b/crates/gentianlane/src/fleet/state.rs
@@ -11,6 +11,7 @@
 use crate::fleet::crash::{Ledger, Suspicion};
 use crate::fleet::job::{Id, Phase, Spec, Stage, Task};
 use crate::fleet::plan::{Plan, Queue};
+use crate::fleet::team::{Access, Owner, Owners};
 use crate::fleet::worker::{Incarnation, Profile};
 use crate::id;
 use crate::unit::{Span, Wall};
@@ -36,6 +37,10 @@
     /// has since it registered.
     #[serde(skip)]
     report_sequences: IndexMap<id::Worker, u64>,
+    /// The teams and the jobs that they own, which come last; a state without any
+    /// is encoded as earlier versions did.
+    #[serde(skip)]
+    owners: Owners,
 }
 
 /// A start without an answer, which its worker may carry out seconds later.
@@ -219,6 +224,12 @@
             .or_else(|| self.removed_queues.get(name))
     }
 
+    /// The teams of the plan in force, and the owners of the jobs.
+    #[must_use]
+    pub fn owners(&self) -> &Owners {
+        &self.owners
+    }
+
     /// The job with this id, unless it has expired.
     #[must_use]
     pub fn job(&self, job: &Id) -> Option<&Job> {
@@ -244,7 +255,25 @@
     /// Applies a command and gives the changes that it made.
     pub fn apply(&mut self, command: Command) -> Vec<Event> {
         match command {
-            Command::Plan(plan) => self.replace_plan(*plan),
+            Command::Plan(plan) => self.replace_plan(*plan, None),
+            Command::PlanWithAccess(plan, access) => {
+                self.replace_plan(*plan, Some(*access))
+            }
+            Command::SubmitFor {
+                team,
+                beyond_share,
+                at,
+                job,
+                queue,
+                spec,
+            } => {
+                let owner = Owner::new(team, beyond_share, &spec);
+                let events = self.submit(at, job, queue, *spec);
+                if !events.is_empty() {
+                    self.owners.insert(job, owner);
+                }
+                events
+            }
             Command::Submit {
                 at,
                 job,
@@ -302,11 +331,12 @@
         }
     }
 
-    fn replace_plan(&mut self, plan: Plan) -> Vec<Event> {
+    fn replace_plan(&mut self, plan: Plan, access: Option<Access>) -> Vec<Event> {
         let current = self.plan.as_ref().map_or(0, |current| current.version);
         if plan.version <= current {
             return Vec::new();
         }
+        self.owners.replace_access(access);
         let Some(old) = self.plan.replace(plan) else {
             return vec![Event::PlanReplaced];
         };
@@ -489,6 +519,7 @@
         self.jobs.retain(|_, job| !expired(job));
         self.crashes.expire(before);
         let jobs = &self.jobs;
+        self.owners.retain(|job| jobs.contains_key(job));
         let has_open_jobs =
             |name: &String| jobs.values().any(|job| job.is_open() && job.queue == *name);
         self.removed_queues.retain(|name, _| has_open_jobs(name));
--- a/crates/gentianlane/src/fleet/state/codec.rs
+++ b/crates/gentianlane/src/fleet/state/codec.rs
@@ -5,6 +5,7 @@
 
 use crate::fleet::State;
 use crate::fleet::command::CodecError;
+use crate::fleet::team::Owners;
 
 impl State {
     /// Encodes the state for a snapshot.
@@ -28,7 +29,12 @@
         let bytes =
             postcard::to_extend(&self.unconfirmed, bytes).map_err(|_| CodecError)?;
         let bytes = postcard::to_extend(&self.crashes, bytes).map_err(|_| CodecError)?;
-        postcard::to_extend(&self.report_sequences, bytes).map_err(|_| CodecError)
+        let bytes =
+            postcard::to_extend(&self.report_sequences, bytes).map_err(|_| CodecError)?;
+        if self.owners == Owners::default() {
+            return Ok(bytes);
+        }
+        postcard::to_extend(&self.owners, bytes).map_err(|_| CodecError)
     }
 
     /// Decodes the state from a snapshot, which an earlier version may have written.
@@ -56,8 +62,15 @@
         if rest.is_empty() {
             return Ok(state);
         }
-        (state.crashes, state.report_sequences) =
-            postcard::from_bytes(rest).map_err(|_| CodecError)?;
+        let (crashes, rest) = postcard::take_from_bytes(rest).map_err(|_| CodecError)?;
+        state.crashes = crashes;
+        let (report_sequences, rest) =
+            postcard::take_from_bytes(rest).map_err(|_| CodecError)?;
+        state.report_sequences = report_sequences;
+        if rest.is_empty() {
+            return Ok(state);
+        }
+        state.owners = postcard::from_bytes(rest).map_err(|_| CodecError)?;
         Ok(state)
     }
 }
--- a/crates/gentianlane/tests/fleet/main.rs
+++ b/crates/gentianlane/tests/fleet/main.rs
@@ -10,5 +10,7 @@
 mod lease;
 mod regression;
 mod simulated_worker;
+mod team;
+mod team_fuzz;
 mod whole_core;
 mod world;
--- a/crates/gentianlane/tests/fleet/world.rs
+++ b/crates/gentianlane/tests/fleet/world.rs
@@ -206,6 +206,10 @@
     pub(crate) observed_runs: Vec<ObservedRun>,
     pub(crate) advice_requests: Vec<AdviceRequest>,
     pub(crate) specs: BTreeMap<Id, Spec>,
+    /// The team of each job that was submitted with a key.
+    pub(crate) job_teams: BTreeMap<Id, id::Team>,
+    /// What each team may run, by the highest limit that may be in force.
+    pub(crate) team_limits: BTreeMap<id::Team, Resources>,
     pub(crate) replies: BTreeMap<Ticket, Reply>,
     /// The jobs that a leader has reported as finished.
     pub(crate) finished_jobs: BTreeSet<Id>,
@@ -293,6 +297,8 @@
             observed_runs: Vec::new(),
             advice_requests: Vec::new(),
             specs: BTreeMap::new(),
+            job_teams: BTreeMap::new(),
+            team_limits: BTreeMap::new(),
             replies: BTreeMap::new(),
             finished_jobs: BTreeSet::new(),
             placement_rests: false,
@@ -827,6 +833,7 @@
             worker.incarnation.worker,
             self.now
         );
+        self.check_team_limit(&task, run);
         let step = &self.specs[&task.stage.job].steps[usize::from(task.stage.step)];
         let beside = worker.count_of(&task.stage);
         assert!(
@@ -878,6 +885,32 @@
         });
     }
 
+    /// What a team's tasks use on all workers that are up.
+    pub(crate) fn team_usage(&self, team: &id::Team) -> Resources {
+        let runs = self.workers.iter().flat_map(|worker| &worker.runs);
+        let of_team = runs
+            .filter(|((task, _), _)| self.job_teams.get(&task.stage.job) == Some(team));
+        of_team.fold(Resources::default(), |sum, (_, run)| sum.plus(&run.demand))
+    }
+
+    /// Asserts that a start takes its team at most a tenth and one task over its
+    /// limit, which is what the users allow.
+    fn check_team_limit(&self, task: &Task, run: u64) {
+        let Some(team) = self.job_teams.get(&task.stage.job) else {
+            return;
+        };
+        let Some(limit) = self.team_limits.get(team) else {
+            return;
+        };
+        let step = &self.specs[&task.stage.job].steps[usize::from(task.stage.step)];
+        let used = self.team_usage(team).less(&step.resources);
+        assert!(
+            limit.millicores == 0 || used.millicores <= limit.millicores * 11 / 10,
+            "{task} run {run} exceeds the limit of team {team} at {} ms: {used} of {limit}",
+            self.now
+        );
+    }
+
     /// Asserts that no task was started again after a successful end that a
     /// leader acknowledged.
     pub(crate) fn check_acknowledged(&self) {
