Let a team's urgent step take room from the team's own batch work

No other team's work can make room there, and preemption looked only at full workers.

Change: a step of the highest priority that has waited for the limit for 120 ms preempts the team's own tasks of lower priority that save, within the same bound of runs that stop at a time.

Evidence: a_teams_urgent_job_takes_room_from_its_own_batch_work fails on ("waits for its own batch work") and passes.

--- a/crates/gentianlane/src/fleet/dispatch/place.rs
+++ b/crates/gentianlane/src/fleet/dispatch/place.rs
@@ -56,7 +56,7 @@
                 continue;
             }
             if self.team_allowance(stage) == 0 {
-                self.hold_for_limit(id, now);
+                self.hold_for_limit(id, &mut survey, now);
                 continue;
             }
             let candidates = self.candidates(stage, &reservations, &survey, now);
@@ -71,7 +71,7 @@
                 false => self.place_tasks(id, candidates, now, wall),
             }
             if self.is_held_by_limit(id) {
-                self.hold_for_limit(id, now);
+                self.hold_for_limit(id, &mut survey, now);
                 continue;
             }
             self.handle_unplaced(id, &mut reservations, &mut survey, now);
@@ -489,7 +489,7 @@
         if let Some(charge) = &run.charge {
             self.ledger.charge(charge);
         }
-        stage.held_by_limit = false;
+        stage.held_since = None;
         session.insert(*task, run);
         let place = Place {
             worker: worker.clone(),
--- a/crates/gentianlane/src/fleet/dispatch/preempt.rs
+++ b/crates/gentianlane/src/fleet/dispatch/preempt.rs
@@ -18,7 +18,7 @@
 
 /// How long a step waits for capacity to get free by itself before tasks are
 /// preempted for it.
-const PREEMPTION_DELAY: Span = Span::from_millis(120);
+pub(super) const PREEMPTION_DELAY: Span = Span::from_millis(120);
 
 /// How long a task runs before it can be preempted, so that two queues don't
 /// keep preempting each other's tasks; also about the time from one checkpoint
@@ -98,7 +98,7 @@
     }
 
     /// The most runs that preemption may have stopping at the same time.
-    fn stop_limit(&self) -> usize {
+    pub(super) fn stop_limit(&self) -> usize {
         MIN_STOP_LIMIT.max(self.sessions.len() / WORKERS_PER_STOP)
     }
 
@@ -213,7 +213,13 @@
     /// Whether a run may be preempted for a step whose queue has this priority: its
     /// own queue has a lower one, its task writes checkpoints and is no member of a
     /// gang, nor long-running or best-effort.
-    fn is_preemptible(&self, priority: u32, task: &Task, run: &Run, now: Time) -> bool {
+    pub(super) fn is_preemptible(
+        &self,
+        priority: u32,
+        task: &Task,
+        run: &Run,
+        now: Time,
+    ) -> bool {
         let owner = self.stages.get(&task.stage);
         let owner_allows = owner.is_some_and(|owner| {
             owner.queue.priority > priority
--- a/crates/gentianlane/src/fleet/dispatch/stage.rs
+++ b/crates/gentianlane/src/fleet/dispatch/stage.rs
@@ -83,8 +83,8 @@
     pub(crate) owner: Option<id::Team>,
     /// Whether the team submitted the job beyond its share.
     pub(crate) beyond_share: bool,
-    /// Whether pending tasks wait because the team runs as much as it may.
-    pub(crate) held_by_limit: bool,
+    /// Since when pending tasks wait because the team runs as much as it may.
+    pub(crate) held_since: Option<Time>,
 }
 
 /// The adviser's permission to run a step on a worker.
@@ -148,7 +148,7 @@
             may_ask: true,
             owner: None,
             beyond_share: false,
-            held_by_limit: false,
+            held_since: None,
         }
     }
 
--- a/crates/gentianlane/src/fleet/dispatch/team.rs
+++ b/crates/gentianlane/src/fleet/dispatch/team.rs
@@ -7,10 +7,14 @@
 
 use crate::fleet::State;
 use crate::fleet::call::Refusal;
-use crate::fleet::decision::Decision;
+use crate::fleet::decision::{Cause, Decision};
 use crate::fleet::dispatch::Dispatcher;
+use crate::fleet::dispatch::backlog::{TOP_PRIORITY, effective_priority};
+use crate::fleet::dispatch::preempt::PREEMPTION_DELAY;
 use crate::fleet::dispatch::rank::{Timeliness, assess_deadline};
+use crate::fleet::dispatch::session::RunState;
 use crate::fleet::dispatch::stage::Stage;
+use crate::fleet::dispatch::survey::Survey;
 use crate::fleet::job::{self, Phase, Resources, Spec};
 use crate::fleet::team::{Charge, Ledger, Team, can_ever_start};
 use crate::id;
@@ -117,7 +121,12 @@
     ///
     /// What it needs next is kept free of the team's steps that rank below it, so that
     /// their small tasks don't keep a gang or a large task from ever starting.
-    pub(super) fn hold_for_limit(&mut self, id: &job::Stage, now: Time) {
+    pub(super) fn hold_for_limit(
+        &mut self,
+        id: &job::Stage,
+        survey: &mut Survey,
+        now: Time,
+    ) {
         let Some(stage) = self.stages.get_mut(id) else {
             return;
         };
@@ -127,7 +136,8 @@
         stage.blocked_since = None;
         stage.reserved.clear();
         stage.examined = false;
-        let newly_held = !std::mem::replace(&mut stage.held_by_limit, true);
+        let newly_held = stage.held_since.is_none();
+        stage.held_since.get_or_insert(now);
         let pending = stage.pending.len();
         let task = stage.step.resources;
         let next = match stage.step.gang {
@@ -146,6 +156,65 @@
         if has_value {
             self.ledger.claim(&team, next);
         }
+        if survey.scope.plans {
+            self.preempt_within_team(id, survey, now);
+        }
+    }
+
+    /// Preempts a team's own tasks of lower priority for its step of the highest one
+    /// that waits for the team's limit: only the team's own work can make room there.
+    fn preempt_within_team(&mut self, id: &job::Stage, survey: &mut Survey, now: Time) {
+        let Some(stage) = self.stages.get(id) else {
+            return;
+        };
+        let (timeliness, slack) = assess_deadline(stage, now);
+        let priority = effective_priority(stage, slack);
+        let has_waited = stage
+            .held_since
+            .is_some_and(|since| now.since(since) >= PREEMPTION_DELAY);
+        let (Some(team), true) = (&stage.owner, has_waited) else {
+            return;
+        };
+        if priority != TOP_PRIORITY
+            || timeliness == Timeliness::Expired
+            || stage.step.gang
+            || stage.beyond_share
+        {
+            return;
+        }
+        let task = stage.step.resources;
+        let mut wanted = task.times(stage.pending.len() as u64);
+        let mut preemptible = Vec::new();
+        for session in self.sessions.values() {
+            if !session.charges.contains_key(team) {
+                continue;
+            }
+            for ((task, _), run) in &session.runs {
+                let Some(charge) = run.charge.as_ref().filter(|it| it.team == *team)
+                else {
+                    continue;
+                };
+                if run.state == RunState::Stopping {
+                    wanted = wanted.less(&charge.amount);
+                } else if self.is_preemptible(priority, task, run, now) {
+                    preemptible.push((charge.amount, *task));
+                }
+            }
+        }
+        preemptible.sort_unstable_by_key(|(amount, task)| (amount.weight(), *task));
+        let budget = self.stop_limit().saturating_sub(survey.stopping);
+        let mut victims = Vec::new();
+        for (amount, victim) in preemptible.into_iter().take(budget) {
+            if wanted.weight() == 0 {
+                break;
+            }
+            wanted = wanted.less(&amount);
+            victims.push(victim);
+        }
+        survey.stopping += victims.len();
+        for victim in victims {
+            self.stop_run(&victim, Cause::Preempted, now);
+        }
     }
 
     /// Takes the jobs that an earlier leader has accepted lately off the teams' shares,
--- a/crates/gentianlane/tests/fleet/team.rs
+++ b/crates/gentianlane/tests/fleet/team.rs
@@ -11,7 +11,7 @@
 use gentianlane::id;
 use gentianlane::unit::Wall;
 
-use super::dispatch::task;
+use super::dispatch::{slow_target, task, two_queues};
 use super::simulated_worker::{job, step};
 use super::world::{Delay, Kind, World, plan, target};
 
@@ -490,3 +490,33 @@
     world.run(12_000);
     assert_eq!(phase_for(&mut world, "a", 7), Some(Phase::Completed));
 }
+
+/// A team's own batch work, which saves, would hold its limit for as long as it runs.
+#[test]
+fn a_teams_urgent_job_takes_room_from_its_own_batch_work() {
+    let mut world = World::new(4, 1).with_plan(plan(1, false));
+    let mut queues = two_queues(3);
+    queues.version = 2;
+    replace_plan(&mut world, queues, &access([entry("a", 4_000, 0)]));
+    world.run_time = 10_000;
+    let mut batch = job(4, 1_000);
+    batch.steps[0].checkpoints = true;
+    world.specs.insert(Id(7), batch.clone());
+    world.job_teams.insert(Id(7), "a".into());
+    let submit = Call::Submit {
+        target: slow_target(7),
+        spec: Box::new(batch),
+    };
+    authorized(&mut world, "key-a", submit);
+    world.run(1_500);
+    assert_eq!(world.observed_runs.len(), 4);
+    world.run_time = 300;
+    submit_for(&mut world, "a", 8, &job(1, 1_000));
+    world.run(800);
+    assert!(
+        world.finished_jobs.contains(&Id(8)),
+        "waits for its own batch work"
+    );
+    world.run(20_000);
+    assert!(world.finished_jobs.contains(&Id(7)));
+}
