Let tasks wait for better places where that pays, and learn workers' speeds

Tasks run longer away from their data, gangs on several racks and all work on slow workers, and placement started a task where there was room, or preferred a place without weighing the wait for it.

Change: dispatch::wait decides from both run times, the expected time until a better place is free, what the task has waited, its time left and the load on these places; no wait is longer than what it could save. dispatch::speed learns workers' speeds by comparing the runs of one step.

Ruled out: waits that look at the task alone.

--- a/crates/gentianlane-daemon/src/fleet/settings.rs
+++ b/crates/gentianlane-daemon/src/fleet/settings.rs
@@ -73,6 +73,28 @@
     /// How the process divides its file descriptors among its uses.
     #[serde(default)]
     pub(crate) descriptors: Descriptors,
+    /// How a leader places tasks on workers that aren't all alike.
+    #[serde(default)]
+    pub(crate) placement: Placement,
+}
+
+/// How a leader places tasks on workers that aren't all alike. What is left out is off.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Placement {
+    /// Whether workers' speeds are learned and tasks are placed by them.
+    #[serde(default)]
+    learn_speeds: bool,
+    /// Whether tasks wait for a better place where that pays.
+    #[serde(default)]
+    wait_for_places: bool,
+    /// How many times as long tasks run away from their data, at least 1.
+    #[serde(default = "no_slowdown")]
+    remote_factor: f64,
+}
+
+const fn no_slowdown() -> f64 {
+    1.0
 }
 
 /// A fault of a settings file.
@@ -196,6 +218,10 @@
             lease: granted.min(MAX_LEASE),
             lease_limit: Span::from_millis(self.lease_limit_ms),
             stop_time: Span::from_millis(self.stop_ms),
+            learn_speeds: self.placement.learn_speeds,
+            wait_for_places: self.placement.wait_for_places,
+            // A cast from a float saturates; factors below one mean no difference.
+            remote_slowdown: ((self.placement.remote_factor * 1_000.0) as u64).max(1_000),
             renewal_limit: self.descriptor_budget().worker_limits().delayed,
             ..dispatch::Setup::default()
         }
--- a/crates/gentianlane/src/fleet/decision.rs
+++ b/crates/gentianlane/src/fleet/decision.rs
@@ -264,6 +264,20 @@
         /// How long the worker is avoided.
         duration: Span,
     },
+    /// A stage waits for a place where its tasks run faster than where there is room.
+    #[display("event=waits_for_place stage={stage} here_ms={} there_ms={} free_in_ms={} limit_ms={}", here.as_millis(), there.as_millis(), free_in.as_millis(), limit.as_millis())]
+    WaitsForPlace {
+        /// The stage that waits.
+        stage: Stage,
+        /// How long a task would run at the best place that is free.
+        here: Span,
+        /// How long it would run at the better place.
+        there: Span,
+        /// When that is likely to be free.
+        free_in: Span,
+        /// How long it waits at most.
+        limit: Span,
+    },
     /// Tasks of a stage wait because their team runs as much as it may.
     #[display(
         "event=held_by_limit stage={stage} team={team} pending={pending} used={used}"
--- a/crates/gentianlane/src/fleet/dispatch/candidate.rs
+++ b/crates/gentianlane/src/fleet/dispatch/candidate.rs
@@ -4,6 +4,7 @@
 
 use crate::fleet::job::Resources;
 use crate::id;
+use crate::unit::Span;
 
 /// A worker that can take tasks of a step now.
 #[derive(Debug, Clone)]
@@ -18,6 +19,8 @@
     pub(super) remote_data: bool,
     /// How badly the worker's speed suits the step; zero is best.
     pub(super) speed_penalty: u64,
+    /// How long a task is expected to run there.
+    pub(super) run_time: Span,
     /// Whether runs have failed there and none has succeeded since.
     pub(super) suspect: bool,
     /// The ticket from advice, if the step needs one.
--- a/crates/gentianlane/src/fleet/dispatch/dispatcher.rs
+++ b/crates/gentianlane/src/fleet/dispatch/dispatcher.rs
@@ -11,6 +11,7 @@
 use crate::fleet::dispatch::estimate::Estimator;
 use crate::fleet::dispatch::grant::UnansweredGrants;
 use crate::fleet::dispatch::open::OpenJobs;
+use crate::fleet::dispatch::rack_demand::RackDemands;
 use crate::fleet::dispatch::schedule::{Schedule, Scope};
 use crate::fleet::dispatch::session::{RunState, Session};
 use crate::fleet::dispatch::stage::Stage;
@@ -120,6 +121,10 @@
     pub(super) effort: Effort,
     /// What each team used when the last placement pass began, and has started since.
     pub(super) ledger: Ledger,
+    /// How many tasks of each pool wait for a better place, as of the current pass.
+    pub(super) waiting_for_places: IndexMap<String, usize>,
+    /// How much work has lately come for each rack.
+    pub(super) rack_demands: RackDemands,
     /// What is left of each team's share.
     pub(super) shares: Shares,
     /// When leases, retries and tickets are checked again.
@@ -172,6 +177,8 @@
             turnovers: IndexMap::default(),
             effort: Effort::default(),
             ledger: Ledger::default(),
+            waiting_for_places: IndexMap::default(),
+            rack_demands: RackDemands::default(),
             shares: Shares::default(),
             next_tick: now,
             effects: Effects::default(),
--- a/crates/gentianlane/src/fleet/dispatch/event.rs
+++ b/crates/gentianlane/src/fleet/dispatch/event.rs
@@ -207,6 +207,7 @@
                 };
                 self.stages.insert(stage_id, stage);
                 self.load_suspects(state, &stage_id);
+                self.count_rack_demand(&stage_id, now);
             }
         }
     }
--- a/crates/gentianlane/src/fleet/dispatch/place.rs
+++ b/crates/gentianlane/src/fleet/dispatch/place.rs
@@ -17,6 +17,7 @@
 use crate::fleet::dispatch::rank::assess_deadline;
 use crate::fleet::dispatch::reserve::Reservations;
 use crate::fleet::dispatch::session::{Run, RunState, Session};
+use crate::fleet::dispatch::speed::Class;
 use crate::fleet::dispatch::stage::Stage;
 use crate::fleet::dispatch::survey::Survey;
 use crate::fleet::dispatch::unconfirmed::Choice;
@@ -43,6 +44,7 @@
             return;
         }
         let mut reservations = Reservations::default();
+        self.waiting_for_places = IndexMap::default();
         let earlier_orders = self.effects.orders.len();
         for id in order {
             if self.effects.orders.len() >= earlier_orders + PASS_ORDER_LIMIT {
@@ -55,6 +57,10 @@
             if !stage.is_placeable(now) {
                 continue;
             }
+            self.begin_wait_check(id);
+            let Some(stage) = self.stages.get(id) else {
+                continue;
+            };
             if self.team_allowance(stage) == 0 {
                 self.hold_for_limit(id, &mut survey, now);
                 continue;
@@ -92,6 +98,12 @@
             return;
         };
         stage.examined = true;
+        // Room elsewhere is of no use to a step that waits for a better place.
+        if stage.wait.is_some_and(|wait| wait.is_current) {
+            stage.examined = false;
+            stage.blocked_since = None;
+            return;
+        }
         if stage.pending.is_empty() {
             stage.blocked_since = None;
             stage.reserved.clear();
@@ -232,6 +244,7 @@
             remote_data: preferred_rack.is_some_and(is_remote),
             suspect: session.failures > 0,
             speed_penalty: self.speed_penalty(stage, session),
+            run_time: self.run_time_at(stage, session),
             ticket,
             has_runs: present > 0,
             trial: session.trial.map(|task| task.index),
@@ -273,6 +286,9 @@
         if session.slowdown >= SLOW_WORKER {
             return session.slowdown;
         }
+        if self.setup.learn_speeds {
+            return class_penalty(stage, session.speed.class());
+        }
         let slowdown = self.estimator.kind_slowdown(session.kind());
         match stage.queue.stretch_permille <= TIGHT_STRETCH {
             true => slowdown / SPEED_STEP,
@@ -334,6 +350,9 @@
             let Some(best) = best else {
                 continue;
             };
+            if trial.is_none() && self.waits_for_place(id, best.run_time, now) {
+                continue;
+            }
             best.free = best.free.less(&demand);
             best.task_limit = best.task_limit.saturating_sub(1);
             best.has_charged_tasks |= suspect.is_suspected();
@@ -413,6 +432,12 @@
         let Some(members) = self.assign_members(id, &chosen, now) else {
             return;
         };
+        let mut racks = members.iter().map(|(_, candidate)| &candidate.rack);
+        let first_rack = racks.next();
+        let is_spread = one_rack && racks.any(|rack| Some(rack) != first_rack);
+        if trial.is_none() && is_spread && self.waits_for_rack(id, now) {
+            return;
+        }
         let Some(stage) = self.stages.get_mut(id) else {
             return;
         };
@@ -510,6 +535,26 @@
 /// The granularity in which workers' speeds are compared, in thousandths.
 const SPEED_STEP: u64 = 100;
 
+/// How badly a class of speed suits a step; zero is best.
+///
+/// Steps with time to spare leave the fast workers to those without, and so do tasks
+/// that last, to which speed matters least.
+fn class_penalty(stage: &Stage, class: Class) -> u64 {
+    match (prefers_slow_workers(stage), class) {
+        (false, Class::Usual) | (true, Class::VerySlow) => 0,
+        (_, Class::Slow) => 1,
+        (false, Class::VerySlow) | (true, Class::Usual) => 2,
+    }
+}
+
+/// Whether a step leaves the fast workers to others.
+pub(super) fn prefers_slow_workers(stage: &Stage) -> bool {
+    stage.step.long_running || stage.queue.stretch_permille >= LOOSE_STRETCH
+}
+
+/// The stretch from which a job is on time on a very slow worker too, in thousandths.
+const LOOSE_STRETCH: u64 = 3_000;
+
 /// Whether a worker is in the step's pool and has the required label.
 pub(super) fn matches_constraints(stage: &Stage, session: &Session) -> bool {
     let labels = &session.profile.labels;
@@ -532,6 +577,6 @@
 }
 
 /// The worker's rack, which is its last label.
-fn rack(session: &Session) -> Option<&String> {
+pub(super) fn rack(session: &Session) -> Option<&String> {
     session.profile.labels.last()
 }
--- a/crates/gentianlane/src/fleet/dispatch/reconcile.rs
+++ b/crates/gentianlane/src/fleet/dispatch/reconcile.rs
@@ -157,6 +157,9 @@
                         self.estimator
                             .observe_kind(&stage.queue_name, &kind, run_time);
                     session.slowdown = smoothed_slowdown(session.slowdown, ratio);
+                    if self.setup.learn_speeds {
+                        session.speed.observe(run_time, &mut stage.reference);
+                    }
                 }
             }
         }
--- a/crates/gentianlane/src/fleet/dispatch/session.rs
+++ b/crates/gentianlane/src/fleet/dispatch/session.rs
@@ -7,6 +7,7 @@
 use crate::fleet::Worker;
 use crate::fleet::dispatch::estimate::NOMINAL;
 use crate::fleet::dispatch::progress::Progress;
+use crate::fleet::dispatch::speed::Speed;
 use crate::fleet::dispatch::survey::Seen;
 use crate::fleet::job::{Resources, Task};
 use crate::fleet::order::CallId;
@@ -80,6 +81,8 @@
     /// Failed runs since the last completed one, without those of tasks that
     /// failed on other workers too.
     pub(crate) failures: u32,
+    /// The worker's speed, as far as it has been learned.
+    pub(crate) speed: Speed,
     /// Run times here relative to other workers of the kind, in thousandths.
     pub(crate) slowdown: u64,
     /// When a run last failed here.
@@ -235,6 +238,7 @@
             unreachable: 0,
             avoid_until: now,
             failures: 0,
+            speed: Speed::default(),
             slowdown: NOMINAL,
             last_failure: now,
             runs: IndexMap::default(),
--- a/crates/gentianlane/src/fleet/dispatch/setup.rs
+++ b/crates/gentianlane/src/fleet/dispatch/setup.rs
@@ -23,6 +23,14 @@
     pub order_timeout: Span,
     /// How long a worker may take to stop a run.
     pub stop_time: Span,
+    /// Whether workers' speeds are learned and tasks are placed by them.
+    pub learn_speeds: bool,
+    /// Whether tasks wait for a better place where that pays; see
+    /// [`crate::fleet::dispatch::wait`].
+    pub wait_for_places: bool,
+    /// How much longer a task runs away from its data, or a gang on several racks, in
+    /// thousandths.
+    pub remote_slowdown: u64,
 }
 
 impl Default for Setup {
@@ -35,6 +43,9 @@
             renewal_margin: Span::from_millis(600),
             order_timeout: Span::from_millis(150),
             stop_time: Span::from_millis(1_000),
+            learn_speeds: false,
+            wait_for_places: false,
+            remote_slowdown: 1_000,
         }
     }
 }
--- a/crates/gentianlane/src/fleet/dispatch/stage.rs
+++ b/crates/gentianlane/src/fleet/dispatch/stage.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeSet;
 
 use crate::fleet::dispatch::crash::Suspect;
+use crate::fleet::dispatch::speed::Reference;
 use crate::fleet::job::{Stage as Id, Step};
 use crate::fleet::order::CallId;
 use crate::fleet::plan::Queue;
@@ -79,6 +80,10 @@
     pub(crate) asked: IndexSet<id::Worker>,
     /// Whether there may be workers to ask about that weren't asked about.
     pub(crate) may_ask: bool,
+    /// What the completed tasks tell of the run time.
+    pub(crate) reference: Reference,
+    /// The wait for a better place than those that were free, if the step waits for one.
+    pub(crate) wait: Option<Wait>,
     /// The team that the job belongs to, if it was submitted with a key.
     pub(crate) owner: Option<id::Team>,
     /// Whether the team submitted the job beyond its share.
@@ -87,6 +92,17 @@
     pub(crate) held_since: Option<Time>,
 }
 
+/// A step's wait for a better place.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Wait {
+    /// Since when it has waited.
+    pub(crate) since: Time,
+    /// When it starts elsewhere at the latest.
+    pub(crate) until: Time,
+    /// Whether it has waited in the last placement pass as well.
+    pub(crate) is_current: bool,
+}
+
 /// The adviser's permission to run a step on a worker.
 #[derive(Debug, Clone)]
 pub(crate) struct Permit {
@@ -146,6 +162,8 @@
             open_requests: Vec::new(),
             asked: IndexSet::default(),
             may_ask: true,
+            reference: Reference::default(),
+            wait: None,
             owner: None,
             beyond_share: false,
             held_since: None,
--- a/crates/gentianlane/src/fleet/dispatch/view.rs
+++ b/crates/gentianlane/src/fleet/dispatch/view.rs
@@ -100,6 +100,9 @@
     pub slack_ms: i64,
     /// Why its pending tasks don't start.
     pub cause: Blocker,
+    /// For how long it waits for a better place at most, in milliseconds, if it does.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub better_place_ms: Option<u64>,
 }
 
 /// What a step's pending tasks wait for.
@@ -127,6 +130,10 @@
     /// own or to learn what became of silent workers.
     #[display("a trial")]
     Trial,
+    /// A place where its tasks run faster, near their data, on one rack or on a fast
+    /// worker; others are free.
+    #[display("a better place")]
+    BetterPlace,
     /// The team that owns the job runs as much as it may.
     #[display("the team's limit")]
     TeamLimit,
@@ -287,6 +294,10 @@
                 waited_ms: stage.waited(now).as_millis(),
                 slack_ms: assess_deadline(stage, now).1,
                 cause: self.blocker(stage, now),
+                better_place_ms: stage
+                    .wait
+                    .filter(|wait| wait.is_current)
+                    .map(|wait| wait.until.since(now).as_millis()),
             }
         };
         stages.take(STEP_LIMIT).map(step).collect()
@@ -300,6 +311,7 @@
             () if unanswered => Blocker::Advice,
             () if stage.not_before > now => Blocker::Pause,
             () if self.team_allowance(stage) == 0 => Blocker::TeamLimit,
+            () if stage.wait.is_some_and(|it| it.is_current) => Blocker::BetterPlace,
             () if self.is_bound(stage, now) => Blocker::LateStart,
             () if self.waits_for_trial(stage) => Blocker::Trial,
             () if self.feasible_count(stage) == 0 => Blocker::Worker,
--- a/crates/gentianlane/tests/fleet/main.rs
+++ b/crates/gentianlane/tests/fleet/main.rs
@@ -12,5 +12,6 @@
 mod simulated_worker;
 mod team;
 mod team_fuzz;
+mod wait;
 mod whole_core;
 mod world;
--- a/crates/gentianlane/tests/fleet/world.rs
+++ b/crates/gentianlane/tests/fleet/world.rs
@@ -156,6 +156,8 @@
 
 pub(crate) struct World {
     pub(crate) now: u64,
+    /// How the cores that start from now on dispatch.
+    pub(crate) dispatch: dispatch::Setup,
     pub(crate) cores: Vec<Core>,
     pub(crate) workers: Vec<Worker>,
     /// The cores that no other core and no worker can reach.
@@ -270,6 +272,7 @@
     pub(crate) fn new(workers: u16, seed: u64) -> Self {
         let mut world = Self {
             now: 0,
+            dispatch: dispatch::Setup::default(),
             cores: Vec::new(),
             workers: Vec::new(),
             isolated: BTreeSet::new(),
@@ -325,7 +328,7 @@
         };
         for at in 0..3 {
             let durable = consensus::DurableState::default();
-            let node = Some(node(at, durable.clone(), 0));
+            let node = Some(node(at, world.dispatch, durable.clone(), 0));
             world.cores.push(Core {
                 node,
                 booted_at: 0,
@@ -344,6 +347,15 @@
         world
     }
 
+    /// Starts all cores anew with a setup of the dispatcher.
+    pub(crate) fn with_dispatch(mut self, dispatch: dispatch::Setup) -> Self {
+        self.dispatch = dispatch;
+        for at in 0..self.cores.len() {
+            self.restart(at);
+        }
+        self
+    }
+
     /// Waits for the election of a leader and applies a plan.
     pub(crate) fn with_plan(mut self, plan: Plan) -> Self {
         self.run(2_500);
@@ -1061,14 +1073,14 @@
     /// Restarts a core's process with the state on its disk.
     pub(crate) fn restart(&mut self, at: usize) {
         let durable = self.cores[at].durable.clone();
-        self.cores[at].node = Some(node(at, durable, self.now));
+        self.cores[at].node = Some(node(at, self.dispatch, durable, self.now));
     }
 
     /// Starts a core on a VM that boots now, with the state on its disk.
     pub(crate) fn power_on(&mut self, at: usize) {
         self.cores[at].booted_at = self.now;
         let durable = self.cores[at].durable.clone();
-        self.cores[at].node = Some(node(at, durable, 0));
+        self.cores[at].node = Some(node(at, self.dispatch, durable, 0));
     }
 
     /// Crashes a worker: its runs end, and its address is unreachable.
@@ -1164,7 +1176,12 @@
         .saturating_sub(1)
 }
 
-fn node(at: usize, durable: consensus::DurableState, now: u64) -> Node {
+fn node(
+    at: usize,
+    dispatch: dispatch::Setup,
+    durable: consensus::DurableState,
+    now: u64,
+) -> Node {
     let me = id::Node(at as u64 + 1);
     let consensus = consensus::Setup {
         node: me,
@@ -1175,7 +1192,7 @@
     };
     let setup = Setup {
         consensus,
-        dispatch: dispatch::Setup::default(),
+        dispatch,
     };
     let mut node = Node::new(setup, durable, Time::from_millis(now));
     node.add_relay(1);
