Bound what teams and waits cost a placement pass

Cause, by reading: while a new leader learned the workers' runs, each pass went through the owners of all jobs, which are kept for ten minutes; every held urgent step looked for tasks to preempt on all workers; and each candidate computed its run time from names of queues.

Change: jobs that ended early are counted once, at the takeover or at their end; a pass preempts for one step of a team; a candidate has its slowdown, and run times are computed once a wait is considered.

Evidence: the tests of teams and waits pass unchanged, among them a_new_leader_counts_the_runs_of_a_job_that_was_cancelled.

--- a/crates/gentianlane/src/fleet/dispatch/better_place.rs
+++ b/crates/gentianlane/src/fleet/dispatch/better_place.rs
@@ -15,8 +15,9 @@
 const BETTER: u64 = 750;
 
 impl Dispatcher {
-    /// How long a task of a step is expected to run on a worker.
-    pub(super) fn run_time_at(&self, stage: &Stage, session: &Session) -> Span {
+    /// How much longer than at the best places a task of a step runs on a worker, in
+    /// thousandths.
+    pub(super) fn slowdown_at(&self, stage: &Stage, session: &Session) -> u64 {
         let preferred_rack = stage.step.preferred_rack.as_ref();
         let is_remote =
             preferred_rack.is_some_and(|rack| !session.profile.labels.contains(rack));
@@ -24,13 +25,12 @@
             true => self.setup.remote_slowdown,
             false => 1_000,
         };
-        let usual = self.usual_run_time(stage).as_millis();
         // A step that prefers slow workers gains nothing from the wait for a fast one.
         let slowdown = match prefers_slow_workers(stage) {
             true => 1_000,
             false => session.speed.slowdown(),
         };
-        Span::from_millis(usual * slowdown / 1_000 * remote / 1_000)
+        slowdown * remote / 1_000
     }
 
     /// The run time of a step's tasks near their data on a worker of the usual speed.
@@ -49,27 +49,27 @@
     }
 
     /// Whether a task of a step waits for a better place than the best one that is free,
-    /// where it would run for `run_time`.
+    /// where it runs longer than elsewhere by `slowdown`, in thousandths.
     pub(super) fn waits_for_place(
         &mut self,
         id: &job::Stage,
-        run_time: Span,
+        slowdown: u64,
         now: Time,
     ) -> bool {
         let Some(stage) = self.stages.get(id) else {
             return false;
         };
-        let usual = self.usual_run_time(stage);
-        let is_good = run_time.as_millis() * BETTER / 1_000 < usual.as_millis();
-        if !self.may_wait(stage) || is_good {
+        if !self.may_wait(stage) || slowdown * BETTER / 1_000 < 1_000 {
             return false;
         }
+        let usual = self.usual_run_time(stage).as_millis();
+        let run_time = |slowdown: u64| Span::from_millis(usual * slowdown / 1_000);
         let demand = stage.step.demand();
         let wanted = u32::try_from(stage.pending.len()).unwrap_or(u32::MAX);
         let sessions = self.permitted_sessions(stage).into_iter();
         let better = sessions.filter_map(|(worker, session)| {
-            let there = self.run_time_at(stage, session);
-            let is_better = there.as_millis() <= run_time.as_millis() * BETTER / 1_000;
+            let there = self.slowdown_at(stage, session);
+            let is_better = there <= slowdown * BETTER / 1_000;
             // One that has room now isn't a candidate for another reason.
             if !is_better
                 || demand.fits(&session.free())
@@ -79,7 +79,7 @@
                 return None;
             }
             let (at, tasks) = self.available_at(session, &demand, wanted, now)?;
-            Some((at, there, tasks))
+            Some((at, run_time(there), tasks))
         });
         let mut better: Vec<(Time, Span, u32)> = better.collect();
         better.sort_unstable_by_key(|(at, there, _)| at.after(*there));
@@ -94,7 +94,7 @@
             return false;
         };
         let load = self.load_near(stage, now);
-        self.decide_wait(id, run_time, there, at.since(now), load, now)
+        self.decide_wait(id, run_time(slowdown), there, at.since(now), load, now)
     }
 
     /// Counts the tasks of a new step towards the load on the rack of their data.
--- a/crates/gentianlane/src/fleet/dispatch/candidate.rs
+++ b/crates/gentianlane/src/fleet/dispatch/candidate.rs
@@ -4,7 +4,6 @@
 
 use crate::fleet::job::Resources;
 use crate::id;
-use crate::unit::Span;
 
 /// A worker that can take tasks of a step now.
 #[derive(Debug, Clone)]
@@ -19,8 +18,8 @@
     pub(super) remote_data: bool,
     /// How badly the worker's speed suits the step; zero is best.
     pub(super) speed_penalty: u64,
-    /// How long a task is expected to run there.
-    pub(super) run_time: Span,
+    /// How much longer than at the best places a task runs there, in thousandths.
+    pub(super) slowdown: u64,
     /// Whether runs have failed there and none has succeeded since.
     pub(super) suspect: bool,
     /// The ticket from advice, if the step needs one.
--- a/crates/gentianlane/src/fleet/dispatch/dispatcher.rs
+++ b/crates/gentianlane/src/fleet/dispatch/dispatcher.rs
@@ -17,7 +17,7 @@
 use crate::fleet::dispatch::stage::Stage;
 use crate::fleet::dispatch::trial::Trial;
 use crate::fleet::dispatch::unconfirmed::UnconfirmedStarts;
-use crate::fleet::job::{self, Task};
+use crate::fleet::job::{self, Resources, Task};
 use crate::fleet::order::{Action, AdviceRequest, CallId, Order};
 use crate::fleet::team::{Ledger, Shares};
 use crate::fleet::{Command, State};
@@ -125,6 +125,9 @@
     pub(super) waiting_for_places: IndexMap<String, usize>,
     /// How much work has lately come for each rack.
     pub(super) rack_demands: RackDemands,
+    /// What the runs of jobs that were cancelled or have failed may use on workers that
+    /// haven't listed theirs, by team; none once the recovery has ended.
+    pub(super) ended_charges: IndexMap<id::Team, Resources>,
     /// What is left of each team's share.
     pub(super) shares: Shares,
     /// When leases, retries and tickets are checked again.
@@ -179,6 +182,7 @@
             ledger: Ledger::default(),
             waiting_for_places: IndexMap::default(),
             rack_demands: RackDemands::default(),
+            ended_charges: IndexMap::default(),
             shares: Shares::default(),
             next_tick: now,
             effects: Effects::default(),
@@ -203,6 +207,7 @@
         }
         dispatcher.inherit_unconfirmed(state, now, wall);
         dispatcher.inherit_shares(state, now, wall);
+        dispatcher.inherit_ended_charges(state, wall);
         for worker in state.workers() {
             dispatcher.declare_succeeded(state, &worker.incarnation.worker, wall);
         }
@@ -271,7 +276,7 @@
             self.update_trials(now);
         }
         self.update_reservation_needs();
-        self.rebuild_ledger(state, now, wall);
+        self.rebuild_ledger(state, now);
         let order = self.ranked_steps(now);
         self.effort.count_pass(order.len());
         let survey = self.survey(scope, now);
--- a/crates/gentianlane/src/fleet/dispatch/event.rs
+++ b/crates/gentianlane/src/fleet/dispatch/event.rs
@@ -28,7 +28,7 @@
         match event {
             Event::PlanReplaced => {
                 self.apply_plan(state);
-                self.rebuild_ledger(state, now, wall);
+                self.rebuild_ledger(state, now);
             }
             Event::JobSubmitted(job) => {
                 if let Some(submitted) = state.job(job) {
@@ -248,6 +248,7 @@
                 .decisions
                 .push(Decision::JobFinished { job: *id, phase });
         }
+        self.count_ended_job(state, id);
         self.open_jobs.remove(id);
         self.recurring_jobs.swap_remove(id);
         // Unlike `retain`, this moves none of the other stages.
--- a/crates/gentianlane/src/fleet/dispatch/lease.rs
+++ b/crates/gentianlane/src/fleet/dispatch/lease.rs
@@ -350,6 +350,7 @@
         let reconciled = self.sessions.values().all(|session| session.reconciled);
         if reconciled || now >= self.recovery_deadline {
             self.recovering = false;
+            self.ended_charges = IndexMap::default();
             for stage in self.stages.values_mut() {
                 stage.recovering = false;
             }
--- a/crates/gentianlane/src/fleet/dispatch/place.rs
+++ b/crates/gentianlane/src/fleet/dispatch/place.rs
@@ -244,7 +244,7 @@
             remote_data: preferred_rack.is_some_and(is_remote),
             suspect: session.failures > 0,
             speed_penalty: self.speed_penalty(stage, session),
-            run_time: self.run_time_at(stage, session),
+            slowdown: self.slowdown_at(stage, session),
             ticket,
             has_runs: present > 0,
             trial: session.trial.map(|task| task.index),
@@ -350,7 +350,7 @@
             let Some(best) = best else {
                 continue;
             };
-            if trial.is_none() && self.waits_for_place(id, best.run_time, now) {
+            if trial.is_none() && self.waits_for_place(id, best.slowdown, now) {
                 continue;
             }
             best.free = best.free.less(&demand);
--- a/crates/gentianlane/src/fleet/dispatch/survey.rs
+++ b/crates/gentianlane/src/fleet/dispatch/survey.rs
@@ -5,6 +5,7 @@
 //! changed workers only, unless the step itself has changed. Its cost grows
 //! with the changes and not with the whole fleet.
 
+use crate::collections::IndexSet;
 use crate::fleet::dispatch::Dispatcher;
 use crate::fleet::dispatch::schedule::Scope;
 use crate::fleet::dispatch::session::{RunState, Session};
@@ -37,6 +38,8 @@
     /// The indexes of the workers with a run that a step of the highest priority may
     /// preempt, in ascending order; none until a step needs them.
     pub(crate) preemptible: Option<Vec<usize>>,
+    /// The teams for whose limit the pass has preempted tasks; one step each is enough.
+    pub(crate) preempting_teams: IndexSet<id::Team>,
 }
 
 impl Seen {
--- a/crates/gentianlane/src/fleet/dispatch/team.rs
+++ b/crates/gentianlane/src/fleet/dispatch/team.rs
@@ -41,7 +41,7 @@
 
 impl Dispatcher {
     /// Recounts what each team uses. Nothing is counted without teams.
-    pub(super) fn rebuild_ledger(&mut self, state: &State, now: Time, wall: Wall) {
+    pub(super) fn rebuild_ledger(&mut self, state: &State, now: Time) {
         let mut teams = state.owners().teams().peekable();
         if teams.peek().is_none() {
             self.ledger = Ledger::default();
@@ -58,7 +58,7 @@
             ledger.charge(charge);
         }
         if self.recovering {
-            self.add_unknown_runs(&mut ledger, state, wall);
+            self.add_unknown_runs(&mut ledger);
         }
         self.ledger = ledger;
     }
@@ -66,32 +66,46 @@
     /// Counts the runs that an earlier leader may have left on workers that haven't
     /// listed theirs yet: those of each task that isn't known to run elsewhere, and of
     /// jobs that have ended lately, but no more than these workers can hold.
-    fn add_unknown_runs(&self, ledger: &mut Ledger, state: &State, wall: Wall) {
+    fn add_unknown_runs(&self, ledger: &mut Ledger) {
         let unlisted = self.sessions.values().filter(|session| !session.reconciled);
         let capacity = unlisted.fold(Resources::default(), |sum, session| {
             sum.plus(&session.profile.capacity)
         });
-        let mut unknown: indexmap::IndexMap<&id::Team, Resources> =
-            indexmap::IndexMap::new();
+        let mut unknown = self.ended_charges.clone();
         for stage in self.stages.values().filter(|stage| stage.recovering) {
             if let Some(team) = &stage.owner {
                 let tasks = stage.step.resources.times(stage.pending.len() as u64);
-                let sum = unknown.entry(team).or_default();
+                let sum = unknown.entry(team.clone()).or_default();
                 *sum = sum.plus(&tasks);
             }
         }
-        for (id, owner) in state.owners().jobs() {
+        for (team, amount) in unknown {
+            ledger.add(&team, &amount.least(&capacity));
+        }
+    }
+
+    /// Counts the runs of jobs that ended under earlier leaders, as far as they may go on.
+    pub(super) fn inherit_ended_charges(&mut self, state: &State, wall: Wall) {
+        let ended = state.owners().jobs().filter(|(id, _)| {
             let outcome = state.job(id).and_then(|job| job.outcome);
-            let may_run = outcome.is_some_and(|(phase, at)| {
-                phase != Phase::Completed && wall.since(at) < FINISHED_JOB_WINDOW
-            });
-            if may_run {
-                let sum = unknown.entry(&owner.team).or_default();
-                *sum = sum.plus(&owner.total());
-            }
+            outcome.is_some_and(|(_, at)| wall.since(at) < FINISHED_JOB_WINDOW)
+        });
+        let ended: Vec<job::Id> = ended.map(|(id, _)| *id).collect();
+        for id in ended {
+            self.count_ended_job(state, &id);
         }
-        for (team, amount) in unknown {
-            ledger.add(team, &amount.least(&capacity));
+    }
+
+    /// Counts what a job's runs may use on workers that haven't listed theirs, if it
+    /// ended before all of its tasks did.
+    pub(super) fn count_ended_job(&mut self, state: &State, id: &job::Id) {
+        let outcome = state.job(id).and_then(|job| job.outcome);
+        let has_runs = outcome.is_some_and(|(phase, _)| phase != Phase::Completed);
+        if let (true, true, Some(owner)) =
+            (self.recovering, has_runs, state.owners().of(id))
+        {
+            let sum = self.ended_charges.entry(owner.team.clone()).or_default();
+            *sum = sum.plus(&owner.total());
         }
     }
 
@@ -179,6 +193,7 @@
             || timeliness == Timeliness::Expired
             || stage.step.gang
             || stage.beyond_share
+            || !survey.preempting_teams.insert(team.clone())
         {
             return;
         }
