--- a/crates/gentianlane/src/fleet/dispatch/team.rs
+++ b/crates/gentianlane/src/fleet/dispatch/team.rs
@@ -270,7 +270,7 @@
         if self.shares.take(name, team.share_permille, now) {
             return Ok(false);
         }
-        match self.hopeless_backlog(name, now) {
+        match self.backlog_retry(name, now) {
             Some(retry_after) => Err((Refusal::TeamShare, retry_after)),
             None => Ok(true),
         }
@@ -278,7 +278,7 @@
 
     /// After what time a team may submit beyond its share again, if what it has
     /// submitted beyond it so far already waits for longer than it has value.
-    fn hopeless_backlog(&self, name: &id::Team, now: Time) -> Option<Span> {
+    fn backlog_retry(&self, name: &id::Team, now: Time) -> Option<Span> {
         let waiting = self.stages.values().filter(|stage| {
             stage.beyond_share
                 && stage.owner.as_ref() == Some(name)
