--- a/crates/gentianlane/src/fleet/dispatch/team.rs
+++ b/crates/gentianlane/src/fleet/dispatch/team.rs
@@ -25,7 +25,7 @@
 const FINISHED_JOB_WINDOW: Span = Span::from_millis(15_000);
 
 /// The shortest and longest time after which a caller may submit again that was
-/// refused because of its team's backlog.
+/// refused because of its team's backlog; it grows with the number of steps in that.
 const MIN_BACKLOG_RETRY: Span = Span::from_millis(1_000);
 const MAX_BACKLOG_RETRY: Span = Span::from_millis(8_000);
 
@@ -290,7 +290,6 @@
         if expired == 0 {
             return None;
         }
-        // Callers come back at different times, since the backlog is longer for each.
         let retry = MIN_BACKLOG_RETRY.saturating_mul(expired as u64);
         Some(retry.min(MAX_BACKLOG_RETRY))
     }
