Add stand-ins for late calls, failing standing tasks and tenants

The review's further cases need a minion whose hold is carried out late by a proxy, standing tasks that fail until a given time, a core's leader by its log, signals to processes of the test, and tenants with keys. A minion ends its tasks within 1 ms of their time instead of 5 ms, and numbers and forgets its ends in its log. No code of the product changes.

--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -9,6 +9,9 @@
 
 use crate::cluster::{Cluster, Event, FAR_FACTOR, MinionSpec};
 use crate::http;
+use crate::keys;
+use crate::late;
+use crate::restarts;
 use crate::wall_ms;
 
 /// Routes without traffic in a configuration that has grown.
@@ -20,7 +23,7 @@
 const SECOND: Duration = Duration::from_secs(1);
 
 /// Why a case couldn't run, or what it found.
-type Verdict = Result<Option<String>, String>;
+pub type Verdict = Result<Option<String>, String>;
 
 pub fn run(name: &str, record: &str, trouble: bool) -> i32 {
     let far_factor = if name == "rack" { 3.0 } else { FAR_FACTOR };
@@ -38,6 +41,12 @@
         "leave" => leave(&cluster, trouble),
         "late" => late(&cluster, trouble),
         "reserve" => reserve(&cluster, trouble),
+        "numbers" => restarts::numbers(&cluster, trouble),
+        "seen" => late::seen(&cluster, trouble),
+        "renamed" => keys::renamed(&cluster, trouble),
+        "suspects" => restarts::suspects(&cluster, trouble),
+        "timed" => late::timed(&cluster, trouble),
+        "bound" => restarts::bound(&cluster, trouble),
         _ => Err("no such case".to_owned()),
     };
     let (code, text) = match verdict {
@@ -49,7 +58,7 @@
     code
 }
 
-fn minion(host: u8, life: u32) -> MinionSpec {
+pub fn minion(host: u8, life: u32) -> MinionSpec {
     MinionSpec {
         name: format!("minion-{host}"),
         id: format!("i-{host:02}-{life:02}-{:x}", wall_ms() & 0xffff_ffff),
@@ -65,7 +74,7 @@
 }
 
 /// Brings up the operator's first configuration and some minions.
-fn bring_up(cluster: &Cluster, minions: u8) -> Result<Vec<MinionSpec>, String> {
+pub fn bring_up(cluster: &Cluster, minions: u8) -> Result<Vec<MinionSpec>, String> {
     if !cluster.configure(1, &[("r-main", "/main/", "catalog")]) {
         return Err("the first configuration wasn't acknowledged".to_owned());
     }
@@ -79,12 +88,12 @@
     Ok(specs)
 }
 
-fn job(step: &str, spec: &str) -> String {
+pub fn job(step: &str, spec: &str) -> String {
     format!("{{\"task_spec\":\"{spec}\",\"steps\":[{step}]}}")
 }
 
 /// Waits until a task is started in a later run than `after`, and gives that start.
-fn wait_start(
+pub fn wait_start(
     cluster: &Cluster,
     task: &str,
     after: u64,
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -4,7 +4,10 @@
 mod cluster;
 mod http;
 mod json;
+mod keys;
+mod late;
 mod minion;
+mod restarts;
 
 use std::time::{SystemTime, UNIX_EPOCH};
 
--- a/review/standin/minion.rs
+++ b/review/standin/minion.rs
@@ -1,7 +1,8 @@
 //! A minion as PROTOCOL.md describes it: runs tasks on orders under a lease, and
 //! reports about itself. A task's `task_spec` says what it does: `work=MS` ends `done`
 //! after that time, `fail=MS` ends `failed`, `failfirst=MS` does so in the task's first
-//! run on the minion, and `lasts` runs until it is stopped.
+//! run on the minion, `failuntil=AT:MS` if it starts before that time since 1970, and
+//! `lasts` runs until it is stopped.
 
 use std::collections::HashMap;
 use std::fs::OpenOptions;
@@ -61,6 +62,8 @@
     runs: Vec<Run>,
     ended: Vec<(u64, String, u64, &'static str)>,
     last_end: u64,
+    /// The newest end that was listed.
+    listed: u64,
     /// The highest run of each task that was stopped or has ended here.
     over: HashMap<String, u64>,
 }
@@ -95,7 +98,7 @@
         state.last_end += 1;
         let over = state.over.entry(run.task.clone()).or_default();
         *over = run.run.max(*over);
-        self.log(&format!("end {} {} {how}", run.task, run.run));
+        self.log(&format!("end {} {} {how} {}", run.task, run.run, state.last_end));
         state.ended.push((state.last_end, run.task, run.run, how));
         self.changed.notify_all();
     }
@@ -103,7 +106,7 @@
     /// Ends what is due; runs all the time.
     fn advance(&self) {
         loop {
-            thread::sleep(Duration::from_millis(5));
+            thread::sleep(Duration::from_millis(1));
             let mut state = self.state.lock().unwrap();
             let expired = self.clock() >= state.lease_ms;
             let mut at = 0;
@@ -130,7 +133,10 @@
     fn answer(&self, request: &Request) -> (u16, String) {
         let path = request.path.split('?').next().unwrap_or_default();
         if request.method == "GET" {
-            return (200, "{}".to_owned());
+            // For the test alone: how many ends nobody has been told.
+            let state = self.state.lock().unwrap();
+            let unlisted = state.last_end - state.listed;
+            return (200, format!("{{\"unlisted\":{unlisted}}}"));
         }
         if request
             .header("Target-Instance")
@@ -153,6 +159,11 @@
             "/v1/hold" => {
                 self.extend(&mut state, &body);
                 let seen = body.number("last_seen").unwrap_or(0);
+                for (number, task, run, _) in &state.ended {
+                    if *number <= seen {
+                        self.log(&format!("forget {task} {run} {number}"));
+                    }
+                }
                 state.ended.retain(|(number, ..)| *number > seen);
                 let wait =
                     Duration::from_millis(body.number("wait_ms").unwrap_or(0).min(2_000));
@@ -164,6 +175,7 @@
                     }
                     state = self.changed.wait_timeout(state, left).unwrap().0;
                 }
+                state.listed = state.ended.last().map_or(state.listed, |it| it.0);
                 (200, self.lists(&state))
             }
             "/v1/pace" => (200, self.clock_body(None)),
@@ -209,6 +221,12 @@
         for word in spec.split(' ') {
             match word.split_once('=') {
                 Some(("work", time)) => ends = Some((after(time), false)),
+                Some(("failuntil", text)) => {
+                    let (until, time) = text.split_once(':').unwrap_or((text, "0"));
+                    if until.parse().is_ok_and(|until: u64| wall_ms() < until) {
+                        ends = Some((after(time), true));
+                    }
+                }
                 Some(("fail", time)) => ends = Some((after(time), true)),
                 Some(("failfirst", time)) if !state.over.contains_key(task) => {
                     ends = Some((after(time), true));
