--- a/review/standin/keys.rs
+++ b/review/standin/keys.rs
@@ -33,7 +33,8 @@
     cluster.note(&format!(
         "operator: version {version}, in which tenant {tenant} has the key, acknowledged: {done}"
     ));
-    done.then_some(()).ok_or("a configuration wasn't acknowledged".to_owned())
+    done.then_some(())
+        .ok_or("a configuration wasn't acknowledged".to_owned())
 }
 
 fn consume(cluster: &Cluster, method: &str, path: &str, body: &str) -> (u16, String) {
--- a/review/standin/minion.rs
+++ b/review/standin/minion.rs
@@ -98,7 +98,7 @@
         state.last_end += 1;
         let over = state.over.entry(run.task.clone()).or_default();
         *over = run.run.max(*over);
-        self.log(&format!("end {} {} {how} {}", run.task, run.run, state.last_end));
+        self.log(&format!("end {} {} {how}", run.task, run.run));
         state.ended.push((state.last_end, run.task, run.run, how));
         self.changed.notify_all();
     }
