Keep the runs of a worker that leaves until its end is shown

Cause: the announcement was proposed to the log as the worker's removal, and all runs were released once that was applied. A worker whose confirmation is lost runs on for seconds. The next leader didn't know of such runs either, and an announcement without a start time could remove a later incarnation. Ruled out: the lease (3.9 s were left), a second leader (one term).

Change: the announcement frees nothing. fleet::dispatch::gone is the one place that says what shows an end: another incarnation at the address, a refused connection after the end was announced, or no lease and no answer. Removal is proposed on such proof only. Until then the runs of a drained worker are stopped, its lease isn't extended, and the leader asks. A refused connection is told from one that couldn't be opened, and worker_gone tells the proof and its age.

--- a/crates/gentianlane-daemon/src/fleet/control.rs
+++ b/crates/gentianlane-daemon/src/fleet/control.rs
@@ -246,7 +246,11 @@
             Input::Message(from, message) => self.node.receive(from, message, now),
             Input::Answer(order_id, answer) => {
                 self.metrics.count("answers", 1);
-                if matches!(answer, Answer::Lost | Answer::Unreachable) {
+                let is_lost = matches!(
+                    answer,
+                    Answer::Lost | Answer::Unreachable | Answer::ConnectionRefused
+                );
+                if is_lost {
                     self.metrics.count("orders_lost", 1);
                 }
                 if answer == Answer::Unsent {
--- a/crates/gentianlane-daemon/src/fleet/delivery/client.rs
+++ b/crates/gentianlane-daemon/src/fleet/delivery/client.rs
@@ -55,6 +55,8 @@
     Unsent(Hindrance),
     /// No connection could be opened, so no byte was sent.
     Unreachable,
+    /// The connection was refused, as nothing listens at the address.
+    Refused,
     /// The connection failed; the request may have had an effect.
     Lost,
     /// No complete response came in time; the request may have had an effect.
@@ -327,6 +329,9 @@
         Ok(Err(error)) if is_out_of_descriptors(&error) => {
             return Err(RequestOutcome::Unsent(Hindrance::NoDescriptor));
         }
+        Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
+            return Err(RequestOutcome::Refused);
+        }
         Ok(Err(_)) | Err(_) => return Err(RequestOutcome::Unreachable),
     };
     if stream.set_nodelay(true).is_err() {
@@ -385,6 +390,7 @@
         }
         RequestOutcome::Unsent(_)
         | RequestOutcome::Unreachable
+        | RequestOutcome::Refused
         | RequestOutcome::Lost
         | RequestOutcome::TimedOut => {
             gentianlane_platform::adviser::decode_response(request, 0, b"")
--- a/crates/gentianlane-daemon/src/fleet/delivery/order.rs
+++ b/crates/gentianlane-daemon/src/fleet/delivery/order.rs
@@ -61,6 +61,7 @@
         }
         RequestOutcome::Unsent(hindrance) => (Answer::Unsent, Loss::Unsent(hindrance)),
         RequestOutcome::Unreachable => (Answer::Unreachable, Loss::Unreachable),
+        RequestOutcome::Refused => (Answer::ConnectionRefused, Loss::Refused),
         RequestOutcome::Lost => (Answer::Lost, Loss::Broken),
         RequestOutcome::TimedOut => (Answer::Lost, Loss::TimedOut),
     };
@@ -75,6 +76,8 @@
     Unsent(Hindrance),
     /// It wasn't sent, as no connection could be opened.
     Unreachable,
+    /// It wasn't sent, as nothing listens at the address.
+    Refused,
     /// The connection failed.
     Broken,
     /// No response came in time.
@@ -90,6 +93,7 @@
             Self::Unsent(Hindrance::NoDescriptor) => "orders_unsent_descriptor",
             Self::Unsent(Hindrance::Malformed) => "orders_unsent_malformed",
             Self::Unreachable => "orders_unreachable",
+            Self::Refused => "orders_connection_refused",
             Self::Broken => "orders_broken",
             Self::TimedOut => "orders_timed_out",
         }
@@ -105,6 +109,7 @@
     no_descriptor: u64,
     malformed: u64,
     unreachable: u64,
+    refused: u64,
     /// Those that may have been carried out.
     broken: u64,
     timed_out: u64,
@@ -126,6 +131,7 @@
         Loss::Unsent(Hindrance::NoDescriptor) => &mut losses.no_descriptor,
         Loss::Unsent(Hindrance::Malformed) => &mut losses.malformed,
         Loss::Unreachable => &mut losses.unreachable,
+        Loss::Refused => &mut losses.refused,
         Loss::Broken => &mut losses.broken,
         Loss::TimedOut => &mut losses.timed_out,
     };
@@ -137,6 +143,7 @@
         "unsent_connection" => losses.no_connection,
         "unsent_descriptor" => losses.no_descriptor,
         "unsent_malformed" => losses.malformed, "unreachable" => losses.unreachable,
+        "connection_refused" => losses.refused,
         "broken" => losses.broken, "timed_out" => losses.timed_out,
         "connections" => shared.forwarder.client.open_connections());
     *losses = OrderLosses {
--- a/crates/gentianlane/src/fleet/decision.rs
+++ b/crates/gentianlane/src/fleet/decision.rs
@@ -195,13 +195,27 @@
         /// The longest time for which its lease may still last.
         lease: Span,
     },
-    /// A worker's incarnation has ended.
-    #[display("event=worker_gone life={incarnation} why={cause}")]
+    /// A worker announced that its process ends.
+    #[display("event=worker_leaving life={incarnation} drained={drained} runs={runs}")]
+    WorkerLeaving {
+        /// The incarnation that ends.
+        incarnation: Incarnation,
+        /// Whether it had reported before that it drains.
+        drained: bool,
+        /// The number of runs that it may still have.
+        runs: usize,
+    },
+    /// A worker's incarnation has ended, and its runs with it.
+    #[display("event=worker_gone life={incarnation} why={cause} known_ms={} heard_ms={}", known.as_millis(), since_answer.as_millis())]
     WorkerGone {
         /// The incarnation that has ended.
         incarnation: Incarnation,
-        /// How the leader learnt of the end.
+        /// What shows that it has ended.
         cause: Cause,
+        /// How long this leader has known that.
+        known: Span,
+        /// The time since the incarnation's last answer.
+        since_answer: Span,
     },
     /// A worker's incarnation ended without having announced it.
     #[display("event=worker_crashed life={incarnation} why={cause} runs={runs}")]
@@ -377,6 +391,9 @@
     /// The worker is draining.
     #[display("draining")]
     Draining,
+    /// The worker announced that its process ends.
+    #[display("leaving")]
+    Leaving,
     /// More urgent tasks need the resources.
     #[display("preempted")]
     Preempted,
@@ -398,7 +415,7 @@
     /// The worker ended without having announced it.
     #[display("crashed")]
     Crashed,
-    /// The worker announced that it leaves.
+    /// The worker announced that its process ends, and nothing listens at its address.
     #[display("left")]
     Left,
     /// The worker has sent no report for a long time.
--- a/crates/gentianlane/src/fleet/dispatch/answer.rs
+++ b/crates/gentianlane/src/fleet/dispatch/answer.rs
@@ -5,6 +5,7 @@
 use crate::fleet::dispatch::Dispatcher;
 use crate::fleet::dispatch::advice::Relay;
 use crate::fleet::dispatch::dispatcher::{OrderKind, PendingOrder, Place};
+use crate::fleet::dispatch::gone::Evidence;
 use crate::fleet::dispatch::lease::MAX_START_TRIES;
 use crate::fleet::dispatch::session::{Run, RunState, Session};
 use crate::fleet::dispatch::stage::Permit;
@@ -38,6 +39,7 @@
         Answer::Status(status) => Some(status.clock),
         Answer::OtherIncarnation
         | Answer::Unreachable
+        | Answer::ConnectionRefused
         | Answer::Lost
         | Answer::Unsent => None,
     }
@@ -85,19 +87,25 @@
                 return self.end_incarnation(&incarnation, now, wall);
             }
             // A network partition can refuse connections just as a dead process
-            // does, so runs count as gone only once the lease has expired.
-            Answer::Unreachable | Answer::Lost => {
-                if answer == Answer::Unreachable {
+            // does, so runs count as gone only once the lease has expired, unless the
+            // worker had announced its end.
+            Answer::ConnectionRefused | Answer::Unreachable | Answer::Lost => {
+                let is_refused = answer == Answer::ConnectionRefused;
+                if is_refused || answer == Answer::Unreachable {
                     session.unreachable += 1;
                 }
+                let is_ending = session.is_ending();
                 if order.kind == OrderKind::Renew {
                     session.unanswered += 1;
-                    session.next_renewal = now.after(match answer {
-                        Answer::Unreachable => UNREACHABLE_RETRY_DELAY,
-                        _ => ORDER_RETRY_DELAY,
-                    });
+                    session.next_renewal = match answer {
+                        // Its process has ended, most likely.
+                        Answer::Lost if session.leaving && session.unanswered == 1 => now,
+                        Answer::Lost => now.after(ORDER_RETRY_DELAY),
+                        _ => now.after(UNREACHABLE_RETRY_DELAY),
+                    };
                     if session.unanswered == 1 {
                         let lease = session.lease_remaining(now);
+                        let incarnation = incarnation.clone();
                         self.effects
                             .decisions
                             .push(Decision::WorkerSilent { incarnation, lease });
@@ -105,6 +113,9 @@
                         self.silences.begin(&order.worker, is_timeout, now);
                     }
                 }
+                if is_refused && is_ending {
+                    self.declare_gone(&incarnation, Evidence::NoListener, now, wall);
+                }
                 self.record_silence(&order.worker, now, wall);
             }
             // Nothing has changed, so this calls for no placement pass either.
@@ -146,6 +157,7 @@
                 OrderKind::Throttle(task, run),
                 Answer::Lost
                 | Answer::Unreachable
+                | Answer::ConnectionRefused
                 | Answer::Refused {
                     reason: Reason::Unhealthy,
                     ..
@@ -190,7 +202,7 @@
             session.unanswered += 1;
             session.next_renewal = now.after(UNHEALTHY_BACKOFF);
         }
-        self.declare_crash(incarnation, Cause::OtherIncarnation, now, wall);
+        self.declare_gone(incarnation, Evidence::OtherIncarnation, now, wall);
     }
 
     fn handle_renewal_refusal(
@@ -241,7 +253,7 @@
             charge.is_some_and(|charge| self.ledger.is_exceeded_by(charge))
         };
         let may_repeat = session.is_some_and(|session| {
-            !session.draining && !session.is_overcommitted() && !exceeds_limit(session)
+            !session.is_ending() && !session.is_overcommitted() && !exceeds_limit(session)
         });
         let Some(run) = self.run_mut(&order.worker, task, number) else {
             return;
@@ -282,7 +294,7 @@
                     true => self.give_up_start(task, now),
                 }
             }
-            Answer::Unreachable if !in_doubt => {
+            Answer::Unreachable | Answer::ConnectionRefused if !in_doubt => {
                 self.drop_run(&order.worker, task, number, Cause::Unreachable, now);
             }
             // Sending it again is safe: a worker starts a run at most once.
@@ -423,11 +435,13 @@
         }
         run.order = None;
         match answer {
-            Answer::Done { .. } => run.confirmed_at = Some(now),
-            Answer::Refused {
+            Answer::Done { .. }
+            | Answer::Refused {
                 reason: Reason::StaleRun,
                 ..
-            } => run.confirmed_at = Some(now),
+            } => {
+                run.confirmed_at.get_or_insert(now);
+            }
             _ => run.retry_at = now.after(ORDER_RETRY_DELAY),
         }
     }
--- a/crates/gentianlane/src/fleet/dispatch/crash.rs
+++ b/crates/gentianlane/src/fleet/dispatch/crash.rs
@@ -130,13 +130,13 @@
         }
     }
 
-    /// Proposes to record what runs on a worker, unless that has been done or it
-    /// drains: what leaves may end at any time.
+    /// Proposes to record what runs on a worker, unless that has been done or its end
+    /// is announced: it may come at any time.
     fn record_runs(&mut self, worker: &id::Worker, now: Time, wall: Wall) {
         let Some(session) = self.sessions.get_mut(worker) else {
             return;
         };
-        if session.silence_recorded || session.draining {
+        if session.silence_recorded || session.is_ending() {
             return;
         }
         session.silence_recorded = true;
@@ -231,8 +231,8 @@
         self.effects.commands.push(Command::Clear { incarnation });
     }
 
-    /// Proposes to remove an incarnation that has ended without having announced it;
-    /// its runs are released once that is in the log, and their tasks charged.
+    /// Proposes to remove an incarnation that has ended without having announced it,
+    /// and to charge its tasks.
     pub(super) fn declare_crash(
         &mut self,
         incarnation: &Incarnation,
@@ -241,18 +241,6 @@
         wall: Wall,
     ) {
         let worker = &incarnation.worker;
-        let session = self.sessions.get_mut(worker);
-        let Some(session) = session.filter(|session| session.incarnation == *incarnation)
-        else {
-            return;
-        };
-        if std::mem::replace(&mut session.crash_declared, true) {
-            return;
-        }
-        if session.draining {
-            let incarnation = incarnation.clone();
-            return self.effects.commands.push(Command::Leave { incarnation });
-        }
         self.record_runs(worker, now, wall);
         self.log_crash(worker, cause, now);
         self.propose_crash(incarnation, wall);
@@ -350,7 +338,7 @@
         let Some(session) = self
             .sessions
             .get(worker)
-            .filter(|session| !session.draining)
+            .filter(|session| !session.is_ending())
         else {
             return;
         };
--- a/crates/gentianlane/src/fleet/dispatch/dispatcher.rs
+++ b/crates/gentianlane/src/fleet/dispatch/dispatcher.rs
@@ -255,7 +255,7 @@
             self.expire_requests(now);
             self.unconfirmed.expire(now);
             self.unanswered_grants.expire(now);
-            self.check_sessions(state, now);
+            self.check_sessions(now, wall);
             self.check_recovery(now);
             self.throttle_best_effort(now);
             self.effects.decisions.extend(self.effort.take_line(now));
--- a/crates/gentianlane/src/fleet/dispatch/event.rs
+++ b/crates/gentianlane/src/fleet/dispatch/event.rs
@@ -6,6 +6,7 @@
 use crate::fleet::dispatch::Dispatcher;
 use crate::fleet::dispatch::advice::Relay;
 use crate::fleet::dispatch::dispatcher::{OrderKind, Place};
+use crate::fleet::dispatch::gone::Evidence;
 use crate::fleet::dispatch::session::{RunState, Session, longest_lease};
 use crate::fleet::dispatch::stage::Stage;
 use crate::fleet::dispatch::survey::Seen;
@@ -63,22 +64,6 @@
         }
     }
 
-    /// Drops all that is known of an incarnation that is over.
-    fn forget_incarnation(
-        &mut self,
-        state: &State,
-        incarnation: &Incarnation,
-        cause: Cause,
-        now: Time,
-    ) {
-        self.clear_doubts(incarnation);
-        self.remove_incarnation(incarnation, cause, now);
-        // Without a later incarnation nothing carries out a late start.
-        if state.worker(&incarnation.worker).is_none() {
-            self.unconfirmed.unbind(&incarnation.worker, now);
-        }
-    }
-
     /// Updates open steps to a new plan; a step whose pool has changed loses its
     /// advice.
     fn apply_plan(&mut self, state: &State) {
@@ -333,7 +318,7 @@
             .map(|session| session.incarnation.clone())
             .collect();
         for incarnation in replaced {
-            self.declare_crash(&incarnation, Cause::AddressTaken, now, wall);
+            self.declare_gone(&incarnation, Evidence::AddressTaken, now, wall);
         }
         self.declare_succeeded(state, worker, wall);
         self.fleet_revision += 1;
@@ -348,7 +333,7 @@
         }
         let earlier = current.map(|session| session.incarnation.clone());
         if let Some(earlier) = earlier {
-            self.declare_crash(&earlier, Cause::OtherIncarnation, now, wall);
+            self.declare_gone(&earlier, Evidence::OtherIncarnation, now, wall);
         }
         self.add_pending_orders(worker);
         let mut new_session = Session::new(registered, self.setup.lease, now);
@@ -372,6 +357,8 @@
         self.effects.decisions.push(Decision::WorkerGone {
             incarnation: old.incarnation,
             cause: Cause::OtherIncarnation,
+            known: Span::ZERO,
+            since_answer: now.since(old.last_answer),
         });
         for ((task, number), mut run) in old.runs {
             // Of a start without an answer it isn't known when it arrives.
@@ -431,41 +418,6 @@
         }
     }
 
-    /// Removes an incarnation that is over, and releases its runs.
-    pub(super) fn remove_incarnation(
-        &mut self,
-        incarnation: &Incarnation,
-        cause: Cause,
-        now: Time,
-    ) {
-        let worker = &incarnation.worker;
-        let Some(session) = self.sessions.get(worker) else {
-            return;
-        };
-        if session.incarnation != *incarnation {
-            return;
-        }
-        let runs: Vec<(Task, u64)> = session.runs.keys().copied().collect();
-        for &(task, run) in &runs {
-            self.effects.decisions.push(Decision::RunLost {
-                task,
-                run,
-                worker: worker.clone(),
-                cause,
-            });
-            self.release_run(worker, &task, run);
-        }
-        for (task, _) in &runs {
-            self.break_gang(task, now);
-        }
-        self.sessions.swap_remove(worker);
-        self.fleet_revision += 1;
-        let incarnation = incarnation.clone();
-        self.effects
-            .decisions
-            .push(Decision::WorkerGone { incarnation, cause });
-    }
-
     /// Removes a relay; the advice request that it was handling is sent again
     /// through another.
     pub fn remove_relay(&mut self, relay: Relay) {
--- a/crates/gentianlane/src/fleet/dispatch/lease.rs
+++ b/crates/gentianlane/src/fleet/dispatch/lease.rs
@@ -6,12 +6,12 @@
 use crate::fleet::decision::{Cause, Decision};
 use crate::fleet::dispatch::Dispatcher;
 use crate::fleet::dispatch::dispatcher::Place;
+use crate::fleet::dispatch::gone::Evidence;
 use crate::fleet::dispatch::session::{Run, RunState, Session};
 use crate::fleet::job::{self, Task};
 use crate::fleet::order::{Action, Start};
-use crate::fleet::{Command, State};
 use crate::id;
-use crate::unit::{Span, Time};
+use crate::unit::{Span, Time, Wall};
 
 /// How often a start is sent before the run is stopped instead.
 pub(super) const MAX_START_TRIES: u32 = 3;
@@ -29,7 +29,7 @@
 impl Dispatcher {
     /// Retries unanswered orders, expires leases and removes workers that are
     /// gone.
-    pub(super) fn check_sessions(&mut self, state: &State, now: Time) {
+    pub(super) fn check_sessions(&mut self, now: Time, wall: Wall) {
         let unsettled = self
             .sessions
             .iter()
@@ -39,7 +39,7 @@
         for worker in workers {
             self.retry_orders(&worker, now);
             self.expire_lease(&worker, now);
-            self.remove_silent_worker(state, &worker, now);
+            self.remove_silent_worker(&worker, now, wall);
         }
     }
 
@@ -54,7 +54,7 @@
             return;
         };
         let silent = session.unanswered > 0;
-        let draining = session.draining;
+        let is_ending = session.is_ending();
         let overcommitted = session.is_overcommitted();
         let is_due = |run: &Run| {
             let open = run.state != RunState::Running && run.confirmed_at.is_none();
@@ -74,7 +74,7 @@
             .collect();
         for (task, number, state, tries, unrecorded, exceeds) in due {
             let may_retry = tries < MAX_START_TRIES
-                && !draining
+                && !is_ending
                 && !overcommitted
                 && !exceeds
                 && self.stages.contains_key(&task.stage);
@@ -102,6 +102,25 @@
                 _ => self.send_stop(worker, &task, number, now),
             }
         }
+        self.ask_leaving_worker(worker, now);
+    }
+
+    /// Repeats a stop that a leaving worker has confirmed, as long as its end isn't
+    /// listed: the connection on which the worker delays its answer to the renewal may
+    /// not tell that the process has ended.
+    fn ask_leaving_worker(&mut self, worker: &id::Worker, now: Time) {
+        let session = self.sessions.get(worker);
+        let Some(session) = session.filter(|session| session.leaving) else {
+            return;
+        };
+        let may_be_over = |run: &Run| {
+            let confirmed = run.confirmed_at.is_some() && run.order.is_none();
+            run.state == RunState::Stopping && confirmed && run.retry_at <= now
+        };
+        let mut runs = session.runs.iter();
+        if let Some((&(task, number), _)) = runs.find(|(_, run)| may_be_over(run)) {
+            self.send_stop(worker, &task, number, now);
+        }
     }
 
     /// Whether a task may still be started on the worker where it is placed. What
@@ -237,13 +256,14 @@
         }
     }
 
-    /// Removes a worker that neither answers nor reports, has no runs, and can't
-    /// run an earlier leader's tasks any more.
-    fn remove_silent_worker(&mut self, state: &State, worker: &id::Worker, now: Time) {
+    /// Proposes to remove a worker that neither answers nor reports, has no runs, and
+    /// can't run an earlier leader's tasks any more.
+    fn remove_silent_worker(&mut self, worker: &id::Worker, now: Time, wall: Wall) {
         let Some(session) = self.sessions.get(worker) else {
             return;
         };
-        let unreported = now.since(session.last_report) >= REMOVAL_DELAY;
+        let unreported =
+            session.leaving || now.since(session.last_report) >= REMOVAL_DELAY;
         let unreachable = session.unanswered > 0
             && now >= session.lease_end
             && now >= self.recovery_deadline;
@@ -251,14 +271,7 @@
             return;
         }
         let incarnation = session.incarnation.clone();
-        self.clear_doubts(&incarnation);
-        self.remove_incarnation(&incarnation, Cause::Unreported, now);
-        if state
-            .worker(worker)
-            .is_some_and(|registered| registered.incarnation == incarnation)
-        {
-            self.effects.commands.push(Command::Leave { incarnation });
-        }
+        self.declare_gone(&incarnation, Evidence::Silence, now, wall);
     }
 
     /// Sends the lease renewals that are due; those that have been for longest, if
@@ -303,10 +316,10 @@
         let Some(session) = self.sessions.get_mut(worker) else {
             return;
         };
-        // The lease of a worker that doesn't answer isn't extended, so that its
-        // tasks can be placed elsewhere once it has expired.
+        // The lease of a worker that doesn't answer or whose process ends isn't
+        // extended, so that its tasks can be placed elsewhere once it has expired.
         let deadline = match session.unanswered {
-            0 => session.extend_lease(lease, now),
+            0 if !session.leaving => session.extend_lease(lease, now),
             _ => None,
         };
         // A new incarnation under the same name numbers its ends from one again;
@@ -324,10 +337,11 @@
         let is_in_doubt =
             |run: &Run| run.state != RunState::Running && run.confirmed_at.is_some();
         let any_in_doubt = session.runs.values().any(is_in_doubt);
-        let wait = match at_once || deadline.is_none() {
-            true => Span::ZERO,
-            false if any_in_doubt => STOP_WAIT,
-            false => self.renewal_wait(),
+        let wait = match () {
+            () if at_once => Span::ZERO,
+            () if any_in_doubt || session.leaving => STOP_WAIT,
+            () if deadline.is_none() => Span::ZERO,
+            () => self.renewal_wait(),
         };
         let timeout = wait + self.setup.renewal_margin;
         let action = Action::Renew {
--- a/crates/gentianlane/src/fleet/dispatch/mod.rs
+++ b/crates/gentianlane/src/fleet/dispatch/mod.rs
@@ -19,6 +19,7 @@
 mod effort;
 mod estimate;
 mod event;
+mod gone;
 mod grant;
 mod lease;
 mod open;
--- a/crates/gentianlane/src/fleet/dispatch/reconcile.rs
+++ b/crates/gentianlane/src/fleet/dispatch/reconcile.rs
@@ -63,7 +63,7 @@
             session.lease_end = session.lease_end.max(end);
         }
         session.unanswered = 0;
-        session.crash_declared = false;
+        session.proof = None;
         // What ran under an earlier leader isn't known while ends are missing.
         session.reconciled |= !status.ends_cut;
         self.end_silence(worker);
--- a/crates/gentianlane/src/fleet/dispatch/session.rs
+++ b/crates/gentianlane/src/fleet/dispatch/session.rs
@@ -6,6 +6,7 @@
 
 use crate::fleet::Worker;
 use crate::fleet::dispatch::estimate::NOMINAL;
+use crate::fleet::dispatch::gone::Proof;
 use crate::fleet::dispatch::progress::Progress;
 use crate::fleet::dispatch::speed::Speed;
 use crate::fleet::dispatch::survey::Seen;
@@ -70,8 +71,10 @@
     pub(crate) exposed: bool,
     /// Whether these are all its runs, as it is silent.
     pub(crate) silence_recorded: bool,
-    /// Whether the removal of the incarnation is proposed, as it has ended.
-    pub(crate) crash_declared: bool,
+    /// Whether the worker has announced that its process ends.
+    pub(crate) leaving: bool,
+    /// How it was shown that the incarnation has ended, if its removal is proposed.
+    pub(crate) proof: Option<Proof>,
     /// The task whose trial the worker is kept for.
     pub(crate) trial: Option<Task>,
     /// Consecutive orders for which nothing listened at the worker's address.
@@ -233,7 +236,8 @@
             is_replaced: false,
             exposed: false,
             silence_recorded: false,
-            crash_declared: false,
+            leaving: false,
+            proof: None,
             trial: None,
             unreachable: 0,
             avoid_until: now,
@@ -422,13 +426,18 @@
             .any(|run| run.started_at >= self.last_failure)
     }
 
-    /// Whether the worker answers orders and isn't draining.
+    /// Whether the worker answers orders and is to stay.
     pub(crate) fn is_available(&self) -> bool {
-        !self.draining && self.unanswered == 0
+        !self.is_ending() && self.unanswered == 0
     }
 
-    /// Whether the worker may get new tasks: it is reconciled, responsive, not
-    /// draining and not avoided, and the demand of all its runs is known.
+    /// Whether the worker has announced that its process will end or ends.
+    pub(crate) fn is_ending(&self) -> bool {
+        self.draining || self.leaving
+    }
+
+    /// Whether the worker may get new tasks: it is reconciled, responsive, to stay
+    /// and not avoided, and the demand of all its runs is known.
     pub(crate) fn is_usable(&self, now: Time) -> bool {
         self.reconciled
             && self.is_available()
--- a/crates/gentianlane/src/fleet/node/calls.rs
+++ b/crates/gentianlane/src/fleet/node/calls.rs
@@ -63,7 +63,7 @@
                 self.reply(ticket, reply);
             }
             Call::Report(report) => self.report(&report, ticket, now),
-            Call::Leave(incarnation) => self.leave(&incarnation, ticket),
+            Call::Leave(incarnation) => self.leave(&incarnation, ticket, now),
             Call::Overview => {
                 let reply = self.overview(now);
                 self.reply(ticket, reply);
@@ -300,26 +300,19 @@
         self.propose(last, Some(ticket));
     }
 
-    fn leave(&mut self, incarnation: &Incarnation, ticket: Ticket) {
-        let current = self
-            .state
-            .worker(&incarnation.worker)
-            .map(|worker| worker.incarnation.clone());
-        match current {
-            // A worker that gives no start time means its registered incarnation.
-            Some(current)
-                if incarnation.started_at == Wall::default()
-                    || current == *incarnation =>
-            {
-                self.propose(
-                    Command::Leave {
-                        incarnation: current,
-                    },
-                    Some(ticket),
-                );
-            }
-            _ => self.reply(ticket, Reply::Done),
+    /// Handles a worker's announcement that its process ends. It is confirmed at once:
+    /// the worker stays registered until its end is shown.
+    fn leave(&mut self, incarnation: &Incarnation, ticket: Ticket, now: Time) {
+        let registered = self.state.worker(&incarnation.worker);
+        // A worker that gives no start time means its registered incarnation.
+        let is_registered = registered.is_some_and(|registered| {
+            incarnation.started_at == Wall::default()
+                || registered.incarnation == *incarnation
+        });
+        if let Some(dispatcher) = self.dispatcher.as_mut().filter(|_| is_registered) {
+            dispatcher.handle_departure(&incarnation.worker, now);
         }
+        self.reply(ticket, Reply::Done);
     }
 
     /// The leader's view of the fleet, as JSON for an operator.
--- a/crates/gentianlane/src/fleet/order.rs
+++ b/crates/gentianlane/src/fleet/order.rs
@@ -102,6 +102,8 @@
     /// No connection to the worker could be opened, so that the order can't have
     /// arrived.
     Unreachable,
+    /// The connection was refused, as nothing listens at the worker's address.
+    ConnectionRefused,
     /// No valid answer arrived in time; the order may have been or may yet be
     /// carried out.
     Lost,
--- /dev/null
+++ b/crates/gentianlane/tests/fleet/departure.rs
@@ -0,0 +1,301 @@
+//! Workers that announce that their processes end: what they run counts as active
+//! until its end is shown. The oracle fails on a second run beside the first.
+
+use gentianlane::fleet::call::{Call, Reply};
+use gentianlane::fleet::decision::{Cause, Decision};
+use gentianlane::fleet::job::{Id, Phase, Spec, Stage, Task};
+use gentianlane::fleet::order::Outcome;
+use gentianlane::fleet::worker::Incarnation;
+use gentianlane::unit::Wall;
+
+use super::dispatch::{phase, task};
+use super::simulated_worker::job;
+use super::team::{access, entry, replace_plan};
+use super::world::{Hang, World, plan};
+
+/// Within what time a task that lasts has to be at work again after its last run has
+/// ended, in milliseconds.
+const LASTING_LIMIT_MS: u64 = 9_000;
+
+/// How long a task may wait after a departure that went as announced, in
+/// milliseconds: the latency target of the plan's queue.
+const WAIT_LIMIT_MS: u64 = 250;
+
+/// A job of one task that takes a whole worker and has no end.
+fn lasting() -> Spec {
+    let mut spec = job(1, 4_000);
+    spec.steps[0].long_running = true;
+    spec
+}
+
+/// A world in which the worker at the index that is returned has drained while it
+/// runs the only task of job 7.
+fn world_with_drained_worker(spec: &Spec) -> (World, usize) {
+    let mut world = World::new(2, 1).with_plan(plan(1, false));
+    world.run(500);
+    world.submit(7, spec);
+    world.run(500);
+    let at = worker_of_first_run(&world);
+    world.workers[at].draining = true;
+    world.run(600);
+    (world, at)
+}
+
+fn worker_of_first_run(world: &World) -> usize {
+    let worker = &world.observed_runs[0].worker;
+    let mut workers = world.workers.iter();
+    let at = workers.position(|other| other.incarnation.worker == *worker);
+    at.unwrap_or(0)
+}
+
+/// Has a worker announce that it leaves; it reports no more.
+fn leave(world: &mut World, at: usize) {
+    let incarnation = world.workers[at].incarnation.clone();
+    world.silent.insert(incarnation.worker.clone());
+    let ticket = world.call(Call::Leave(incarnation));
+    world.run(5);
+    assert_eq!(world.replies.get(&ticket), Some(&Reply::Done));
+}
+
+/// Ends a worker's process.
+fn end(world: &mut World, at: usize) {
+    let name = world.workers[at].incarnation.worker.to_string();
+    world.crash(&name);
+}
+
+/// When a task's runs have started, in milliseconds.
+fn start_times(world: &World, task: Task) -> Vec<u64> {
+    let runs = world.observed_runs.iter();
+    let runs = runs.filter(|run| run.task == task);
+    runs.map(|run| run.started_at).collect()
+}
+
+/// What showed that workers have ended.
+fn causes(world: &World) -> Vec<Cause> {
+    let decisions = world.decisions.iter();
+    let causes = decisions.filter_map(|decision| match decision {
+        Decision::WorkerGone { cause, .. } => Some(*cause),
+        _ => None,
+    });
+    causes.collect()
+}
+
+/// The runs of a worker that announced its end were started elsewhere while it ran on.
+#[test]
+fn a_worker_that_leaves_and_answers_no_order_keeps_its_runs_until_its_lease_ends() {
+    let (mut world, at) = world_with_drained_worker(&lasting());
+    let name = world.workers[at].incarnation.worker.clone();
+    world.hanging.insert(name, Hang::Idle);
+    leave(&mut world, at);
+    let left = world.now;
+    world.run(4_000);
+    assert_eq!(world.starts(&task(7, 0)), 1, "it runs on");
+    world.run(20_000);
+    let starts = start_times(&world, task(7, 0));
+    assert!(starts[1] - left <= LASTING_LIMIT_MS, "{starts:?}");
+}
+
+/// A task waited for the lease's end although the worker had left as announced.
+#[test]
+fn the_tasks_of_a_worker_that_has_left_start_elsewhere_at_once() {
+    for resets_connections in [true, false] {
+        let (mut world, at) = world_with_drained_worker(&lasting());
+        world.resets_connections = resets_connections;
+        leave(&mut world, at);
+        end(&mut world, at);
+        let left = world.now;
+        world.run(10_000);
+        let starts = start_times(&world, task(7, 0));
+        assert!(starts[1] - left <= WAIT_LIMIT_MS, "{starts:?}");
+        assert_eq!(causes(&world), [Cause::Left]);
+    }
+}
+
+/// A worker whose process had ended after its drain, but whose announcement was lost,
+/// kept its runs until the end of its lease.
+#[test]
+fn the_tasks_of_a_drained_worker_that_refuses_connections_start_elsewhere_at_once() {
+    let (mut world, at) = world_with_drained_worker(&lasting());
+    world.resets_connections = true;
+    end(&mut world, at);
+    let ended = world.now;
+    world.run(10_000);
+    let starts = start_times(&world, task(7, 0));
+    assert!(starts[1] - ended <= WAIT_LIMIT_MS, "{starts:?}");
+}
+
+/// The next leader knew of no runs on a worker that had left, as it was removed.
+#[test]
+fn the_next_leader_waits_for_the_runs_of_a_worker_that_has_announced_its_end() {
+    for (answers, lasts) in [(true, 300), (false, 3_000), (true, 3_000)] {
+        let (mut world, at) = world_with_drained_worker(&lasting());
+        let name = world.workers[at].incarnation.worker.clone();
+        if !answers {
+            world.hanging.insert(name, Hang::Idle);
+        }
+        leave(&mut world, at);
+        let leader = world.leader().unwrap_or(0);
+        world.kill(leader);
+        world.run(lasts);
+        end(&mut world, at);
+        let ended = world.now;
+        world.run(15_000);
+        let starts = start_times(&world, task(7, 0));
+        assert_eq!(starts.len(), 2, "answers {answers}, lasts {lasts}");
+        assert!(starts[1].saturating_sub(ended) <= LASTING_LIMIT_MS);
+        assert_eq!(causes(&world), [Cause::Left]);
+    }
+}
+
+/// An announcement without a start time, of an earlier incarnation, ended the work of
+/// the present one.
+#[test]
+fn a_late_departure_of_an_earlier_incarnation_costs_the_present_one_no_run() {
+    let mut world = World::new(1, 1).with_plan(plan(1, false));
+    world.run(500);
+    world.crash("w0");
+    world.restart_worker("w0");
+    world.run(6_000);
+    let runs = vec![(3_000, Outcome::Done)];
+    world.scripted_runs.insert(task(7, 0), runs);
+    world.submit(7, &job(1, 500));
+    world.run(100);
+    let ticket = world.call(Call::Leave(Incarnation {
+        worker: "w0".into(),
+        started_at: Wall::default(),
+    }));
+    world.run(4_000);
+    assert_eq!(world.replies.get(&ticket), Some(&Reply::Done));
+    assert_eq!(phase(&mut world, 7), Some(Phase::Completed));
+    assert_eq!(world.starts(&task(7, 0)), 1);
+    world.submit(8, &job(1, 500));
+    world.run(1_000);
+    assert_eq!(
+        phase(&mut world, 8),
+        Some(Phase::Completed),
+        "it is used again"
+    );
+}
+
+/// One of an incarnation that isn't registered had an effect, or was refused.
+#[test]
+fn departures_that_are_repeated_or_concern_nobody_are_confirmed() {
+    let (mut world, at) = world_with_drained_worker(&lasting());
+    let mut other = world.workers[at].incarnation.clone();
+    other.started_at = Wall::from_millis(17);
+    for incarnation in [
+        other,
+        Incarnation {
+            worker: "unknown".into(),
+            started_at: Wall::default(),
+        },
+    ] {
+        let ticket = world.call(Call::Leave(incarnation));
+        world.run(1_000);
+        assert_eq!(world.replies.get(&ticket), Some(&Reply::Done));
+        assert_eq!(world.starts(&task(7, 0)), 1);
+    }
+    for _ in 0..3 {
+        leave(&mut world, at);
+    }
+    end(&mut world, at);
+    leave(&mut world, at);
+    world.run(5_000);
+    assert_eq!(world.starts(&task(7, 0)), 2);
+    leave(&mut world, at);
+}
+
+/// The name or the address of a worker that had left was used again while it wasn't
+/// shown that its runs had ended.
+#[test]
+fn a_worker_whose_name_or_address_is_used_again_has_ended() {
+    for renames in [false, true] {
+        let (mut world, at) = world_with_drained_worker(&lasting());
+        world.renames = renames;
+        world.crash_for(at, 20);
+        world.run(10);
+        let incarnation = world.workers[at].incarnation.clone();
+        world.call(Call::Leave(incarnation));
+        world.run(10_000);
+        assert_eq!(world.starts(&task(7, 0)), 2, "renames {renames}");
+        world.submit(8, &job(1, 4_000));
+        world.run(2_000);
+        let name = world.workers[at].incarnation.worker.clone();
+        let mut runs = world.observed_runs.iter();
+        assert!(
+            runs.any(|run| run.worker == name && run.ended.is_some()),
+            "the new one is used: renames {renames}"
+        );
+    }
+}
+
+/// The other members of a gang went on, or ran beside the next run's, when one of them
+/// was on a worker that left.
+#[test]
+fn a_gang_is_started_anew_once_the_member_on_a_worker_that_leaves_has_ended() {
+    let mut world = World::new(3, 1).with_plan(plan(1, false));
+    world.run(500);
+    let mut spec = job(2, 3_000);
+    spec.steps[0].gang = true;
+    let member = |index| Task {
+        stage: Stage {
+            job: Id(7),
+            occurrence: 0,
+            step: 0,
+        },
+        index,
+    };
+    for index in 0..2 {
+        let runs = vec![(8_000, Outcome::Done); 2];
+        world.scripted_runs.insert(member(index), runs);
+    }
+    world.submit(7, &spec);
+    world.run(500);
+    let at = worker_of_first_run(&world);
+    world.workers[at].draining = true;
+    world.run(600);
+    leave(&mut world, at);
+    world.run(4_000);
+    end(&mut world, at);
+    world.run(16_000);
+    assert_eq!(phase(&mut world, 7), Some(Phase::Completed));
+    for index in 0..2 {
+        assert_eq!(world.starts(&member(index)), 2);
+    }
+}
+
+/// What a team used on a worker that had announced its end no longer counted, so that
+/// it ran more than it may. The oracle fails on that.
+#[test]
+fn a_run_on_a_worker_that_leaves_counts_against_its_teams_limit() {
+    let mut world = World::new(3, 1).with_plan(plan(1, false));
+    let teams = access([entry("a", 4_000, 100_000)]);
+    assert_eq!(
+        replace_plan(&mut world, plan(2, false), &teams),
+        Reply::Done
+    );
+    world.run(500);
+    for job_id in [7, 8] {
+        let key = "key-a".to_owned();
+        world.job_teams.insert(Id(job_id), "a".into());
+        world.specs.insert(Id(job_id), lasting());
+        let submit = Call::Submit {
+            target: super::world::target(job_id),
+            spec: Box::new(lasting()),
+        };
+        world.call(Call::Authorized(key.into(), Box::new(submit)));
+        world.run(300);
+    }
+    assert_eq!(world.starts(&task(8, 0)), 0, "the team is at its limit");
+    let at = worker_of_first_run(&world);
+    world.workers[at].draining = true;
+    world.run(600);
+    let name = world.workers[at].incarnation.worker.clone();
+    world.hanging.insert(name, Hang::Idle);
+    leave(&mut world, at);
+    world.run(3_000);
+    assert_eq!(world.observed_runs.len(), 1, "the run may be active");
+    end(&mut world, at);
+    world.run(3_000);
+    assert_eq!(world.observed_runs.len(), 2);
+}
--- a/crates/gentianlane/tests/fleet/main.rs
+++ b/crates/gentianlane/tests/fleet/main.rs
@@ -3,6 +3,7 @@
 mod capacity;
 mod crash;
 mod crash_fuzz;
+mod departure;
 mod dispatch;
 mod fuzz;
 mod large;
