Register what a report claims only once its worker has answered

Cause: a report was believed. Its sender was registered, and the worker at the same address, which had started earlier, was taken for ended: its runs were released at once. The service isn't the cause: a report for a named one did the same, and one with the worker's own name and a later start time displaced it for good, also in the log.

Change: a report of a registered incarnation at its registered address is believed. Any other is a claim (dispatch::claim): the process at the address is asked, and what the report says is registered if it answers as that worker and incarnation. Otherwise the report is refused, and nothing of it gets into the log. A worker whose address another one registers with is asked as well.

a_leader_that_sends_slowly... is known red now: registration takes one round trip more, and the test holds only at some moments of registration.

--- a/crates/gentianlane/src/fleet/call.rs
+++ b/crates/gentianlane/src/fleet/call.rs
@@ -117,4 +117,7 @@
     /// The team sends more than its share, and its waiting jobs already take too long.
     #[display("the team sends more than its share and than can be served in time")]
     TeamShare,
+    /// The process at a report's address didn't answer as the worker that it names.
+    #[display("no such worker answers at the address")]
+    Unverified,
 }
--- a/crates/gentianlane/src/fleet/command.rs
+++ b/crates/gentianlane/src/fleet/command.rs
@@ -136,6 +136,14 @@
         /// The job's steps and schedule.
         spec: Box<Spec>,
     },
+    /// Register an incarnation in place of one with a later start time, as the process
+    /// at its address has answered as this one.
+    Reinstate {
+        /// The worker with the start of its process.
+        incarnation: Incarnation,
+        /// The worker's address, pool, capacity and labels.
+        profile: Profile,
+    },
 }
 
 /// A command that can't be encoded, or bytes that aren't a command.
--- a/crates/gentianlane/src/fleet/decision.rs
+++ b/crates/gentianlane/src/fleet/decision.rs
@@ -1,6 +1,7 @@
 //! The leader's decisions and what it learns about workers, for the log.
 
 use derive_more::Display;
+use std::net::SocketAddr;
 
 use crate::fleet::call::Refusal;
 use crate::fleet::job::{Id, Phase, Resources, Stage, Task};
@@ -195,6 +196,16 @@
         /// The longest time for which its lease may still last.
         lease: Span,
     },
+    /// A report changes nothing, as what it claims isn't shown to be true.
+    #[display("event=report_rejected life={incarnation} address={address} why={cause}")]
+    ReportRejected {
+        /// The incarnation that the report names.
+        incarnation: Incarnation,
+        /// The address that it gives.
+        address: SocketAddr,
+        /// What was found instead.
+        cause: Cause,
+    },
     /// A worker announced that its process ends.
     #[display("event=worker_leaving life={incarnation} drained={drained} runs={runs}")]
     WorkerLeaving {
@@ -406,9 +417,9 @@
     /// Another worker or incarnation answers at the address.
     #[display("other_life")]
     OtherIncarnation,
-    /// Another worker or incarnation has registered with the address.
-    #[display("address_taken")]
-    AddressTaken,
+    /// The plan names no such pool.
+    #[display("unknown_pool")]
+    UnknownPool,
     /// Nothing listens at the address.
     #[display("unreachable")]
     Unreachable,
--- a/crates/gentianlane/src/fleet/dispatch/answer.rs
+++ b/crates/gentianlane/src/fleet/dispatch/answer.rs
@@ -58,6 +58,9 @@
         let Some(order) = self.pending_orders.swap_remove(&id) else {
             return;
         };
+        if order.kind == OrderKind::Question {
+            return self.handle_question_answer(state, id, &order, &answer, now, wall);
+        }
         if let (OrderKind::Start(task, run), Answer::Lost) = (order.kind, &answer) {
             let start = self.add_unconfirmed(&order, task, run);
             self.effects.decisions.push(Decision::StartUnanswered {
@@ -192,6 +195,7 @@
             OrderKind::Throttle(task, run) => {
                 self.repeat_throttling(&order.worker, &task, run, now);
             }
+            OrderKind::Question => {}
         }
     }
 
--- /dev/null
+++ b/crates/gentianlane/src/fleet/dispatch/claim.rs
@@ -0,0 +1,230 @@
+//! Claims of reports: to be an incarnation, or to have an address, that isn't
+//! registered.
+//!
+//! Anyone can write a report. Before one registers anything, the process at its address
+//! is asked who it is: an order that changes nothing is sent there, and the answer has
+//! to be that of the worker and the incarnation that the report names. So a report
+//! displaces nothing by its word, and what it claims gets into the log only if it is
+//! true.
+
+use crate::collections::IndexMap;
+
+use crate::fleet::decision::{Cause, Decision};
+use crate::fleet::dispatch::Dispatcher;
+use crate::fleet::dispatch::dispatcher::{OrderKind, PendingOrder};
+use crate::fleet::dispatch::gone::Evidence;
+use crate::fleet::order::{Action, Answer, CallId, Order};
+use crate::fleet::worker::{Incarnation, Report};
+use crate::fleet::{Command, State, Ticket};
+use crate::id;
+use crate::unit::{Span, Time, Wall};
+
+/// The most claims that are checked at a time. More workers than that have to report
+/// for the first time within the timeout of an order for one to be turned away.
+const CLAIM_LIMIT: usize = 4_096;
+
+/// A report whose claim is being checked.
+#[derive(Debug, Clone)]
+pub(crate) struct Claim {
+    report: Report,
+    /// The call by which the report came.
+    ticket: Ticket,
+}
+
+/// The claims that are being checked, by the order that checks them.
+pub(crate) type Claims = IndexMap<CallId, Claim>;
+
+/// What became of a claim.
+#[derive(Debug, Clone)]
+pub struct Verdict {
+    /// The call by which the report came.
+    pub ticket: Ticket,
+    /// The changes by which the report is registered, in order; none if its claim
+    /// isn't true.
+    pub commands: Option<Vec<Command>>,
+}
+
+/// What is to be done about a report.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Reception {
+    /// These changes are to be proposed, in order, before the report is answered.
+    Change(Vec<Command>),
+    /// The process at the address is asked; a [`Verdict`] follows.
+    Asked,
+    /// Too many others are being asked.
+    Busy,
+}
+
+impl Dispatcher {
+    /// Asks the process at a report's address whether it is the incarnation that the
+    /// report names.
+    pub(super) fn check_claim(
+        &mut self,
+        report: &Report,
+        ticket: Ticket,
+        now: Time,
+    ) -> Reception {
+        let claim = Claim {
+            report: report.clone(),
+            ticket,
+        };
+        let is_same = |other: &Claim| {
+            other.report.incarnation == report.incarnation
+                && other.report.profile.address == report.profile.address
+        };
+        // The caller of the earlier call has given up waiting.
+        if let Some(pending) = self.claims.values_mut().find(|claim| is_same(claim)) {
+            let earlier = std::mem::replace(pending, claim);
+            self.effects.verdicts.push(Verdict {
+                ticket: earlier.ticket,
+                commands: None,
+            });
+            return Reception::Asked;
+        }
+        if self.claims.len() >= CLAIM_LIMIT {
+            return Reception::Busy;
+        }
+        let id = self.send_question(&report.incarnation, report.profile.address, now);
+        self.claims.insert(id, claim);
+        Reception::Asked
+    }
+
+    /// Asks the process at the address of a session whether it is still that worker.
+    pub(super) fn question_session(&mut self, worker: &id::Worker, now: Time) {
+        if let Some(session) = self.sessions.get(worker) {
+            let (incarnation, address) =
+                (session.incarnation.clone(), session.profile.address);
+            self.send_question(&incarnation, address, now);
+        }
+    }
+
+    /// Sends an order that changes nothing to an incarnation at an address.
+    fn send_question(
+        &mut self,
+        incarnation: &Incarnation,
+        address: std::net::SocketAddr,
+        now: Time,
+    ) -> CallId {
+        self.last_call_id += 1;
+        let id = self.last_call_id;
+        let timeout = self.setup.renewal_margin;
+        let question = PendingOrder {
+            worker: incarnation.worker.clone(),
+            started_at: incarnation.started_at,
+            sent_at: now,
+            timeout,
+            ticket_until: None,
+            kind: OrderKind::Question,
+            extends_lease: false,
+        };
+        self.pending_orders.insert(id, question);
+        self.effects.orders.push(Order {
+            id,
+            worker: incarnation.worker.clone(),
+            address,
+            fencing_token: self.fencing_token,
+            timeout,
+            action: Action::Renew {
+                deadline: None,
+                acknowledged: 0,
+                wait: Span::ZERO,
+            },
+        });
+        id
+    }
+
+    /// Handles the answer to a question.
+    pub(super) fn handle_question_answer(
+        &mut self,
+        state: &State,
+        id: CallId,
+        order: &PendingOrder,
+        answer: &Answer,
+        now: Time,
+        wall: Wall,
+    ) {
+        let Some(claim) = self.claims.swap_remove(&id) else {
+            let session = self.sessions.get(&order.worker);
+            let incarnation = session.map(|session| session.incarnation.clone());
+            let asked = incarnation.filter(|it| it.started_at == order.started_at);
+            if let (Some(asked), Answer::OtherIncarnation) = (asked, answer) {
+                self.declare_gone(&asked, Evidence::OtherIncarnation, now, wall);
+            }
+            return;
+        };
+        let Claim { report, ticket } = claim;
+        let commands = match refutation(state, &report, answer) {
+            None => Some(registration(state, &report)),
+            Some(cause) => {
+                self.effects.decisions.push(Decision::ReportRejected {
+                    incarnation: report.incarnation,
+                    address: report.profile.address,
+                    cause,
+                });
+                None
+            }
+        };
+        self.effects.verdicts.push(Verdict { ticket, commands });
+        self.schedule.want();
+    }
+
+    /// The calls whose reports are still being checked, when the leader's term ends.
+    pub(crate) fn unanswered_reports(self) -> impl Iterator<Item = Ticket> {
+        let decided = self.effects.verdicts.into_iter();
+        let decided = decided.map(|verdict| verdict.ticket);
+        decided.chain(self.claims.into_values().map(|claim| claim.ticket))
+    }
+}
+
+/// Why an answer doesn't show that a report's claim is true; none if it does.
+fn refutation(state: &State, report: &Report, answer: &Answer) -> Option<Cause> {
+    let claimed = &report.incarnation;
+    match answer {
+        Answer::Status(status) => {
+            let is_new = state.worker(&claimed.worker).is_none();
+            let is_claimed = match status.started_at {
+                Some(started_at) => started_at == claimed.started_at,
+                // A worker that gives no start times has one incarnation only.
+                None => is_new || claimed.started_at == Wall::default(),
+            };
+            (!is_claimed).then_some(Cause::OtherIncarnation)
+        }
+        Answer::OtherIncarnation => Some(Cause::OtherIncarnation),
+        Answer::Unreachable | Answer::ConnectionRefused => Some(Cause::Unreachable),
+        Answer::Done { .. } | Answer::Refused { .. } => Some(Cause::Refusals),
+        Answer::Lost | Answer::Unsent => Some(Cause::NoAnswer),
+    }
+}
+
+/// The changes that register what a report says.
+fn registration(state: &State, report: &Report) -> Vec<Command> {
+    let (incarnation, profile) = (report.incarnation.clone(), report.profile.clone());
+    let Some(registered) = state.worker(&incarnation.worker) else {
+        return vec![Command::Join {
+            incarnation,
+            profile,
+        }];
+    };
+    if registered.incarnation != incarnation {
+        let is_later = registered.incarnation.started_at > incarnation.started_at;
+        return vec![match is_later {
+            true => Command::Reinstate {
+                incarnation,
+                profile,
+            },
+            false => Command::Join {
+                incarnation,
+                profile,
+            },
+        }];
+    }
+    let mut commands = vec![Command::Update {
+        incarnation: incarnation.clone(),
+        profile,
+        sequence: report.sequence,
+    }];
+    if report.draining && !registered.draining {
+        commands.push(Command::Drain { incarnation });
+    }
+    commands
+}
--- a/crates/gentianlane/src/fleet/dispatch/dispatcher.rs
+++ b/crates/gentianlane/src/fleet/dispatch/dispatcher.rs
@@ -6,6 +6,7 @@
 use crate::fleet::decision::{Cause, Decision};
 use crate::fleet::dispatch::Setup;
 use crate::fleet::dispatch::advice::{Relay, Relays};
+use crate::fleet::dispatch::claim::{Claims, Verdict};
 use crate::fleet::dispatch::crash::Silences;
 use crate::fleet::dispatch::effort::Effort;
 use crate::fleet::dispatch::estimate::Estimator;
@@ -35,6 +36,8 @@
     pub commands: Vec<Command>,
     /// Decisions for the event log.
     pub decisions: Vec<Decision>,
+    /// What became of the reports that had to be checked.
+    pub verdicts: Vec<Verdict>,
 }
 
 /// An order that was sent and not answered yet.
@@ -60,6 +63,8 @@
     Start(Task, u64),
     Stop(Task, u64),
     Throttle(Task, u64),
+    /// Which worker and incarnation listens at an address.
+    Question,
 }
 
 /// The run of a task that counts, and the worker that has it.
@@ -92,6 +97,8 @@
     pub(super) recurring_jobs: IndexSet<job::Id>,
     pub(super) pending_orders: IndexMap<CallId, PendingOrder>,
     pub(super) last_call_id: CallId,
+    /// The reports whose claims are being checked.
+    pub(super) claims: Claims,
     pub(super) unconfirmed: UnconfirmedStarts,
     pub(super) unanswered_grants: UnansweredGrants,
     pub(super) silences: Silences,
@@ -164,6 +171,7 @@
             recurring_jobs: IndexSet::default(),
             pending_orders: IndexMap::default(),
             last_call_id: fencing_token << TERM_SHIFT,
+            claims: Claims::default(),
             unconfirmed: UnconfirmedStarts::default(),
             unanswered_grants: UnansweredGrants::default(),
             silences: Silences::default(),
--- a/crates/gentianlane/src/fleet/dispatch/event.rs
+++ b/crates/gentianlane/src/fleet/dispatch/event.rs
@@ -12,7 +12,6 @@
 use crate::fleet::dispatch::survey::Seen;
 use crate::fleet::job::{self, Spec, Step, Task};
 use crate::fleet::order::Status;
-use crate::fleet::worker::Incarnation;
 use crate::fleet::{Event, Job, State};
 use crate::id;
 use crate::unit::{Span, Time, Wall};
@@ -307,18 +306,17 @@
         let Some(registered) = state.worker(worker) else {
             return;
         };
-        let replaced = self.sessions.values().filter(|session| {
+        // Only one process listens at an address, so one that is registered there under
+        // another name may be gone.
+        let others = self.sessions.values().filter(|session| {
             session.profile.address == registered.profile.address
                 && session.incarnation.worker != *worker
-                && session.incarnation.started_at < registered.incarnation.started_at
         });
-        // Only one process listens at an address, so an older incarnation that
-        // is registered there under another name is gone.
-        let replaced: Vec<Incarnation> = replaced
-            .map(|session| session.incarnation.clone())
+        let others: Vec<id::Worker> = others
+            .map(|session| session.incarnation.worker.clone())
             .collect();
-        for incarnation in replaced {
-            self.declare_gone(&incarnation, Evidence::AddressTaken, now, wall);
+        for other in others {
+            self.question_session(&other, now);
         }
         self.declare_succeeded(state, worker, wall);
         self.fleet_revision += 1;
--- a/crates/gentianlane/src/fleet/dispatch/gone.rs
+++ b/crates/gentianlane/src/fleet/dispatch/gone.rs
@@ -4,7 +4,7 @@
 //! has announced its end may run on for seconds. Its runs count as active, with all
 //! that they use, until one of these shows otherwise:
 //!
-//! - another incarnation answers at the worker's address, or has registered with it;
+//! - another incarnation answers at the worker's address;
 //! - nothing listens there, and the worker had announced its end;
 //! - the lease has ended.
 //!
@@ -34,8 +34,6 @@
 pub(crate) enum Evidence {
     /// Another incarnation answers at the worker's address.
     OtherIncarnation,
-    /// Another worker has registered with the address.
-    AddressTaken,
     /// The worker had announced its end, and nothing listens at its address.
     NoListener,
     /// The worker has no lease any more, and neither answers nor reports.
@@ -47,7 +45,6 @@
     pub(crate) const fn cause(self) -> Cause {
         match self {
             Self::OtherIncarnation => Cause::OtherIncarnation,
-            Self::AddressTaken => Cause::AddressTaken,
             Self::NoListener => Cause::Left,
             Self::Silence => Cause::Unreported,
         }
@@ -121,7 +118,7 @@
         }
         session.proof = Some(Proof { evidence, at: now });
         let was_announced = match evidence {
-            Evidence::OtherIncarnation | Evidence::AddressTaken => session.is_ending(),
+            Evidence::OtherIncarnation => session.is_ending(),
             Evidence::NoListener | Evidence::Silence => true,
         };
         if !was_announced {
--- a/crates/gentianlane/src/fleet/dispatch/mod.rs
+++ b/crates/gentianlane/src/fleet/dispatch/mod.rs
@@ -14,6 +14,7 @@
 mod backlog;
 mod better_place;
 mod candidate;
+mod claim;
 mod crash;
 mod dispatcher;
 mod effort;
@@ -46,6 +47,7 @@
 pub mod wait;
 
 pub use advice::Relay;
+pub use claim::{Reception, Verdict};
 pub use dispatcher::{Dispatcher, Effects};
 pub use setup::Setup;
 pub use view::{Blocker, Overview, Queue, Step, Worker};
--- a/crates/gentianlane/src/fleet/dispatch/report.rs
+++ b/crates/gentianlane/src/fleet/dispatch/report.rs
@@ -1,14 +1,18 @@
 //! Handling of workers' reports about themselves.
 
-use crate::fleet::decision::Decision;
+use crate::fleet::decision::{Cause, Decision};
 use crate::fleet::dispatch::Dispatcher;
+use crate::fleet::dispatch::claim::Reception;
 use crate::fleet::worker::Report;
-use crate::fleet::{Command, State};
+use crate::fleet::{Command, State, Ticket, Worker};
 use crate::unit::Time;
 
 impl Dispatcher {
-    /// Handles a worker's report; returns the commands by which it changes the
-    /// replicated state, in order.
+    /// Handles a worker's report that came by a call.
+    ///
+    /// A report of a registered incarnation at its registered address is believed.
+    /// Any other one registers what it says only once the process at its address has
+    /// answered as that incarnation.
     ///
     /// The report that begins a drain is answered only once the drain is in the
     /// log, so that a new leader knows of every acknowledged drain.
@@ -16,6 +20,28 @@
         &mut self,
         state: &State,
         report: &Report,
+        ticket: Ticket,
+        now: Time,
+    ) -> Reception {
+        let registered = state.worker(&report.incarnation.worker);
+        let own = registered.filter(|worker| worker.incarnation == report.incarnation);
+        match own {
+            Some(worker) if worker.profile.address == report.profile.address => {
+                Reception::Change(self.handle_own_report(state, worker, report, now))
+            }
+            // An incarnation that isn't registered and drains gets no task either way.
+            None if report.draining => Reception::Change(Vec::new()),
+            _ => self.check_claim(report, ticket, now),
+        }
+    }
+
+    /// Handles the report of a registered incarnation; returns the commands by which it
+    /// changes the replicated state, in order.
+    fn handle_own_report(
+        &mut self,
+        state: &State,
+        registered: &Worker,
+        report: &Report,
         now: Time,
     ) -> Vec<Command> {
         let Report {
@@ -24,19 +50,20 @@
             sequence,
             draining,
         } = report;
-        let registered = state.worker(&incarnation.worker);
-        let Some(registered) =
-            registered.filter(|worker| worker.incarnation == *incarnation)
-        else {
-            let is_old = registered.is_some_and(|worker| {
-                worker.incarnation.started_at > incarnation.started_at
-            });
-            let join = Command::Join {
-                incarnation: incarnation.clone(),
-                profile: profile.clone(),
-            };
-            return if is_old { Vec::new() } else { vec![join] };
+        let is_named = |pool: &str| {
+            state
+                .plan()
+                .is_some_and(|plan| plan.pools.contains_key(pool))
         };
+        // A worker's pool is fixed while its process runs.
+        if profile.pool != registered.profile.pool && !is_named(&profile.pool) {
+            self.effects.decisions.push(Decision::ReportRejected {
+                incarnation: incarnation.clone(),
+                address: profile.address,
+                cause: Cause::UnknownPool,
+            });
+            return Vec::new();
+        }
         let Some(session) = self.sessions.get_mut(&incarnation.worker) else {
             return Vec::new();
         };
--- a/crates/gentianlane/src/fleet/node.rs
+++ b/crates/gentianlane/src/fleet/node.rs
@@ -309,6 +309,7 @@
             advice_requests,
             commands,
             decisions,
+            verdicts,
         } = dispatcher.take_effects();
         let decisions = decisions.into_iter().map(Output::Decision);
         self.outputs.extend(decisions);
@@ -322,6 +323,9 @@
         self.outputs.extend(requests);
         self.proposals
             .extend(commands.into_iter().map(|command| (command, None)));
+        for verdict in verdicts {
+            self.conclude_report(verdict);
+        }
     }
 
     fn propose_all(&mut self, now: Time) {
@@ -411,7 +415,11 @@
         if role == Role::Leader {
             return;
         }
-        self.dispatcher = None;
+        let dispatcher = self.dispatcher.take().into_iter();
+        for ticket in dispatcher.flat_map(Dispatcher::unanswered_reports) {
+            let reply = Reply::NotLeader(None);
+            self.outputs.push(Output::Reply(ticket, reply, None));
+        }
         for ticket in std::mem::take(&mut self.pending_replies).into_values() {
             self.outputs
                 .push(Output::Reply(ticket, Reply::Indeterminate, None));
--- a/crates/gentianlane/src/fleet/node/calls.rs
+++ b/crates/gentianlane/src/fleet/node/calls.rs
@@ -3,6 +3,7 @@
 use crate::fleet::Command;
 use crate::fleet::call::{Call, Refusal, Reply, Target};
 use crate::fleet::decision::Decision;
+use crate::fleet::dispatch::{Reception, Verdict};
 use crate::fleet::job::{Id, Phase, Spec};
 use crate::fleet::node::{Node, Output, Ticket};
 use crate::fleet::plan::Plan;
@@ -21,6 +22,9 @@
 /// The retry delay while no plan is in force.
 const NO_PLAN_RETRY: Span = Span::from_millis(1_000);
 
+/// The retry delay for workers whose report was refused.
+const REPORT_RETRY: Span = Span::from_millis(1_000);
+
 impl Node {
     /// Handles a call. Its reply follows as an [`Output::Reply`] with the same
     /// ticket, which may be used again only after that.
@@ -290,7 +294,24 @@
         let Some(dispatcher) = &mut self.dispatcher else {
             return;
         };
-        let mut commands = dispatcher.handle_report(&self.state, report, now);
+        match dispatcher.handle_report(&self.state, report, ticket, now) {
+            Reception::Change(commands) => self.propose_in_order(commands, ticket),
+            Reception::Asked => {}
+            Reception::Busy => self.refuse_report(ticket, Refusal::Busy),
+        }
+    }
+
+    /// Proposes what became of a report that had to be checked, or refuses it.
+    pub(super) fn conclude_report(&mut self, verdict: Verdict) {
+        let Verdict { ticket, commands } = verdict;
+        match commands {
+            Some(commands) => self.propose_in_order(commands, ticket),
+            None => self.refuse_report(ticket, Refusal::Unverified),
+        }
+    }
+
+    /// Proposes commands; the call is answered once the last one is in the log.
+    fn propose_in_order(&mut self, mut commands: Vec<Command>, ticket: Ticket) {
         let Some(last) = commands.pop() else {
             return self.reply(ticket, Reply::Done);
         };
@@ -300,6 +321,17 @@
         self.propose(last, Some(ticket));
     }
 
+    fn refuse_report(&mut self, ticket: Ticket, reason: Refusal) {
+        let retry_after = REPORT_RETRY;
+        self.reply(
+            ticket,
+            Reply::Refused {
+                retry_after,
+                reason,
+            },
+        );
+    }
+
     /// Handles a worker's announcement that its process ends. It is confirmed at once:
     /// the worker stays registered until its end is shown.
     fn leave(&mut self, incarnation: &Incarnation, ticket: Ticket, now: Time) {
--- a/crates/gentianlane/src/fleet/state.rs
+++ b/crates/gentianlane/src/fleet/state.rs
@@ -291,6 +291,10 @@
                 incarnation,
                 profile,
             } => self.join(incarnation, profile),
+            Command::Reinstate {
+                incarnation,
+                profile,
+            } => self.register(incarnation, profile),
             Command::Drain { incarnation } => self.drain(&incarnation),
             Command::Leave { incarnation } => self.leave(incarnation),
             Command::Expire { before } => self.expire(before),
@@ -428,12 +432,19 @@
     }
 
     fn join(&mut self, incarnation: Incarnation, profile: Profile) -> Vec<Event> {
-        let name = incarnation.worker.clone();
-        if self.workers.get(&name).is_some_and(|current| {
+        let current = self.workers.get(&incarnation.worker);
+        let is_earlier = current.is_some_and(|current| {
             current.incarnation.started_at > incarnation.started_at
-        }) {
-            return Vec::new();
+        });
+        match is_earlier {
+            true => Vec::new(),
+            false => self.register(incarnation, profile),
         }
+    }
+
+    /// Registers a worker in place of any other incarnation.
+    fn register(&mut self, incarnation: Incarnation, profile: Profile) -> Vec<Event> {
+        let name = incarnation.worker.clone();
         let draining = self.workers.get(&name).is_some_and(|current| {
             current.incarnation == incarnation && current.draining
         });
--- a/crates/gentianlane/tests/fleet/main.rs
+++ b/crates/gentianlane/tests/fleet/main.rs
@@ -5,6 +5,7 @@
 mod crash_fuzz;
 mod departure;
 mod dispatch;
+mod foreign_report;
 mod fuzz;
 mod large;
 mod late_start;
