Take from a message only what its writer can say

Here a capacity of 2^64 - 1 overflowed sums (event.rs:204 and reserve.rs:313 on: builds with checks end, release builds go on with a wrong sum), one report with a high sequence number had the worker's own ones ignored, one such end hid all that followed, missing values were read as empty ones, an array as a structure, and a job with millions of occurrences took cores over their memory.

Reports and statuses with numbers that their worker can't have reached are passed over. A job has at most 100,000 tasks in all.

--- a/crates/gentianlane-daemon/tests/fleet.rs
+++ b/crates/gentianlane-daemon/tests/fleet.rs
@@ -17,9 +17,12 @@
 use serde_json::{Value, json};
 use tempfile::TempDir;
 
-/// How long the stand-in's tasks run.
+/// How long the stand-in's tasks run, unless a test says otherwise.
 const TASK: Duration = Duration::from_millis(150);
 
+/// When the stand-in started, in milliseconds since 1970.
+const BORN: u64 = 1_700_000_000_000;
+
 /// Tells the fleets of one test process apart: each has its own loopback net.
 static NETS: AtomicU8 = AtomicU8::new(1);
 
@@ -182,6 +185,8 @@
 /// A stand-in worker: its runs and ends.
 #[derive(Default)]
 struct Worker {
+    task: Duration,
+    address: String,
     fence: u64,
     running: BTreeMap<String, (u64, Instant)>,
     ended: Vec<(u64, String, u64)>,
@@ -194,7 +199,7 @@
         let over = self
             .running
             .iter()
-            .filter(|(_, (_, began))| began.elapsed() >= TASK);
+            .filter(|(_, (_, began))| began.elapsed() >= self.task);
         let over: Vec<(String, u64)> =
             over.map(|(task, (run, _))| (task.clone(), *run)).collect();
         for (task, run) in over {
@@ -234,7 +239,10 @@
                     .collect();
                 (
                     200,
-                    json!({"clock_ms": clock, "running": running, "ended": ended}),
+                    json!({
+                        "clock_ms": clock, "born": BORN, "running": running,
+                        "ended": ended,
+                    }),
                 )
             }
             _ => (200, json!({"clock_ms": clock})),
@@ -242,12 +250,22 @@
     }
 }
 
-/// Runs a stand-in worker that reports to the fleet until `stop`.
-fn work(fleet: &Fleet, stop: &Arc<AtomicBool>) -> Arc<Mutex<Worker>> {
-    let worker = Arc::new(Mutex::new(Worker::default()));
+/// Runs a stand-in worker that reports to the fleet until `stop`, and whose tasks run
+/// for the given time.
+fn work(fleet: &Fleet, stop: &Arc<AtomicBool>, task: Duration) -> Arc<Mutex<Worker>> {
+    let worker = Arc::new(Mutex::new(Worker {
+        task,
+        ..Worker::default()
+    }));
     let held = Arc::clone(&worker);
     let began = Instant::now();
     let server = rouille::Server::new("127.0.0.1:0", move |request| {
+        if request
+            .header("Target-Instance")
+            .is_some_and(|it| it != "i-1")
+        {
+            return rouille::Response::text("{}").with_status_code(421);
+        }
         let body: Value = rouille::input::json_input(request).unwrap();
         let clock = began.elapsed().as_millis() as u64;
         let waits = body["wait_ms"].as_u64().unwrap_or(0);
@@ -264,6 +282,7 @@
     })
     .unwrap();
     let address = server.server_addr();
+    worker.lock().unwrap().address = address.to_string();
     let cores: Vec<SocketAddr> = (0..3).map(|at| fleet.control(at)).collect();
     let (ended, reporting) = (Arc::clone(stop), Arc::clone(stop));
     thread::spawn(move || {
@@ -279,7 +298,7 @@
                 "backend": "pool", "address": address.to_string(), "zone": "d",
                 "version": "v1", "state": "ready",
                 "capacity": {"cpu": 8_000, "mem_mb": 8_000, "gpu": 0},
-                "labels": ["a", "r1"], "call_seq": number, "born": 1_700_000_000_000_u64,
+                "labels": ["a", "r1"], "call_seq": number, "born": BORN,
             });
             for core in &cores {
                 let path = format!("http://{core}/v1/instances/i-1/heartbeat");
@@ -316,7 +335,7 @@
     let mut fleet = Fleet::start(2);
     let stop = Arc::new(AtomicBool::new(false));
     fleet.operate("POST", "/v1/config/replace", &config(&fleet, 3));
-    let worker = work(&fleet, &stop);
+    let worker = work(&fleet, &stop, TASK);
 
     let first = "00000000000000a1";
     assert_eq!(fleet.submit(0, first), 200);
@@ -358,6 +377,65 @@
     assert_eq!(starts.len(), 9, "each task started once: {starts:?}");
 }
 
+/// A report of another writer ended the process that read it, or had the tasks of the
+/// worker that it named, or at whose address it was, run twice.
+#[test]
+fn a_report_of_another_writer_ends_no_process_and_no_run() {
+    let fleet = Fleet::start(1);
+    let stop = Arc::new(AtomicBool::new(false));
+    fleet.operate("POST", "/v1/config/replace", &config(&fleet, 1));
+    let worker = work(&fleet, &stop, Duration::from_secs(2));
+    let job = "00000000000000c1";
+    assert_eq!(fleet.submit(0, job), 200);
+    until("the tasks run", || {
+        (worker.lock().unwrap().running.len() == 3).then_some(())
+    });
+    let leader = fleet.leader();
+    let address = worker.lock().unwrap().address.clone();
+    let sound = json!({
+        "backend": "pool", "address": address, "zone": "d", "version": "v1",
+        "state": "ready", "capacity": {"cpu": 8_000, "mem_mb": 8_000, "gpu": 0},
+        "labels": ["a", "r1"], "call_seq": 1, "born": BORN + 60_000,
+    });
+    let with = |field: &str, value: &str| {
+        let mut changed = sound.clone();
+        changed[field] = json!("MARK");
+        changed.to_string().replace("\"MARK\"", value)
+    };
+    let nested = format!("{}{}", "[".repeat(200_000), "]".repeat(200_000));
+    let large = r#"{"cpu":18446744073709551615,"mem_mb":1,"gpu":0}"#;
+    let odd = [
+        sound.to_string(),
+        with("backend", "\"mailer\""),
+        with("labels", &nested),
+        with("unknown", &nested),
+        with("capacity", large),
+        with("capacity", r#"{"cpu":1e400,"mem_mb":1,"gpu":0}"#),
+        with("capacity", "{}"),
+        with("call_seq", "18446744073709551616"),
+        with("born", "18446744073709551615"),
+        with("address", "\"127.0.0.1:65536\""),
+        with("address", "\"127.0.0.1:0\""),
+        with("state", "\"leaving\""),
+        nested,
+        "\u{0}".to_owned(),
+    ];
+    for name in ["i-1", "i-other"] {
+        for text in &odd {
+            let control = fleet.control(leader);
+            let path = format!("http://{control}/v1/instances/{name}/heartbeat");
+            let (status, _) = ask("POST", &path, text).unwrap();
+            let shown = &text[..text.len().min(200)];
+            assert!(status == 400 || status == 503, "{status} for {shown}");
+        }
+    }
+    fleet.wait_for(0, job, "completed");
+    assert_eq!(fleet.leader(), leader);
+    stop.store(true, Ordering::Relaxed);
+    let starts = worker.lock().unwrap().starts.clone();
+    assert_eq!(starts.len(), 3, "each task started once: {starts:?}");
+}
+
 #[test]
 fn an_entry_that_stops_answers_what_it_took() {
     let mut fleet = Fleet::start(1);
--- a/crates/gentianlane/src/fleet/decision.rs
+++ b/crates/gentianlane/src/fleet/decision.rs
@@ -417,6 +417,9 @@
     /// Another worker or incarnation answers at the address.
     #[display("other_life")]
     OtherIncarnation,
+    /// The report's sequence number is higher than the worker can have reached.
+    #[display("sequence_gap")]
+    SequenceGap,
     /// The plan names no such pool.
     #[display("unknown_pool")]
     UnknownPool,
--- a/crates/gentianlane/src/fleet/dispatch/backlog.rs
+++ b/crates/gentianlane/src/fleet/dispatch/backlog.rs
@@ -28,7 +28,7 @@
     /// The share of the pool that a step's pending tasks need, in millionths.
     pub(crate) fn share_of(&self, stage: &Stage) -> u64 {
         let tasks = stage.pending.len() as u64;
-        tasks * dominant_share(&stage.step.demand(), &self.capacity)
+        tasks.saturating_mul(dominant_share(&stage.step.demand(), &self.capacity))
     }
 }
 
@@ -80,7 +80,10 @@
                 priority: effective_priority(stage, slack),
                 timeliness,
                 slack,
-                demand: tasks * dominant_share(&stage.step.demand(), &usage.capacity),
+                demand: tasks.saturating_mul(dominant_share(
+                    &stage.step.demand(),
+                    &usage.capacity,
+                )),
                 run_time: self.expected_run_time(stage),
                 exempt: needs_reservation || stage.step.long_running,
                 beyond_share: stage.beyond_share,
@@ -138,15 +141,16 @@
                 if let Some(left) = left {
                     let share =
                         dominant_share(&run.demand, &capacity.unwrap_or_default());
-                    running.remaining += share * left.as_millis();
-                    running.share += share;
+                    let remaining = share.saturating_mul(left.as_millis());
+                    running.remaining = running.remaining.saturating_add(remaining);
+                    running.share = running.share.saturating_add(share);
                 }
             }
         }
         // If runs end at an even rate, the last one ends after twice the mean
         // remaining time.
         let turnover = |running: Running| {
-            Span::from_millis(2 * running.remaining / running.share.max(1))
+            Span::from_millis(running.remaining / running.share.max(1)).saturating_mul(2)
         };
         running
             .into_iter()
--- a/crates/gentianlane/src/fleet/dispatch/better_place.rs
+++ b/crates/gentianlane/src/fleet/dispatch/better_place.rs
@@ -63,7 +63,8 @@
             return false;
         }
         let usual = self.usual_run_time(stage).as_millis();
-        let run_time = |slowdown: u64| Span::from_millis(usual * slowdown / 1_000);
+        let run_time =
+            |slowdown: u64| Span::from_millis(usual.saturating_mul(slowdown) / 1_000);
         let demand = stage.step.demand();
         let wanted = u32::try_from(stage.pending.len()).unwrap_or(u32::MAX);
         let sessions = self.permitted_sessions(stage).into_iter();
@@ -107,7 +108,7 @@
         };
         if let Some(rack) = &stage.step.preferred_rack {
             let tasks = stage.pending.len() as u64;
-            let work = tasks * self.usual_run_time(stage).as_millis();
+            let work = tasks.saturating_mul(self.usual_run_time(stage).as_millis());
             let demand = stage.step.demand().times(work);
             self.rack_demands.add(rack, &demand, now);
         }
@@ -161,8 +162,8 @@
             return false;
         };
         let there = self.usual_run_time(stage);
-        let here = there.as_millis() * self.setup.remote_slowdown / 1_000;
-        let here = Span::from_millis(here);
+        let here = there.saturating_mul(self.setup.remote_slowdown).as_millis();
+        let here = Span::from_millis(here / 1_000);
         // Which gangs want which rack isn't known before they are placed.
         self.decide_wait(id, here, there, at.since(now), 0, now)
     }
--- a/crates/gentianlane/src/fleet/dispatch/claim.rs
+++ b/crates/gentianlane/src/fleet/dispatch/claim.rs
@@ -154,7 +154,11 @@
         };
         let Claim { report, ticket } = claim;
         let commands = match refutation(state, &report, answer) {
-            None => Some(registration(state, &report)),
+            None => {
+                self.first_sequences
+                    .insert(report.incarnation.clone(), report.sequence);
+                Some(registration(state, &report))
+            }
             Some(cause) => {
                 self.effects.decisions.push(Decision::ReportRejected {
                     incarnation: report.incarnation,
--- a/crates/gentianlane/src/fleet/dispatch/dispatcher.rs
+++ b/crates/gentianlane/src/fleet/dispatch/dispatcher.rs
@@ -21,6 +21,7 @@
 use crate::fleet::job::{self, Resources, Task};
 use crate::fleet::order::{Action, AdviceRequest, CallId, Order};
 use crate::fleet::team::{Ledger, Shares};
+use crate::fleet::worker::Incarnation;
 use crate::fleet::{Command, State};
 use crate::id;
 use crate::unit::{Span, Time, Wall};
@@ -99,6 +100,8 @@
     pub(super) last_call_id: CallId,
     /// The reports whose claims are being checked.
     pub(super) claims: Claims,
+    /// The sequence numbers of the reports by which incarnations are being registered.
+    pub(super) first_sequences: IndexMap<Incarnation, u64>,
     pub(super) unconfirmed: UnconfirmedStarts,
     pub(super) unanswered_grants: UnansweredGrants,
     pub(super) silences: Silences,
@@ -172,6 +175,7 @@
             pending_orders: IndexMap::default(),
             last_call_id: fencing_token << TERM_SHIFT,
             claims: Claims::default(),
+            first_sequences: IndexMap::default(),
             unconfirmed: UnconfirmedStarts::default(),
             unanswered_grants: UnansweredGrants::default(),
             silences: Silences::default(),
--- a/crates/gentianlane/src/fleet/dispatch/estimate.rs
+++ b/crates/gentianlane/src/fleet/dispatch/estimate.rs
@@ -85,7 +85,7 @@
         let measured = image.or_else(|| self.queues.get(queue));
         let estimate = step.estimate.as_millis();
         match measured {
-            Some(&mean) => Span::from_millis((mean + estimate).div_ceil(2)),
+            Some(&mean) => Span::from_millis(mean.saturating_add(estimate).div_ceil(2)),
             None => step.estimate,
         }
     }
--- a/crates/gentianlane/src/fleet/dispatch/event.rs
+++ b/crates/gentianlane/src/fleet/dispatch/event.rs
@@ -320,6 +320,7 @@
         }
         self.declare_succeeded(state, worker, wall);
         self.fleet_revision += 1;
+        let first_sequence = self.first_sequences.swap_remove(&registered.incarnation);
         let mut current = self.sessions.get_mut(worker);
         if let Some(session) = &mut current
             && session.incarnation == registered.incarnation
@@ -335,6 +336,7 @@
         }
         self.add_pending_orders(worker);
         let mut new_session = Session::new(registered, self.setup.lease, now);
+        new_session.report_sequence = first_sequence.unwrap_or_default();
         self.unconfirmed.add_stopping(&mut new_session, now);
         let limit = self.setup.lease_limit;
         let late_end = self.unanswered_grants.lease_end(worker, limit, now);
--- a/crates/gentianlane/src/fleet/dispatch/progress.rs
+++ b/crates/gentianlane/src/fleet/dispatch/progress.rs
@@ -75,7 +75,7 @@
         if elapsed < MIN_SAMPLE {
             return;
         }
-        let pace = elapsed.as_millis() * 1_000 / u64::from(percent - from);
+        let pace = elapsed.saturating_mul(1_000).as_millis() / u64::from(percent - from);
         self.pace = Some(pace);
         self.best_pace = Some(self.best_pace.map_or(pace, |best| best.min(pace)));
         if elapsed >= REBASE_INTERVAL {
@@ -113,7 +113,7 @@
     /// microseconds per percent.
     pub(crate) fn remaining_at(&self, pace: u64) -> Span {
         let percents = u64::from(100u8.saturating_sub(self.percent));
-        Span::from_millis(percents * pace / 1_000)
+        Span::from_millis(percents.saturating_mul(pace) / 1_000)
     }
 
     /// The remaining run time from now on at the present pace, if that is
--- a/crates/gentianlane/src/fleet/dispatch/rank.rs
+++ b/crates/gentianlane/src/fleet/dispatch/rank.rs
@@ -79,17 +79,18 @@
     /// has become free, at the rate of the running tasks or, if that is slower,
     /// of the backlog itself.
     fn queueing_delay(&self, backlog: &Backlog, step: &Entry<'_>) -> Span {
-        let excess = (backlog.demand + step.demand).saturating_sub(self.free);
+        let demand = backlog.demand.saturating_add(step.demand);
+        let excess = demand.saturating_sub(self.free);
         let mean_run_time = backlog.work / backlog.demand.max(1);
         let turnover = self.turnover.as_millis().max(mean_run_time);
-        Span::from_millis(excess * turnover / FULL_POOL)
+        Span::from_millis(excess.saturating_mul(turnover) / FULL_POOL)
     }
 }
 
 impl Entry<'_> {
     /// Demand times run time, in millionths of the pool times milliseconds.
     fn work(&self) -> u64 {
-        self.demand * self.run_time.as_millis()
+        self.demand.saturating_mul(self.run_time.as_millis())
     }
 }
 
@@ -161,8 +162,8 @@
         let late = late.entry(step.pool).or_default();
         let on_time = on_time.entry((step.pool, step.priority)).or_default();
         let wait = headroom.queueing_delay(backlog, step).as_millis();
-        backlog.demand += step.demand;
-        backlog.work += step.work();
+        backlog.demand = backlog.demand.saturating_add(step.demand);
+        backlog.work = backlog.work.saturating_add(step.work());
         match step.timeliness {
             Timeliness::OnTime if step.exempt => {}
             Timeliness::OnTime => on_time.push((step.demand, index)),
--- a/crates/gentianlane/src/fleet/dispatch/report.rs
+++ b/crates/gentianlane/src/fleet/dispatch/report.rs
@@ -7,6 +7,10 @@
 use crate::fleet::{Command, State, Ticket, Worker};
 use crate::unit::Time;
 
+/// How many reports of a worker may be lost at once, beside those for which there was
+/// time since the last one.
+const SEQUENCE_SLACK: u64 = 1_000;
+
 impl Dispatcher {
     /// Handles a worker's report that came by a call.
     ///
@@ -71,6 +75,17 @@
         if *sequence <= newest.max(session.report_sequence) {
             return Vec::new();
         }
+        // A worker sends less than one report a millisecond.
+        let silence = now.since(session.last_report).as_millis();
+        let gap = sequence - session.report_sequence;
+        if session.report_sequence > 0 && gap > silence.saturating_add(SEQUENCE_SLACK) {
+            self.effects.decisions.push(Decision::ReportRejected {
+                incarnation: incarnation.clone(),
+                address: profile.address,
+                cause: Cause::SequenceGap,
+            });
+            return Vec::new();
+        }
         session.report_sequence = *sequence;
         session.last_report = now;
         // A worker leaves only after it has reported that it drains.
--- a/crates/gentianlane/src/fleet/dispatch/reserve.rs
+++ b/crates/gentianlane/src/fleet/dispatch/reserve.rs
@@ -308,9 +308,10 @@
 fn could_starve(stage: &Stage, smallest: Option<Resources>) -> bool {
     let demand = stage.step.demand();
     let large = smallest.is_some_and(|capacity| {
-        2 * demand.accelerators >= capacity.accelerators.max(1)
-            || 2 * demand.millicores > capacity.millicores
-            || 2 * demand.memory_mib > capacity.memory_mib
+        let double = demand.times(2);
+        double.accelerators >= capacity.accelerators.max(1)
+            || double.millicores > capacity.millicores
+            || double.memory_mib > capacity.memory_mib
     });
     large || (stage.step.gang && stage.step.count > 1)
 }
--- a/crates/gentianlane/src/fleet/dispatch/session.rs
+++ b/crates/gentianlane/src/fleet/dispatch/session.rs
@@ -266,7 +266,7 @@
         if clock >= newest {
             self.clock = Some((now, clock));
         }
-        clock + MAX_REORDERING_MS >= newest
+        clock.saturating_add(MAX_REORDERING_MS) >= newest
     }
 
     /// Extends the lease to `lease` from now; returns its end in milliseconds
@@ -277,13 +277,15 @@
     pub(crate) fn extend_lease(&mut self, lease: Span, now: Time) -> Option<u64> {
         let (read, clock) = self.clock?;
         let elapsed = now.since(read).as_millis();
-        let deadline = clock + elapsed + lease.as_millis();
+        let now_there = clock.saturating_add(elapsed);
+        let deadline = now_there.saturating_add(lease.as_millis());
         self.deadline = self.deadline.max(deadline);
         // The worker's clock may be slow, both since its reading and until the
         // lease ends.
         let slow_elapsed = elapsed - elapsed * CLOCK_SLACK / 1_000;
-        let remaining = self.deadline.saturating_sub(clock + slow_elapsed);
-        let longest = remaining + remaining * CLOCK_SLACK / 1_000;
+        let slow_clock = clock.saturating_add(slow_elapsed);
+        let remaining = self.deadline.saturating_sub(slow_clock);
+        let longest = remaining + remaining.saturating_mul(CLOCK_SLACK) / 1_000;
         let ends = now.after(Span::from_millis(longest)).after(LEASE_MARGIN);
         self.lease_end = self.lease_end.max(ends);
         Some(deadline)
--- a/crates/gentianlane/src/fleet/dispatch/stage.rs
+++ b/crates/gentianlane/src/fleet/dispatch/stage.rs
@@ -250,9 +250,10 @@
 
     /// The time from submission within which the job has its full value.
     pub(crate) fn soft_deadline(&self) -> Span {
-        let stretched =
-            self.critical_path.as_millis() * self.queue.stretch_permille / 1_000;
-        Span::from_millis(stretched) + self.queue.latency_target
+        let stretched = self
+            .critical_path
+            .saturating_mul(self.queue.stretch_permille);
+        Span::from_millis(stretched.as_millis() / 1_000) + self.queue.latency_target
     }
 
     /// The time from submission after which the job has no value.
--- a/crates/gentianlane/src/fleet/dispatch/straggler.rs
+++ b/crates/gentianlane/src/fleet/dispatch/straggler.rs
@@ -77,14 +77,14 @@
         let best = progress.best_pace().unwrap_or(expected);
         let is_slow = progress
             .pace()
-            .is_some_and(|pace| pace >= SLOWDOWN_FACTOR * best);
+            .is_some_and(|pace| pace >= best.saturating_mul(SLOWDOWN_FACTOR));
         let left = progress.remaining_at(expected);
         let (cause, here) = match () {
             () if stalled >= STALL_TIMEOUT => (Cause::NoProgress, left + stalled),
             () if is_slow => (Cause::Slow, progress.remaining_at(progress.pace()?)),
             () => return None,
         };
-        let full_run = Span::from_millis(expected * 100 / 1_000);
+        let full_run = Span::from_millis(expected.saturating_mul(100) / 1_000);
         let rerun = match run.checkpoint.is_empty() {
             true => full_run,
             false => full_run.min(left + CHECKPOINT_AGE),
--- a/crates/gentianlane/src/fleet/dispatch/throttle.rs
+++ b/crates/gentianlane/src/fleet/dispatch/throttle.rs
@@ -51,8 +51,8 @@
 
     /// Adjusts the share of each best-effort task on one worker.
     fn throttle_worker(&mut self, colocation: &Colocation, now: Time) {
-        let tail_percent =
-            colocation.tail.as_millis() * 100 / colocation.limit.as_millis().max(1);
+        let tail_percent = colocation.tail.saturating_mul(100).as_millis()
+            / colocation.limit.as_millis().max(1);
         let next = |percent: u8| match tail_percent {
             HIGH_TAIL.. => 0,
             ..LOW_TAIL => percent.saturating_add(SHARE_STEP).min(100),
@@ -103,8 +103,9 @@
     };
     let services =
         running().filter_map(|(_, run)| Some((run.measurement?, run.tail_limit?)));
-    let worst =
-        services.max_by_key(|(tail, limit)| tail * 1_000 / limit.as_millis().max(1));
+    let worst = services.max_by_key(|(tail, limit)| {
+        tail.saturating_mul(1_000) / limit.as_millis().max(1)
+    });
     let (tail, limit) = worst?;
     let best_effort: Vec<_> = running()
         .filter(|(_, run)| run.best_effort)
--- a/crates/gentianlane/src/fleet/dispatch/wait.rs
+++ b/crates/gentianlane/src/fleet/dispatch/wait.rs
@@ -75,7 +75,8 @@
     let here = options.run_time_here;
     let saving = here.saturating_sub(options.run_time_there);
     let limit = saving.saturating_sub(options.waited);
-    let free_in = Span::from_millis(options.free_in.as_millis() * PESSIMISM / 1_000);
+    let free_in =
+        Span::from_millis(options.free_in.as_millis().saturating_mul(PESSIMISM) / 1_000);
     let there = free_in + options.run_time_there;
     let is_on_time = |end: Span| {
         i64::try_from(end.as_millis()).is_ok_and(|end| end <= options.time_left)
--- a/crates/gentianlane/src/fleet/job.rs
+++ b/crates/gentianlane/src/fleet/job.rs
@@ -98,9 +98,9 @@
     #[must_use]
     pub const fn plus(&self, other: &Self) -> Self {
         Self {
-            millicores: self.millicores + other.millicores,
-            memory_mib: self.memory_mib + other.memory_mib,
-            accelerators: self.accelerators + other.accelerators,
+            millicores: self.millicores.saturating_add(other.millicores),
+            memory_mib: self.memory_mib.saturating_add(other.memory_mib),
+            accelerators: self.accelerators.saturating_add(other.accelerators),
         }
     }
 
@@ -156,7 +156,8 @@
     /// and memory isn't counted.
     #[must_use]
     pub const fn weight(&self) -> u64 {
-        self.millicores + self.accelerators * ACCELERATOR_WEIGHT
+        let accelerators = self.accelerators.saturating_mul(ACCELERATOR_WEIGHT);
+        self.millicores.saturating_add(accelerators)
     }
 }
 
@@ -281,14 +282,12 @@
                 .all(|&dependency| usize::from(dependency) < index);
             step.count > 0 && earlier
         };
+        let counts = self.steps.iter().map(|step| u64::from(step.count));
+        let tasks = counts.fold(0, u64::saturating_add);
         !self.steps.is_empty()
             && self.steps.len() <= STEP_LIMIT
-            && self
-                .steps
-                .iter()
-                .map(|step| u64::from(step.count))
-                .sum::<u64>()
-                <= TASK_LIMIT
+            && tasks <= TASK_LIMIT
+            && tasks.saturating_mul(u64::from(self.occurrences())) <= TOTAL_LIMIT
             && self.steps.iter().enumerate().all(valid)
     }
 
@@ -297,10 +296,11 @@
     #[must_use]
     pub fn work(&self) -> u64 {
         let one = |step: &Step| {
-            step.resources.weight() * step.estimate.as_millis() / 1_000
-                * u64::from(step.count)
+            let weight = step.resources.weight();
+            let work = weight.saturating_mul(step.estimate.as_millis()) / 1_000;
+            work.saturating_mul(u64::from(step.count))
         };
-        self.steps.iter().map(one).sum()
+        self.steps.iter().map(one).fold(0, u64::saturating_add)
     }
 }
 
@@ -311,6 +311,10 @@
 /// submit.
 const TASK_LIMIT: u64 = 20_000;
 
+/// The most tasks in all occurrences of a job. The progress of each is kept, in some
+/// hundred bytes at most.
+const TOTAL_LIMIT: u64 = 100_000;
+
 /// A job's phase, as shown to its caller.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Serialize, Deserialize)]
 pub enum Phase {
--- a/crates/gentianlane/src/fleet/order.rs
+++ b/crates/gentianlane/src/fleet/order.rs
@@ -166,6 +166,32 @@
     pub ends_cut: bool,
 }
 
+impl Status {
+    /// Whether the numbers of the ends rise, and no higher than a worker with this clock
+    /// can have counted. One that is too high would hide all ends that follow.
+    ///
+    /// ```
+    /// use gentianlane::fleet::order::Status;
+    /// assert!(Status::default().is_plausible());
+    /// ```
+    #[must_use]
+    pub fn is_plausible(&self) -> bool {
+        let limit = self.clock.saturating_mul(ENDS_PER_MILLI);
+        let limit = limit.saturating_add(ENDS_AT_START);
+        let rise = self.ended.windows(2);
+        let rise = rise
+            .into_iter()
+            .all(|ends| ends[0].sequence < ends[1].sequence);
+        rise && self.ended.last().is_none_or(|end| end.sequence <= limit)
+    }
+}
+
+/// The most runs that end on a worker in a millisecond, far more than it can start.
+const ENDS_PER_MILLI: u64 = 10;
+
+/// The most runs that have ended on a worker whose clock has just started.
+const ENDS_AT_START: u64 = 1_000;
+
 /// A run that is active on a worker.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ActiveRun {
--- a/crates/gentianlane/src/fleet/plan.rs
+++ b/crates/gentianlane/src/fleet/plan.rs
@@ -59,8 +59,8 @@
     /// How long a request about this number of workers takes.
     #[must_use]
     pub const fn duration(&self, workers: usize) -> Span {
-        let each = self.per_worker_micros * workers as u64 / 1_000;
-        Span::from_millis(self.base.as_millis() + each)
+        let each = self.per_worker_micros.saturating_mul(workers as u64) / 1_000;
+        Span::from_millis(self.base.as_millis().saturating_add(each))
     }
 }
 
--- a/crates/gentianlane/src/fleet/team/share.rs
+++ b/crates/gentianlane/src/fleet/team/share.rs
@@ -43,15 +43,17 @@
         if share_permille == 0 {
             return true;
         }
-        let depth = (share_permille * BURST_WINDOW.as_millis() / 1_000).max(JOB);
+        let depth =
+            (share_permille.saturating_mul(BURST_WINDOW.as_millis()) / 1_000).max(JOB);
         let full = Bucket {
             tokens: depth,
             updated_at: now,
         };
         let bucket = self.buckets.entry(team.clone()).or_insert(full);
-        let refill = now.since(bucket.updated_at).as_millis() * share_permille / 1_000;
+        let elapsed = now.since(bucket.updated_at).as_millis();
+        let refill = elapsed.saturating_mul(share_permille) / 1_000;
         if refill > 0 {
-            bucket.tokens = (bucket.tokens + refill).min(depth);
+            bucket.tokens = bucket.tokens.saturating_add(refill).min(depth);
             bucket.updated_at = now;
         }
         let within = bucket.tokens >= JOB;
--- a/crates/gentianlane/src/unit.rs
+++ b/crates/gentianlane/src/unit.rs
@@ -59,9 +59,6 @@
     From,
     Into,
     Display,
-    Add,
-    AddAssign,
-    Sum,
     Serialize,
     Deserialize,
 )]
@@ -104,6 +101,27 @@
     }
 }
 
+impl std::ops::Add for Span {
+    type Output = Self;
+
+    /// The sum of two spans, or the longest span on overflow.
+    fn add(self, other: Self) -> Self {
+        Self(self.0.saturating_add(other.0))
+    }
+}
+
+impl std::ops::AddAssign for Span {
+    fn add_assign(&mut self, other: Self) {
+        *self = *self + other;
+    }
+}
+
+impl std::iter::Sum for Span {
+    fn sum<I: Iterator<Item = Self>>(spans: I) -> Self {
+        spans.fold(Self::ZERO, std::ops::Add::add)
+    }
+}
+
 impl From<Span> for std::time::Duration {
     fn from(span: Span) -> Self {
         Self::from_millis(span.0)
