--- a/crates/gentianlane/tests/fleet/main.rs
+++ b/crates/gentianlane/tests/fleet/main.rs
@@ -4,6 +4,7 @@
 mod crash;
 mod crash_fuzz;
 mod departure;
+mod departure_fuzz;
 mod dispatch;
 mod foreign_report;
 mod fuzz;
