--- a/crates/gentianlane/src/fleet/dispatch/session.rs
+++ b/crates/gentianlane/src/fleet/dispatch/session.rs
@@ -285,7 +285,8 @@
         let slow_elapsed = elapsed - elapsed * CLOCK_SLACK / 1_000;
         let slow_clock = clock.saturating_add(slow_elapsed);
         let remaining = self.deadline.saturating_sub(slow_clock);
-        let longest = remaining + remaining.saturating_mul(CLOCK_SLACK) / 1_000;
+        let slack = remaining.saturating_mul(CLOCK_SLACK) / 1_000;
+        let longest = remaining.saturating_add(slack);
         let ends = now.after(Span::from_millis(longest)).after(LEASE_MARGIN);
         self.lease_end = self.lease_end.max(ends);
         Some(deadline)
