Log what a lost run's release rests on, and workers that prove alive

Change: `gone` says heard_ms, lease_ms, and whether the worker drains or has announced its end; `worker_silent` says what became of the order. Two warnings are new: `worker_alive`, when an incarnation whose runs were released sends a report, and `second_run`, when a worker lists a run of a task that is placed elsewhere. Counters tell what released runs. No decision changes.

--- a/crates/gentianlane-daemon/src/fleet/control.rs
+++ b/crates/gentianlane-daemon/src/fleet/control.rs
@@ -354,6 +354,9 @@
                 None
             }
             Output::Decision(decision) => {
+                if let Some(counter) = decision.counter() {
+                    self.metrics.count(counter, 1);
+                }
                 self.log_writer.write_line(decision);
                 None
             }
--- a/crates/gentianlane/src/fleet/decision.rs
+++ b/crates/gentianlane/src/fleet/decision.rs
@@ -130,7 +130,7 @@
         sequence: u64,
     },
     /// A run can't be active any more, although no worker reported its end.
-    #[display("event=gone task={task} run={run} worker={worker} why={cause}")]
+    #[display("event=gone task={task} run={run} worker={worker} why={cause} heard_ms={} lease_ms={} drains={drains} leaves={leaves}", since_answer.as_millis(), lease.as_millis())]
     RunLost {
         /// The task that ran.
         task: Task,
@@ -140,6 +140,31 @@
         worker: id::Worker,
         /// Why the run can't be active any more.
         cause: Cause,
+        /// The time since the worker's last answer.
+        since_answer: Span,
+        /// The longest time for which its lease may still last.
+        lease: Span,
+        /// Whether the worker had reported that it drains.
+        drains: bool,
+        /// Whether it had announced that its process ends.
+        leaves: bool,
+    },
+    /// A worker lists a run of a task that is placed elsewhere: the task may have run
+    /// twice at a time.
+    #[display(
+        "level=WARN event=second_run task={task} run={run} worker={worker} other_run={other_run} other_worker={other_worker}"
+    )]
+    SecondRun {
+        /// The task.
+        task: Task,
+        /// The run that is listed.
+        run: u64,
+        /// The worker that lists it.
+        worker: id::Worker,
+        /// The run for which the task is placed.
+        other_run: u64,
+        /// The worker where that is.
+        other_worker: id::Worker,
     },
     /// The adviser answered a request.
     #[display("event=advice stage={stage} asked={asked} eligible={eligible} took_ms={}", elapsed.as_millis())]
@@ -189,10 +214,12 @@
         running: usize,
     },
     /// A worker stopped answering.
-    #[display("event=worker_silent life={incarnation} lease_ms={}", lease.as_millis())]
+    #[display("event=worker_silent life={incarnation} why={cause} lease_ms={}", lease.as_millis())]
     WorkerSilent {
         /// The incarnation that doesn't answer.
         incarnation: Incarnation,
+        /// What became of the order.
+        cause: Cause,
         /// The longest time for which its lease may still last.
         lease: Span,
     },
@@ -228,6 +255,16 @@
         /// The time since the incarnation's last answer.
         since_answer: Span,
     },
+    /// An incarnation that counted as ended has sent a report.
+    #[display("level=WARN event=worker_alive life={incarnation} why={cause} gone_ms={}", since.as_millis())]
+    WorkerAlive {
+        /// The incarnation.
+        incarnation: Incarnation,
+        /// What seemed to show that it had ended.
+        cause: Cause,
+        /// How long ago its runs were released.
+        since: Span,
+    },
     /// A worker's incarnation ended without having announced it.
     #[display("event=worker_crashed life={incarnation} why={cause} runs={runs}")]
     WorkerCrashed {
@@ -375,6 +412,32 @@
     },
 }
 
+impl Decision {
+    /// The counter that tells how often this has happened; none if it has no counter.
+    ///
+    /// ```
+    /// use gentianlane::fleet::decision::Decision;
+    /// let unauthorized = Decision::Unauthorized { queue: "q".to_owned() };
+    /// assert_eq!(unauthorized.counter(), None);
+    /// ```
+    #[must_use]
+    pub const fn counter(&self) -> Option<&'static str> {
+        match self {
+            Self::RunLost { cause, .. } => Some(match cause {
+                Cause::LeaseExpired => "runs_lost_lease_over",
+                Cause::NotListed => "runs_lost_not_listed",
+                Cause::OtherIncarnation => "runs_lost_other_life",
+                Cause::Left => "runs_lost_left",
+                Cause::Unsent | Cause::Unreachable => "runs_lost_unsent",
+                _ => "runs_lost_other",
+            }),
+            Self::SecondRun { .. } => Some("second_runs"),
+            Self::WorkerAlive { .. } => Some("workers_alive"),
+            _ => None,
+        }
+    }
+}
+
 /// The cause of a decision, or how the leader learnt of an event.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 pub enum Cause {
@@ -387,7 +450,7 @@
     /// Another member of the task's gang doesn't run.
     #[display("gang_incomplete")]
     GangIncomplete,
-    /// The start wasn't answered.
+    /// The order wasn't answered.
     #[display("no_answer")]
     NoAnswer,
     /// The start was never sent, and the worker can't take the task any more.
@@ -423,9 +486,12 @@
     /// The plan names no such pool.
     #[display("unknown_pool")]
     UnknownPool,
-    /// Nothing listens at the address.
+    /// No connection could be opened.
     #[display("unreachable")]
     Unreachable,
+    /// The connection was refused.
+    #[display("connection_refused")]
+    ConnectionRefused,
     /// The worker ended without having announced it.
     #[display("crashed")]
     Crashed,
--- a/crates/gentianlane/src/fleet/dispatch/answer.rs
+++ b/crates/gentianlane/src/fleet/dispatch/answer.rs
@@ -108,10 +108,15 @@
                     };
                     if session.unanswered == 1 {
                         let lease = session.lease_remaining(now);
-                        let incarnation = incarnation.clone();
-                        self.effects
-                            .decisions
-                            .push(Decision::WorkerSilent { incarnation, lease });
+                        self.effects.decisions.push(Decision::WorkerSilent {
+                            incarnation: incarnation.clone(),
+                            cause: match answer {
+                                Answer::ConnectionRefused => Cause::ConnectionRefused,
+                                Answer::Unreachable => Cause::Unreachable,
+                                _ => Cause::NoAnswer,
+                            },
+                            lease,
+                        });
                         let is_timeout = now.since(order.sent_at) >= order.timeout;
                         self.silences.begin(&order.worker, is_timeout, now);
                     }
@@ -369,12 +374,7 @@
         cause: Cause,
         now: Time,
     ) {
-        self.effects.decisions.push(Decision::RunLost {
-            task: *task,
-            run,
-            worker: worker.clone(),
-            cause,
-        });
+        self.log_lost_run(worker, task, run, cause, now);
         self.release_run(worker, task, run);
         self.break_gang(task, now);
     }
@@ -397,7 +397,7 @@
         let others: Vec<Task> = others.copied().collect();
         for other in others {
             let place = self.placements.get(&other).cloned();
-            if !place.is_some_and(|place| self.drop_unsent_run(&place, &other)) {
+            if !place.is_some_and(|place| self.drop_unsent_run(&place, &other, now)) {
                 self.stop_run(&other, Cause::GangIncomplete, now);
             }
         }
@@ -405,7 +405,12 @@
 
     /// Drops a run whose start was never sent, so that its task can be placed
     /// elsewhere at once; false for any other run.
-    pub(super) fn drop_unsent_run(&mut self, place: &Place, task: &Task) -> bool {
+    pub(super) fn drop_unsent_run(
+        &mut self,
+        place: &Place,
+        task: &Task,
+        now: Time,
+    ) -> bool {
         let Place { worker, run } = place;
         if !self
             .run_mut(worker, task, *run)
@@ -413,12 +418,7 @@
         {
             return false;
         }
-        self.effects.decisions.push(Decision::RunLost {
-            task: *task,
-            run: *run,
-            worker: worker.clone(),
-            cause: Cause::Unsent,
-        });
+        self.log_lost_run(worker, task, *run, Cause::Unsent, now);
         self.release_run(worker, task, *run);
         true
     }
--- a/crates/gentianlane/src/fleet/dispatch/gone.rs
+++ b/crates/gentianlane/src/fleet/dispatch/gone.rs
@@ -12,6 +12,7 @@
 //! log, and the runs are released once it is removed. After the lease's end each run
 //! is released by itself, as the worker may be there, without any.
 
+use crate::collections::IndexMap;
 use crate::fleet::decision::{Cause, Decision};
 use crate::fleet::dispatch::Dispatcher;
 use crate::fleet::dispatch::session::RunState;
@@ -29,6 +30,29 @@
     pub(crate) at: Time,
 }
 
+/// The incarnations that were removed last, and why. One that sends a report after
+/// that was removed wrongly, or too soon.
+#[derive(Debug, Default, Clone)]
+pub(crate) struct RemovedIncarnations {
+    removed: IndexMap<Incarnation, (Cause, Time)>,
+}
+
+impl RemovedIncarnations {
+    fn add(&mut self, incarnation: Incarnation, cause: Cause, now: Time) {
+        if self.removed.len() >= REMOVED_LIMIT {
+            self.removed.shift_remove_index(0);
+        }
+        self.removed.insert(incarnation, (cause, now));
+    }
+
+    fn take(&mut self, incarnation: &Incarnation) -> Option<(Cause, Time)> {
+        self.removed.shift_remove(incarnation)
+    }
+}
+
+/// How many removed incarnations are remembered.
+const REMOVED_LIMIT: usize = 1_024;
+
 /// The kinds of evidence.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Evidence {
@@ -92,7 +116,7 @@
                 place.filter(|place| place.worker == *worker && place.run == number);
             match current {
                 None => self.stop_superseded(worker, &task, number, now),
-                Some(place) if self.drop_unsent_run(&place, &task) => {}
+                Some(place) if self.drop_unsent_run(&place, &task, now) => {}
                 Some(_) => self.stop_run(&task, Cause::Leaving, now),
             }
             self.break_gang(&task, now);
@@ -145,6 +169,40 @@
         }
     }
 
+    /// Logs that a run can't be active any more, with what is known of its worker.
+    pub(super) fn log_lost_run(
+        &mut self,
+        worker: &id::Worker,
+        task: &Task,
+        run: u64,
+        cause: Cause,
+        now: Time,
+    ) {
+        if let Some(session) = self.sessions.get(worker) {
+            self.effects.decisions.push(Decision::RunLost {
+                task: *task,
+                run,
+                worker: worker.clone(),
+                cause,
+                since_answer: now.since(session.last_answer),
+                lease: session.lease_remaining(now),
+                drains: session.draining,
+                leaves: session.leaving,
+            });
+        }
+    }
+
+    /// Logs a report of an incarnation that counts as ended.
+    pub(super) fn log_report_after_end(&mut self, incarnation: &Incarnation, now: Time) {
+        if let Some((cause, at)) = self.removed.take(incarnation) {
+            self.effects.decisions.push(Decision::WorkerAlive {
+                incarnation: incarnation.clone(),
+                cause,
+                since: now.since(at),
+            });
+        }
+    }
+
     /// Ends the session with an incarnation, and releases its runs.
     fn release_incarnation(
         &mut self,
@@ -163,18 +221,14 @@
         let since_answer = now.since(session.last_answer);
         let runs: Vec<(Task, u64)> = session.runs.keys().copied().collect();
         for &(task, run) in &runs {
-            self.effects.decisions.push(Decision::RunLost {
-                task,
-                run,
-                worker: worker.clone(),
-                cause,
-            });
+            self.log_lost_run(worker, &task, run, cause, now);
             self.release_run(worker, &task, run);
         }
         for (task, _) in &runs {
             self.break_gang(task, now);
         }
         self.sessions.swap_remove(worker);
+        self.removed.add(incarnation.clone(), cause, now);
         self.fleet_revision += 1;
         self.effects.decisions.push(Decision::WorkerGone {
             incarnation: incarnation.clone(),
--- a/crates/gentianlane/src/fleet/dispatch/lease.rs
+++ b/crates/gentianlane/src/fleet/dispatch/lease.rs
@@ -89,7 +89,7 @@
                         worker: worker.clone(),
                         run: number,
                     };
-                    if self.drop_unsent_run(&place, &task) {
+                    if self.drop_unsent_run(&place, &task, now) {
                         self.break_gang(&task, now);
                     }
                 }
@@ -244,12 +244,7 @@
         }
         let runs: Vec<(Task, u64)> = session.runs.keys().copied().collect();
         for (task, run) in runs {
-            self.effects.decisions.push(Decision::RunLost {
-                task,
-                run,
-                worker: worker.clone(),
-                cause: Cause::LeaseExpired,
-            });
+            self.log_lost_run(worker, &task, run, Cause::LeaseExpired, now);
             self.add_doubt(worker, &task);
             self.release_run(worker, &task, run);
             self.break_gang(&task, now);
--- a/crates/gentianlane/src/fleet/dispatch/reconcile.rs
+++ b/crates/gentianlane/src/fleet/dispatch/reconcile.rs
@@ -301,6 +301,16 @@
             });
             return;
         }
+        let place = self.placements.get(&task);
+        if let Some(place) = place.filter(|place| place.worker != *worker) {
+            self.effects.decisions.push(Decision::SecondRun {
+                task,
+                run: running.run,
+                worker: worker.clone(),
+                other_run: place.run,
+                other_worker: place.worker.clone(),
+            });
+        }
         self.stop_superseded(worker, &task, running.run, now);
     }
 
--- a/crates/gentianlane/src/fleet/dispatch/report.rs
+++ b/crates/gentianlane/src/fleet/dispatch/report.rs
@@ -29,6 +29,9 @@
     ) -> Reception {
         let registered = state.worker(&report.incarnation.worker);
         let own = registered.filter(|worker| worker.incarnation == report.incarnation);
+        if own.is_none() {
+            self.log_report_after_end(&report.incarnation, now);
+        }
         match own {
             Some(worker) if worker.profile.address == report.profile.address => {
                 Reception::Change(self.handle_own_report(state, worker, report, now))
