Show four false proofs of a worker's end

Virtual time, on the present code: a drained worker closes its listener and runs on; so does one that has announced its end; another worker listens at the address of one that runs on; and a new leader, which hasn't listed the worker's runs yet, removes it on the same signs.

--- a/crates/gentianlane/tests/fleet/departure.rs
+++ b/crates/gentianlane/tests/fleet/departure.rs
@@ -95,6 +95,90 @@
     assert!(starts[1] - left <= LASTING_LIMIT_MS, "{starts:?}");
 }
 
+/// What the leader learns of a worker whose process goes on with its runs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Sign {
+    /// Its listener is closed.
+    ConnectionRefused,
+    /// Another worker listens at its address.
+    OtherWorker,
+}
+
+const SIGNS: [Sign; 2] = [Sign::ConnectionRefused, Sign::OtherWorker];
+
+/// Has a worker's address give a sign while its runs go on; it reports no more.
+fn show(world: &mut World, at: usize, sign: Sign) {
+    let name = world.workers[at].incarnation.worker.clone();
+    match sign {
+        Sign::ConnectionRefused => world.refusing.insert(name),
+        Sign::OtherWorker => world.displaced.insert(name),
+    };
+}
+
+/// Runs the world until the lease of the worker that runs job 7 has ended; its task must
+/// not start elsewhere before, and then soon.
+fn check_lease_is_awaited(world: &mut World, since: u64, sign: Sign) {
+    world.run(4_000);
+    assert_eq!(world.starts(&task(7, 0)), 1, "it runs on: {sign:?}");
+    world.run(20_000);
+    let starts = start_times(world, task(7, 0));
+    assert_eq!(starts.len(), 2, "{sign:?}");
+    assert!(
+        starts[1] - since <= LASTING_LIMIT_MS,
+        "{sign:?}: {starts:?}"
+    );
+}
+
+/// A drained worker closed its listener, and its tasks were started elsewhere while its
+/// runs went on.
+#[test]
+fn a_drained_worker_that_refuses_connections_keeps_its_runs_until_its_lease_ends() {
+    for sign in SIGNS {
+        let (mut world, at) = world_with_drained_worker(&lasting());
+        show(&mut world, at, sign);
+        let since = world.now;
+        check_lease_is_awaited(&mut world, since, sign);
+    }
+}
+
+/// So did one that had announced its end, and wasn't told that this was noted.
+#[test]
+fn a_leaving_worker_that_refuses_connections_keeps_its_runs_until_its_lease_ends() {
+    for sign in SIGNS {
+        let (mut world, at) = world_with_drained_worker(&lasting());
+        show(&mut world, at, sign);
+        world.call(Call::Leave(world.workers[at].incarnation.clone()));
+        let since = world.now;
+        check_lease_is_awaited(&mut world, since, sign);
+    }
+}
+
+/// Another worker answered at the address of one that hadn't drained, whose runs went on.
+#[test]
+fn a_worker_whose_address_another_one_has_keeps_its_runs_until_its_lease_ends() {
+    let mut world = World::new(2, 1).with_plan(plan(1, false));
+    world.run(500);
+    world.submit(7, &lasting());
+    world.run(500);
+    let at = worker_of_first_run(&world);
+    show(&mut world, at, Sign::OtherWorker);
+    let since = world.now;
+    check_lease_is_awaited(&mut world, since, Sign::OtherWorker);
+}
+
+/// A new leader knew of no runs on a drained worker that refused it, and removed it.
+#[test]
+fn the_next_leader_awaits_the_lease_of_a_drained_worker_that_refuses_connections() {
+    for sign in SIGNS {
+        let (mut world, at) = world_with_drained_worker(&lasting());
+        let leader = world.leader().unwrap_or(0);
+        world.kill(leader);
+        show(&mut world, at, sign);
+        let since = world.now;
+        check_lease_is_awaited(&mut world, since, sign);
+    }
+}
+
 /// A task waited for the lease's end although the worker had left as announced.
 #[test]
 fn the_tasks_of_a_worker_that_has_left_start_elsewhere_at_once() {
--- a/crates/gentianlane/tests/fleet/world.rs
+++ b/crates/gentianlane/tests/fleet/world.rs
@@ -168,6 +168,8 @@
     pub(crate) silent: BTreeSet<id::Worker>,
     /// The workers that run on while connections to them are refused.
     pub(crate) refusing: BTreeSet<id::Worker>,
+    /// Workers that run on while another one listens at their address.
+    pub(crate) displaced: BTreeSet<id::Worker>,
     /// The workers on which tasks are slower, each with how many of every ten
     /// milliseconds they stall.
     pub(crate) slow: BTreeMap<id::Worker, u64>,
@@ -279,6 +281,7 @@
             unreachable: BTreeSet::new(),
             silent: BTreeSet::new(),
             refusing: BTreeSet::new(),
+            displaced: BTreeSet::new(),
             slow: BTreeMap::new(),
             unhealthy: BTreeSet::new(),
             hanging: BTreeMap::new(),
@@ -542,6 +545,7 @@
             if !worker.up
                 || self.unreachable.contains(name)
                 || self.refusing.contains(name)
+                || self.displaced.contains(name)
                 || self.silent.contains(name)
             {
                 continue;
@@ -616,6 +620,10 @@
             .workers
             .iter()
             .position(|worker| worker.up && worker.profile.address == order.address);
+        if self.displaced.contains(&order.worker) {
+            let answer = InFlight::Answer(from, order.id, Answer::OtherIncarnation);
+            return self.send(self.message_delay, answer);
+        }
         let at = at.filter(|_| !self.refusing.contains(&order.worker));
         let Some(at) = at else {
             let answer = InFlight::Answer(from, order.id, Answer::ConnectionRefused);
