Free a run on its end, its worker's lists or its lease, and on no sign

What callers saw: a task that must run once did its work twice at once.

Cause: a sign that a process has probably ended counted as its end. A closed listener at a worker that drains or leaves, and another worker at its address, released all its runs at once, whatever was left of its lease. A process that shuts down closes its listener before its work has ended, a cut resets connections, and an address is free as soon as the listener is closed. A new leader, which hasn't listed the worker's runs yet, removed it on the same signs.

Change: signs free nothing. A run ends with its listed end, with a list without it, with the lease on the slowest clock, or with a later incarnation of the worker's name. A worker that leaves gives the proof itself: its runs are stopped, and its departure is confirmed, which ends it, once their ends are in the log and the worker is removed; after 0.9 s it is told to ask again, and after 2.5 s it is confirmed whatever it runs. A worker whose removal is proposed gets no task.

--- a/crates/gentianlane/src/fleet/call.rs
+++ b/crates/gentianlane/src/fleet/call.rs
@@ -120,4 +120,7 @@
     /// The process at a report's address didn't answer as the worker that it names.
     #[display("no such worker answers at the address")]
     Unverified,
+    /// What a worker that leaves runs is still being stopped.
+    #[display("the worker's runs are still being stopped")]
+    Leaving,
 }
--- a/crates/gentianlane/src/fleet/dispatch/answer.rs
+++ b/crates/gentianlane/src/fleet/dispatch/answer.rs
@@ -5,13 +5,12 @@
 use crate::fleet::dispatch::Dispatcher;
 use crate::fleet::dispatch::advice::Relay;
 use crate::fleet::dispatch::dispatcher::{OrderKind, PendingOrder, Place};
-use crate::fleet::dispatch::gone::Evidence;
+use crate::fleet::dispatch::gone::Sign;
 use crate::fleet::dispatch::lease::MAX_START_TRIES;
 use crate::fleet::dispatch::session::{Run, RunState, Session};
 use crate::fleet::dispatch::stage::Permit;
 use crate::fleet::job::Task;
 use crate::fleet::order::{AdviceResponse, Answer, CallId, Reason};
-use crate::fleet::worker::Incarnation;
 use crate::id;
 use crate::unit::{Span, Time, Wall};
 
@@ -87,11 +86,10 @@
         }
         match &answer {
             Answer::OtherIncarnation => {
-                return self.end_incarnation(&incarnation, now, wall);
+                return self.handle_other_worker(&order.worker, now, wall);
             }
-            // A network partition can refuse connections just as a dead process
-            // does, so runs count as gone only once the lease has expired, unless the
-            // worker had announced its end.
+            // A partition refuses connections just as a dead process does, and one that
+            // shuts down may close its listener before its runs have ended.
             Answer::ConnectionRefused | Answer::Unreachable | Answer::Lost => {
                 let is_refused = answer == Answer::ConnectionRefused;
                 if is_refused || answer == Answer::Unreachable {
@@ -102,7 +100,12 @@
                     session.unanswered += 1;
                     session.next_renewal = match answer {
                         // Its process has ended, most likely.
-                        Answer::Lost if session.leaving && session.unanswered == 1 => now,
+                        Answer::Lost
+                            if session.leaving_since.is_some()
+                                && session.unanswered == 1 =>
+                        {
+                            now
+                        }
                         Answer::Lost => now.after(ORDER_RETRY_DELAY),
                         _ => now.after(UNREACHABLE_RETRY_DELAY),
                     };
@@ -122,7 +125,7 @@
                     }
                 }
                 if is_refused && is_ending {
-                    self.declare_gone(&incarnation, Evidence::NoListener, now, wall);
+                    self.note_sign(&order.worker, Sign::ConnectionRefused, now, wall);
                 }
                 self.record_silence(&order.worker, now, wall);
             }
@@ -204,14 +207,21 @@
         }
     }
 
-    /// Proposes the removal of an incarnation that has ended. No order goes to it
-    /// meanwhile.
-    fn end_incarnation(&mut self, incarnation: &Incarnation, now: Time, wall: Wall) {
-        if let Some(session) = self.sessions.get_mut(&incarnation.worker) {
-            session.unanswered += 1;
-            session.next_renewal = now.after(UNHEALTHY_BACKOFF);
-        }
-        self.declare_gone(incarnation, Evidence::OtherIncarnation, now, wall);
+    /// Handles the answer of another worker at a worker's address. No order is sent there
+    /// for a while.
+    pub(super) fn handle_other_worker(
+        &mut self,
+        worker: &id::Worker,
+        now: Time,
+        wall: Wall,
+    ) {
+        let Some(session) = self.sessions.get_mut(worker) else {
+            return;
+        };
+        session.unanswered += 1;
+        session.next_renewal = now.after(UNHEALTHY_BACKOFF);
+        self.record_runs(worker, now, wall);
+        self.note_sign(worker, Sign::OtherWorker, now, wall);
     }
 
     fn handle_renewal_refusal(
--- a/crates/gentianlane/src/fleet/dispatch/claim.rs
+++ b/crates/gentianlane/src/fleet/dispatch/claim.rs
@@ -9,10 +9,10 @@
 
 use crate::collections::IndexMap;
 
+use crate::fleet::call::Refusal;
 use crate::fleet::decision::{Cause, Decision};
 use crate::fleet::dispatch::Dispatcher;
 use crate::fleet::dispatch::dispatcher::{OrderKind, PendingOrder};
-use crate::fleet::dispatch::gone::Evidence;
 use crate::fleet::order::{Action, Answer, CallId, Order};
 use crate::fleet::worker::{Incarnation, Report};
 use crate::fleet::{Command, State, Ticket};
@@ -34,22 +34,22 @@
 /// The claims that are being checked, by the order that checks them.
 pub(crate) type Claims = IndexMap<CallId, Claim>;
 
-/// What became of a claim.
+/// What became of a call that couldn't be answered at once.
 #[derive(Debug, Clone)]
 pub struct Verdict {
-    /// The call by which the report came.
+    /// The call.
     pub ticket: Ticket,
-    /// The changes by which the report is registered, in order; none if its claim
-    /// isn't true.
-    pub commands: Option<Vec<Command>>,
+    /// The changes that are to be proposed before the call is answered, in order; or why
+    /// the call is refused.
+    pub outcome: Result<Vec<Command>, Refusal>,
 }
 
-/// What is to be done about a report.
+/// What is to be done about a worker's call.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Reception {
-    /// These changes are to be proposed, in order, before the report is answered.
+    /// These changes are to be proposed, in order, before the call is answered.
     Change(Vec<Command>),
-    /// The process at the address is asked; a [`Verdict`] follows.
+    /// The process at the worker's address is asked; a [`Verdict`] follows.
     Asked,
     /// Too many others are being asked.
     Busy,
@@ -75,10 +75,7 @@
         // The caller of the earlier call has given up waiting.
         if let Some(pending) = self.claims.values_mut().find(|claim| is_same(claim)) {
             let earlier = std::mem::replace(pending, claim);
-            self.effects.verdicts.push(Verdict {
-                ticket: earlier.ticket,
-                commands: None,
-            });
+            self.conclude(earlier.ticket, Err(Refusal::Unverified));
             return Reception::Asked;
         }
         if self.claims.len() >= CLAIM_LIMIT {
@@ -148,16 +145,16 @@
             let incarnation = session.map(|session| session.incarnation.clone());
             let asked = incarnation.filter(|it| it.started_at == order.started_at);
             if let (Some(asked), Answer::OtherIncarnation) = (asked, answer) {
-                self.declare_gone(&asked, Evidence::OtherIncarnation, now, wall);
+                self.handle_other_worker(&asked.worker, now, wall);
             }
             return;
         };
         let Claim { report, ticket } = claim;
-        let commands = match refutation(state, &report, answer) {
+        let outcome = match refutation(state, &report, answer) {
             None => {
                 self.first_sequences
                     .insert(report.incarnation.clone(), report.sequence);
-                Some(registration(state, &report))
+                Ok(registration(state, &report))
             }
             Some(cause) => {
                 self.effects.decisions.push(Decision::ReportRejected {
@@ -165,18 +162,30 @@
                     address: report.profile.address,
                     cause,
                 });
-                None
+                Err(Refusal::Unverified)
             }
         };
-        self.effects.verdicts.push(Verdict { ticket, commands });
+        self.conclude(ticket, outcome);
+    }
+
+    /// Answers a call that couldn't be answered at once.
+    pub(super) fn conclude(
+        &mut self,
+        ticket: Ticket,
+        outcome: Result<Vec<Command>, Refusal>,
+    ) {
+        self.effects.verdicts.push(Verdict { ticket, outcome });
         self.schedule.want();
     }
 
-    /// The calls whose reports are still being checked, when the leader's term ends.
-    pub(crate) fn unanswered_reports(self) -> impl Iterator<Item = Ticket> {
+    /// The calls that aren't answered yet when the leader's term ends.
+    pub(crate) fn unanswered_calls(self) -> impl Iterator<Item = Ticket> {
         let decided = self.effects.verdicts.into_iter();
         let decided = decided.map(|verdict| verdict.ticket);
-        decided.chain(self.claims.into_values().map(|claim| claim.ticket))
+        let claims = self.claims.into_values().map(|claim| claim.ticket);
+        let departures = self.departures.into_values();
+        let departures = departures.map(|departure| departure.ticket);
+        decided.chain(claims).chain(departures)
     }
 }
 
--- a/crates/gentianlane/src/fleet/dispatch/crash.rs
+++ b/crates/gentianlane/src/fleet/dispatch/crash.rs
@@ -132,7 +132,7 @@
 
     /// Proposes to record what runs on a worker, unless that has been done or its end
     /// is announced: it may come at any time.
-    fn record_runs(&mut self, worker: &id::Worker, now: Time, wall: Wall) {
+    pub(super) fn record_runs(&mut self, worker: &id::Worker, now: Time, wall: Wall) {
         let Some(session) = self.sessions.get_mut(worker) else {
             return;
         };
--- a/crates/gentianlane/src/fleet/dispatch/dispatcher.rs
+++ b/crates/gentianlane/src/fleet/dispatch/dispatcher.rs
@@ -10,7 +10,7 @@
 use crate::fleet::dispatch::crash::Silences;
 use crate::fleet::dispatch::effort::Effort;
 use crate::fleet::dispatch::estimate::Estimator;
-use crate::fleet::dispatch::gone::RemovedIncarnations;
+use crate::fleet::dispatch::gone::{Departure, RemovedIncarnations};
 use crate::fleet::dispatch::grant::UnansweredGrants;
 use crate::fleet::dispatch::open::OpenJobs;
 use crate::fleet::dispatch::rack_demand::RackDemands;
@@ -38,7 +38,7 @@
     pub commands: Vec<Command>,
     /// Decisions for the event log.
     pub decisions: Vec<Decision>,
-    /// What became of the reports that had to be checked.
+    /// What became of the calls that couldn't be answered at once.
     pub verdicts: Vec<Verdict>,
 }
 
@@ -101,6 +101,8 @@
     pub(super) last_call_id: CallId,
     /// The reports whose claims are being checked.
     pub(super) claims: Claims,
+    /// The announcements of workers that leave and are to be answered.
+    pub(super) departures: IndexMap<id::Worker, Departure>,
     /// The sequence numbers of the reports by which incarnations are being registered.
     pub(super) first_sequences: IndexMap<Incarnation, u64>,
     pub(super) unconfirmed: UnconfirmedStarts,
@@ -177,6 +179,7 @@
             pending_orders: IndexMap::default(),
             last_call_id: fencing_token << TERM_SHIFT,
             claims: Claims::default(),
+            departures: IndexMap::default(),
             first_sequences: IndexMap::default(),
             unconfirmed: UnconfirmedStarts::default(),
             unanswered_grants: UnansweredGrants::default(),
@@ -276,6 +279,7 @@
             self.effects.decisions.extend(self.effort.take_line(now));
             self.schedule.want_plans();
         }
+        self.answer_departures(now);
         if self.schedule.is_wanted() {
             self.send_due_renewals(now);
         }
--- a/crates/gentianlane/src/fleet/dispatch/event.rs
+++ b/crates/gentianlane/src/fleet/dispatch/event.rs
@@ -332,7 +332,7 @@
         }
         let earlier = current.map(|session| session.incarnation.clone());
         if let Some(earlier) = earlier {
-            self.declare_gone(&earlier, Evidence::OtherIncarnation, now, wall);
+            self.declare_gone(&earlier, Evidence::LaterIncarnation, now, wall);
         }
         self.add_pending_orders(worker);
         let mut new_session = Session::new(registered, self.setup.lease, now);
--- a/crates/gentianlane/src/fleet/dispatch/gone.rs
+++ b/crates/gentianlane/src/fleet/dispatch/gone.rs
@@ -1,28 +1,40 @@
-//! How it is known that a worker's process has ended, and all its runs with it.
+//! How it is known that a worker runs nothing any more, so that it can be removed.
 //!
-//! What a worker says of itself, or another writer of it, is no proof: a worker that
-//! has announced its end may run on for seconds. Its runs count as active, with all
-//! that they use, until one of these shows otherwise:
+//! Nobody can see from afar whether a process has ended. One that closes its listener, whose
+//! address another process has, or that says that it leaves may run on for seconds. Such
+//! signs free nothing. A run counts as active, with all that it uses, until one of these
+//! shows otherwise:
 //!
-//! - another incarnation answers at the worker's address;
-//! - nothing listens there, and the worker had announced its end;
-//! - the lease has ended.
+//! - its worker lists its end, or doesn't list the run any more;
+//! - the worker's lease has ended, on the slowest clock;
+//! - a later incarnation answers under the worker's name, which holds nothing of the
+//!   earlier one.
 //!
-//! The first two show that the process is gone. Its removal is then proposed to the
-//! log, and the runs are released once it is removed. After the lease's end each run
-//! is released by itself, as the worker may be there, without any.
+//! A worker that leaves gives the first kind itself: its runs are stopped, and it isn't told
+//! that its departure is noted before it has listed their ends.
 
 use crate::collections::IndexMap;
+use crate::fleet::call::Refusal;
 use crate::fleet::decision::{Cause, Decision};
 use crate::fleet::dispatch::Dispatcher;
+use crate::fleet::dispatch::claim::Reception;
 use crate::fleet::dispatch::session::RunState;
 use crate::fleet::job::Task;
 use crate::fleet::worker::Incarnation;
-use crate::fleet::{Command, State};
+use crate::fleet::{Command, State, Ticket};
 use crate::id;
-use crate::unit::{Time, Wall};
+use crate::unit::{Span, Time, Wall};
 
-/// What shows that an incarnation has ended.
+/// What suggests that a worker's process has ended, and doesn't show it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Sign {
+    /// Connections to its address are refused, and it drains or has announced its end.
+    ConnectionRefused,
+    /// Another worker answers at its address.
+    OtherWorker,
+}
+
+/// What shows that an incarnation runs nothing any more.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct Proof {
     pub(crate) evidence: Evidence,
@@ -30,6 +42,51 @@
     pub(crate) at: Time,
 }
 
+/// The kinds of evidence.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Evidence {
+    /// A later incarnation answers under the worker's name.
+    LaterIncarnation,
+    /// The worker had announced its end, or seemed to have ended while it drained, and has
+    /// no run.
+    NoRuns,
+    /// Another worker answers at its address, and the lease has ended.
+    OtherWorker,
+    /// The worker has no lease any more, and neither answers nor reports.
+    Silence,
+}
+
+impl Evidence {
+    /// The evidence as a cause for the log.
+    pub(crate) const fn cause(self) -> Cause {
+        match self {
+            Self::LaterIncarnation | Self::OtherWorker => Cause::OtherIncarnation,
+            Self::NoRuns => Cause::Left,
+            Self::Silence => Cause::Unreported,
+        }
+    }
+}
+
+/// A worker's announcement that its process ends, which isn't answered yet.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Departure {
+    /// The call by which it came.
+    pub(super) ticket: Ticket,
+    received_at: Time,
+}
+
+/// How long an announcement is answered later than at once. The worker repeats its call
+/// after a second without an answer.
+const DEPARTURE_WAIT: Span = Span::from_millis(900);
+
+/// How long after its first announcement a worker is told that it may end, whatever it
+/// still runs.
+const DEPARTURE_LIMIT: Span = Span::from_millis(2_500);
+
+/// The unanswered renewals in a row after which a worker that leaves isn't asked for its
+/// ends any longer.
+const DEPARTURE_RENEWALS: u32 = 2;
+
 /// The incarnations that were removed last, and why. One that sends a report after
 /// that was removed wrongly, or too soon.
 #[derive(Debug, Default, Clone)]
@@ -53,58 +110,84 @@
 /// How many removed incarnations are remembered.
 const REMOVED_LIMIT: usize = 1_024;
 
-/// The kinds of evidence.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Evidence {
-    /// Another incarnation answers at the worker's address.
-    OtherIncarnation,
-    /// The worker had announced its end, and nothing listens at its address.
-    NoListener,
-    /// The worker has no lease any more, and neither answers nor reports.
-    Silence,
-}
-
-impl Evidence {
-    /// The evidence as a cause for the log.
-    pub(crate) const fn cause(self) -> Cause {
-        match self {
-            Self::OtherIncarnation => Cause::OtherIncarnation,
-            Self::NoListener => Cause::Left,
-            Self::Silence => Cause::Unreported,
-        }
-    }
-}
-
 impl Dispatcher {
     /// Handles a worker's announcement that its process ends.
     ///
-    /// A worker that drains is ordered to stop what it still runs: that shows soonest
-    /// how each run has ended, and saves its progress. One that hasn't reported before
-    /// that it drains keeps its runs, as the announcement may be that of an earlier
-    /// incarnation; its next report withdraws it.
-    pub fn handle_departure(&mut self, worker: &id::Worker, now: Time) {
+    /// A worker that drains is ordered to stop what it still runs. It is answered once it
+    /// has listed the ends and is removed, as it ends when it is answered. One that
+    /// hasn't reported before that it drains keeps its runs and is answered at once, as the
+    /// announcement may be that of an earlier incarnation; its next report withdraws it.
+    pub fn handle_departure(
+        &mut self,
+        worker: &id::Worker,
+        ticket: Ticket,
+        now: Time,
+    ) -> Reception {
         let Some(session) = self.sessions.get_mut(worker) else {
-            return;
+            return Reception::Change(Vec::new());
         };
-        if std::mem::replace(&mut session.leaving, true) {
-            return;
+        let drained = session.draining;
+        if session.leaving_since.is_none() {
+            session.leaving_since = Some(now);
+            session.next_renewal = now;
+            self.effects.decisions.push(Decision::WorkerLeaving {
+                incarnation: session.incarnation.clone(),
+                drained,
+                runs: session.runs.len(),
+            });
+            self.stop_runs_if_leaving(worker, now);
+            self.fleet_revision += 1;
+            self.require_placement();
+        }
+        if !drained {
+            return Reception::Change(Vec::new());
+        }
+        let departure = Departure {
+            ticket,
+            received_at: now,
+        };
+        if let Some(earlier) = self.departures.insert(worker.clone(), departure) {
+            // The caller of the earlier call has given up waiting.
+            self.conclude(earlier.ticket, Err(Refusal::Leaving));
         }
-        session.next_renewal = now;
-        self.effects.decisions.push(Decision::WorkerLeaving {
-            incarnation: session.incarnation.clone(),
-            drained: session.draining,
-            runs: session.runs.len(),
+        Reception::Asked
+    }
+
+    /// Answers the announcements of workers that have been removed, or that aren't
+    /// waited for any longer.
+    pub(super) fn answer_departures(&mut self, now: Time) {
+        let mut answers = Vec::new();
+        self.departures.retain(|worker, departure| {
+            let session = self.sessions.get(worker);
+            let answer = match session.map(|session| (session, session.leaving_since)) {
+                Some((session, Some(since))) => {
+                    let can_list =
+                        session.sign.is_none() && session.unanswered < DEPARTURE_RENEWALS;
+                    match () {
+                        () if !can_list || now.since(since) >= DEPARTURE_LIMIT => {
+                            Ok(Vec::new())
+                        }
+                        () if now.since(departure.received_at) >= DEPARTURE_WAIT => {
+                            Err(Refusal::Leaving)
+                        }
+                        () => return true,
+                    }
+                }
+                Some((_, None)) | None => Ok(Vec::new()),
+            };
+            answers.push((departure.ticket, answer));
+            false
         });
-        if session.draining {
-            self.stop_all_runs(worker, now);
+        for (ticket, answer) in answers {
+            self.conclude(ticket, answer);
         }
-        self.fleet_revision += 1;
-        self.require_placement();
     }
 
-    /// Stops every run on a worker; those whose starts weren't sent are dropped.
-    fn stop_all_runs(&mut self, worker: &id::Worker, now: Time) {
-        let Some(session) = self.sessions.get(worker) else {
+    /// Stops every run on a worker that has drained and leaves; those whose starts weren't
+    /// sent are dropped.
+    pub(super) fn stop_runs_if_leaving(&mut self, worker: &id::Worker, now: Time) {
+        let session = self.sessions.get(worker);
+        let Some(session) = session.filter(|session| session.leaves()) else {
             return;
         };
         let open = session.runs.iter();
@@ -123,8 +206,41 @@
         }
     }
 
-    /// Proposes to remove an incarnation that has ended; its runs are released once
-    /// that is in the log. If it hadn't announced its end, its tasks may be charged.
+    /// Notes a sign that a worker's process has ended. Its lease isn't extended any more.
+    pub(super) fn note_sign(
+        &mut self,
+        worker: &id::Worker,
+        sign: Sign,
+        now: Time,
+        wall: Wall,
+    ) {
+        if let Some(session) = self.sessions.get_mut(worker) {
+            session.sign = Some(sign);
+            self.remove_idle(worker, now, wall);
+        }
+    }
+
+    /// Proposes to remove a worker that leaves, or whose process seems to have ended, once
+    /// it can't run anything.
+    pub(super) fn remove_idle(&mut self, worker: &id::Worker, now: Time, wall: Wall) {
+        let Some(session) = self.sessions.get(worker) else {
+            return;
+        };
+        let evidence = match session.sign {
+            Some(Sign::OtherWorker) => Evidence::OtherWorker,
+            Some(Sign::ConnectionRefused) => Evidence::NoRuns,
+            None if session.leaves() => Evidence::NoRuns,
+            None => return,
+        };
+        // Ends that aren't in the log yet would be lost with the session.
+        if !session.may_run(now) && !session.has_open_ends() {
+            let incarnation = session.incarnation.clone();
+            self.declare_gone(&incarnation, evidence, now, wall);
+        }
+    }
+
+    /// Proposes to remove an incarnation that runs nothing any more. If it hadn't
+    /// announced its end, its tasks may be charged.
     pub(super) fn declare_gone(
         &mut self,
         incarnation: &Incarnation,
@@ -142,8 +258,8 @@
         }
         session.proof = Some(Proof { evidence, at: now });
         let was_announced = match evidence {
-            Evidence::OtherIncarnation => session.is_ending(),
-            Evidence::NoListener | Evidence::Silence => true,
+            Evidence::LaterIncarnation | Evidence::OtherWorker => session.is_ending(),
+            Evidence::NoRuns | Evidence::Silence => true,
         };
         if !was_announced {
             return self.declare_crash(incarnation, evidence.cause(), now, wall);
@@ -187,7 +303,7 @@
                 since_answer: now.since(session.last_answer),
                 lease: session.lease_remaining(now),
                 drains: session.draining,
-                leaves: session.leaving,
+                leaves: session.leaving_since.is_some(),
             });
         }
     }
--- a/crates/gentianlane/src/fleet/dispatch/lease.rs
+++ b/crates/gentianlane/src/fleet/dispatch/lease.rs
@@ -38,6 +38,7 @@
             unsettled.map(|(worker, _)| worker.clone()).collect();
         for worker in workers {
             self.retry_orders(&worker, now);
+            self.remove_idle(&worker, now, wall);
             self.expire_lease(&worker, now);
             self.remove_silent_worker(&worker, now, wall);
         }
@@ -102,25 +103,6 @@
                 _ => self.send_stop(worker, &task, number, now),
             }
         }
-        self.ask_leaving_worker(worker, now);
-    }
-
-    /// Repeats a stop that a leaving worker has confirmed, as long as its end isn't
-    /// listed: the connection on which the worker delays its answer to the renewal may
-    /// not tell that the process has ended.
-    fn ask_leaving_worker(&mut self, worker: &id::Worker, now: Time) {
-        let session = self.sessions.get(worker);
-        let Some(session) = session.filter(|session| session.leaving) else {
-            return;
-        };
-        let may_be_over = |run: &Run| {
-            let confirmed = run.confirmed_at.is_some() && run.order.is_none();
-            run.state == RunState::Stopping && confirmed && run.retry_at <= now
-        };
-        let mut runs = session.runs.iter();
-        if let Some((&(task, number), _)) = runs.find(|(_, run)| may_be_over(run)) {
-            self.send_stop(worker, &task, number, now);
-        }
     }
 
     /// Whether a task may still be started on the worker where it is placed. What
@@ -257,8 +239,8 @@
         let Some(session) = self.sessions.get(worker) else {
             return;
         };
-        let unreported =
-            session.leaving || now.since(session.last_report) >= REMOVAL_DELAY;
+        let unreported = session.leaving_since.is_some()
+            || now.since(session.last_report) >= REMOVAL_DELAY;
         let unreachable = session.unanswered > 0
             && now >= session.lease_end
             && now >= self.recovery_deadline;
@@ -314,7 +296,7 @@
         // The lease of a worker that doesn't answer or whose process ends isn't
         // extended, so that its tasks can be placed elsewhere once it has expired.
         let deadline = match session.unanswered {
-            0 if !session.leaving => session.extend_lease(lease, now),
+            0 if session.leaving_since.is_none() => session.extend_lease(lease, now),
             _ => None,
         };
         // A new incarnation under the same name numbers its ends from one again;
@@ -334,7 +316,7 @@
         let any_in_doubt = session.runs.values().any(is_in_doubt);
         let wait = match () {
             () if at_once => Span::ZERO,
-            () if any_in_doubt || session.leaving => STOP_WAIT,
+            () if any_in_doubt || session.leaving_since.is_some() => STOP_WAIT,
             () if deadline.is_none() => Span::ZERO,
             () => self.renewal_wait(),
         };
@@ -398,6 +380,7 @@
 fn is_unsettled(session: &Session, now: Time) -> bool {
     let mut runs = session.runs.values();
     session.unanswered > 0
+        || session.leaving_since.is_some()
         || now >= session.lease_end
         || runs.any(|run| run.state != RunState::Running)
 }
--- a/crates/gentianlane/src/fleet/dispatch/reconcile.rs
+++ b/crates/gentianlane/src/fleet/dispatch/reconcile.rs
@@ -63,7 +63,7 @@
             session.lease_end = session.lease_end.max(end);
         }
         session.unanswered = 0;
-        session.proof = None;
+        session.sign = None;
         // What ran under an earlier leader isn't known while ends are missing.
         session.reconciled |= !status.ends_cut;
         self.end_silence(worker);
@@ -76,6 +76,8 @@
             self.update_run(state, worker, running, read_at, now);
         }
         self.drop_unlisted_runs(worker, status, order.sent_at, now);
+        self.stop_runs_if_leaving(worker, now);
+        self.remove_idle(worker, now, wall);
         self.restart_stragglers(worker, now);
     }
 
--- a/crates/gentianlane/src/fleet/dispatch/report.rs
+++ b/crates/gentianlane/src/fleet/dispatch/report.rs
@@ -92,7 +92,7 @@
         session.report_sequence = *sequence;
         session.last_report = now;
         // A worker leaves only after it has reported that it drains.
-        session.leaving &= session.draining;
+        session.leaving_since = session.leaving_since.filter(|_| session.draining);
         let mut commands = Vec::new();
         if registered.profile != *profile {
             let from = session.profile.capacity;
--- a/crates/gentianlane/src/fleet/dispatch/session.rs
+++ b/crates/gentianlane/src/fleet/dispatch/session.rs
@@ -6,7 +6,7 @@
 
 use crate::fleet::Worker;
 use crate::fleet::dispatch::estimate::NOMINAL;
-use crate::fleet::dispatch::gone::Proof;
+use crate::fleet::dispatch::gone::{Proof, Sign};
 use crate::fleet::dispatch::progress::Progress;
 use crate::fleet::dispatch::speed::Speed;
 use crate::fleet::dispatch::survey::Seen;
@@ -71,9 +71,11 @@
     pub(crate) exposed: bool,
     /// Whether these are all its runs, as it is silent.
     pub(crate) silence_recorded: bool,
-    /// Whether the worker has announced that its process ends.
-    pub(crate) leaving: bool,
-    /// How it was shown that the incarnation has ended, if its removal is proposed.
+    /// When the worker first announced that its process ends, if it has.
+    pub(crate) leaving_since: Option<Time>,
+    /// What suggests that its process has ended, since it last answered.
+    pub(crate) sign: Option<Sign>,
+    /// What shows that the incarnation runs nothing any more, if its removal is proposed.
     pub(crate) proof: Option<Proof>,
     /// The task whose trial the worker is kept for.
     pub(crate) trial: Option<Task>,
@@ -236,7 +238,8 @@
             is_replaced: false,
             exposed: false,
             silence_recorded: false,
-            leaving: false,
+            leaving_since: None,
+            sign: None,
             proof: None,
             trial: None,
             unreachable: 0,
@@ -429,14 +432,25 @@
             .any(|run| run.started_at >= self.last_failure)
     }
 
+    /// Whether the worker has drained and then announced that its process ends.
+    pub(crate) fn leaves(&self) -> bool {
+        self.draining && self.leaving_since.is_some()
+    }
+
+    /// Whether the worker may have runs: it may hold a lease, and has listed runs or
+    /// hasn't listed any yet.
+    pub(crate) fn may_run(&self, now: Time) -> bool {
+        now < self.lease_end && (!self.reconciled || !self.runs.is_empty())
+    }
+
     /// Whether the worker answers orders and is to stay.
     pub(crate) fn is_available(&self) -> bool {
-        !self.is_ending() && self.unanswered == 0
+        !self.is_ending() && self.unanswered == 0 && self.proof.is_none()
     }
 
     /// Whether the worker has announced that its process will end or ends.
     pub(crate) fn is_ending(&self) -> bool {
-        self.draining || self.leaving
+        self.draining || self.leaving_since.is_some()
     }
 
     /// Whether the worker may get new tasks: it is reconciled, responsive, to stay
--- a/crates/gentianlane/src/fleet/node.rs
+++ b/crates/gentianlane/src/fleet/node.rs
@@ -324,7 +324,7 @@
         self.proposals
             .extend(commands.into_iter().map(|command| (command, None)));
         for verdict in verdicts {
-            self.conclude_report(verdict);
+            self.conclude_call(verdict);
         }
     }
 
@@ -416,7 +416,7 @@
             return;
         }
         let dispatcher = self.dispatcher.take().into_iter();
-        for ticket in dispatcher.flat_map(Dispatcher::unanswered_reports) {
+        for ticket in dispatcher.flat_map(Dispatcher::unanswered_calls) {
             let reply = Reply::NotLeader(None);
             self.outputs.push(Output::Reply(ticket, reply, None));
         }
--- a/crates/gentianlane/src/fleet/node/calls.rs
+++ b/crates/gentianlane/src/fleet/node/calls.rs
@@ -22,8 +22,8 @@
 /// The retry delay while no plan is in force.
 const NO_PLAN_RETRY: Span = Span::from_millis(1_000);
 
-/// The retry delay for workers whose report was refused.
-const REPORT_RETRY: Span = Span::from_millis(1_000);
+/// The retry delay for workers whose call was refused.
+const WORKER_RETRY: Span = Span::from_millis(1_000);
 
 impl Node {
     /// Handles a call. Its reply follows as an [`Output::Reply`] with the same
@@ -294,19 +294,25 @@
         let Some(dispatcher) = &mut self.dispatcher else {
             return;
         };
-        match dispatcher.handle_report(&self.state, report, ticket, now) {
+        let reception = dispatcher.handle_report(&self.state, report, ticket, now);
+        self.receive_worker_call(reception, ticket);
+    }
+
+    fn receive_worker_call(&mut self, reception: Reception, ticket: Ticket) {
+        match reception {
             Reception::Change(commands) => self.propose_in_order(commands, ticket),
             Reception::Asked => {}
-            Reception::Busy => self.refuse_report(ticket, Refusal::Busy),
+            Reception::Busy => self.refuse_worker_call(ticket, Refusal::Busy),
         }
     }
 
-    /// Proposes what became of a report that had to be checked, or refuses it.
-    pub(super) fn conclude_report(&mut self, verdict: Verdict) {
-        let Verdict { ticket, commands } = verdict;
-        match commands {
-            Some(commands) => self.propose_in_order(commands, ticket),
-            None => self.refuse_report(ticket, Refusal::Unverified),
+    /// Proposes what became of a worker's call that couldn't be answered at once, or
+    /// refuses it.
+    pub(super) fn conclude_call(&mut self, verdict: Verdict) {
+        let Verdict { ticket, outcome } = verdict;
+        match outcome {
+            Ok(commands) => self.propose_in_order(commands, ticket),
+            Err(reason) => self.refuse_worker_call(ticket, reason),
         }
     }
 
@@ -321,8 +327,8 @@
         self.propose(last, Some(ticket));
     }
 
-    fn refuse_report(&mut self, ticket: Ticket, reason: Refusal) {
-        let retry_after = REPORT_RETRY;
+    fn refuse_worker_call(&mut self, ticket: Ticket, reason: Refusal) {
+        let retry_after = WORKER_RETRY;
         self.reply(
             ticket,
             Reply::Refused {
@@ -332,8 +338,7 @@
         );
     }
 
-    /// Handles a worker's announcement that its process ends. It is confirmed at once:
-    /// the worker stays registered until its end is shown.
+    /// Handles a worker's announcement that its process ends.
     fn leave(&mut self, incarnation: &Incarnation, ticket: Ticket, now: Time) {
         let registered = self.state.worker(&incarnation.worker);
         // A worker that gives no start time means its registered incarnation.
@@ -341,10 +346,14 @@
             incarnation.started_at == Wall::default()
                 || registered.incarnation == *incarnation
         });
-        if let Some(dispatcher) = self.dispatcher.as_mut().filter(|_| is_registered) {
-            dispatcher.handle_departure(&incarnation.worker, now);
-        }
-        self.reply(ticket, Reply::Done);
+        let dispatcher = self.dispatcher.as_mut().filter(|_| is_registered);
+        let reception = match dispatcher {
+            Some(dispatcher) => {
+                dispatcher.handle_departure(&incarnation.worker, ticket, now)
+            }
+            None => Reception::Change(Vec::new()),
+        };
+        self.receive_worker_call(reception, ticket);
     }
 
     /// The leader's view of the fleet, as JSON for an operator.
