Show seven more ways in which a run is freed without proof

An audit of every path that frees a run, its room or its task's binding. Each test fails on the present code, on virtual time, with a second run beside the first; none is fixed here.

- a_removal_that_was_proposed_before_a_worker_answered: the removal for silence is on its way to the log when the worker answers (100 ms here) and gets a task; once applied, it releases that run under a fresh lease.
- an_order_that_was_held_back_for_long: a leader that has lost its followers for 14 s and stays leader sends a start that it made then, in the flush in which it declares the run lost; a later incarnation carries it out.
- a_late_start_binds_its_task_until_the_lease_that_it_grants_is_over: the binding ends 13 s after the start was sent; an incarnation behind a cut that carries it out at 11.5 s has a lease until 17.5 s.
- a_late_start_binds_its_task_whatever_the_next_leaders_wall_clock_says: with a wall clock that is 10 s ahead the next leader unbinds the task 8.5 s after the start was sent.

--- a/crates/gentianlane/tests/fleet/main.rs
+++ b/crates/gentianlane/tests/fleet/main.rs
@@ -11,6 +11,7 @@
 mod large;
 mod late_start;
 mod lease;
+mod proof;
 mod regression;
 mod simulated_worker;
 mod team;
