--- a/crates/gentianlane/src/fleet/dispatch/answer.rs
+++ b/crates/gentianlane/src/fleet/dispatch/answer.rs
@@ -57,6 +57,10 @@
         let Some(order) = self.pending_orders.swap_remove(&id) else {
             return;
         };
+        let answer = match &answer {
+            Answer::Status(status) if !order.is_named_by(status) => Answer::Lost,
+            _ => answer,
+        };
         if order.kind == OrderKind::Question {
             return self.handle_question_answer(state, id, &order, &answer, now, wall);
         }
--- a/crates/gentianlane/src/fleet/dispatch/claim.rs
+++ b/crates/gentianlane/src/fleet/dispatch/claim.rs
@@ -150,7 +150,7 @@
             return;
         };
         let Claim { report, ticket } = claim;
-        let outcome = match refutation(state, &report, answer) {
+        let outcome = match refutation(&report, answer) {
             None => {
                 self.first_sequences
                     .insert(report.incarnation.clone(), report.sequence);
@@ -190,17 +190,13 @@
 }
 
 /// Why an answer doesn't show that a report's claim is true; none if it does.
-fn refutation(state: &State, report: &Report, answer: &Answer) -> Option<Cause> {
+fn refutation(report: &Report, answer: &Answer) -> Option<Cause> {
     let claimed = &report.incarnation;
     match answer {
         Answer::Status(status) => {
-            let is_new = state.worker(&claimed.worker).is_none();
-            let is_claimed = match status.started_at {
-                Some(started_at) => started_at == claimed.started_at,
-                // A worker that gives no start times has one incarnation only.
-                None => is_new || claimed.started_at == Wall::default(),
-            };
-            (!is_claimed).then_some(Cause::OtherIncarnation)
+            // A worker that gives no start times has one incarnation only.
+            let started_at = status.started_at.unwrap_or_default();
+            (started_at != claimed.started_at).then_some(Cause::OtherIncarnation)
         }
         Answer::OtherIncarnation => Some(Cause::OtherIncarnation),
         Answer::Unreachable | Answer::ConnectionRefused => Some(Cause::Unreachable),
--- a/crates/gentianlane/src/fleet/dispatch/dispatcher.rs
+++ b/crates/gentianlane/src/fleet/dispatch/dispatcher.rs
@@ -20,7 +20,7 @@
 use crate::fleet::dispatch::trial::Trial;
 use crate::fleet::dispatch::unconfirmed::UnconfirmedStarts;
 use crate::fleet::job::{self, Resources, Task};
-use crate::fleet::order::{Action, AdviceRequest, CallId, Order};
+use crate::fleet::order::{Action, AdviceRequest, Answer, CallId, Order, Status};
 use crate::fleet::team::{Ledger, Shares};
 use crate::fleet::worker::Incarnation;
 use crate::fleet::{Command, State};
@@ -58,6 +58,14 @@
     pub(super) extends_lease: bool,
 }
 
+impl PendingOrder {
+    /// Whether a status says which incarnation wrote it, if this one's worker gives start
+    /// times: anything else may answer with empty lists.
+    pub(super) fn is_named_by(&self, status: &Status) -> bool {
+        self.started_at == Wall::default() || status.started_at.is_some()
+    }
+}
+
 /// The action of a pending order, with the run that it concerns.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum OrderKind {
