Withdraw the orders that a leader made without its lease

A leader that has lost its followers goes on handling answers, and the orders that these call for gathered until its lease was back. Then they were sent, up to many seconds old, when what they start may run elsewhere (proof::an_order_that_was_held_back_for_long_starts_nothing_beside_another_run failed: run 2 starts at 18064 ms while run 1 is active).

Change: while the leader lease is over, each such order counts as unsent.

--- a/crates/gentianlane/src/fleet/dispatch/dispatcher.rs
+++ b/crates/gentianlane/src/fleet/dispatch/dispatcher.rs
@@ -245,6 +245,14 @@
         std::mem::take(&mut self.effects)
     }
 
+    /// Takes the orders back that were made since the leader lease ended: what they start
+    /// may run elsewhere by the time at which the lease is back.
+    pub(crate) fn withdraw_orders(&mut self, state: &State, now: Time, wall: Wall) {
+        for order in std::mem::take(&mut self.effects.orders) {
+            self.handle_answer(state, order.id, Answer::Unsent, now, wall);
+        }
+    }
+
     /// The latest time for the next call of [`Dispatcher::tick`].
     #[must_use]
     pub fn due(&self) -> Time {
--- a/crates/gentianlane/src/fleet/node.rs
+++ b/crates/gentianlane/src/fleet/node.rs
@@ -296,7 +296,13 @@
     /// Runs the dispatcher if the node holds the leader lease, which rules out
     /// another leader.
     fn dispatch(&mut self, now: Time, wall: Wall) {
-        if self.is_dispatch_held() || !self.consensus.holds_lease(now) {
+        if !self.consensus.holds_lease(now) {
+            if let Some(dispatcher) = &mut self.dispatcher {
+                dispatcher.withdraw_orders(&self.state, now, wall);
+            }
+            return;
+        }
+        if self.is_dispatch_held() {
             return;
         }
         let lease_expiry = self.consensus.lease_expiry();
