Send an order again that a kept connection led to an earlier process

A process that closes its listener may keep its open connections while another worker takes its address.

Change: a request that is answered 421 over a connection that has carried one before goes over a new connection, once, as RFC 9110 has it.

--- a/crates/gentianlane-daemon/src/fleet/delivery/client.rs
+++ b/crates/gentianlane-daemon/src/fleet/delivery/client.rs
@@ -16,7 +16,7 @@
 use hyper::body::Bytes;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{CONTENT_TYPE, HOST};
-use hyper::{Method, Request};
+use hyper::{Method, Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
@@ -111,7 +111,7 @@
             .await
         {
             Ok(outcome) => outcome,
-            // The connection had been closed meanwhile.
+            // The connection had been closed meanwhile, or leads to an earlier process.
             Err(request) => {
                 self.close_idle(address);
                 let again = self.try_send(address, request, class, limit, &is_permitted);
@@ -121,7 +121,8 @@
     }
 
     /// As [`Client::send`]; gives the request back if its connection turns out to be
-    /// closed before any of it was sent.
+    /// closed before any of it was sent, or was kept open by a process that isn't the one
+    /// it was meant for: another one may listen at the address by now.
     async fn try_send(
         &self,
         address: SocketAddr,
@@ -137,8 +138,15 @@
         if !is_permitted() {
             return Ok(RequestOutcome::Unsent(Hindrance::Expired));
         }
+        let kept = lease.is_reused.then(|| request.clone());
         let exchange = deadline::timeout(limit, lease.exchange(request)).await;
         let outcome = exchange.unwrap_or(Ok(RequestOutcome::TimedOut));
+        if let (Some(request), Ok(RequestOutcome::Answered(status, _))) = (kept, &outcome)
+            && *status == StatusCode::MISDIRECTED_REQUEST
+        {
+            lease.connection = None;
+            return Err(request);
+        }
         drop(lease);
         if matches!(outcome, Ok(RequestOutcome::Lost | RequestOutcome::TimedOut)) {
             // The other connections to the address may be dead as well.
@@ -161,6 +169,7 @@
             // one that the other side has closed meanwhile never does.
             let ready = timeout(left(), connection.ready()).await;
             if matches!(ready, Ok(Ok(()))) {
+                lease.is_reused = true;
                 return Ok(lease);
             }
         }
@@ -216,6 +225,7 @@
             address,
             class,
             connection,
+            is_reused: false,
         }
     }
 
@@ -283,6 +293,8 @@
     address: SocketAddr,
     class: Class,
     connection: Option<Connection>,
+    /// Whether the connection has carried a request before.
+    is_reused: bool,
 }
 
 impl Lease {
--- a/crates/gentianlane-daemon/tests/client.rs
+++ b/crates/gentianlane-daemon/tests/client.rs
@@ -200,6 +200,45 @@
     assert_eq!(read.load(Ordering::Relaxed), 11, "none was sent twice");
 }
 
+/// Orders to a worker went over connections that the process before it at its address had
+/// kept open, and were answered by that one.
+#[test]
+fn a_request_that_a_kept_connection_misdirects_goes_over_a_new_one() {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        // The first connection leads to a process that then closes its listener.
+        let responses: [&[&[u8]]; 2] = [
+            &[
+                b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}",
+                b"HTTP/1.1 421 Misdirected Request\r\ncontent-length: 2\r\n\r\n{}",
+            ],
+            &[b"HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nnew"],
+        ];
+        for (stream, responses) in listener.incoming().zip(responses) {
+            let mut stream = stream.unwrap();
+            thread::spawn(move || {
+                let mut request = [0; 4_096];
+                for response in responses {
+                    assert!(stream.read(&mut request).unwrap() > 0);
+                    stream.write_all(response).unwrap();
+                }
+                // Closes the connection only once the client has.
+                let _ = stream.read(&mut request);
+            });
+        }
+    });
+    runtime().block_on(async {
+        let client = connected(address).await;
+        let outcome = send(&client, address, LIMIT).await;
+        let RequestOutcome::Answered(200, body) = outcome else {
+            panic!("{outcome:?}");
+        };
+        assert_eq!(body, "new");
+        assert_eq!(client.open_connections(), 1);
+    });
+}
+
 #[test]
 fn a_connection_that_breaks_after_the_request_leaves_its_fate_open() {
     let (address, read) = serve_and_close(1, false);
