Give the statuses of the large tests their workers' start time

The stand-ins of tests/fleet/large.rs answered without the start time that they had registered with. Such a status is no answer any more, so that slow_advice_is_asked_for_in_parts_while_relays_are_idle got no requests. The checks are the same.

--- a/crates/gentianlane/tests/fleet/large.rs
+++ b/crates/gentianlane/tests/fleet/large.rs
@@ -99,7 +99,7 @@
 /// A worker's status without runs, by its clock.
 fn idle(clock: u64) -> Answer {
     Answer::Status(Status {
-        started_at: None,
+        started_at: Some(Wall::from_millis(1_000_000)),
         clock,
         running: Vec::new(),
         ended: Vec::new(),
