Keep the runs of a process whose name another one takes at another address

Change: such runs count until the earlier lease is over, whatever the new process lists. At the same address they end as before.

--- a/crates/gentianlane/src/fleet/dispatch/event.rs
+++ b/crates/gentianlane/src/fleet/dispatch/event.rs
@@ -354,6 +354,7 @@
         // An order to the earlier incarnation may have reached this one, so each
         // earlier run is stopped here before its task starts anywhere.
         let old = std::mem::replace(session, new_session);
+        let has_moved = old.profile.address != session.profile.address;
         self.effects.decisions.push(Decision::WorkerGone {
             incarnation: old.incarnation,
             cause: Cause::OtherIncarnation,
@@ -363,6 +364,11 @@
         for ((task, number), mut run) in old.runs {
             // Of a start without an answer it isn't known when it arrives.
             let in_doubt = session.runs.contains_key(&(task, number));
+            // A process that listens elsewhere says nothing of the one that may run on.
+            if has_moved && !run.is_unsent() {
+                let until = run.earlier_until.unwrap_or_default().max(old.lease_end);
+                run.earlier_until = Some(until);
+            }
             run.state = RunState::Stopping;
             run.order = None;
             run.confirmed_at = None;
--- a/crates/gentianlane/src/fleet/dispatch/reconcile.rs
+++ b/crates/gentianlane/src/fleet/dispatch/reconcile.rs
@@ -110,7 +110,7 @@
         let run = session.runs.get_mut(&(task, ended.run));
         let from_start = run.as_ref().filter(|run| run.progress.is_from_start());
         let started_at = from_start.map(|run| run.started_at);
-        let is_current = run.is_some();
+        let is_current = run.as_ref().is_some_and(|run| !run.may_run_earlier(now));
         if let Some(run) = run
             && !ended.checkpoint.is_empty()
         {
@@ -337,7 +337,8 @@
         // may have been sent before it, and answered before the start.
         let is_gone = |((task, number), run): &(&(Task, u64), &Run)| {
             let confirmed = run.confirmed_at.is_some_and(|at| at < asked_at);
-            run.order.is_none() && confirmed && !listed(task, *number)
+            let is_over = run.order.is_none() && !run.may_run_earlier(now);
+            is_over && confirmed && !listed(task, *number)
         };
         let gone: Vec<(Task, u64, RunState)> = session
             .runs
--- a/crates/gentianlane/src/fleet/dispatch/session.rs
+++ b/crates/gentianlane/src/fleet/dispatch/session.rs
@@ -137,6 +137,9 @@
     /// When the worker is known to have carried out or refused the current
     /// start or stop.
     pub(crate) confirmed_at: Option<Time>,
+    /// Until when an earlier incarnation of the worker may have the run, whatever this
+    /// one lists.
+    pub(crate) earlier_until: Option<Time>,
     /// When the run was placed on the worker, or found there.
     pub(crate) started_at: Time,
     /// The newest checkpoint; empty if there is none.
@@ -181,6 +184,7 @@
             tries: 0,
             retry_at: now,
             confirmed_at: None,
+            earlier_until: None,
             started_at: now,
             checkpoint: String::new(),
             best_effort: false,
@@ -196,6 +200,11 @@
         }
     }
 
+    /// Whether an earlier incarnation of the worker may have the run.
+    pub(crate) fn may_run_earlier(&self, now: Time) -> bool {
+        self.earlier_until.is_some_and(|until| now < until)
+    }
+
     /// Whether the worker can't know of the run, as no start of it was sent.
     pub(crate) fn is_unsent(&self) -> bool {
         self.state == RunState::Starting && self.tries == 0 && self.order.is_none()
--- a/crates/gentianlane/tests/fleet/departure.rs
+++ b/crates/gentianlane/tests/fleet/departure.rs
@@ -10,7 +10,7 @@
 use gentianlane::unit::Wall;
 
 use super::dispatch::{phase, task};
-use super::simulated_worker::job;
+use super::simulated_worker::{Worker, job};
 use super::team::{access, entry, replace_plan};
 use super::world::{Hang, World, plan};
 
@@ -192,6 +192,25 @@
     check_lease_is_awaited(&mut world, since, Sign::OtherWorker);
 }
 
+/// A worker started again under its name, at another address, while its earlier process,
+/// which had closed its listener, went on with its runs.
+#[test]
+fn a_worker_that_starts_again_elsewhere_ends_no_run_of_its_earlier_process() {
+    let mut world = World::new(2, 1).with_plan(plan(1, false));
+    world.run(500);
+    world.submit(7, &lasting());
+    world.run(500);
+    let at = worker_of_first_run(&world);
+    let mut earlier = world.workers[at].clone();
+    earlier.hidden = true;
+    let name = earlier.incarnation.worker.to_string();
+    let capacity = earlier.profile.capacity;
+    world.workers.push(earlier);
+    world.workers[at] = Worker::new(&name, 2_000, capacity, world.now);
+    let since = world.now;
+    check_lease_is_awaited(&mut world, since, Sign::OtherWorker);
+}
+
 /// A new leader knew of no runs on a drained worker that refused it, and removed it.
 #[test]
 fn the_next_leader_awaits_the_lease_of_a_drained_worker_that_refuses_connections() {
--- a/crates/gentianlane/tests/fleet/simulated_worker.rs
+++ b/crates/gentianlane/tests/fleet/simulated_worker.rs
@@ -2,6 +2,7 @@
 //! idempotent starts, tickets and acknowledged ends.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 
 use gentianlane::fleet::job::{Resources, Spec, Stage, Task};
 use gentianlane::fleet::order::{
@@ -48,6 +49,8 @@
     /// When the process started, on the world's clock in milliseconds.
     pub(crate) spawned_at: u64,
     pub(crate) up: bool,
+    /// Whether its process has closed its listener and sends no reports.
+    pub(crate) hidden: bool,
     pub(crate) draining: bool,
     pub(crate) reports: u64,
     fencing_token: u64,
@@ -94,6 +97,7 @@
             },
             spawned_at: now,
             up: true,
+            hidden: false,
             draining: false,
             reports: 0,
             fencing_token: 0,
@@ -109,6 +113,11 @@
         }
     }
 
+    /// Whether its process takes connections at an address.
+    pub(crate) fn listens_at(&self, address: SocketAddr) -> bool {
+        self.up && !self.hidden && self.profile.address == address
+    }
+
     /// Whether any order has reached this incarnation.
     pub(crate) fn is_reached(&self) -> bool {
         self.fencing_token > 0
--- a/crates/gentianlane/tests/fleet/world.rs
+++ b/crates/gentianlane/tests/fleet/world.rs
@@ -543,6 +543,7 @@
             let worker = &mut self.workers[at];
             let name = &worker.incarnation.worker;
             if !worker.up
+                || worker.hidden
                 || self.unreachable.contains(name)
                 || self.refusing.contains(name)
                 || self.displaced.contains(name)
@@ -594,9 +595,10 @@
             InFlight::Order(from, order) => self.handle_order(from, order),
             InFlight::LateOrder(order) => self.handle_late_order(&order),
             InFlight::ArrivedOrder(order) => {
-                let at = self.workers.iter().position(|worker| {
-                    worker.up && worker.profile.address == order.address
-                });
+                let at = self
+                    .workers
+                    .iter()
+                    .position(|worker| worker.listens_at(order.address));
                 if let Some(at) = at {
                     self.execute(at, &order, false);
                 }
@@ -619,7 +621,7 @@
         let at = self
             .workers
             .iter()
-            .position(|worker| worker.up && worker.profile.address == order.address);
+            .position(|worker| worker.listens_at(order.address));
         if self.displaced.contains(&order.worker) {
             let answer = InFlight::Answer(from, order.id, Answer::OtherIncarnation);
             return self.send(self.message_delay, answer);
@@ -704,7 +706,7 @@
         let at = self
             .workers
             .iter()
-            .position(|worker| worker.up && worker.profile.address == order.address);
+            .position(|worker| worker.listens_at(order.address));
         let reached = !self.unreachable.contains(&order.worker)
             && !self.refusing.contains(&order.worker)
             && !self.unhealthy.contains(&order.worker);
