Send an order again that another worker answered

Change: such an order counts as not carried out, like one that found no listener: a start's run is dropped unless an earlier try is in doubt, stops and throttlings are repeated.

--- a/crates/gentianlane/src/fleet/dispatch/answer.rs
+++ b/crates/gentianlane/src/fleet/dispatch/answer.rs
@@ -90,7 +90,7 @@
         }
         match &answer {
             Answer::OtherIncarnation => {
-                return self.handle_other_worker(&order.worker, now, wall);
+                self.handle_other_worker(&order.worker, now, wall);
             }
             // A partition refuses connections just as a dead process does, and one that
             // shuts down may close its listener before its runs have ended.
@@ -173,6 +173,7 @@
                 Answer::Lost
                 | Answer::Unreachable
                 | Answer::ConnectionRefused
+                | Answer::OtherIncarnation
                 | Answer::Refused {
                     reason: Reason::Unhealthy,
                     ..
@@ -317,7 +318,11 @@
                     true => self.give_up_start(task, now),
                 }
             }
-            Answer::Unreachable | Answer::ConnectionRefused if !in_doubt => {
+            Answer::Unreachable
+            | Answer::ConnectionRefused
+            | Answer::OtherIncarnation
+                if !in_doubt =>
+            {
                 self.drop_run(&order.worker, task, number, Cause::Unreachable, now);
             }
             // Sending it again is safe: a worker starts a run at most once.
