Take a clock reading that is ahead only from an answer that names its process

An earlier process of a worker, reached over a connection that it had kept, answered a stop with its own clock, which is ahead of the present one's.

Change: the reading of an answer that doesn't name its process counts only as far as the clock can have come by now.

--- a/crates/gentianlane/src/fleet/dispatch/answer.rs
+++ b/crates/gentianlane/src/fleet/dispatch/answer.rs
@@ -138,8 +138,10 @@
             Answer::Done { .. } | Answer::Refused { .. } | Answer::Status(_) => {
                 session.last_answer = now;
                 session.unreachable = 0;
+                let is_named = matches!(&answer, Answer::Status(status)
+                    if status.started_at.unwrap_or_default() == order.started_at);
                 if clock_of(&answer)
-                    .is_some_and(|clock| !session.update_clock(clock, now))
+                    .is_some_and(|clock| !session.update_clock(clock, is_named, now))
                 {
                     // The answer to the next renewal tells which incarnation
                     // this is.
--- a/crates/gentianlane/src/fleet/dispatch/session.rs
+++ b/crates/gentianlane/src/fleet/dispatch/session.rs
@@ -272,10 +272,13 @@
     /// can't come from this incarnation.
     ///
     /// The clock never goes back within an incarnation, so a reading that is
-    /// too far back comes from a later incarnation under the same name.
-    pub(crate) fn update_clock(&mut self, clock: u64, now: Time) -> bool {
+    /// too far back comes from a later incarnation under the same name. One that is ahead
+    /// may come from an earlier one, unless the answer names the incarnation; it would
+    /// make leases longer than they are reckoned.
+    pub(crate) fn update_clock(&mut self, clock: u64, is_named: bool, now: Time) -> bool {
         let newest = self.clock.map_or(0, |(_, newest)| newest);
-        if clock >= newest {
+        let expected = self.clock_at(now).map_or(0, Time::as_millis);
+        if clock >= newest && (is_named || clock <= expected) {
             self.clock = Some((now, clock));
         }
         clock.saturating_add(MAX_REORDERING_MS) >= newest
