--- a/crates/gentianlane/src/fleet/dispatch/reconcile.rs
+++ b/crates/gentianlane/src/fleet/dispatch/reconcile.rs
@@ -22,6 +22,10 @@
 /// up to four times this.
 const SUSPECT_BACKOFF: Span = Span::from_millis(2_000);
 
+/// How long after the time that a stop may take a run that is still listed is stopped
+/// again: another process may have confirmed the stop.
+const STOP_SLACK: Span = Span::from_millis(250);
+
 impl Dispatcher {
     /// Handles the status that a worker sent in answer to a lease renewal.
     pub(super) fn reconcile(
@@ -234,6 +238,11 @@
         let Some(run) = session.runs.get_mut(&(task, running.run)) else {
             return self.adopt_or_stop(state, worker, running, now);
         };
+        let is_overdue = |at: Time| now.since(at) >= self.setup.stop_time + STOP_SLACK;
+        if run.state == RunState::Stopping && run.confirmed_at.is_some_and(is_overdue) {
+            run.confirmed_at = None;
+            run.retry_at = now;
+        }
         if run.state == RunState::Starting {
             run.state = RunState::Running;
             run.confirmed_at = Some(now);
