Register no worker again that had drained when it was removed

Since a worker that leaves is removed before it is told that it may end. A report from before its drain, delayed by the network, registered it as one that doesn't drain, and it got tasks (a_report_from_before_the_drain_registers_no_worker_that_leaves); its ordinary reports until it was told were logged as worker_alive.

Change: the leader remembers whether a removed incarnation had drained; reports of one that had change nothing and are no warning. Only the removal of a worker that leaves unbinds its starts. A departure is refused, to be repeated, after 0.8 s: the core gives up calls of workers after 0.9 s.

--- a/crates/gentianlane/src/fleet/dispatch/dispatcher.rs
+++ b/crates/gentianlane/src/fleet/dispatch/dispatcher.rs
@@ -10,7 +10,7 @@
 use crate::fleet::dispatch::crash::Silences;
 use crate::fleet::dispatch::effort::Effort;
 use crate::fleet::dispatch::estimate::Estimator;
-use crate::fleet::dispatch::gone::{Departure, RemovedIncarnations};
+use crate::fleet::dispatch::gone::{Departure, Removals};
 use crate::fleet::dispatch::grant::UnansweredGrants;
 use crate::fleet::dispatch::open::OpenJobs;
 use crate::fleet::dispatch::rack_demand::RackDemands;
@@ -116,7 +116,7 @@
     pub(super) unconfirmed: UnconfirmedStarts,
     pub(super) unanswered_grants: UnansweredGrants,
     pub(super) silences: Silences,
-    pub(super) removed: RemovedIncarnations,
+    pub(super) removals: Removals,
     /// The steps with tasks against which something is held.
     pub(super) suspect_stages: IndexSet<job::Stage>,
     /// The tasks that run, or are to run, on a worker of their own.
@@ -192,7 +192,7 @@
             unconfirmed: UnconfirmedStarts::default(),
             unanswered_grants: UnansweredGrants::default(),
             silences: Silences::default(),
-            removed: RemovedIncarnations::default(),
+            removals: Removals::default(),
             suspect_stages: IndexSet::default(),
             trials: IndexMap::default(),
             relays: Relays::default(),
--- a/crates/gentianlane/src/fleet/dispatch/gone.rs
+++ b/crates/gentianlane/src/fleet/dispatch/gone.rs
@@ -18,7 +18,7 @@
 use crate::fleet::decision::{Cause, Decision};
 use crate::fleet::dispatch::Dispatcher;
 use crate::fleet::dispatch::claim::Reception;
-use crate::fleet::dispatch::session::RunState;
+use crate::fleet::dispatch::session::{RunState, Session};
 use crate::fleet::job::Task;
 use crate::fleet::worker::Incarnation;
 use crate::fleet::{Command, State, Ticket};
@@ -77,7 +77,7 @@
 
 /// How long an announcement is answered later than at once. The worker repeats its call
 /// after a second without an answer.
-const DEPARTURE_WAIT: Span = Span::from_millis(900);
+const DEPARTURE_WAIT: Span = Span::from_millis(800);
 
 /// How long after its first announcement a worker is told that it may end, whatever it
 /// still runs.
@@ -87,28 +87,38 @@
 /// ends any longer.
 const DEPARTURE_RENEWALS: u32 = 2;
 
-/// The incarnations that were removed last, and why. One that sends a report after
-/// that was removed wrongly, or too soon.
+/// An incarnation that was removed.
+#[derive(Debug, Clone, Copy)]
+struct Removal {
+    cause: Cause,
+    at: Time,
+    /// Whether it had drained, so that it takes no task again.
+    drained: bool,
+}
+
+/// The incarnations that were removed last, the oldest first.
 #[derive(Debug, Default, Clone)]
-pub(crate) struct RemovedIncarnations {
-    removed: IndexMap<Incarnation, (Cause, Time)>,
+pub(crate) struct Removals {
+    removals: IndexMap<Incarnation, Removal>,
 }
 
-impl RemovedIncarnations {
-    fn add(&mut self, incarnation: Incarnation, cause: Cause, now: Time) {
-        if self.removed.len() >= REMOVED_LIMIT {
-            self.removed.shift_remove_index(0);
+impl Removals {
+    fn add(&mut self, incarnation: Incarnation, removal: Removal) {
+        if self.removals.len() >= REMOVAL_LIMIT {
+            self.removals.shift_remove_index(0);
         }
-        self.removed.insert(incarnation, (cause, now));
+        self.removals.insert(incarnation, removal);
     }
 
-    fn take(&mut self, incarnation: &Incarnation) -> Option<(Cause, Time)> {
-        self.removed.shift_remove(incarnation)
+    /// Whether an incarnation had drained before it was removed.
+    pub(super) fn has_drained(&self, incarnation: &Incarnation) -> bool {
+        let removal = self.removals.get(incarnation);
+        removal.is_some_and(|removal| removal.drained)
     }
 }
 
 /// How many removed incarnations are remembered.
-const REMOVED_LIMIT: usize = 1_024;
+const REMOVAL_LIMIT: usize = 1_024;
 
 impl Dispatcher {
     /// Handles a worker's announcement that its process ends.
@@ -278,9 +288,13 @@
         now: Time,
     ) {
         self.clear_doubts(incarnation);
+        let session = self.sessions.get(&incarnation.worker);
+        let session = session.filter(|session| session.incarnation == *incarnation);
+        let was_ending = session.is_some_and(Session::is_ending);
         self.release_incarnation(incarnation, cause, now);
-        // Without a later incarnation nothing carries out a late start.
-        if state.worker(&incarnation.worker).is_none() {
+        // A worker that leaves is assumed not to come back under its name, so that nothing
+        // carries out a late start.
+        if was_ending && state.worker(&incarnation.worker).is_none() {
             self.unconfirmed.unbind(&incarnation.worker, now);
         }
     }
@@ -308,13 +322,17 @@
         }
     }
 
-    /// Logs a report of an incarnation that counts as ended.
+    /// Logs that an incarnation which counts as ended has sent a report, once. One that
+    /// has drained may do so until it is told that it may end.
     pub(super) fn log_report_after_end(&mut self, incarnation: &Incarnation, now: Time) {
-        if let Some((cause, at)) = self.removed.take(incarnation) {
+        if self.removals.has_drained(incarnation) {
+            return;
+        }
+        if let Some(removal) = self.removals.removals.shift_remove(incarnation) {
             self.effects.decisions.push(Decision::WorkerAlive {
                 incarnation: incarnation.clone(),
-                cause,
-                since: now.since(at),
+                cause: removal.cause,
+                since: now.since(removal.at),
             });
         }
     }
@@ -332,7 +350,7 @@
         else {
             return;
         };
-        let proof = session.proof;
+        let (proof, drained) = (session.proof, session.draining);
         let cause = proof.map_or(cause, |proof| proof.evidence.cause());
         let since_answer = now.since(session.last_answer);
         let runs: Vec<(Task, u64)> = session.runs.keys().copied().collect();
@@ -344,7 +362,12 @@
             self.break_gang(task, now);
         }
         self.sessions.swap_remove(worker);
-        self.removed.add(incarnation.clone(), cause, now);
+        let removal = Removal {
+            cause,
+            at: now,
+            drained,
+        };
+        self.removals.add(incarnation.clone(), removal);
         self.fleet_revision += 1;
         self.effects.decisions.push(Decision::WorkerGone {
             incarnation: incarnation.clone(),
--- a/crates/gentianlane/src/fleet/dispatch/report.rs
+++ b/crates/gentianlane/src/fleet/dispatch/report.rs
@@ -37,7 +37,9 @@
                 Reception::Change(self.handle_own_report(state, worker, report, now))
             }
             // An incarnation that isn't registered and drains gets no task either way.
-            None if report.draining => Reception::Change(Vec::new()),
+            None if report.draining || self.removals.has_drained(&report.incarnation) => {
+                Reception::Change(Vec::new())
+            }
             _ => self.check_claim(report, ticket, now),
         }
     }
