Say in gone.rs and its neighbours which signs prove nothing

Words and one name only, after the review: the head of gone.rs told of a later incarnation without its address, and PendingOrder::is_named_by read the wrong way round.

--- a/crates/gentianlane/src/fleet/dispatch/answer.rs
+++ b/crates/gentianlane/src/fleet/dispatch/answer.rs
@@ -58,7 +58,7 @@
             return;
         };
         let answer = match &answer {
-            Answer::Status(status) if !order.is_named_by(status) => Answer::Lost,
+            Answer::Status(status) if !order.accepts(status) => Answer::Lost,
             _ => answer,
         };
         if order.kind == OrderKind::Question {
--- a/crates/gentianlane/src/fleet/dispatch/dispatcher.rs
+++ b/crates/gentianlane/src/fleet/dispatch/dispatcher.rs
@@ -59,9 +59,9 @@
 }
 
 impl PendingOrder {
-    /// Whether a status says which incarnation wrote it, if this one's worker gives start
-    /// times: anything else may answer with empty lists.
-    pub(super) fn is_named_by(&self, status: &Status) -> bool {
+    /// Whether a status may answer the order: it names a start time if the worker has
+    /// given one. Any other server might answer with empty lists.
+    pub(super) fn accepts(&self, status: &Status) -> bool {
         self.started_at == Wall::default() || status.started_at.is_some()
     }
 }
--- a/crates/gentianlane/src/fleet/dispatch/event.rs
+++ b/crates/gentianlane/src/fleet/dispatch/event.rs
@@ -47,7 +47,7 @@
                 if let Some(session) = self.sessions.get_mut(worker) {
                     session.draining = true;
                 }
-                // A worker that leaves takes no task and has no later incarnation.
+                // A worker that leaves is assumed not to come back under its name.
                 self.unconfirmed.unbind(worker, now);
             }
             Event::WorkerLeft(incarnation) => {
--- a/crates/gentianlane/src/fleet/dispatch/gone.rs
+++ b/crates/gentianlane/src/fleet/dispatch/gone.rs
@@ -7,11 +7,11 @@
 //!
 //! - its worker lists its end, or doesn't list the run any more;
 //! - the worker's lease has ended, on the slowest clock;
-//! - a later incarnation answers under the worker's name, which holds nothing of the
-//!   earlier one.
+//! - a later incarnation answers under the worker's name at its address: the platform
+//!   starts one only after the earlier one has ended.
 //!
 //! A worker that leaves gives the first kind itself: its runs are stopped, and it isn't told
-//! that its departure is noted before it has listed their ends.
+//! that it may end before it has listed their ends.
 
 use crate::collections::IndexMap;
 use crate::fleet::call::Refusal;
