Copy no request that goes over a kept connection

Since each order over a kept connection was cloned, headers and all, for the rare answer 421. Now the request is made again from its content.

--- a/crates/gentianlane-daemon/src/fleet/delivery/client.rs
+++ b/crates/gentianlane-daemon/src/fleet/delivery/client.rs
@@ -103,52 +103,50 @@
         limit: Duration,
         is_permitted: impl Fn() -> bool,
     ) -> RequestOutcome {
-        let Some(request) = request(address, outgoing) else {
-            return RequestOutcome::Unsent(Hindrance::Malformed);
-        };
-        match self
-            .try_send(address, request, class, limit, &is_permitted)
-            .await
-        {
-            Ok(outcome) => outcome,
-            // The connection had been closed meanwhile, or leads to an earlier process.
-            Err(request) => {
-                self.close_idle(address);
-                let again = self.try_send(address, request, class, limit, &is_permitted);
-                again.await.unwrap_or(RequestOutcome::Unreachable)
-            }
+        let content = Content::from(outgoing);
+        let first = self.try_send(address, &content, class, limit, &is_permitted);
+        if let Some(outcome) = first.await {
+            return outcome;
         }
+        self.close_idle(address);
+        let again = self.try_send(address, &content, class, limit, &is_permitted);
+        again.await.unwrap_or(RequestOutcome::Unreachable)
     }
 
-    /// As [`Client::send`]; gives the request back if its connection turns out to be
-    /// closed before any of it was sent, or was kept open by a process that isn't the one
-    /// it was meant for: another one may listen at the address by now.
+    /// As [`Client::send`]; gives no outcome if the connection turns out to be closed before
+    /// any of the request was sent, or was kept open by a process that isn't the one it was
+    /// meant for: another one may listen at the address by now.
     async fn try_send(
         &self,
         address: SocketAddr,
-        request: Request<Full<Bytes>>,
+        content: &Content,
         class: Class,
         limit: Duration,
         is_permitted: &impl Fn() -> bool,
-    ) -> Result<RequestOutcome, Request<Full<Bytes>>> {
+    ) -> Option<RequestOutcome> {
+        let Some(request) = content.request(address) else {
+            return Some(RequestOutcome::Unsent(Hindrance::Malformed));
+        };
         let mut lease = match self.connection(address, class).await {
             Ok(lease) => lease,
-            Err(outcome) => return Ok(outcome),
+            Err(outcome) => return Some(outcome),
         };
         if !is_permitted() {
-            return Ok(RequestOutcome::Unsent(Hindrance::Expired));
+            return Some(RequestOutcome::Unsent(Hindrance::Expired));
         }
-        let kept = lease.is_reused.then(|| request.clone());
         let exchange = deadline::timeout(limit, lease.exchange(request)).await;
-        let outcome = exchange.unwrap_or(Ok(RequestOutcome::TimedOut));
-        if let (Some(request), Ok(RequestOutcome::Answered(status, _))) = (kept, &outcome)
-            && *status == StatusCode::MISDIRECTED_REQUEST
-        {
+        let outcome = exchange.unwrap_or(Some(RequestOutcome::TimedOut));
+        let is_misdirected = matches!(&outcome, Some(RequestOutcome::Answered(status, _))
+            if *status == StatusCode::MISDIRECTED_REQUEST);
+        if is_misdirected && lease.is_reused {
             lease.connection = None;
-            return Err(request);
+            return None;
         }
         drop(lease);
-        if matches!(outcome, Ok(RequestOutcome::Lost | RequestOutcome::TimedOut)) {
+        if matches!(
+            outcome,
+            Some(RequestOutcome::Lost | RequestOutcome::TimedOut)
+        ) {
             // The other connections to the address may be dead as well.
             self.close_idle(address);
         }
@@ -298,29 +296,27 @@
 }
 
 impl Lease {
-    /// Sends a request and reads the response. The connection is kept only if both
-    /// succeed.
+    /// Sends a request and reads the response; gives no outcome if none of it was sent.
+    /// The connection is kept only if both succeed.
     async fn exchange(
         &mut self,
         request: Request<Full<Bytes>>,
-    ) -> Result<RequestOutcome, Request<Full<Bytes>>> {
-        let Some(mut connection) = self.connection.take() else {
-            return Err(request);
-        };
+    ) -> Option<RequestOutcome> {
+        let mut connection = self.connection.take()?;
         let response = match connection.try_send_request(request).await {
             Ok(response) => response,
-            Err(mut error) => match error.take_message() {
-                Some(request) => return Err(request),
-                None => return Ok(RequestOutcome::Lost),
-            },
+            Err(mut error) => {
+                let is_unsent = error.take_message().is_some();
+                return (!is_unsent).then_some(RequestOutcome::Lost);
+            }
         };
         let status = response.status().as_u16();
         let body = Limited::new(response.into_body(), BODY_LIMIT);
         let Ok(body) = body.collect().await else {
-            return Ok(RequestOutcome::Lost);
+            return Some(RequestOutcome::Lost);
         };
         self.connection = Some(connection);
-        Ok(RequestOutcome::Answered(status, body.to_bytes()))
+        Some(RequestOutcome::Answered(status, body.to_bytes()))
     }
 }
 
@@ -365,19 +361,37 @@
     matches!(number, Some(Errno::EMFILE | Errno::ENFILE))
 }
 
-fn request(
-    address: SocketAddr,
-    outgoing: OutgoingRequest,
-) -> Option<Request<Full<Bytes>>> {
-    let mut request = Request::builder()
-        .method(Method::POST)
-        .uri(outgoing.path)
-        .header(HOST, address.to_string())
-        .header(CONTENT_TYPE, "application/json");
-    if let Some(target) = outgoing.target {
-        request = request.header("Target-Instance", target);
+/// What a request says, for each time that it is sent.
+struct Content {
+    path: &'static str,
+    target: Option<String>,
+    body: Bytes,
+}
+
+impl From<OutgoingRequest> for Content {
+    fn from(outgoing: OutgoingRequest) -> Self {
+        let OutgoingRequest { path, target, body } = outgoing;
+        Self {
+            path,
+            target,
+            body: Bytes::from(body),
+        }
+    }
+}
+
+impl Content {
+    /// A request to an address; none if it can't be encoded.
+    fn request(&self, address: SocketAddr) -> Option<Request<Full<Bytes>>> {
+        let mut request = Request::builder()
+            .method(Method::POST)
+            .uri(self.path)
+            .header(HOST, address.to_string())
+            .header(CONTENT_TYPE, "application/json");
+        if let Some(target) = &self.target {
+            request = request.header("Target-Instance", target);
+        }
+        request.body(Full::new(self.body.clone())).ok()
     }
-    request.body(Full::new(Bytes::from(outgoing.body))).ok()
 }
 
 /// Sends an advice request to the adviser. Without an adviser, or if it doesn't
