--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -3,12 +3,11 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 
-use crate::fleet::{self, Fleet};
+use crate::fleet::{self, Bounds, Fleet, HANAFY_YARD, NORRVIK_PANNA};
 use crate::http;
 use crate::json::Json;
 use crate::record::Record;
@@ -142,7 +141,7 @@
     format!("{{\"task_spec\":\"work\",\"steps\":[{}]}}", steps.join(","))
 }
 
-fn profile(fleet: &Fleet, number: u8, cpu: u64) -> Profile {
+fn profile(fleet: &Fleet, number: u8, cpu: u64, hold_max_ms: u64) -> Profile {
     let address = fleet.server_address(number);
     assert!(fleet::is_loopback(&address));
     Profile {
@@ -152,7 +151,12 @@
         address,
         cpu,
         mem_mb: 65_536,
-        labels: format!("\"a\",\"r{}\"", number % 3 + 1),
+        labels: format!(
+            "\"{}\",\"r{}\"",
+            if number == 0 { "big" } else { "a" },
+            number % 3 + 1
+        ),
+        hold_max_ms,
     }
 }
 
@@ -168,12 +172,12 @@
 
 impl Site {
     fn start(
-        entries: u8,
+        bounds: Bounds,
         sizes: &[u64],
         plan: Plan,
         record: &Record,
     ) -> io::Result<Site> {
-        let fleet = Fleet::start(3, entries, record)?;
+        let fleet = Fleet::start(3, 1, bounds, record)?;
         let controls: Vec<SocketAddr> = (0..3).map(|core| fleet.control(core)).collect();
         let events = Events::default();
         let mut site = Site {
@@ -185,22 +189,23 @@
             record: record.clone(),
         };
         for (number, &cpu) in sizes.iter().enumerate() {
-            let profile = profile(&site.fleet, number as u8, cpu);
-            let worker = site.boot(profile)?;
+            let profile = profile(&site.fleet, number as u8, cpu, bounds.hold_max_ms);
+            let worker = site.boot(profile, false)?;
             site.workers.push(worker);
         }
         Ok(site)
     }
 
-    fn boot(&self, profile: Profile) -> io::Result<Worker> {
+    fn boot(&self, profile: Profile, cut: bool) -> io::Result<Worker> {
         let (plan, events) = (self.plan.clone(), self.events.clone());
-        Worker::boot(
-            profile,
-            self.controls.clone(),
-            plan,
-            events,
-            self.record.clone(),
-        )
+        let (controls, record) = (self.controls.clone(), self.record.clone());
+        Worker::boot(profile, controls, plan, events, record, cut)
+    }
+
+    /// The number of runs on all servers.
+    fn running(&self) -> usize {
+        let workers = self.workers.iter();
+        workers.map(|worker| worker.running().len()).sum()
     }
 
     fn events(&self) -> Vec<Event> {
@@ -210,43 +215,6 @@
             .unwrap_or_default()
     }
 
-    /// Runs a job of one short task, by which all servers are known to be in use.
-    fn warm_up(&self, route: &str, jobs: u64) -> io::Result<()> {
-        for number in 0..jobs {
-            let path = format!("/{route}/{:016x}", 0xaaaa_0000 + number);
-            let body = job(&[step(3, 100, 100, "")]);
-            let limit = Duration::from_secs(3);
-            let mut tries = 0;
-            while !matches!(
-                ask(
-                    self.fleet.front(0),
-                    "POST",
-                    &path,
-                    &body,
-                    limit,
-                    &self.record
-                ),
-                Some((200, _))
-            ) {
-                tries += 1;
-                if tries > 20 {
-                    return Err(io::Error::other("a first job isn't accepted"));
-                }
-                thread::sleep(Duration::from_millis(100));
-            }
-            let mut tries = 0;
-            while state(&self.fleet, &path, &self.record).as_deref() != Some("completed")
-            {
-                tries += 1;
-                if tries > 100 {
-                    return Err(io::Error::other("a first job isn't completed"));
-                }
-                thread::sleep(Duration::from_millis(100));
-            }
-        }
-        Ok(())
-    }
-
     fn sleep(&self, millis: u64) {
         thread::sleep(Duration::from_millis(millis));
     }
@@ -256,91 +224,12 @@
     Arc::new(move |_| work)
 }
 
-/// A route is removed while jobs are handed in for it, and comes back later.
-pub fn removed_route(trouble: bool, record: &Record) -> io::Result<Verdict> {
-    const ROUTES: usize = 60;
-    const IDLE_ROUTES: usize = 1_000;
-    const ROUNDS: u64 = 5;
-    let site = Site::start(2, &[64_000; 3], fixed(Work::Done(200)), record)?;
-    let base = || {
-        let idle =
-            (0..IDLE_ROUTES).map(|number| Route::new(&format!("idle-{number}"), 3));
-        [Route::new("base", 3)]
-            .into_iter()
-            .chain(idle)
-            .collect::<Vec<Route>>()
-    };
-    let all = || {
-        let more = (0..ROUTES).map(|number| Route::new(&format!("extra-{number}"), 3));
-        base().into_iter().chain(more).collect::<Vec<Route>>()
-    };
-    let mut version = 1;
-    send_config(&site.fleet, version, &all(), record)?;
-    site.warm_up("base", 1)?;
-    let accepted: Arc<Mutex<Vec<(String, u64)>>> = Arc::default();
-    for round in 0..ROUNDS {
-        site.sleep(1_500);
-        let mut callers = Vec::new();
-        for number in 0..ROUTES {
-            let front = site.fleet.front(number);
-            let (accepted, record) = (accepted.clone(), record.clone());
-            // The callers' requests are spread over the time around the change.
-            let wait = Duration::from_micros(20_000 + 600 * number as u64);
-            callers.push(thread::spawn(move || {
-                thread::sleep(wait);
-                let id = 0xbbbb_0000 + round * 256 + number as u64;
-                let path = format!("/extra-{number}/{id:016x}");
-                let body = job(&[step(1, 100, 200, "")]);
-                let answer =
-                    ask(front, "POST", &path, &body, Duration::from_secs(3), &record);
-                if matches!(answer, Some((200..=299, _)))
-                    && let Ok(mut accepted) = accepted.lock()
-                {
-                    accepted.push((path, id));
-                }
-            }));
-        }
-        thread::sleep(Duration::from_millis(20));
-        version += 1;
-        let routes = if trouble { base() } else { all() };
-        send_config(&site.fleet, version, &routes, record)?;
-        for caller in callers {
-            let _ = caller.join();
-        }
-        site.sleep(1_500);
-        version += 1;
-        send_config(&site.fleet, version, &all(), record)?;
-    }
-    record.line("the traffic has ended");
-    site.sleep(FINISH_MS + 3_000);
-    let events = site.events();
-    let accepted = accepted.lock().map(|it| it.clone()).unwrap_or_default();
-    let mut lost = Vec::new();
-    for (path, id) in &accepted {
-        let name = format!("{id:016x}.");
-        let has_run = events.iter().any(|it| it.task.starts_with(&name));
-        if !has_run {
-            let shown = state(&site.fleet, path, record).unwrap_or_default();
-            lost.push(format!("{path} ({shown})"));
-        }
-    }
-    let total = accepted.len();
-    Ok(match lost.is_empty() {
-        true => Verdict::Held(format!("all of {total} accepted jobs have run")),
-        false => Verdict::Broken(format!(
-            "LOST: of {total} accepted jobs {} have never run, 17 s after the end of the \
-             traffic and with idle servers: {}",
-            lost.len(),
-            lost.join(", ")
-        )),
-    })
-}
-
 /// A caller that has left before its job was accepted cancels it, while the leader is
 /// replaced.
 pub fn cancelled_job(trouble: bool, record: &Record) -> io::Result<Verdict> {
-    const LEAVES_AFTER: Duration = Duration::from_millis(250);
-    let mut site = Site::start(1, &[64_000; 3], fixed(Work::Done(4_000)), record)?;
+    const LEAVES_AFTER: Duration = Duration::from_millis(150);
+    let mut site =
+        Site::start(HANAFY_YARD, &[64_000; 3], fixed(Work::Done(4_000)), record)?;
     send_config(
         &site.fleet,
         1,
@@ -419,19 +308,15 @@
     })
 }
 
-/// One of three spread replicas of a service fails once.
-pub fn failed_replica(trouble: bool, record: &Record) -> io::Result<Verdict> {
-    const TASKS: u32 = 3;
-    const FAILS_AFTER_MS: u64 = 5_000;
-    let failing = "0123456789abcdef.0.0.1";
-    let fails = Arc::new(AtomicBool::new(trouble));
-    let plan: Plan = Arc::new(move |task| {
-        match task == failing && fails.swap(false, Ordering::SeqCst) {
-            true => Work::Failed(FAILS_AFTER_MS),
-            false => Work::Lasts,
-        }
-    });
-    let site = Site::start(1, &[16_000; TASKS as usize], plan, record)?;
+/// The server of one of eight spread replicas crashes and starts again.
+pub fn crashed_replica(trouble: bool, record: &Record) -> io::Result<Verdict> {
+    const TASKS: u32 = 8;
+    let mut site = Site::start(
+        HANAFY_YARD,
+        &[16_000; TASKS as usize],
+        fixed(Work::Lasts),
+        record,
+    )?;
     send_config(&site.fleet, 1, &[Route::new("base", 4)], record)?;
     site.sleep(4_000);
     let path = "/base/0123456789abcdef";
@@ -446,158 +331,245 @@
     if !matches!(answer, Some((200, _))) {
         return Err(io::Error::other("the job isn't accepted"));
     }
-    let running = |site: &Site| {
-        let workers = site.workers.iter();
-        workers.map(|worker| worker.running().len()).sum::<usize>()
-    };
-    site.sleep(FAILS_AFTER_MS - 1_000);
-    let before = running(&site);
-    // From 6 s after its last run a task that lasts may have nothing running for 3 s at
-    // most; the calm time before lies within these 6 s.
-    site.sleep(1_000 + 6_000 + 3_000);
-    let mut most = 0;
-    for _ in 0..600 {
+    site.sleep(6_000);
+    let before = site.running();
+    if trouble {
+        let last = TASKS as usize - 1;
+        let profile = site.workers[last].profile.clone();
+        site.workers[last].crash();
+        site.sleep(2_000);
+        site.workers[last] = site.boot(profile, false)?;
+    }
+    // Four calm seconds after the server's return, three in which nothing runs, and two of
+    // tolerance.
+    let returned = record.now();
+    site.sleep(4_000 + 3_000 + 2_000);
+    let first = site.running();
+    let mut most = first;
+    while most < TASKS as usize && record.now() < returned + 30_000 {
         site.sleep(100);
-        most = most.max(running(&site));
-        if most == TASKS as usize {
-            break;
-        }
+        most = most.max(site.running());
     }
+    let after = record.now() - returned;
     let shown = state(&site.fleet, path, record).unwrap_or_default();
-    let at = record.now();
-    let events = site.events();
-    let ended = events
-        .iter()
-        .find(|it| it.what == "failed")
-        .map_or(at, |it| it.at);
-    Ok(match most == TASKS as usize {
+    Ok(match first == TASKS as usize {
         true => Verdict::Held(format!("all {TASKS} tasks run")),
         false => Verdict::Broken(format!(
-            "LOST: {before} of {TASKS} tasks ran before one of them failed once; {most} run until \
-             {} s after that, with a server of {TASKS} without any task; the job is shown as \
-             {shown}",
-            (at - ended) / 1_000
+            "LOST: {before} of {TASKS} tasks ran before the server crashed, {first} run 9 s after \
+             its return and {most} after {} s, with a server without any task; the job is shown \
+             as {shown}",
+            after / 1_000
         )),
     })
 }
 
-/// A task that lasts fails once on each of two servers; a short job is handed in later.
-pub fn closed_server(trouble: bool, record: &Record) -> io::Result<Verdict> {
-    let failed: Arc<Mutex<Vec<String>>> = Arc::default();
-    let plan: Plan = Arc::new(move |task| {
-        if !task.starts_with("0123456789abcdef.") {
-            return Work::Done(200);
-        }
-        let mut failed = failed.lock().expect("the lock of the plan");
-        match trouble && !failed.iter().any(|it| it == task) {
-            true => {
-                failed.push(task.to_owned());
-                Work::Failed(4_000)
-            }
-            false => Work::Lasts,
-        }
+/// A wide step, one task of which fails twice; the leader is killed meanwhile.
+pub fn wide_step(trouble: bool, record: &Record) -> io::Result<Verdict> {
+    const TASKS: u32 = 5_000;
+    const ATTEMPTS: u32 = 3;
+    let failing = format!("0123456789abcdef.0.0.{}", TASKS - 1);
+    let name = failing.clone();
+    let plan: Plan = Arc::new(move |task| match task == name {
+        true => Work::Failed(3_000),
+        false => Work::Done(500),
     });
-    let site = Site::start(1, &[16_000; 2], plan, record)?;
-    send_config(&site.fleet, 1, &[Route::new("base", 4)], record)?;
+    let mut site = Site::start(HANAFY_YARD, &[64_000; 4], plan, record)?;
+    send_config(&site.fleet, 1, &[Route::new("base", ATTEMPTS)], record)?;
     site.sleep(4_000);
+    let path = "/base/0123456789abcdef";
+    let step =
+        format!("{{\"count\":{TASKS},\"cpu\":20,\"mem_mb\":8,\"estimated_ms\":500}}");
     let front = site.fleet.front(0);
-    let limit = Duration::from_secs(3);
-    let service = "/base/0123456789abcdef";
-    let body = job(&[step(
-        2,
-        1_000,
-        500,
-        ",\"long_running\":true,\"anti_affinity\":1",
-    )]);
-    let answer = ask(front, "POST", service, &body, limit, record);
-    if !matches!(answer, Some((200, _))) {
-        return Err(io::Error::other("the service isn't accepted"));
-    }
-    site.sleep(12_000);
-    let short = "/base/00000000000000aa";
     let answer = ask(
         front,
         "POST",
-        short,
-        &job(&[step(1, 500, 200, "")]),
-        limit,
+        path,
+        &job(&[step]),
+        Duration::from_secs(3),
         record,
     );
     if !matches!(answer, Some((200, _))) {
-        return Err(io::Error::other("the short job isn't accepted"));
+        return Err(io::Error::other("the job isn't accepted"));
     }
-    record.line("the traffic has ended");
-    site.sleep(FINISH_MS + 3_000);
-    let used: usize = site
-        .workers
-        .iter()
-        .map(|worker| worker.running().len())
-        .sum();
-    let shown = state(&site.fleet, short, record).unwrap_or_default();
-    let events = site.events();
-    let started = events
-        .iter()
-        .any(|it| it.task.starts_with("00000000000000aa."));
-    Ok(match started {
-        true => Verdict::Held(format!("the short job has run, and is shown as {shown}")),
-        false => Verdict::Broken(format!(
-            "LOST: the short job hasn't started {} s after the traffic and is shown as {shown}; \
-             the two servers run {used} tasks of 1 core on 32 cores",
-            (FINISH_MS + 3_000) / 1_000
+    let of_task = |site: &Site, what: &str| {
+        let events = site.events();
+        events
+            .iter()
+            .filter(|it| it.task == failing && it.what == what)
+            .count()
+    };
+    let mut waited = 0;
+    while of_task(&site, "start") < 2 {
+        site.sleep(50);
+        waited += 1;
+        if waited > 600 {
+            return Err(io::Error::other("the task hasn't started again after 30 s"));
+        }
+    }
+    if trouble {
+        site.sleep(500);
+        let leader = site
+            .fleet
+            .leader()
+            .ok_or_else(|| io::Error::other("no core leads"))?;
+        let leader = format!("core-{}", leader + 1);
+        site.fleet.kill(&leader, record);
+        site.sleep(500);
+        site.fleet.restart(&leader, record)?;
+    }
+    // The traffic has ended. The rule asks for something to run within 3 s from then on.
+    site.sleep(FINISH_MS);
+    let finish = record.now();
+    let mut idle_since = None;
+    let mut shown = String::new();
+    let mut idle = 0;
+    for _ in 0..100 {
+        site.sleep(100);
+        shown = state(&site.fleet, path, record).unwrap_or_default();
+        if matches!(shown.as_str(), "completed" | "failed") {
+            break;
+        }
+        let is_running = site.workers.iter().any(|it| !it.running().is_empty());
+        let since = *idle_since.get_or_insert(record.now());
+        match is_running {
+            true => idle_since = None,
+            false => idle = idle.max(record.now() - since),
+        }
+    }
+    let (starts, failed) = (of_task(&site, "start"), of_task(&site, "failed"));
+    if starts > ATTEMPTS as usize && failed >= ATTEMPTS as usize {
+        return Ok(Verdict::Broken(format!(
+            "BUDGET: the task was started {starts} times and has failed {failed} times, with \
+             max_attempts {ATTEMPTS}; the job is shown as {shown}"
+        )));
+    }
+    Ok(match idle > 3_000 {
+        false => Verdict::Held(format!(
+            "the task was started {starts} times, failed {failed} times; the job is shown as \
+             {shown}"
+        )),
+        true => Verdict::Broken(format!(
+            "LOST: from {finish} ms on, {FINISH_MS} ms after the traffic, nothing of the job ran \
+             for {idle} ms, with {failed} of {ATTEMPTS} attempts of its last task used and all \
+             servers idle; it is shown as {shown}"
         )),
     })
 }
 
-/// The server of one of eight spread replicas crashes and starts again.
-pub fn crashed_replica(trouble: bool, record: &Record) -> io::Result<Verdict> {
-    const TASKS: u32 = 8;
-    let mut site = Site::start(1, &[16_000; TASKS as usize], fixed(Work::Lasts), record)?;
+/// The server of a service of twenty replicas crashes and starts again, twice.
+pub fn crashed_service(trouble: bool, record: &Record) -> io::Result<Verdict> {
+    const TASKS: u32 = 20;
+    let sizes = [
+        32_000, 16_000, 16_000, 16_000, 16_000, 16_000, 16_000, 16_000,
+    ];
+    let mut site = Site::start(HANAFY_YARD, &sizes, fixed(Work::Lasts), record)?;
     send_config(&site.fleet, 1, &[Route::new("base", 4)], record)?;
     site.sleep(4_000);
     let path = "/base/0123456789abcdef";
-    let body = job(&[step(
-        TASKS,
-        1_000,
-        500,
-        ",\"long_running\":true,\"anti_affinity\":1",
-    )]);
+    // Only the first server has the label.
+    let more = ",\"long_running\":true,\"required_label\":\"big\"";
+    let body = job(&[step(TASKS, 1_000, 500, more)]);
     let front = site.fleet.front(0);
     let answer = ask(front, "POST", path, &body, Duration::from_secs(3), record);
     if !matches!(answer, Some((200, _))) {
         return Err(io::Error::other("the job isn't accepted"));
     }
-    let running = |site: &Site| {
-        let workers = site.workers.iter();
-        workers.map(|worker| worker.running().len()).sum::<usize>()
-    };
-    site.sleep(6_000);
-    let before = running(&site);
-    if trouble {
-        let last = TASKS as usize - 1;
-        let profile = site.workers[last].profile.clone();
-        site.workers[last].crash();
-        site.sleep(2_000);
-        site.workers[last] = site.boot(profile)?;
+    let mut before = 0;
+    for after in [15_000, 12_000] {
+        site.sleep(after);
+        before = site.running();
+        record.line(&format!("{before} of {TASKS} tasks run"));
+        if trouble {
+            let profile = site.workers[0].profile.clone();
+            site.workers[0].crash();
+            site.sleep(1_500);
+            site.workers[0] = site.boot(profile, false)?;
+        }
     }
     // Four calm seconds after the server's return, three in which nothing runs, and two of
     // tolerance.
-    let returned = record.now();
     site.sleep(4_000 + 3_000 + 2_000);
-    let first = running(&site);
-    let mut most = first;
-    while most < TASKS as usize && record.now() < returned + 60_000 {
-        site.sleep(100);
-        most = most.max(running(&site));
-    }
-    let after = record.now() - returned;
-    let shown = state(&site.fleet, path, record).unwrap_or_default();
+    let first = site.running();
+    record.line(&format!(
+        "{first} of {TASKS} tasks run 9 s after the return"
+    ));
+    site.sleep(20_000);
+    let second = site.running();
     Ok(match first == TASKS as usize {
         true => Verdict::Held(format!("all {TASKS} tasks run")),
         false => Verdict::Broken(format!(
-            "LOST: {before} of {TASKS} tasks ran before the server crashed, {first} run 9 s after \
-             its return and {most} after {} s, with a server without any task; the job is shown \
-             as {shown}",
-            after / 1_000
+            "LOST: {before} of {TASKS} tasks ran before the second crash, {first} run 9 s after \
+             the server's return and {second} after 29 s, with nothing else to run"
+        )),
+    })
+}
+
+/// A start gets no answer and is carried out 11.9 s later. Meanwhile its server is cut off,
+/// crashes behind the cut and starts again.
+pub fn late_start(trouble: bool, record: &Record) -> io::Result<Verdict> {
+    const LATE_MS: u64 = 11_900;
+    const CUT_AFTER_MS: u64 = 6_400;
+    const CUT_MS: u64 = 8_000;
+    let task = "0123456789abcdef.";
+    let plan: Plan = Arc::new(move |name| match name.starts_with(task) {
+        true => Work::Done(60_000),
+        false => Work::Done(100),
+    });
+    let sizes = [
+        4_000, 64_000, 64_000, 64_000, 64_000, 64_000, 64_000, 64_000, 64_000,
+    ];
+    let mut site = Site::start(NORRVIK_PANNA, &sizes, plan, record)?;
+    send_config(&site.fleet, 1, &[Route::new("base", 4)], record)?;
+    site.sleep(12_000);
+    // The task goes where it leaves the least room, to the first server.
+    let server = site.workers[0].clone();
+    if trouble {
+        server.late.want(task);
+    }
+    let path = "/base/0123456789abcdef";
+    let front = site.fleet.front(0);
+    let body = job(&[step(1, 3_000, 60_000, "")]);
+    let sent = record.now();
+    let answer = ask(front, "POST", path, &body, Duration::from_secs(3), record);
+    if !matches!(answer, Some((200, _))) {
+        return Err(io::Error::other("the job isn't accepted"));
+    }
+    if trouble {
+        site.sleep(CUT_AFTER_MS);
+        server.set_cut(true);
+        site.sleep(500);
+        server.crash();
+        let reborn = site.boot(server.profile.clone(), true)?;
+        site.workers[0] = reborn.clone();
+        let Some(order) = server.late.kept() else {
+            return Err(io::Error::other("the server got no start"));
+        };
+        site.sleep((sent + LATE_MS).saturating_sub(record.now()));
+        reborn.carry_out(&order);
+        site.sleep((sent + CUT_AFTER_MS + CUT_MS).saturating_sub(record.now()));
+        reborn.set_cut(false);
+    }
+    site.sleep(12_000);
+    let mut active: Vec<(String, u64)> = Vec::new();
+    let mut most = 0;
+    let mut since = 0;
+    let mut overlap = 0;
+    for event in site.events().iter().filter(|it| it.task.starts_with(task)) {
+        if active.len() > 1 {
+            overlap += event.at - since;
+        }
+        match event.what {
+            "start" => active.push((event.worker.clone(), event.at)),
+            _ => active.retain(|(worker, _)| *worker != event.worker),
+        }
+        most = most.max(active.len());
+        since = event.at;
+    }
+    Ok(match most {
+        0 | 1 => Verdict::Held("the task had one run at a time".to_owned()),
+        _ => Verdict::Broken(format!(
+            "TWICE: the task had {most} runs at the same time, on servers that are up, for \
+             {overlap} ms"
         )),
     })
 }
--- a/review/standin-2/fleet.rs
+++ b/review/standin-2/fleet.rs
@@ -26,6 +26,28 @@
     child: Child,
 }
 
+/// The figures of a site that the processes are told.
+#[derive(Clone, Copy)]
+pub struct Bounds {
+    pub hold_max_ms: u64,
+    pub stop_ms: u64,
+    pub far_factor: f64,
+}
+
+/// Those of hanafy-yard.
+pub const HANAFY_YARD: Bounds = Bounds {
+    hold_max_ms: 10_000,
+    stop_ms: 200,
+    far_factor: 1.5,
+};
+
+/// Those of norrvik-panna and norrvik-panna-grown.
+pub const NORRVIK_PANNA: Bounds = Bounds {
+    hold_max_ms: 6_000,
+    stop_ms: 900,
+    far_factor: 2.0,
+};
+
 /// A small deployment on loopback addresses: cores, entries and a temporary folder.
 pub struct Fleet {
     pub cores: Vec<Ipv4Addr>,
@@ -49,7 +71,12 @@
 
 impl Fleet {
     /// Starts cores and entries, and waits until all entries are ready or nearly so.
-    pub fn start(cores: u8, entries: u8, record: &Record) -> io::Result<Fleet> {
+    pub fn start(
+        cores: u8,
+        entries: u8,
+        bounds: Bounds,
+        record: &Record,
+    ) -> io::Result<Fleet> {
         let seed = SystemTime::now()
             .duration_since(UNIX_EPOCH)
             .unwrap_or_default();
@@ -82,8 +109,10 @@
                 "\"node\":\"{name}\",\"ip\":\"{ip}\",\"domain\":\"zone-{zone}\",\
                  \"metrics_port\":{metrics_port},\"link_port\":{link_port},\
                  \"seeds\":[{seeds}],\"losses\":{},\"adviser\":\"\",\
-                 \"lease_limit_ms\":10000,\"stop_ms\":200,\"grace_s\":6",
-                cores / 2
+                 \"lease_limit_ms\":{},\"stop_ms\":{},\"grace_s\":6",
+                cores / 2,
+                bounds.hold_max_ms,
+                bounds.stop_ms
             )
         };
         let mut planned = Vec::new();
@@ -94,10 +123,11 @@
             let text = format!(
                 "{{{},\"control\":\"{ip}:{}\",\"bootstrap\":true,\"data\":\"{}\",\
                  \"placement\":{{\"learn_speeds\":false,\"wait_for_places\":true,\
-                 \"remote_factor\":1.5}}}}",
+                 \"remote_factor\":{}}}}}",
                 common(&name, ip, index + 1),
                 fleet.control_port,
-                data.display()
+                data.display(),
+                bounds.far_factor
             );
             planned.push((name, "core", text));
         }
--- a/review/standin-2/http.rs
+++ b/review/standin-2/http.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 /// A request that a server has read.
+#[derive(Clone)]
 pub struct Request {
     pub method: String,
     pub path: String,
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -31,11 +31,11 @@
         if trouble { "on" } else { "off" }
     ));
     let outcome = match case.as_str() {
-        "removed-route" => cases::removed_route(trouble, &record),
-        "cancelled-job" => cases::cancelled_job(trouble, &record),
-        "failed-replica" => cases::failed_replica(trouble, &record),
-        "closed-server" => cases::closed_server(trouble, &record),
+        "late-start" => cases::late_start(trouble, &record),
         "crashed-replica" => cases::crashed_replica(trouble, &record),
+        "crashed-service" => cases::crashed_service(trouble, &record),
+        "cancelled-job" => cases::cancelled_job(trouble, &record),
+        "wide-step" => cases::wide_step(trouble, &record),
         _ => Err(std::io::Error::other("no such case")),
     };
     let (code, text) = match outcome {
--- a/review/standin-2/worker.rs
+++ b/review/standin-2/worker.rs
@@ -11,9 +11,6 @@
 use crate::json::Json;
 use crate::record::Record;
 
-/// The longest lease, in milliseconds.
-const HOLD_MAX_MS: u64 = 10_000;
-
 /// How a task goes on a server.
 #[derive(Clone, Copy, PartialEq)]
 pub enum Work {
@@ -32,11 +29,46 @@
 #[derive(Debug, Clone)]
 pub struct Event {
     pub at: u64,
+    pub worker: String,
     pub task: String,
     /// `start`, or how the run ended.
     pub what: &'static str,
 }
 
+/// A start that a server leaves unanswered, to be carried out late.
+#[derive(Clone, Default)]
+pub struct LateStarts {
+    /// The beginning of the task's name; none before one is wanted.
+    wanted: Arc<Mutex<Option<String>>>,
+    kept: Arc<Mutex<Option<Request>>>,
+}
+
+impl LateStarts {
+    /// Leaves the next start of such a task unanswered.
+    pub fn want(&self, task: &str) {
+        *self.wanted.lock().expect("the lock of late starts") = Some(task.to_owned());
+    }
+
+    /// The start that was left unanswered.
+    pub fn kept(&self) -> Option<Request> {
+        self.kept.lock().expect("the lock of late starts").clone()
+    }
+
+    /// Keeps a request if it is the one that is wanted.
+    fn take(&self, request: &Request) -> bool {
+        let mut wanted = self.wanted.lock().expect("the lock of late starts");
+        let is_wanted = request.path == "/v1/run-start"
+            && wanted
+                .as_ref()
+                .is_some_and(|task| request.body.contains(task));
+        if is_wanted {
+            *wanted = None;
+            *self.kept.lock().expect("the lock of late starts") = Some(request.clone());
+        }
+        is_wanted
+    }
+}
+
 /// The events of all servers.
 pub type Events = Arc<Mutex<Vec<Event>>>;
 
@@ -49,6 +81,8 @@
     pub cpu: u64,
     pub mem_mb: u64,
     pub labels: String,
+    /// The longest lease, in milliseconds.
+    pub hold_max_ms: u64,
 }
 
 struct Run {
@@ -84,7 +118,9 @@
     started: Instant,
     open: Arc<AtomicBool>,
     /// Whether it is cut off: it gets nothing, and nothing of it arrives.
-    dark: Arc<AtomicBool>,
+    cut: Arc<AtomicBool>,
+    /// The starts that are left unanswered, to be carried out late.
+    pub late: LateStarts,
     sequence: Arc<AtomicU64>,
     state: Arc<(Mutex<State>, Condvar)>,
     plan: Plan,
@@ -100,6 +136,7 @@
         plan: Plan,
         events: Events,
         record: Record,
+        cut: bool,
     ) -> std::io::Result<Worker> {
         let born = SystemTime::now()
             .duration_since(UNIX_EPOCH)
@@ -109,7 +146,8 @@
             born: born.as_millis() as u64,
             started: Instant::now(),
             open: Arc::new(AtomicBool::new(true)),
-            dark: Arc::default(),
+            cut: Arc::new(AtomicBool::new(cut)),
+            late: LateStarts::default(),
             sequence: Arc::default(),
             state: Arc::default(),
             plan,
@@ -158,18 +196,24 @@
         changed.notify_all();
     }
 
-    /// Makes the server fall silent for good: it loses power, and connections to it stay
-    /// open without an answer.
-    pub fn lose_power(&self) {
-        self.dark.store(true, Ordering::SeqCst);
+    /// Cuts the server off from all machines, or joins it to them again. It runs on.
+    pub fn set_cut(&self, cut: bool) {
+        self.cut.store(cut, Ordering::SeqCst);
+        let what = if cut { "is cut off" } else { "is joined again" };
         self.record
-            .line(&format!("server {} loses power", self.profile.id));
-        let (state, _) = &*self.state;
-        if let Ok(mut state) = state.lock() {
-            for run in state.running.drain(..) {
-                self.event(&run.task, run.run, "crashed");
-            }
-        }
+            .line(&format!("server {} {what}", self.profile.id));
+    }
+
+    /// Carries out an order that was sent long ago, whatever became of its sender.
+    pub fn carry_out(&self, order: &Request) {
+        let answer = match self.execute(order) {
+            Answer::Respond(status, text) => format!("{status} {text}"),
+            Answer::Close => "nothing".to_owned(),
+        };
+        self.record.line(&format!(
+            "server {} carries out a late order: {answer}",
+            self.profile.id
+        ));
     }
 
     /// What runs here: task and run.
@@ -190,6 +234,7 @@
     fn event(&self, task: &str, run: u64, what: &'static str) {
         let event = Event {
             at: self.record.now(),
+            worker: self.profile.id.clone(),
             task: task.to_owned(),
             what,
         };
@@ -204,9 +249,6 @@
 
     /// Ends what is over by now.
     fn advance(&self) {
-        if self.dark.load(Ordering::SeqCst) {
-            return;
-        }
         let clock = self.clock();
         let (state, changed) = &*self.state;
         let Ok(mut state) = state.lock() else { return };
@@ -252,7 +294,11 @@
 
     fn report(&self, controls: &[SocketAddr]) {
         let mut at = 0;
-        while self.open.load(Ordering::SeqCst) && !self.dark.load(Ordering::SeqCst) {
+        while self.open.load(Ordering::SeqCst) {
+            if self.cut.load(Ordering::SeqCst) {
+                thread::sleep(Duration::from_millis(20));
+                continue;
+            }
             let profile = &self.profile;
             let sequence = self.sequence.fetch_add(1, Ordering::SeqCst) + 1;
             let body = format!(
@@ -285,11 +331,28 @@
     }
 
     fn handle(&self, request: Request) -> Answer {
-        if self.dark.load(Ordering::SeqCst) {
-            // Nothing of a server without power arrives any more.
-            thread::sleep(Duration::from_secs(120));
+        if self.cut.load(Ordering::SeqCst) {
+            // What is sent while the cut lasts is lost.
+            thread::sleep(Duration::from_secs(3));
+            return Answer::Close;
+        }
+        if self.late.take(&request) {
+            self.record.line(&format!(
+                "server {} leaves {} unanswered: {}",
+                self.profile.id, request.path, request.body
+            ));
+            thread::sleep(Duration::from_secs(3));
             return Answer::Close;
         }
+        let answer = self.execute(&request);
+        match self.cut.load(Ordering::SeqCst) {
+            true => Answer::Close,
+            false => answer,
+        }
+    }
+
+    /// Carries out a request.
+    fn execute(&self, request: &Request) -> Answer {
         if request.method == "GET" {
             return Answer::Respond(200, "{}".to_owned());
         }
@@ -321,7 +384,7 @@
         }
         state.fence = fence;
         if let Some(deadline) = int("deadline_ms") {
-            let deadline = deadline.min(clock + HOLD_MAX_MS);
+            let deadline = deadline.min(clock + self.profile.hold_max_ms);
             state.deadline = state.deadline.max(deadline);
         }
         let (task, run) = (text("task").to_owned(), int("run").unwrap_or(0));
@@ -381,11 +444,6 @@
                         .expect("the lock of a server")
                         .0;
                 }
-                if self.dark.load(Ordering::SeqCst) {
-                    drop(state);
-                    thread::sleep(Duration::from_secs(120));
-                    return Answer::Close;
-                }
                 Answer::Respond(200, self.lists(&state))
             }
             _ => Answer::Respond(404, "{}".to_owned()),
