--- a/review/standin-2/fleet.rs
+++ b/review/standin-2/fleet.rs
@@ -193,10 +193,8 @@
         (self.entries[entry % self.entries.len()], self.front_port).into()
     }
 
-    /// The core that leads, by the overview that a core gives.
+    /// The core that leads, by the newest lines about roles in the cores' logs.
     pub fn leader(&self) -> Option<usize> {
-        // Only the leader answers an order for its overview without passing it on, which
-        // doesn't show here; its log line on its role does.
         let mut newest = None;
         for index in 0..self.cores.len() {
             let text = self.log_text(&format!("core-{}", index + 1));
