Give each term 2^32 run numbers for a step

Cause: a leader numbered the runs of a step from (term - 1) * 4,096 on and went on beyond 4,096, into the next term's range. The next leader's numbers were lower than earlier ones. Workers rejected them as old, failures with lower numbers weren't counted against the attempts, and crashes weren't held against the task.

Change: a term has 2^32 numbers for a step.

--- a/crates/gentianlane/src/fleet/dispatch/stage.rs
+++ b/crates/gentianlane/src/fleet/dispatch/stage.rs
@@ -121,8 +121,11 @@
 }
 
 /// How many run numbers each term has for one step. The ranges of later terms
-/// are higher, so that numbers rise from one leader to the next.
-const STARTS_PER_TERM: u64 = 1 << 12;
+/// are higher, so that numbers rise from one leader to the next without a record of
+/// how many each has used. No leader can use up a range: at 5,000 starts per second
+/// it lasts for ten days. Workers may read numbers as floating-point values, which are
+/// exact up to 2^53, the end of the range of term 2^21.
+const STARTS_PER_TERM: u64 = 1 << 32;
 
 impl Stage {
     pub(crate) fn new(
@@ -179,7 +182,9 @@
     /// The next run's number, higher than all earlier ones of the step.
     pub(crate) fn next_run_number(&mut self, fencing_token: u64) -> u64 {
         self.starts += 1;
-        fencing_token.saturating_sub(1) * STARTS_PER_TERM + self.starts
+        let earlier_terms = fencing_token.saturating_sub(1);
+        let used = earlier_terms.saturating_mul(STARTS_PER_TERM);
+        used.saturating_add(self.starts)
     }
 
     /// Records a completed task's pace, in microseconds per percent.
--- a/crates/gentianlane/tests/fleet/main.rs
+++ b/crates/gentianlane/tests/fleet/main.rs
@@ -14,6 +14,7 @@
 mod proof;
 mod regression;
 mod review;
+mod run_number;
 mod simulated_worker;
 mod team;
 mod team_fuzz;
--- a/crates/gentianlane/tests/fleet/regression.rs
+++ b/crates/gentianlane/tests/fleet/regression.rs
@@ -24,8 +24,8 @@
 }
 
 /// A leader's dispatcher with one worker, `w0`.
-struct Leader {
-    state: State,
+pub(crate) struct Leader {
+    pub(crate) state: State,
     dispatcher: Dispatcher,
     now: Time,
     worker: Worker,
@@ -33,8 +33,11 @@
 
 impl Leader {
     fn new(term: u64) -> Self {
+        Self::with_worker(term, new_worker())
+    }
+
+    pub(crate) fn with_worker(term: u64, worker: Worker) -> Self {
         let now = Time::from_millis(10_000);
-        let worker = new_worker();
         let mut state = State::default();
         state.apply(Command::Plan(Box::new(plan(1, false))));
         state.apply(Command::Join {
@@ -50,8 +53,23 @@
         }
     }
 
+    /// The leader of a later term, which has applied the same entries.
+    pub(crate) fn succeed(&mut self, term: u64) {
+        let setup = Setup::default();
+        self.dispatcher = Dispatcher::new(&self.state, term, setup, self.now, wall());
+    }
+
+    /// Applies a command, and reacts to what it changes.
+    pub(crate) fn apply(&mut self, command: Command) {
+        for event in self.state.apply(command) {
+            let state = &self.state;
+            self.dispatcher
+                .handle_event(state, &event, self.now, wall());
+        }
+    }
+
     /// The orders that the dispatcher makes after some milliseconds.
-    fn orders(&mut self, after: u64) -> Vec<Order> {
+    pub(crate) fn orders(&mut self, after: u64) -> Vec<Order> {
         self.now = self.now.after(Span::from_millis(after));
         self.dispatcher.tick(&self.state, self.now, wall());
         self.dispatcher.take_effects().orders
@@ -64,19 +82,30 @@
         orders.find(renewal)
     }
 
-    fn answer(&mut self, id: CallId, answer: Answer) {
+    /// Confirms a start or a stop.
+    pub(crate) fn confirm(&mut self, id: CallId) {
+        let clock = self.now.as_millis();
+        self.answer(id, Answer::Done { clock });
+    }
+
+    pub(crate) fn answer(&mut self, id: CallId, answer: Answer) {
         let state = &self.state;
         self.dispatcher
             .handle_answer(state, id, answer, self.now, wall());
     }
 
     /// Answers a renewal with the worker's status and the runs that have ended.
-    fn answer_status(&mut self, id: CallId, ended: Vec<EndedRun>) {
+    pub(crate) fn answer_status(&mut self, id: CallId, ended: Vec<EndedRun>) {
         self.answer_runs(id, &[], ended);
     }
 
     /// Answers a renewal with a status that lists these runs of job 7's task as active.
-    fn answer_runs(&mut self, id: CallId, running: &[u64], ended: Vec<EndedRun>) {
+    pub(crate) fn answer_runs(
+        &mut self,
+        id: CallId,
+        running: &[u64],
+        ended: Vec<EndedRun>,
+    ) {
         let active = |&run: &u64| ActiveRun {
             task: task(7),
             run,
@@ -118,22 +147,17 @@
         self.submit_job(job_id, job(1, 500));
     }
 
-    fn submit_job(&mut self, job_id: u64, spec: Spec) {
-        let events = self.state.apply(Command::Submit {
+    pub(crate) fn submit_job(&mut self, job_id: u64, spec: Spec) {
+        self.apply(Command::Submit {
             at: wall(),
             job: Id(job_id),
             queue: "queue".to_owned(),
             spec: Box::new(spec),
         });
-        for event in events {
-            let state = &self.state;
-            self.dispatcher
-                .handle_event(state, &event, self.now, wall());
-        }
     }
 }
 
-fn wall() -> Wall {
+pub(crate) fn wall() -> Wall {
     Wall::from_millis(1_000_000)
 }
 
