Choose a trial's worker by what limits a start there

Cause: a task that is charged with a crash runs on a worker that is kept for its trial. The choice of that worker didn't count the step's tasks that were there, nor the limit of a worker with failures, late starts that bind the task, earlier runs of it and the team's limit. Placement refused the start, the trial was given up after 6 s, and the same worker was chosen again. Suspects of one step were tried one after another, so that the last of several came back too late.

Change: placement and trials share the functions that say how many tasks of a step a worker may take and whether a start may be sent there. A worker or a step whose trial didn't begin comes last in the next choice. Once a task of the step has run for 3 s its other suspects are tried side by side. trial_chosen and trial_lapsed are logged.

--- a/crates/gentianlane/src/fleet/decision.rs
+++ b/crates/gentianlane/src/fleet/decision.rs
@@ -166,6 +166,26 @@
         /// The worker where that is.
         other_worker: id::Worker,
     },
+    /// Workers are kept for the trial of a task under which others have crashed.
+    #[display("event=trial_chosen task={task} worker={worker} workers={workers} clear_in_ms={}", clear_in.as_millis())]
+    TrialChosen {
+        /// The task, or the first member of the gang.
+        task: Task,
+        /// The worker, or the first of a gang's.
+        worker: id::Worker,
+        /// The number of workers.
+        workers: usize,
+        /// The time after which nothing else on them could be blamed for a crash.
+        clear_in: Span,
+    },
+    /// A trial was given up, as the task wasn't started in time.
+    #[display("level=WARN event=trial_lapsed task={task} worker={worker}")]
+    TrialLapsed {
+        /// The task, or the first member of the gang.
+        task: Task,
+        /// The worker that was kept for it, or the first of a gang's.
+        worker: id::Worker,
+    },
     /// The adviser answered a request.
     #[display("event=advice stage={stage} asked={asked} eligible={eligible} took_ms={}", elapsed.as_millis())]
     Advice {
--- a/crates/gentianlane/src/fleet/dispatch/place.rs
+++ b/crates/gentianlane/src/fleet/dispatch/place.rs
@@ -224,16 +224,7 @@
             let mut tasks = session.runs.keys().map(|(task, _)| task);
             tasks.any(|task| self.is_suspected(task))
         };
-        let present = session.count_of(&stage.id);
-        let task_limit = match stage.step.max_per_worker {
-            Some(limit) => limit.saturating_sub(present),
-            None => u32::MAX,
-        };
-        // A suspect worker is probed with one task at a time.
-        let task_limit = match session.failures {
-            0 => task_limit,
-            _ => task_limit.min(u32::from(!session.has_trial_run())),
-        };
+        let task_limit = task_limit(stage, session);
         let preferred_rack = stage.step.preferred_rack.as_ref();
         let is_remote = |rack| !session.profile.labels.contains(rack);
         (task_limit > 0).then(|| Candidate {
@@ -246,7 +237,7 @@
             speed_penalty: self.speed_penalty(stage, session),
             slowdown: self.slowdown_at(stage, session),
             ticket,
-            has_runs: present > 0,
+            has_runs: session.count_of(&stage.id) > 0,
             trial: session.trial.map(|task| task.index),
             has_charged_tasks: !stage.suspects.is_empty() && has_charged_tasks(),
         })
@@ -328,19 +319,21 @@
                 continue;
             }
             let trial = suspect.needs_trial().then_some(index);
-            let choice = self.unconfirmed.choice(&Task { stage: *id, index }, now);
+            let task = Task { stage: *id, index };
+            let choice = self.unconfirmed.choice(&task, now);
             let best = candidates
                 .iter_mut()
                 .filter(|candidate| {
-                    let has_run = || {
-                        let task = Task { stage: *id, index };
-                        candidate.has_runs && self.has_run(&candidate.worker, task)
+                    // The choice of a trial's worker has weighed earlier failures.
+                    let is_avoided = || {
+                        trial.is_none()
+                            && stage.avoids(index, &candidate.worker, feasible)
                     };
                     candidate.fits(&demand)
                         && candidate.trial == trial
+                        && !is_avoided()
                         && choice.allows(&candidate.worker)
-                        && !stage.avoids(index, &candidate.worker, feasible)
-                        && !has_run()
+                        && !(candidate.has_runs && self.has_run(&candidate.worker, &task))
                 })
                 .min_by_key(|candidate| {
                     // Apart from each other, suspects are told apart by a crash.
@@ -361,7 +354,6 @@
                 return;
             };
             let number = stage.next_run_number(self.fencing_token);
-            let task = Task { stage: *id, index };
             self.assign_run(&task, &worker, number, ticket, now);
             match trial {
                 None => self.send_start(&worker, &task, number, now),
@@ -387,10 +379,16 @@
             .any(|choice| choice == Choice::Any)
     }
 
+    /// Whether a start of a task may be sent to a worker: no start that may still be
+    /// carried out binds the task elsewhere, and the worker has no run of it.
+    pub(super) fn may_send(&self, task: &Task, worker: &id::Worker, now: Time) -> bool {
+        self.unconfirmed.choice(task, now).allows(worker) && !self.has_run(worker, task)
+    }
+
     /// Whether a worker may still have an earlier run of a task.
-    fn has_run(&self, worker: &id::Worker, task: Task) -> bool {
+    fn has_run(&self, worker: &id::Worker, task: &Task) -> bool {
         let session = self.sessions.get(worker);
-        session.is_some_and(|session| session.has_run(&task))
+        session.is_some_and(|session| session.has_run(task))
     }
 
     /// How many workers are feasible for a step, see [`is_feasible`].
@@ -563,6 +561,19 @@
         && required_label.is_none_or(|label| labels.contains(label))
 }
 
+/// How many more tasks of a step a worker may take, whatever its room.
+pub(super) fn task_limit(stage: &Stage, session: &Session) -> u32 {
+    let limit = match stage.step.max_per_worker {
+        Some(limit) => limit.saturating_sub(session.count_of(&stage.id)),
+        None => u32::MAX,
+    };
+    // A suspect worker is probed with one task at a time.
+    match session.failures {
+        0 => limit,
+        _ => limit.min(u32::from(!session.has_trial_run())),
+    }
+}
+
 /// Whether a worker matches the step's constraints, answers orders and isn't
 /// draining.
 pub(super) fn is_available(stage: &Stage, session: &Session) -> bool {
--- a/crates/gentianlane/src/fleet/dispatch/stage.rs
+++ b/crates/gentianlane/src/fleet/dispatch/stage.rs
@@ -54,6 +54,9 @@
     pub(crate) failed_on: IndexMap<u32, BTreeSet<id::Worker>>,
     /// What is held against tasks, by [`Stage::unit_key`].
     pub(crate) suspects: IndexMap<u32, Suspect>,
+    /// The workers that were kept for a trial of the step that didn't begin in time, and
+    /// when they were given up.
+    pub(crate) lapsed_trials: IndexMap<id::Worker, Time>,
     /// The least time that a completed task took for one percent of its
     /// progress, in microseconds.
     best_pace: Option<u64>,
@@ -154,6 +157,7 @@
             not_before: now,
             failed_on: IndexMap::default(),
             suspects: IndexMap::default(),
+            lapsed_trials: IndexMap::default(),
             best_pace: None,
             blocked_since: None,
             reserved: Vec::new(),
--- a/crates/gentianlane/src/fleet/dispatch/trial.rs
+++ b/crates/gentianlane/src/fleet/dispatch/trial.rs
@@ -3,12 +3,14 @@
 //! A task that has been charged with crashes runs on a worker of its own for a while,
 //! beside none but settled runs: if that worker crashes as well, the task is to blame,
 //! and no other one was at risk. A worker that is chosen for a trial takes no other
-//! tasks until then.
+//! tasks until then. The choice respects what limits a start ([`task_limit`],
+//! [`Dispatcher::may_send`]); a worker on which a trial hasn't begun in time comes last
+//! in the next choice.
 
-use crate::collections::IndexSet;
 use crate::fleet::crash::SETTLING_TIME;
+use crate::fleet::decision::Decision;
 use crate::fleet::dispatch::Dispatcher;
-use crate::fleet::dispatch::place::is_available;
+use crate::fleet::dispatch::place::{is_available, task_limit};
 use crate::fleet::dispatch::session::{Run, RunState, Session};
 use crate::fleet::dispatch::stage::Stage;
 use crate::fleet::dispatch::survey::Seen;
@@ -38,6 +40,8 @@
 struct Offer {
     /// Whether the task has failed there.
     has_failed: bool,
+    /// When a trial of the step was last given up there before it began.
+    lapsed_at: Option<Time>,
     /// Whether a start there needs a new ticket.
     lacks_ticket: bool,
     /// When its runs will have ended or settled.
@@ -77,8 +81,18 @@
                 continue;
             }
             kept += offers.len();
+            let clear_at = offers.iter().map(|offer| offer.clear_at).max();
             let workers = offers.into_iter().map(|offer| offer.worker);
-            self.begin_trial(task, workers.collect(), now);
+            let workers: Vec<id::Worker> = workers.collect();
+            if let Some(worker) = workers.first() {
+                self.effects.decisions.push(Decision::TrialChosen {
+                    task,
+                    worker: worker.clone(),
+                    workers: workers.len(),
+                    clear_in: clear_at.unwrap_or(now).since(now),
+                });
+            }
+            self.begin_trial(task, workers, now);
         }
     }
 
@@ -102,10 +116,36 @@
         let over = trials.filter(|(task, trial)| self.is_trial_over(task, trial, now));
         let over: Vec<Task> = over.map(|(task, _)| *task).collect();
         for task in over {
+            self.note_lapse(&task, now);
             self.end_trial(&task);
         }
     }
 
+    /// Notes a trial that is given up before it began: its workers and its step come
+    /// last in the next choices.
+    fn note_lapse(&mut self, task: &Task, now: Time) {
+        let (Some(trial), Some(stage)) =
+            (self.trials.get(task), self.stages.get_mut(&task.stage))
+        else {
+            return;
+        };
+        let is_waiting = !self.placements.contains_key(task);
+        if !is_waiting || now.since(trial.chosen_at) < TRIAL_WAIT {
+            return;
+        }
+        for worker in &trial.workers {
+            stage.lapsed_trials.insert(worker.clone(), now);
+        }
+        self.suspect_stages.shift_remove(&task.stage);
+        self.suspect_stages.insert(task.stage);
+        if let Some(worker) = trial.workers.first() {
+            self.effects.decisions.push(Decision::TrialLapsed {
+                task: *task,
+                worker: worker.clone(),
+            });
+        }
+    }
+
     /// Opens the workers of a task's trial, if it has one, to other tasks.
     fn end_trial(&mut self, task: &Task) {
         let trial = self.trials.swap_remove(task);
@@ -120,33 +160,42 @@
         }
     }
 
-    /// The workers to request advice on for a step whose tasks wait for a trial: those
-    /// kept for it, once they are clear and any of their tickets has expired. None if
-    /// the step isn't such a one, or knows too few workers for a trial.
+    /// The workers to request advice on for a step with tasks that wait for a trial:
+    /// those that are kept for one and clear, if any of their tickets has expired. None
+    /// if the step isn't such a one, or knows too few workers for a trial.
     pub(super) fn trial_question(
         &self,
         stage: &Stage,
         now: Time,
     ) -> Option<Vec<id::Worker>> {
+        let trials = self.trials.iter();
+        let waiting: Vec<_> = trials
+            .filter(|(task, _)| {
+                task.stage == stage.id && !self.placements.contains_key(*task)
+            })
+            .collect();
+        let lacks_tickets = |trial: &Trial| {
+            let mut permits = trial.workers.iter().map(|worker| stage.permit(worker));
+            permits.any(|permit| permit.is_none_or(|permit| !permit.is_valid(now)))
+        };
+        let due = waiting.iter().filter(|(task, trial)| {
+            let sessions = trial.workers.iter();
+            let mut sessions = sessions.filter_map(|worker| self.sessions.get(worker));
+            sessions.all(|session| self.is_clear_for(session, task))
+                && lacks_tickets(trial)
+        });
+        let due: Vec<id::Worker> = due
+            .flat_map(|(_, trial)| trial.workers.iter().cloned())
+            .collect();
+        if !due.is_empty() {
+            return Some(due);
+        }
         if !self.waits_for_trial(stage) {
             return None;
         }
-        let mut trials = self.trials.iter();
-        let Some((task, trial)) = trials.find(|(task, _)| task.stage == stage.id) else {
-            let has_offers = |task| !self.trial_offers(&task, now).is_empty();
-            let may_wait = first_suspect(stage).is_none_or(has_offers);
-            return may_wait.then(Vec::new);
-        };
-        let sessions = trial.workers.iter();
-        let mut sessions = sessions.filter_map(|worker| self.sessions.get(worker));
-        let clear = sessions.all(|session| self.is_clear_for(session, task));
-        let mut permits = trial.workers.iter().map(|worker| stage.permit(worker));
-        let expired =
-            permits.any(|permit| permit.is_none_or(|permit| !permit.is_valid(now)));
-        match clear && expired {
-            true => Some(trial.workers.clone()),
-            false => Some(Vec::new()),
-        }
+        let has_offers = |task| !self.trial_offers(&task, now).is_empty();
+        let may_wait = !waiting.is_empty() || first_suspect(stage).is_none_or(has_offers);
+        may_wait.then(Vec::new)
     }
 
     /// Whether workers are kept for the trial of a task of a step.
@@ -212,16 +261,40 @@
             || self.sessions.get(&place.worker).is_none_or(has_lasted)
     }
 
-    /// The tasks that wait for a trial for which no worker is chosen, at most one of
-    /// each step: equal tasks are likely to behave alike.
+    /// The tasks that wait for a trial for which no worker is chosen. Equal tasks are
+    /// likely to behave alike, so that those of a step are tried one after another until
+    /// one of its tasks has lasted.
     fn untried_suspects(&self, now: Time) -> Vec<Task> {
-        let on_trial: IndexSet<job::Stage> =
-            self.trials.keys().map(|task| task.stage).collect();
         let stages = self.suspect_stages.iter();
-        let stages = stages.filter(|id| !on_trial.contains(*id));
         let stages = stages.filter_map(|id| self.stages.get(id));
-        let placeable = stages.filter(|stage| stage.is_placeable(now));
-        placeable.filter_map(first_suspect).collect()
+        let placeable = stages
+            .filter(|stage| stage.is_placeable(now) && self.team_allowance(stage) > 0);
+        let untried = placeable.flat_map(|stage| {
+            let suspects = suspects(stage);
+            let untried = suspects.filter(|task| !self.trials.contains_key(task));
+            let mut untried: Vec<Task> = untried.collect();
+            let at_once = usize::from(!self.has_trial(&stage.id));
+            if untried.len() > at_once && !self.has_lasting_task(stage) {
+                untried.truncate(at_once);
+            }
+            untried
+        });
+        untried.collect()
+    }
+
+    /// Whether a run of any task of a step has lasted.
+    fn has_lasting_task(&self, stage: &Stage) -> bool {
+        let lasts = |index| {
+            let task = Task {
+                stage: stage.id,
+                index,
+            };
+            let place = self.placements.get(&task)?;
+            let session = self.sessions.get(&place.worker)?;
+            let run = session.runs.get(&(task, place.run))?;
+            Some(has_lasted(session, run))
+        };
+        !stage.step.gang && (0..stage.step.count).any(|index| lasts(index) == Some(true))
     }
 
     /// The workers that can be clear for a task's trial soonest: one, or as many as a
@@ -236,6 +309,7 @@
                 && session.is_usable(now)
                 && session.trial.is_none()
                 && !self.reserved_workers.contains(worker)
+                && (stage.step.gang || self.may_send(task, worker, now))
         });
         let is_valid = |worker| {
             let mut permit = stage.permit(worker).into_iter();
@@ -243,14 +317,17 @@
         };
         let offers = suitable.map(|(worker, session)| Offer {
             has_failed: stage.avoids(task.index, worker, usize::MAX),
+            lapsed_at: stage.lapsed_trials.get(worker).copied(),
             lacks_ticket: stage.needs_advice() && !is_valid(worker),
             clear_at: self.clear_at(session, now),
             worker: worker.clone(),
             tasks: Self::tasks_beside_settled(stage, session),
         });
         let mut offers: Vec<Offer> = offers.filter(|offer| offer.tasks > 0).collect();
-        offers
-            .sort_by_key(|offer| (offer.has_failed, offer.clear_at, offer.lacks_ticket));
+        offers.sort_by_key(|offer| {
+            let preference = (offer.lapsed_at, offer.has_failed);
+            (preference, offer.clear_at, offer.lacks_ticket)
+        });
         let mut wanted = if stage.step.gang { stage.step.count } else { 1 };
         let mut chosen = Vec::new();
         for offer in offers {
@@ -268,8 +345,7 @@
     fn tasks_beside_settled(stage: &Stage, session: &Session) -> u32 {
         let demand = stage.step.demand();
         let mut room = Self::room_beside_settled(session);
-        let limit = stage.step.max_per_worker.unwrap_or(u32::MAX);
-        let limit = limit.min(stage.step.count);
+        let limit = task_limit(stage, session).min(stage.step.count);
         let mut tasks = 0;
         while tasks < limit && demand.fits(&room) {
             room = room.less(&demand);
@@ -339,19 +415,25 @@
     }
 }
 
-/// The first pending task of a step that waits for a trial, or the step's gang.
-fn first_suspect(stage: &Stage) -> Option<Task> {
+/// The pending tasks of a step that wait for a trial, or the step's gang.
+fn suspects(stage: &Stage) -> impl Iterator<Item = Task> {
     let waits = |index: &&u32| {
         let suspect = stage.suspect(**index);
         suspect.needs_trial() && !suspect.is_held()
     };
-    let &index = stage.pending.iter().find(waits)?;
-    Some(Task {
+    let most = if stage.step.gang { 1 } else { usize::MAX };
+    let waiting = stage.pending.iter().filter(waits).take(most);
+    waiting.map(|&index| Task {
         stage: stage.id,
         index: stage.unit_key(index),
     })
 }
 
+/// The first pending task of a step that waits for a trial, or the step's gang.
+fn first_suspect(stage: &Stage) -> Option<Task> {
+    suspects(stage).next()
+}
+
 /// Whether a run has lasted so long that it is no cause of a crash by itself; what a
 /// silent worker still runs isn't known.
 fn has_lasted(session: &Session, run: &Run) -> bool {
--- a/crates/gentianlane/tests/fleet/main.rs
+++ b/crates/gentianlane/tests/fleet/main.rs
@@ -18,6 +18,7 @@
 mod simulated_worker;
 mod team;
 mod team_fuzz;
+mod trial;
 mod wait;
 mod whole_core;
 mod world;
