Record the id of a job that is cancelled before it is submitted

Cause: the leader looked for the job in the applied state and took what wasn't there for what would never come. The job was in the same batch of proposals; likewise it may be with an entry that keeps it or stands still, or in a socket.

Change: a cancellation of an unknown job goes through the log. If the job is there by then it is cancelled, and the answer is 200.

Evidence: tests/fleet/cancel.rs, six histories that all fail before: 410 while the job is stored, 200 for a job that comes after its 410, with no lost leader, one, two or all cores lost between, and a lost leader's proposal.

--- a/crates/gentianlane/src/fleet/command.rs
+++ b/crates/gentianlane/src/fleet/command.rs
@@ -19,7 +19,7 @@
 pub enum Command {
     /// Replace the plan if this one has a higher version.
     Plan(Box<Plan>),
-    /// Add a job, unless its id is taken.
+    /// Add a job, unless its id is taken or was cancelled.
     Submit {
         /// When the leader accepted the job, by its wall clock.
         at: Wall,
@@ -65,9 +65,10 @@
         /// The incarnation that has ended; a later one stays registered.
         incarnation: Incarnation,
     },
-    /// Remove old finished jobs, and dropped queues without open jobs.
+    /// Remove old finished jobs, ids that were cancelled before they were submitted,
+    /// and dropped queues without open jobs.
     Expire {
-        /// Jobs that finished before this time are removed.
+        /// Jobs that finished and ids that were cancelled before this time are removed.
         before: Wall,
     },
     /// Record that a start got no answer, so that a later incarnation of its worker
@@ -121,7 +122,7 @@
     },
     /// Replace the plan, if this one has a higher version, by one that has teams.
     PlanWithAccess(Box<Plan>, Box<Access>),
-    /// Add a job of a team, unless its id is taken.
+    /// Add a job of a team, unless its id is taken or was cancelled.
     SubmitFor {
         /// The team whose caller submitted it.
         team: id::Team,
@@ -144,6 +145,18 @@
         /// The worker's address, pool, capacity and labels.
         profile: Profile,
     },
+    /// Cancel a job that wasn't known when this was proposed; if it still isn't, record
+    /// its id, so that a submission that arrives later is rejected.
+    Withdraw {
+        /// When the leader received the cancellation, by its wall clock.
+        at: Wall,
+        /// The id of the job to cancel.
+        job: Id,
+        /// The name of the queue that the caller addressed.
+        queue: String,
+        /// The caller's team, if its call had a key.
+        team: Option<id::Team>,
+    },
 }
 
 /// A command that can't be encoded, or bytes that aren't a command.
--- a/crates/gentianlane/src/fleet/decision.rs
+++ b/crates/gentianlane/src/fleet/decision.rs
@@ -49,6 +49,18 @@
         /// The job's final phase.
         phase: Phase,
     },
+    /// A job was cancelled that isn't known; a submission that arrives later is rejected.
+    #[display("event=cancelled_unknown job={job}")]
+    UnknownJobCancelled {
+        /// The id of the job.
+        job: Id,
+    },
+    /// A submission was rejected, as its job had been cancelled before.
+    #[display("event=submission_rejected job={job} why=cancelled")]
+    SubmissionRejected {
+        /// The id of the job.
+        job: Id,
+    },
     /// An order to start a task was sent to a worker.
     #[display("event=start task={task} run={run} life={incarnation} heard_ms={} lease_ms={} try={attempt}", since_answer.as_millis(), lease.as_millis())]
     Start {
@@ -453,6 +465,8 @@
             }),
             Self::SecondRun { .. } => Some("second_runs"),
             Self::WorkerAlive { .. } => Some("workers_alive"),
+            Self::UnknownJobCancelled { .. } => Some("cancelled_unknown"),
+            Self::SubmissionRejected { .. } => Some("submissions_rejected"),
             _ => None,
         }
     }
--- a/crates/gentianlane/src/fleet/dispatch/event.rs
+++ b/crates/gentianlane/src/fleet/dispatch/event.rs
@@ -60,6 +60,7 @@
             Event::TaskSuspected(task, suspicion) => {
                 self.suspect_task(task, *suspicion);
             }
+            Event::SubmissionRejected(_) | Event::UnknownJobCancelled(_) => {}
         }
     }
 
--- a/crates/gentianlane/src/fleet/node.rs
+++ b/crates/gentianlane/src/fleet/node.rs
@@ -446,8 +446,9 @@
             };
             let events = self.state.apply(command);
             if let Some(ticket) = self.pending_replies.swap_remove(&entry.index) {
-                self.reply(ticket, Reply::Done);
+                self.reply(ticket, stored_reply(&events));
             }
+            self.log_cancellations(&events);
             let Some(dispatcher) = &mut self.dispatcher else {
                 self.report_finished_jobs(&events);
                 continue;
@@ -458,6 +459,21 @@
         }
     }
 
+    /// Logs cancellations of unknown jobs, and the submissions that they reject.
+    fn log_cancellations(&mut self, events: &[Event]) {
+        if self.consensus.role() != Role::Leader {
+            return;
+        }
+        for event in events {
+            let decision = match *event {
+                Event::UnknownJobCancelled(job) => Decision::UnknownJobCancelled { job },
+                Event::SubmissionRejected(job) => Decision::SubmissionRejected { job },
+                _ => continue,
+            };
+            self.outputs.push(Output::Decision(decision));
+        }
+    }
+
     /// Logs the jobs that finish through entries of earlier terms, which a new
     /// leader applies before it has a dispatcher.
     fn report_finished_jobs(&mut self, events: &[Event]) {
@@ -474,3 +490,13 @@
         }
     }
 }
+
+/// The reply to a call whose command has been applied, by what it changed.
+fn stored_reply(events: &[Event]) -> Reply {
+    let reply = |event: &Event| match event {
+        Event::UnknownJobCancelled(_) => Some(Reply::NoJob),
+        Event::SubmissionRejected(_) => Some(calls::cancelled_before()),
+        _ => None,
+    };
+    events.iter().find_map(reply).unwrap_or(Reply::Done)
+}
--- a/crates/gentianlane/src/fleet/node/calls.rs
+++ b/crates/gentianlane/src/fleet/node/calls.rs
@@ -22,6 +22,12 @@
 /// The retry delay while no plan is in force.
 const NO_PLAN_RETRY: Span = Span::from_millis(1_000);
 
+/// The retry delay for cancellations of unknown jobs while too many are recorded.
+const WITHDRAWN_RETRY: Span = Span::from_millis(1_000);
+
+/// For how long another cancellation of an unknown job isn't recorded again.
+const WITHDRAWN_REFRESH: Span = Span::from_secs(60);
+
 /// The retry delay for workers whose call was refused.
 const WORKER_RETRY: Span = Span::from_millis(1_000);
 
@@ -94,8 +100,13 @@
             return self.reply(ticket, Reply::Malformed(detail));
         };
         let queue = queue.to_owned();
+        if self.state.withdrawn().at(team.as_ref(), job).is_some() {
+            let rejected = Decision::SubmissionRejected { job };
+            self.outputs.push(Output::Decision(rejected));
+            return self.reply(ticket, cancelled_before());
+        }
         if self.state.job(&job).is_some() {
-            let reply = match self.may_access(&job, &queue, team.as_ref()) {
+            let reply = match self.state.may_access(&job, &queue, team.as_ref()) {
                 true => Reply::Done,
                 false => Reply::Malformed("the job's id is taken".to_owned()),
             };
@@ -217,17 +228,6 @@
         }
     }
 
-    /// Whether a caller of a queue may read and cancel a job: its own team's, one
-    /// without an owner, or any job of a public queue.
-    fn may_access(&self, job: &Id, queue: &str, team: Option<&id::Team>) -> bool {
-        let owners = self.state.owners();
-        let (Some(access), Some(owner)) = (owners.access(), owners.of(job)) else {
-            return true;
-        };
-        let is_in_queue = || self.state.job(job).is_some_and(|job| job.queue == queue);
-        Some(&owner.team) == team || (access.is_public(queue) && is_in_queue())
-    }
-
     fn status(&mut self, target: &Target, credential: Option<&Credential>) -> Reply {
         let (name, team, rest) = match self.authorize(target, credential) {
             Ok(authorized) => authorized,
@@ -239,7 +239,8 @@
         if rest.is_empty() {
             return Reply::Waiting(dispatcher.waiting_jobs(&name));
         }
-        let job = job_id(rest).filter(|id| self.may_access(id, &name, team.as_ref()));
+        let may_access = |id: &Id| self.state.may_access(id, &name, team.as_ref());
+        let job = job_id(rest).filter(may_access);
         let found = job.and_then(|id| Some((id, self.state.job(&id)?)));
         let Some((id, job)) = found else {
             return Reply::NoJob;
@@ -263,17 +264,52 @@
             Ok(authorized) => authorized,
             Err(reply) => return self.reply(ticket, reply),
         };
-        let job = job_id(rest).filter(|id| self.may_access(id, &name, team.as_ref()));
-        let found = job.and_then(|id| Some((id, self.state.job(&id)?)));
-        match found {
-            Some((job, current)) if current.is_open() => {
+        let Some(job) = job_id(rest) else {
+            return self.reply(ticket, Reply::NoJob);
+        };
+        match self.state.job(&job) {
+            None => self.cancel_unknown(job, name, team, ticket, wall),
+            Some(_) if !self.state.may_access(&job, &name, team.as_ref()) => {
+                self.reply(ticket, Reply::NoJob);
+            }
+            Some(current) if current.is_open() => {
                 self.propose(Command::Cancel { at: wall, job }, Some(ticket));
             }
             Some(_) => self.reply(ticket, Reply::Done),
-            None => self.reply(ticket, Reply::NoJob),
         }
     }
 
+    /// Cancels a job that isn't known. Its submission may be on its way or in the log,
+    /// so the log decides which came first.
+    fn cancel_unknown(
+        &mut self,
+        job: Id,
+        queue: String,
+        team: Option<id::Team>,
+        ticket: Ticket,
+        wall: Wall,
+    ) {
+        let withdrawn = self.state.withdrawn();
+        let is_recent = |at: Wall| wall.since(at) < WITHDRAWN_REFRESH;
+        if withdrawn.at(team.as_ref(), job).is_some_and(is_recent) {
+            return self.reply(ticket, Reply::NoJob);
+        }
+        if withdrawn.is_full() {
+            let reply = Reply::Refused {
+                retry_after: WITHDRAWN_RETRY,
+                reason: Refusal::Busy,
+            };
+            return self.reply(ticket, reply);
+        }
+        let command = Command::Withdraw {
+            at: wall,
+            job,
+            queue,
+            team,
+        };
+        self.propose(command, Some(ticket));
+    }
+
     fn replace_plan(&mut self, plan: Plan, access: Option<Box<Access>>, ticket: Ticket) {
         if let Err(fault) = plan.check() {
             return self.reply(ticket, Reply::Malformed(fault.to_string()));
@@ -383,6 +419,12 @@
     }
 }
 
+/// The reply to the submission of a job that was cancelled before.
+pub(super) fn cancelled_before() -> Reply {
+    let detail = "the job was cancelled; submit it again under another id";
+    Reply::Malformed(detail.to_owned())
+}
+
 /// Parses a job's id, sixteen hexadecimal digits, from the rest of a path.
 fn job_id(rest: &str) -> Option<Id> {
     let is_hex = rest.len() == 16 && rest.bytes().all(|byte| byte.is_ascii_hexdigit());
--- a/crates/gentianlane/src/fleet/state.rs
+++ b/crates/gentianlane/src/fleet/state.rs
@@ -2,6 +2,7 @@
 
 mod codec;
 mod crash;
+mod withdrawn;
 
 use crate::collections::IndexMap;
 use serde::{Deserialize, Serialize};
@@ -16,6 +17,8 @@
 use crate::id;
 use crate::unit::{Span, Wall};
 
+use withdrawn::Withdrawn;
+
 /// The state machine that applies the log's commands; the same on every node
 /// that has applied the same entries.
 #[derive(Debug, Default, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -37,10 +40,13 @@
     /// has since it registered.
     #[serde(skip)]
     report_sequences: IndexMap<id::Worker, u64>,
-    /// The teams and the jobs that they own, which come last; a state without any
-    /// is encoded as earlier versions did.
+    /// The teams and the jobs that they own. A state without any, nor what follows, is
+    /// encoded as earlier versions did.
     #[serde(skip)]
     owners: Owners,
+    /// The jobs that were cancelled before they were submitted, which come last.
+    #[serde(skip)]
+    withdrawn: Withdrawn,
 }
 
 /// A start without an answer, which its worker may carry out seconds later.
@@ -188,6 +194,10 @@
     PlanReplaced,
     /// A job was added.
     JobSubmitted(Id),
+    /// A job wasn't added, as it had been cancelled before.
+    SubmissionRejected(Id),
+    /// A cancellation found no job that its caller may cancel.
+    UnknownJobCancelled(Id),
     /// A job has reached its final phase.
     JobFinished(Id),
     /// The end of a task's run, given by its number, was recorded or is no
@@ -267,9 +277,9 @@
                 queue,
                 spec,
             } => {
-                let owner = Owner::new(team, beyond_share, &spec);
-                let events = self.submit(at, job, queue, *spec);
-                if !events.is_empty() {
+                let owner = Owner::new(team.clone(), beyond_share, &spec);
+                let events = self.submit(at, job, queue, *spec, Some(&team));
+                if events.contains(&Event::JobSubmitted(job)) {
                     self.owners.insert(job, owner);
                 }
                 events
@@ -279,7 +289,7 @@
                 job,
                 queue,
                 spec,
-            } => self.submit(at, job, queue, *spec),
+            } => self.submit(at, job, queue, *spec, None),
             Command::Cancel { at, job } => self.finish_job(job, Phase::Cancelled, at),
             Command::End {
                 at,
@@ -332,6 +342,12 @@
                 profile,
                 sequence,
             } => self.update_profile(&incarnation, profile, sequence),
+            Command::Withdraw {
+                at,
+                job,
+                queue,
+                team,
+            } => self.withdraw(at, job, &queue, team),
         }
     }
 
@@ -357,10 +373,20 @@
         vec![Event::PlanReplaced]
     }
 
-    fn submit(&mut self, at: Wall, id: Id, queue: String, spec: Spec) -> Vec<Event> {
+    fn submit(
+        &mut self,
+        at: Wall,
+        id: Id,
+        queue: String,
+        spec: Spec,
+        team: Option<&id::Team>,
+    ) -> Vec<Event> {
         if self.jobs.contains_key(&id) {
             return Vec::new();
         }
+        if self.withdrawn.at(team, id).is_some() {
+            return vec![Event::SubmissionRejected(id)];
+        }
         self.jobs.insert(id, Job::new(queue, at, spec));
         vec![Event::JobSubmitted(id)]
     }
@@ -529,6 +555,7 @@
         let expired = |job: &Job| job.outcome.is_some_and(|(_, at)| at < before);
         self.jobs.retain(|_, job| !expired(job));
         self.crashes.expire(before);
+        self.withdrawn.expire(before);
         let jobs = &self.jobs;
         self.owners.retain(|job| jobs.contains_key(job));
         let has_open_jobs =
--- a/crates/gentianlane/src/fleet/state/codec.rs
+++ b/crates/gentianlane/src/fleet/state/codec.rs
@@ -31,10 +31,14 @@
         let bytes = postcard::to_extend(&self.crashes, bytes).map_err(|_| CodecError)?;
         let bytes =
             postcard::to_extend(&self.report_sequences, bytes).map_err(|_| CodecError)?;
-        if self.owners == Owners::default() {
+        if self.owners == Owners::default() && self.withdrawn.is_empty() {
             return Ok(bytes);
         }
-        postcard::to_extend(&self.owners, bytes).map_err(|_| CodecError)
+        let bytes = postcard::to_extend(&self.owners, bytes).map_err(|_| CodecError)?;
+        if self.withdrawn.is_empty() {
+            return Ok(bytes);
+        }
+        postcard::to_extend(&self.withdrawn, bytes).map_err(|_| CodecError)
     }
 
     /// Decodes the state from a snapshot, which an earlier version may have written.
@@ -70,7 +74,12 @@
         if rest.is_empty() {
             return Ok(state);
         }
-        state.owners = postcard::from_bytes(rest).map_err(|_| CodecError)?;
+        let (owners, rest) = postcard::take_from_bytes(rest).map_err(|_| CodecError)?;
+        state.owners = owners;
+        if rest.is_empty() {
+            return Ok(state);
+        }
+        state.withdrawn = postcard::from_bytes(rest).map_err(|_| CodecError)?;
         Ok(state)
     }
 }
--- a/crates/gentianlane/tests/fleet/main.rs
+++ b/crates/gentianlane/tests/fleet/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the fleet scheduler with simulated workers in virtual time.
 
+mod cancel;
 mod capacity;
 mod crash;
 mod crash_fuzz;
