Submit no job whose caller has left

Cause: a call stayed among the open ones when the future that waited for its reply was dropped. It was sent again with each new leader until one replied, and counted against the limit of open calls meanwhile. Calls were also sent after their deadline, if the process had stood still.

Change: a submission isn't sent once its caller has left, no call is sent after its deadline, and abandoned calls make room when the limit is reached. A cancellation whose caller has left is still sent.

--- a/crates/gentianlane-daemon/src/fleet/downstream.rs
+++ b/crates/gentianlane-daemon/src/fleet/downstream.rs
@@ -89,7 +89,8 @@
 /// Forwards a downstream entry's call; `None` if no reply came in time.
 async fn forward_downstream_call(forwarder: &Forwarder, call: Call) -> Option<Reply> {
     forwarder.metrics.count("relayed", 1);
-    let Some((number, reply)) = open_call(forwarder, call) else {
+    let Some((number, reply)) = open_call(forwarder, call, DOWNSTREAM_CALL_TIMEOUT)
+    else {
         return Some(busy_reply());
     };
     match timeout(DOWNSTREAM_CALL_TIMEOUT, reply).await {
--- a/crates/gentianlane-daemon/src/fleet/forward.rs
+++ b/crates/gentianlane-daemon/src/fleet/forward.rs
@@ -19,7 +19,7 @@
 use slog::{Logger, info, warn};
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, oneshot, watch};
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::clock::Clock;
 use crate::fleet::Settings;
@@ -100,6 +100,17 @@
     /// Whether an earlier attempt may have taken effect: it was sent, and no
     /// reply said that nothing was done.
     maybe_applied: bool,
+    /// When the caller stops waiting; the call isn't sent after that.
+    expires: Instant,
+}
+
+impl OpenCall {
+    /// Whether the call is still to be sent. A job isn't submitted any more once its
+    /// caller has left, who wouldn't learn of it; a cancellation still counts.
+    fn is_wanted(&self, now: Instant) -> bool {
+        let has_left = self.reply.is_closed();
+        now < self.expires && !(has_left && self.call.is_submission())
+    }
 }
 
 /// The outcome of forwarding a call.
@@ -187,7 +198,7 @@
     pub(crate) async fn forward(&self, call: Call, limit: Duration) -> ForwardOutcome {
         let is_write = !call.is_read_only();
         let outage = self.time_without_leader().unwrap_or_default();
-        let Some((number, reply)) = open_call(self, call) else {
+        let Some((number, reply)) = open_call(self, call, limit) else {
             self.metrics.count("busy", 1);
             return ForwardOutcome::Answered(busy_reply());
         };
@@ -234,13 +245,20 @@
     unsent
 }
 
-/// Registers a call, and sends it if the leader is reached. `None` if
-/// [`OPEN_CALL_LIMIT`] is reached.
+/// Registers a call, and sends it if the leader is reached. It isn't sent again once
+/// `limit` is over. `None` if [`OPEN_CALL_LIMIT`] is reached.
 pub(super) fn open_call(
     forwarder: &Forwarder,
     call: Call,
+    limit: Duration,
 ) -> Option<(u64, oneshot::Receiver<Reply>)> {
     let mut calls = lock(&forwarder.calls);
+    if calls.open.len() >= OPEN_CALL_LIMIT {
+        calls.open.retain(|_, call| !call.reply.is_closed());
+    }
+    if calls.open.len() >= OPEN_CALL_LIMIT {
+        return None;
+    }
     if calls.open.len() >= OPEN_CALL_LIMIT {
         return None;
     }
@@ -257,6 +275,7 @@
         reply,
         sent,
         maybe_applied: false,
+        expires: Instant::now() + limit,
     };
     calls.open.insert(number, call);
     Some((number, receiver))
@@ -454,13 +473,18 @@
     }
 }
 
-/// Sends every call that isn't sent, if the leader is reached.
+/// Sends every call that isn't sent and that is still wanted, if the leader is reached.
 fn send_unsent(calls: &mut OpenCalls) {
     let Some(link) = calls.leader_link.clone() else {
         return;
     };
+    let now = Instant::now();
+    let is_over =
+        |call: &OpenCall| !call.sent && call.reply.is_closed() && !call.is_wanted(now);
+    calls.open.retain(|_, call| !is_over(call));
     let unsent = calls.open.iter_mut().filter(|(_, call)| !call.sent);
-    for (&number, call) in unsent {
+    let wanted = unsent.filter(|(_, call)| call.is_wanted(now));
+    for (&number, call) in wanted {
         let packet = Packet::Call(number, Box::new(call.call.clone()));
         call.sent = link.try_send(packet).is_ok();
     }
--- a/crates/gentianlane-daemon/tests/fleet.rs
+++ b/crates/gentianlane-daemon/tests/fleet.rs
@@ -6,7 +6,8 @@
 
 use std::collections::BTreeMap;
 use std::fs;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::io::{Read, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
 use std::sync::{Arc, Mutex};
@@ -457,6 +458,59 @@
     assert!(entry.end().success());
 }
 
+/// Sends the submission of a job to an entry, without waiting for the response.
+fn send_submission(fleet: &Fleet, entry: usize, job: &str) -> TcpStream {
+    let body = r#"{"task_spec":"t","steps":[{"count":1,"cpu":5,"mem_mb":1}]}"#;
+    let front = fleet.front(entry);
+    let mut stream = TcpStream::connect(front).unwrap();
+    let head = format!("POST /q/{job} HTTP/1.1\r\nHost: {front}\r\nDeadline-Ms: 60000");
+    let length = body.len();
+    let request = format!("{head}\r\nContent-Length: {length}\r\n\r\n{body}");
+    stream.write_all(request.as_bytes()).unwrap();
+    stream
+}
+
+/// An entry kept the submission of a caller that had left, and sent it to the next
+/// leader after it had told the caller that there is no such job (review/9).
+#[test]
+fn a_job_whose_caller_left_before_it_could_be_sent_is_not_submitted() {
+    let mut fleet = Fleet::start(1);
+    fleet.operate("POST", "/v1/config/replace", &config(&fleet, 1));
+    assert_eq!(fleet.submit(0, "00000000000000c1"), 200);
+    let leader = fleet.leader();
+    fleet.cores[leader].take().unwrap().kill();
+    // The connection to the leader has broken by then.
+    thread::sleep(Duration::from_millis(50));
+    let submission = send_submission(&fleet, 0, "00000000000000c2");
+    thread::sleep(Duration::from_millis(100));
+    drop(submission);
+    fleet.wait_for(0, "00000000000000c1", "pending");
+    thread::sleep(Duration::from_millis(500));
+    let address = format!("http://{}/q/00000000000000c2", fleet.front(0));
+    assert_eq!(ask("GET", &address, "").map(|told| told.0), Some(410));
+    fleet.start_core(leader, false);
+}
+
+#[test]
+fn a_job_that_another_entry_holds_is_rejected_after_its_cancellation() {
+    let fleet = Fleet::start(2);
+    fleet.operate("POST", "/v1/config/replace", &config(&fleet, 1));
+    assert_eq!(fleet.submit(0, "00000000000000d1"), 200);
+    assert_eq!(fleet.submit(1, "00000000000000d2"), 200);
+    let entry = fleet.entries[0].as_ref().unwrap();
+    entry.signal("STOP");
+    let mut submission = send_submission(&fleet, 0, "00000000000000d3");
+    let address = format!("http://{}/q/00000000000000d3", fleet.front(1));
+    assert_eq!(ask("DELETE", &address, "").map(|told| told.0), Some(410));
+    entry.signal("CONT");
+    let mut response = [0; 1_024];
+    let length = submission.read(&mut response).unwrap();
+    let response = String::from_utf8_lossy(&response[..length]);
+    assert!(response.starts_with("HTTP/1.1 400"), "{response}");
+    assert!(response.contains("cancelled"), "{response}");
+    assert_eq!(ask("GET", &address, "").map(|told| told.0), Some(410));
+}
+
 #[test]
 fn an_invalid_plan_is_refused_and_the_valid_one_stays() {
     let fleet = Fleet::start(0);
--- a/crates/gentianlane/src/fleet/call.rs
+++ b/crates/gentianlane/src/fleet/call.rs
@@ -50,6 +50,24 @@
             _ => matches!(self, Self::Status(_) | Self::ReadPlan | Self::Overview),
         }
     }
+
+    /// Whether the call submits a job.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use gentianlane::fleet::call::Call;
+    ///
+    /// let call = Call::Authorized("key".into(), Box::new(Call::Overview));
+    /// assert!(!call.is_submission());
+    /// ```
+    #[must_use]
+    pub fn is_submission(&self) -> bool {
+        match self {
+            Self::Authorized(_, call) => call.is_submission(),
+            _ => matches!(self, Self::Submit { .. }),
+        }
+    }
 }
 
 /// The target of a caller's HTTP request.
