Keep what is over although the leader's wall clock steps

Cause: once a minute the leader dropped what had ended ten minutes before by its wall clock, which is also the clock of the recorded times.

Change: it drops only what was stamped before the lowest reading of its wall clock in the last ten minutes by its steady clock, and nothing before it has led for that long.

Evidence: cancel::what_is_over_is_kept_though_the_leaders_wall_clock_steps fails before (NoJob instead of Completed after 70 s); what_is_over_is_dropped_in_the_end holds both before and after.

--- a/crates/gentianlane/src/fleet/mod.rs
+++ b/crates/gentianlane/src/fleet/mod.rs
@@ -17,6 +17,7 @@
 mod node;
 pub mod order;
 pub mod plan;
+mod retention;
 mod state;
 pub mod team;
 pub mod worker;
--- a/crates/gentianlane/src/fleet/node.rs
+++ b/crates/gentianlane/src/fleet/node.rs
@@ -11,6 +11,7 @@
 use crate::fleet::decision::Decision;
 use crate::fleet::dispatch::{self, Dispatcher, Effects, Relay};
 use crate::fleet::order::{AdviceRequest, AdviceResponse, Answer, CallId, Order};
+use crate::fleet::retention::Retention;
 use crate::fleet::{Command, Event, State};
 use crate::id;
 use crate::unit::{Span, Time, Wall};
@@ -30,9 +31,6 @@
 /// promised.
 const FINISHED_JOB_RETENTION: Span = Span::from_secs(600);
 
-/// The interval at which finished jobs that are old enough are removed.
-const EXPIRE_INTERVAL: Span = Span::from_secs(60);
-
 /// A node's configuration.
 #[derive(Debug, Clone)]
 pub struct Setup {
@@ -85,7 +83,8 @@
     unsaved_bytes: usize,
     /// Whether a snapshot or a log entry couldn't be decoded.
     corrupt: bool,
-    expire_at: Time,
+    /// When finished jobs are old enough to be removed, while this node leads.
+    retention: Retention,
     /// The orders that wait at the caller to be sent.
     order_backlog: usize,
     outputs: Vec<Output>,
@@ -111,7 +110,7 @@
             proposals: Vec::new(),
             pending_replies: IndexMap::default(),
             unsaved_bytes: 0,
-            expire_at: now.after(EXPIRE_INTERVAL),
+            retention: Retention::default(),
             order_backlog: 0,
             outputs: Vec::new(),
         }
@@ -235,12 +234,11 @@
             return;
         }
         self.consensus.tick(now);
-        if now >= self.expire_at && self.dispatcher.is_some() {
-            self.expire_at = now.after(EXPIRE_INTERVAL);
-            let before = wall
-                .as_millis()
-                .saturating_sub(FINISHED_JOB_RETENTION.as_millis());
-            let before = Wall::from_millis(before);
+        if self.dispatcher.is_none() {
+            return;
+        }
+        let expired = self.retention.observe(FINISHED_JOB_RETENTION, now, wall);
+        if let Some(before) = expired {
             self.propose(Command::Expire { before }, None);
         }
     }
@@ -406,6 +404,7 @@
             dispatcher.add_relay(relay);
         }
         self.dispatcher = Some(dispatcher);
+        self.retention = Retention::default();
     }
 
     fn restore(&mut self, data: &[u8]) {
--- a/crates/gentianlane/tests/fleet/cancel.rs
+++ b/crates/gentianlane/tests/fleet/cancel.rs
@@ -164,6 +164,55 @@
     assert!(is_rejected(&reply), "{reply:?}");
 }
 
+/// The leader dropped what was over by its wall clock, which had stepped ahead: an
+/// accepted job was answered 410, and its submission, sent again, would have run again.
+#[test]
+fn what_is_over_is_kept_though_the_leaders_wall_clock_steps() {
+    for (lost_leaders, ahead) in [(0, true), (0, false), (1, true)] {
+        let mut world = world(2);
+        if !ahead {
+            (0..3).for_each(|at| {
+                world.wall_ahead.insert(at, 3_000_000);
+            });
+        }
+        world.submit(8, &job(1, 500));
+        world.run(3_000);
+        assert_eq!(cancel(&mut world), Reply::NoJob);
+        for at in 0..3 {
+            world
+                .wall_ahead
+                .insert(at, if ahead { 2_400_000 } else { 0 });
+        }
+        for _ in 0..lost_leaders {
+            let leader = world.leader().expect("a leader");
+            world.kill(leader);
+            world.run(1_500);
+            world.restart(leader);
+        }
+        for _ in 0..3 {
+            world.run(70_000);
+            let shown = world.status(8);
+            assert_eq!(shown, Some(Reply::Phase(Phase::Completed)));
+            let reply = submit(&mut world);
+            assert!(is_rejected(&reply), "{reply:?}");
+        }
+    }
+}
+
+/// What is over is kept for ten minutes and dropped within three more.
+#[test]
+fn what_is_over_is_dropped_in_the_end() {
+    let mut world = world(1);
+    world.submit(8, &job(1, 500));
+    world.run(3_000);
+    assert_eq!(cancel(&mut world), Reply::NoJob);
+    world.run(600_000);
+    assert_eq!(world.status(8), Some(Reply::Phase(Phase::Completed)));
+    world.run(180_000);
+    assert_eq!(world.status(8), Some(Reply::NoJob));
+    assert_eq!(submit(&mut world), Reply::Done);
+}
+
 /// Cancellations of ids that were never submitted, as a faulty caller sends them.
 #[test]
 fn cancellations_of_unknown_jobs_are_bounded_and_block_no_other_job() {
