Count a stopped run until its end is listed or its stop must be over

Second runs at one moment, under one leader, of tasks of one worker: when several runs were stopped there, the end of one answered the leader's renewal, and the others, which the worker listed neither as running nor as ended, were taken for over. Their tasks were started elsewhere, and their room was given away (LIMIT), up to stop_ms too soon.

Cause: a confirmed stop and absence from the list of running runs counted as the end. The platform says that the room of a stopped run becomes free when its end is listed, and nowhere that it is listed as running until then. A late stop of an earlier leader makes a running run unlisted in the same way.

Change: a run that isn't listed is dropped only if the worker was asked after the longest time that a stop takes, counted from the stop's confirmation or from the first list without it. Renewals are timed by that. gone why=not_listed is logged for stopped runs too.

--- a/crates/gentianlane/src/fleet/dispatch/gone.rs
+++ b/crates/gentianlane/src/fleet/dispatch/gone.rs
@@ -5,7 +5,8 @@
 //! signs free nothing. A run counts as active, with all that it uses, until one of these
 //! shows otherwise:
 //!
-//! - its worker lists its end, or doesn't list the run any more;
+//! - its worker lists its end, or still lists it nowhere after the longest time that a stop
+//!   takes: a run that is being stopped need not be listed;
 //! - the worker's lease has ended, on the slowest clock;
 //! - a later incarnation answers under the worker's name at its address: the platform
 //!   starts one only after the earlier one has ended.
--- a/crates/gentianlane/src/fleet/dispatch/lease.rs
+++ b/crates/gentianlane/src/fleet/dispatch/lease.rs
@@ -314,11 +314,16 @@
         let is_in_doubt =
             |run: &Run| run.state != RunState::Running && run.confirmed_at.is_some();
         let any_in_doubt = session.runs.values().any(is_in_doubt);
-        let wait = match () {
-            () if at_once => Span::ZERO,
-            () if any_in_doubt || session.leaving_since.is_some() => STOP_WAIT,
-            () if deadline.is_none() => Span::ZERO,
-            () => self.renewal_wait(),
+        let settled = session.runs.values().filter(|run| run.is_settled(now));
+        let unlisted_ends =
+            settled.filter_map(|run| run.unlisted_end(self.setup.stop_time));
+        let unlisted_end = unlisted_ends.min().map(|end| end.since(now));
+        let wait = match unlisted_end {
+            _ if at_once => Span::ZERO,
+            Some(left) => left.min(STOP_WAIT),
+            None if any_in_doubt || session.leaving_since.is_some() => STOP_WAIT,
+            None if deadline.is_none() => Span::ZERO,
+            None => self.renewal_wait(),
         };
         let timeout = wait + self.setup.renewal_margin;
         let action = Action::Renew {
--- a/crates/gentianlane/src/fleet/dispatch/reconcile.rs
+++ b/crates/gentianlane/src/fleet/dispatch/reconcile.rs
@@ -243,6 +243,7 @@
             run.confirmed_at = None;
             run.retry_at = now;
         }
+        run.unlisted_since = None;
         if run.state == RunState::Starting {
             run.state = RunState::Running;
             run.confirmed_at = Some(now);
@@ -328,6 +329,9 @@
     /// Drops the runs that a worker doesn't list any more, of those confirmed
     /// before it was asked at `asked_at`; none if ends may be missing, as one of
     /// them may have succeeded.
+    ///
+    /// A run that is being stopped may be left out until its end is listed, so that one
+    /// is dropped only if the worker was asked once its stop must be over.
     fn drop_unlisted_runs(
         &mut self,
         worker: &id::Worker,
@@ -335,7 +339,9 @@
         asked_at: Time,
         now: Time,
     ) {
-        let Some(session) = self.sessions.get(worker).filter(|_| !status.ends_cut) else {
+        let stop_time = self.setup.stop_time;
+        let session = self.sessions.get_mut(worker);
+        let Some(session) = session.filter(|_| !status.ends_cut) else {
             return;
         };
         let listed = |task: &Task, run: u64| {
@@ -344,27 +350,20 @@
         };
         // A renewal sent in the same millisecond as the order's answer arrived
         // may have been sent before it, and answered before the start.
-        let is_gone = |((task, number), run): &(&(Task, u64), &Run)| {
+        let is_unlisted = |((task, number), run): &(&(Task, u64), &mut Run)| {
             let confirmed = run.confirmed_at.is_some_and(|at| at < asked_at);
-            let is_over = run.order.is_none() && !run.may_run_earlier(now);
-            is_over && confirmed && !listed(task, *number)
+            run.is_settled(now) && confirmed && !listed(task, *number)
         };
-        let gone: Vec<(Task, u64, RunState)> = session
-            .runs
-            .iter()
-            .filter(is_gone)
-            .map(|((task, number), run)| (*task, *number, run.state))
-            .collect();
-        for (task, number, run_state) in gone {
-            match run_state {
-                RunState::Stopping => {
-                    self.release_run(worker, &task, number);
-                    self.break_gang(&task, now);
-                }
-                RunState::Starting | RunState::Running => {
-                    self.drop_run(worker, &task, number, Cause::NotListed, now);
-                }
+        let mut gone = Vec::new();
+        for ((task, number), run) in session.runs.iter_mut().filter(is_unlisted) {
+            run.unlisted_since.get_or_insert(now);
+            let ended_by = run.unlisted_end(stop_time);
+            if ended_by.is_some_and(|ended_by| ended_by <= asked_at) {
+                gone.push((*task, *number));
             }
         }
+        for (task, number) in gone {
+            self.drop_run(worker, &task, number, Cause::NotListed, now);
+        }
     }
 }
--- a/crates/gentianlane/src/fleet/dispatch/session.rs
+++ b/crates/gentianlane/src/fleet/dispatch/session.rs
@@ -137,6 +137,9 @@
     /// When the worker is known to have carried out or refused the current
     /// start or stop.
     pub(crate) confirmed_at: Option<Time>,
+    /// Since when the worker lists the run neither as active nor as ended, though it is
+    /// known to have received the current start or stop.
+    pub(crate) unlisted_since: Option<Time>,
     /// Until when an earlier incarnation of the worker may have the run, whatever this
     /// one lists.
     pub(crate) earlier_until: Option<Time>,
@@ -184,6 +187,7 @@
             tries: 0,
             retry_at: now,
             confirmed_at: None,
+            unlisted_since: None,
             earlier_until: None,
             started_at: now,
             checkpoint: String::new(),
@@ -200,6 +204,24 @@
         }
     }
 
+    /// By when a run that isn't listed has ended: a worker may list a run that is being
+    /// stopped only once it has ended, and any leader may have ordered the stop. None if
+    /// it is listed, or not known to have received the order.
+    pub(crate) fn unlisted_end(&self, stop_time: Span) -> Option<Time> {
+        let stopped_at = match self.state {
+            RunState::Stopping => self.confirmed_at,
+            RunState::Starting | RunState::Running => self.unlisted_since,
+        };
+        self.unlisted_since?;
+        Some(stopped_at?.after(longest_lease(stop_time)))
+    }
+
+    /// Whether what the worker lists tells all about the run: no order for it is under way,
+    /// and no earlier incarnation may have it.
+    pub(crate) fn is_settled(&self, now: Time) -> bool {
+        self.order.is_none() && !self.may_run_earlier(now)
+    }
+
     /// Whether an earlier incarnation of the worker may have the run.
     pub(crate) fn may_run_earlier(&self, now: Time) -> bool {
         self.earlier_until.is_some_and(|until| now < until)
--- a/crates/gentianlane/tests/fleet/main.rs
+++ b/crates/gentianlane/tests/fleet/main.rs
@@ -17,6 +17,7 @@
 mod review;
 mod run_number;
 mod simulated_worker;
+mod stop;
 mod team;
 mod team_fuzz;
 mod trial;
--- a/crates/gentianlane/tests/fleet/regression.rs
+++ b/crates/gentianlane/tests/fleet/regression.rs
@@ -32,7 +32,7 @@
 }
 
 impl Leader {
-    fn new(term: u64) -> Self {
+    pub(crate) fn new(term: u64) -> Self {
         Self::with_worker(term, new_worker())
     }
 
--- a/crates/gentianlane/tests/fleet/simulated_worker.rs
+++ b/crates/gentianlane/tests/fleet/simulated_worker.rs
@@ -52,6 +52,8 @@
     /// Whether its process has closed its listener and sends no reports.
     pub(crate) hidden: bool,
     pub(crate) draining: bool,
+    /// Whether runs that are being stopped aren't listed until they have ended.
+    pub(crate) hides_stopping: bool,
     pub(crate) reports: u64,
     fencing_token: u64,
     deadline: u64,
@@ -99,6 +101,7 @@
             up: true,
             hidden: false,
             draining: false,
+            hides_stopping: false,
             reports: 0,
             fencing_token: 0,
             deadline: 0,
@@ -313,10 +316,12 @@
             progress: active.progress(now),
             measurement: Some(active.demand.millicores),
         };
+        let is_listed = |run: &Run| !self.hides_stopping || run.stops_at.is_none();
+        let listed = self.runs.iter().filter(|(_, run)| is_listed(run));
         Status {
             started_at: Some(self.incarnation.started_at),
             clock: self.clock(now),
-            running: self.runs.iter().map(running).collect(),
+            running: listed.map(running).collect(),
             ended: self.ended.iter().take(self.ends_limit).cloned().collect(),
             ends_cut: self.ended.len() >= self.ends_limit,
         }
