Play workers that list no stopping runs, failures and steps in the soak

Half of them now list no run that is being stopped, stops end one after another within stop_ms, runs fail up to two times, jobs have up to three steps, and an end by lease is recorded when it happens. The oracle also checks BUDGET and ORDER.

--- a/crates/gentianlane-daemon/tests/soak/caller.rs
+++ b/crates/gentianlane-daemon/tests/soak/caller.rs
@@ -10,7 +10,7 @@
 use rand_chacha::ChaCha8Rng;
 use serde_json::{Value, json};
 
-use crate::fleet::{ENTRIES, Fleet};
+use crate::fleet::{ATTEMPTS, ENTRIES, Fleet};
 use crate::http::Connection;
 use crate::record::{Job, Kind, Record};
 
@@ -89,21 +89,37 @@
         let mut step = json!({
             "count": tasks, "cpu": cpu, "mem_mb": 10, "estimated_ms": work,
         });
+        let fails = match self.rng.random_range(0..4) {
+            0 if work < 1_000 => self.rng.random_range(1..ATTEMPTS),
+            _ => 0,
+        };
+        let mut count = 1;
         let spec = match kind {
-            Kind::Plain => format!("cpu={cpu} work={work}"),
+            Kind::Plain => {
+                let most = if work < 1_000 { 3 } else { 1 };
+                count = self.rng.random_range(1..=most);
+                format!("cpu={cpu} work={work} fails={fails}")
+            }
             Kind::Gang => {
                 step["gang"] = true.into();
                 format!("cpu={cpu} work={work} gang={tasks}")
             }
             Kind::Lasting => {
                 step["long_running"] = true.into();
-                format!("cpu={cpu}")
+                format!("cpu={cpu} fails={fails}")
             }
         };
-        let body = json!({ "task_spec": spec, "steps": [step] }).to_string();
+        // Each step follows the one before.
+        let mut steps = vec![step];
+        for before in 0..count - 1 {
+            let mut next = steps[0].clone();
+            next["depends_on"] = json!([before]);
+            steps.push(next);
+        }
+        let body = json!({ "task_spec": spec, "steps": steps }).to_string();
         let new = Job {
             kind,
-            tasks,
+            tasks: tasks * count,
             accepted: false,
             in_doubt: false,
             cancel_sent: false,
--- a/crates/gentianlane-daemon/tests/soak/fault.rs
+++ b/crates/gentianlane-daemon/tests/soak/fault.rs
@@ -112,6 +112,7 @@
                 address: fleet.worker_address(number),
                 cores: fleet.controls(),
                 rate: 1_000 - 10 * u64::from(number % 3),
+                lists_stopping: number % 2 == 0,
             };
             Slot {
                 number,
--- a/crates/gentianlane-daemon/tests/soak/fleet.rs
+++ b/crates/gentianlane-daemon/tests/soak/fleet.rs
@@ -11,11 +11,14 @@
 use serde_json::json;
 
 use crate::common::{Process, until};
-use crate::worker::LEASE_LIMIT_MS;
+use crate::worker::{LEASE_LIMIT_MS, STOP_MS};
 
 pub(crate) const CORES: u8 = 3;
 pub(crate) const ENTRIES: u8 = 2;
 
+/// After how many failed runs a task isn't started again.
+pub(crate) const ATTEMPTS: u64 = 3;
+
 // Fixed ports, below those that the system hands out: the net tells fleets apart.
 const CONTROL: u16 = 7_001;
 const LINK: u16 = 7_002;
@@ -141,7 +144,7 @@
         let mut settings = json!({
             "node": name, "ip": ip, "domain": "d", "link_port": LINK,
             "seeds": self.controls(), "losses": 1, "adviser": "",
-            "lease_limit_ms": LEASE_LIMIT_MS, "stop_ms": 200, "grace_s": 6,
+            "lease_limit_ms": LEASE_LIMIT_MS, "stop_ms": STOP_MS, "grace_s": 6,
         });
         match member.role {
             Role::Core => {
@@ -192,7 +195,7 @@
             json!({
                 "name": name, "hostname": "soak.example", "path_prefix": prefix,
                 "timeout_ms": 3_000 + version, "target_latency_ms": 250, "priority": 0,
-                "backend": "pool", "max_attempts": 3, "stretch": 1.5,
+                "backend": "pool", "max_attempts": ATTEMPTS, "stretch": 1.5,
             })
         };
         let body = json!({
--- a/crates/gentianlane-daemon/tests/soak/oracle.rs
+++ b/crates/gentianlane-daemon/tests/soak/oracle.rs
@@ -5,6 +5,7 @@
 
 use derive_more::Display;
 
+use crate::fleet::ATTEMPTS;
 use crate::record::{Event, How, Job, Kind, Record, What, job_of};
 
 /// How long after a confirmed cancel a task of the job may still be started.
@@ -16,6 +17,10 @@
     Twice,
     #[display("TWICE, after an end that was noted")]
     AfterDone,
+    #[display("BUDGET")]
+    Budget,
+    #[display("ORDER")]
+    Order,
     #[display("LIMIT")]
     Limit,
     #[display("UNASKED, never submitted")]
@@ -134,6 +139,41 @@
             }
         }
     }
+    for (task, runs) in &tasks {
+        let lasts = jobs
+            .get(job_of(task))
+            .is_some_and(|job| job.kind == Kind::Lasting);
+        let failed = runs
+            .iter()
+            .filter(|run| run.noted && matches!(run.end, Some((_, How::Failed))));
+        let ends = failed.filter_map(|run| run.end).map(|(at, _)| at);
+        let last = ends.clone().max().unwrap_or_default();
+        let is_spent = ends.count() as u64 >= ATTEMPTS && !lasts;
+        if let Some(run) = runs.iter().find(|run| is_spent && run.start > last) {
+            let what = format!("run {} on {}", run.number, run.worker);
+            found(Rule::Budget, task, what);
+        }
+        let Some((step, first)) = runs.first().and_then(|run| {
+            let mut parts = task.split('.').skip(2);
+            Some((parts.next()?.parse::<u64>().ok()?, run.start))
+        }) else {
+            continue;
+        };
+        let is_of_earlier_step = |other: &str| {
+            let mut parts = other.split('.').skip(2);
+            let number = parts.next().and_then(|it| it.parse::<u64>().ok());
+            job_of(other) == job_of(task) && number.is_some_and(|it| it < step)
+        };
+        let is_open = |runs: &[Run<'_>]| {
+            let is_done =
+                |run: &Run<'_>| matches!(run.end, Some((at, How::Done)) if at <= first);
+            !runs.iter().any(is_done)
+        };
+        let mut others = tasks.iter().filter(|(other, _)| is_of_earlier_step(other));
+        if let Some((other, _)) = others.find(|(_, runs)| is_open(runs)) {
+            found(Rule::Order, task, format!("before the end of {other}"));
+        }
+    }
     for event in &events {
         let What::Start {
             late,
--- a/crates/gentianlane-daemon/tests/soak/record.rs
+++ b/crates/gentianlane-daemon/tests/soak/record.rs
@@ -11,6 +11,8 @@
 pub(crate) enum How {
     #[display("done")]
     Done,
+    #[display("failed")]
+    Failed,
     #[display("stopped")]
     Stopped,
     #[display("lapsed")]
@@ -64,6 +66,7 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Job {
     pub(crate) kind: Kind,
+    /// The tasks of all its steps.
     pub(crate) tasks: u64,
     pub(crate) accepted: bool,
     /// Whether an attempt to submit it had another outcome than a refusal.
@@ -90,6 +93,8 @@
     jobs: Mutex<BTreeMap<String, Job>>,
     /// By job, occurrence, step and run.
     gangs: Mutex<BTreeMap<(String, u64), Gang>>,
+    /// How many runs of each task have failed.
+    failures: Mutex<BTreeMap<String, u64>>,
 }
 
 impl Record {
@@ -99,6 +104,7 @@
             events: Mutex::default(),
             jobs: Mutex::default(),
             gangs: Mutex::default(),
+            failures: Mutex::default(),
         }
     }
 
@@ -142,6 +148,15 @@
         self.jobs.lock().unwrap()
     }
 
+    /// Counts a run of a task as failed, unless as many have failed as are to.
+    pub(crate) fn fails(&self, task: &str, wanted: u64) -> bool {
+        let mut failures = self.failures.lock().unwrap();
+        let failed = failures.entry(task.to_owned()).or_default();
+        let fails = *failed < wanted;
+        *failed += u64::from(fails);
+        fails
+    }
+
     pub(crate) fn gangs(&self) -> MutexGuard<'_, BTreeMap<(String, u64), Gang>> {
         self.gangs.lock().unwrap()
     }
--- a/crates/gentianlane-daemon/tests/soak/worker.rs
+++ b/crates/gentianlane-daemon/tests/soak/worker.rs
@@ -21,8 +21,8 @@
 /// The longest lease that a worker grants.
 pub(crate) const LEASE_LIMIT_MS: u64 = 6_000;
 
-/// How long a stop takes.
-const STOP: Duration = Duration::from_millis(50);
+/// How long a stop takes at most, as the settings of the cores say.
+pub(crate) const STOP_MS: u64 = 200;
 
 /// How long a member of a gang waits for the others.
 const GANG_WAIT: Duration = Duration::from_secs(3);
@@ -43,6 +43,9 @@
     pub(crate) cores: Vec<SocketAddr>,
     /// The rate of its steady clock, in thousandths.
     pub(crate) rate: u64,
+    /// Whether it lists runs that are being stopped among those that run. The platform's
+    /// page says only that their ends are listed.
+    pub(crate) lists_stopping: bool,
 }
 
 struct Run {
@@ -52,6 +55,8 @@
     cpu: u64,
     /// None for a task that lasts.
     length: Option<Duration>,
+    /// How many of the task's runs fail, each after its length or, if it lasts, a second.
+    fails: u64,
     gang: usize,
     stop_at: Option<Instant>,
 }
@@ -304,8 +309,13 @@
     fn pass(&self, state: &mut State) {
         if state.holds_lease && self.clock() >= state.lease {
             state.holds_lease = false;
+            // A process that stood still when its lease ended has run nothing since.
             let lasted = Duration::from_millis(state.lease * 1_000 / self.setup.rate);
-            let at = (self.start + lasted).duration_since(self.record.began);
+            let over = (self.start + lasted).duration_since(self.record.began);
+            let at = match self.stalled.end() > over {
+                true => over,
+                false => self.record.now(),
+            };
             self.record
                 .event_at(at, &self.name, "-", 0, What::LeaseOver);
             while !state.runs.is_empty() {
@@ -326,6 +336,13 @@
         if run.stop_at.is_some_and(|at| Instant::now() >= at) {
             return Some(How::Stopped);
         }
+        let fails_after = run.length.unwrap_or(Duration::from_secs(1));
+        if run.fails > 0
+            && run.since.elapsed() >= fails_after
+            && self.record.fails(&run.task, run.fails)
+        {
+            return Some(How::Failed);
+        }
         let length = run.length?;
         if run.gang == 0 {
             return (run.since.elapsed() >= length).then_some(How::Done);
@@ -434,6 +451,7 @@
             since: Instant::now(),
             cpu: word("cpu").unwrap_or(0),
             length: word("work").map(Duration::from_millis),
+            fails: word("fails").unwrap_or(0),
             gang: usize::try_from(word("gang").unwrap_or(0)).unwrap(),
             stop_at: None,
         };
@@ -470,7 +488,9 @@
         *over = run.max(*over);
         let mut runs = state.runs.iter_mut();
         if let Some(found) = runs.find(|it| it.task == task && it.run == run) {
-            found.stop_at.get_or_insert(Instant::now() + STOP);
+            found
+                .stop_at
+                .get_or_insert_with(|| Instant::now() + stop_length(task));
         }
         (200, self.told(None))
     }
@@ -499,7 +519,9 @@
         let mut state = self.state.lock().unwrap();
         self.pass(&mut state);
         let runs = state.runs.iter();
-        let running: Vec<Value> = runs
+        let listed =
+            runs.filter(|run| self.setup.lists_stopping || run.stop_at.is_none());
+        let running: Vec<Value> = listed
             .map(|run| json!([run.task, run.run, "", 100, 500]))
             .collect();
         let ends = state.ended.iter().take(500);
@@ -596,6 +618,17 @@
     }
 }
 
+/// How long it takes to stop a task: longer for those with a higher index, so that runs
+/// that are stopped together end one after another.
+fn stop_length(task: &str) -> Duration {
+    let index = task
+        .rsplit('.')
+        .next()
+        .and_then(|it| it.parse::<u64>().ok());
+    let part = index.unwrap_or(0) % 4 + 1;
+    Duration::from_millis((STOP_MS - 10) * part / 4)
+}
+
 fn gang_of(run: &Run) -> (String, u64) {
     let step = run.task.rsplit_once('.').map_or("", |(step, _)| step);
     (step.to_owned(), run.run)
