Show a new leader that places tasks while the last one's stops go on

A leader that hands over while it stops runs: the next one reads lists in which a worker names neither these runs nor their ends, and gives their tasks and room away up to stop_ms too soon. Found by asking where else a list without a run counts as its end.

--- a/crates/gentianlane/tests/fleet/stop.rs
+++ b/crates/gentianlane/tests/fleet/stop.rs
@@ -2,6 +2,7 @@
 //! worker doesn't list it among those that run any more.
 
 use gentianlane::fleet::call::Call;
+use gentianlane::fleet::decision::Decision;
 use gentianlane::fleet::job::Phase;
 use gentianlane::fleet::order::{Action, Outcome};
 use gentianlane::id;
@@ -41,6 +42,34 @@
     }
 }
 
+/// The next leader takes a run that it finds nowhere for over, while a stop by the leader
+/// before is under way.
+#[test]
+fn a_new_leader_starts_no_task_whose_run_the_last_one_is_stopping() {
+    for after in [3, 20, 60] {
+        let mut world = world(3);
+        for index in 0..4 {
+            let runs = vec![(2_000, Outcome::Done); 2];
+            world.scripted_runs.insert(task(7, index), runs);
+        }
+        world.submit(7, &job(4, 1_000));
+        world.run(1_200);
+        let worker = world.observed_runs[0].worker.clone();
+        world.slow.insert(worker, 10);
+        let is_stop = |decision: &Decision| matches!(decision, Decision::Stop { task: stopped, .. } if *stopped == task(7, 3));
+        while !world.decisions.iter().any(is_stop) {
+            world.run(1);
+        }
+        world.run(after);
+        let leader = world.leader().expect("a leader");
+        if let Some(node) = &mut world.cores[leader].node {
+            node.transfer_leadership();
+        }
+        world.run(8_000);
+        assert_eq!(phase(&mut world, 7), Some(Phase::Completed));
+    }
+}
+
 /// The room of a cancelled job's tasks was given away while they were being stopped.
 #[test]
 fn a_run_that_is_being_stopped_keeps_its_room() {
