--- a/crates/gentianlane/tests/fleet/stop.rs
+++ b/crates/gentianlane/tests/fleet/stop.rs
@@ -21,10 +21,8 @@
     world
 }
 
-/// Tasks of a step that are moved from a slow worker were started elsewhere while they
-/// were being stopped: second runs at one moment, under one leader.
-#[test]
-fn tasks_that_are_moved_from_a_slow_worker_start_after_their_ends() {
+/// Such a world in which the four tasks of job 7 stand still on one worker.
+fn world_with_slow_worker() -> World {
     let mut world = world(3);
     for index in 0..4 {
         let runs = vec![(2_000, Outcome::Done); 2];
@@ -35,6 +33,14 @@
     let worker = world.observed_runs[0].worker.clone();
     assert!(world.observed_runs.iter().all(|run| run.worker == worker));
     world.slow.insert(worker, 10);
+    world
+}
+
+/// Tasks of a step that are moved from a slow worker were started elsewhere while they
+/// were being stopped: second runs at one moment, under one leader.
+#[test]
+fn tasks_that_are_moved_from_a_slow_worker_start_after_their_ends() {
+    let mut world = world_with_slow_worker();
     world.run(8_000);
     assert_eq!(phase(&mut world, 7), Some(Phase::Completed));
     for index in 0..4 {
@@ -47,16 +53,11 @@
 #[test]
 fn a_new_leader_starts_no_task_whose_run_the_last_one_is_stopping() {
     for after in [3, 20, 60] {
-        let mut world = world(3);
-        for index in 0..4 {
-            let runs = vec![(2_000, Outcome::Done); 2];
-            world.scripted_runs.insert(task(7, index), runs);
-        }
-        world.submit(7, &job(4, 1_000));
-        world.run(1_200);
-        let worker = world.observed_runs[0].worker.clone();
-        world.slow.insert(worker, 10);
-        let is_stop = |decision: &Decision| matches!(decision, Decision::Stop { task: stopped, .. } if *stopped == task(7, 3));
+        let mut world = world_with_slow_worker();
+        let is_stop = |decision: &Decision| match decision {
+            Decision::Stop { task: stopped, .. } => *stopped == task(7, 3),
+            _ => false,
+        };
         while !world.decisions.iter().any(is_stop) {
             world.run(1);
         }
