Show a late failure that isn't counted

Found by asking what else takes a lower run number for an older report: a run that has failed behind a cut is listed after the next run of its task has failed elsewhere, and isn't counted, so that the task may be started once more than max_attempts allows.

--- a/crates/gentianlane/tests/fleet/run_number.rs
+++ b/crates/gentianlane/tests/fleet/run_number.rs
@@ -109,31 +109,56 @@
     }
 }
 
-/// A failure under the next leader wasn't counted, as its run had a lower number than
-/// one that had failed under the leader before, so that a task could run too often.
-#[test]
-fn a_failure_counts_under_the_next_leader_though_an_earlier_version_numbered_the_last() {
+/// The only task of job 7.
+fn only_task() -> Task {
     let stage = Stage {
         job: Id(7),
         occurrence: 0,
         step: 0,
     };
-    let task = Task { stage, index: 0 };
-    let fail = |run| Command::End {
+    Task { stage, index: 0 }
+}
+
+/// The record of a failed run of it.
+fn failure(run: u64) -> Command {
+    Command::End {
         at: wall(),
-        task,
+        task: only_task(),
         run,
         done: false,
-    };
+    }
+}
+
+/// How many failures of it are counted.
+fn failures(leader: &Leader) -> Option<u32> {
+    let job = leader.state.job(&Id(7))?;
+    let unit = job.progress(&only_task().stage)?.units.first()?;
+    Some(unit.failures)
+}
+
+/// A failure under the next leader wasn't counted, as its run had a lower number than
+/// one that had failed under the leader before, so that a task could run too often.
+#[test]
+fn a_failure_counts_under_the_next_leader_though_an_earlier_version_numbered_the_last() {
     let mut leader = leader(1);
     let spec: Spec = job(1, 500);
     leader.submit_job(7, spec);
     // What a leader of an earlier version logged of the widest step.
-    leader.apply(fail(u64::from(WIDEST_STEP)));
+    leader.apply(failure(u64::from(WIDEST_STEP)));
     leader.succeed(2);
     let numbers = run_numbers(&mut leader, 1);
-    leader.apply(fail(numbers[0]));
-    let job = leader.state.job(&Id(7)).expect("the job");
-    let progress = job.progress(&stage).expect("its only step");
-    assert_eq!(progress.units[0].failures, 2, "run {}", numbers[0]);
+    leader.apply(failure(numbers[0]));
+    assert_eq!(failures(&leader), Some(2), "run {}", numbers[0]);
+}
+
+/// A run that has failed behind a cut is listed after the next one has failed elsewhere.
+#[test]
+fn a_failure_that_is_listed_after_that_of_a_later_run_counts() {
+    let mut leader = leader(1);
+    leader.submit_job(7, job(1, 500));
+    leader.apply(failure(2));
+    leader.apply(failure(1));
+    assert_eq!(failures(&leader), Some(2));
+    leader.apply(failure(1));
+    assert_eq!(failures(&leader), Some(2), "told again");
 }
