Log the clock and the lease when a worker is first heard

Cause: whether a new leader counts too short a lease for a worker that has just started again couldn't be read from its log: neither the worker's clock nor the lease that the leader counts was in it until the worker fell silent.

Change: worker_heard carries clock_ms and lease_ms.

--- a/crates/gentianlane/src/fleet/decision.rs
+++ b/crates/gentianlane/src/fleet/decision.rs
@@ -8,7 +8,7 @@
 use crate::fleet::order::{Outcome, Reason};
 use crate::fleet::worker::Incarnation;
 use crate::id;
-use crate::unit::Span;
+use crate::unit::{Span, Time};
 
 /// A decision or observation with its reasons, shown as `key=value` pairs.
 #[derive(Debug, Clone, PartialEq, Eq, Display)]
@@ -238,12 +238,16 @@
         elapsed: Span,
     },
     /// A worker answered for the first time, or again after a silence.
-    #[display("event=worker_heard life={incarnation} running={running}")]
+    #[display("event=worker_heard life={incarnation} running={running} clock_ms={} lease_ms={}", clock.as_millis(), lease.as_millis())]
     WorkerResponsive {
         /// The incarnation that answered.
         incarnation: Incarnation,
         /// The number of active runs that it reported.
         running: usize,
+        /// The time on the worker's clock, which may begin anywhere.
+        clock: Time,
+        /// The longest time for which its lease may last, by what this leader knows.
+        lease: Span,
     },
     /// A worker stopped answering.
     #[display("event=worker_silent life={incarnation} why={cause} lease_ms={}", lease.as_millis())]
--- a/crates/gentianlane/src/fleet/dispatch/reconcile.rs
+++ b/crates/gentianlane/src/fleet/dispatch/reconcile.rs
@@ -51,14 +51,6 @@
             self.stop_unconfirmed(worker, now);
             return;
         }
-        if session.unanswered > 0 || !session.reconciled {
-            let incarnation = session.incarnation.clone();
-            let running = status.running.len();
-            self.effects.decisions.push(Decision::WorkerResponsive {
-                incarnation,
-                running,
-            });
-        }
         // An order by which an earlier leader extended the lease of an earlier
         // incarnation may have reached this one before any order of this leader.
         let is_young = Span::from_millis(status.clock) < MAX_ORDER_DELAY;
@@ -66,6 +58,14 @@
             let end = now.after(longest_lease(self.setup.lease_limit));
             session.lease_end = session.lease_end.max(end);
         }
+        if session.unanswered > 0 || !session.reconciled {
+            self.effects.decisions.push(Decision::WorkerResponsive {
+                incarnation: session.incarnation.clone(),
+                running: status.running.len(),
+                clock: Time::from_millis(status.clock),
+                lease: session.lease_remaining(now),
+            });
+        }
         session.unanswered = 0;
         session.sign = None;
         // What ran under an earlier leader isn't known while ends are missing.
