Have a restarted worker refuse orders to its earlier process

What callers saw: a task that had ended was started again. Cause: the header that names the worker doesn't tell two processes of one name apart, and all orders of a leader carried the same fencing token. A renewal to the earlier process that was carried out late thus acknowledged ends of the next one that nobody had read, and its deadline, far ahead on the next one's clock, gave it the longest lease at any time until 13 s after it was sent.

Change: the token is the term with a number in its low half that rises with each incarnation that the leader registers. A worker that has got an order of its session refuses all earlier ones, and it gets no task before. Nothing new is in the log: the next leader's tokens are higher anyway.

--- a/crates/gentianlane-cli/src/command/fleet.rs
+++ b/crates/gentianlane-cli/src/command/fleet.rs
@@ -51,7 +51,7 @@
     println!(
         "voters    {}, term {}",
         overview.voters.join(" "),
-        overview.fencing_token
+        overview.term
     );
     println!(
         "jobs      {} open, {} steps wait, {} runs",
--- a/crates/gentianlane/src/fleet/dispatch/claim.rs
+++ b/crates/gentianlane/src/fleet/dispatch/claim.rs
@@ -105,6 +105,11 @@
         self.last_call_id += 1;
         let id = self.last_call_id;
         let timeout = self.setup.renewal_margin;
+        // A higher token than that of the session would have the worker refuse its orders;
+        // a lower one than the worker has seen before would be refused itself.
+        let session = self.sessions.get(&incarnation.worker);
+        let fencing_token =
+            session.map_or(self.fencing_token, |session| session.fencing_token);
         let question = PendingOrder {
             worker: incarnation.worker.clone(),
             started_at: incarnation.started_at,
@@ -119,7 +124,7 @@
             id,
             worker: incarnation.worker.clone(),
             address,
-            fencing_token: self.fencing_token,
+            fencing_token,
             timeout,
             action: Action::Renew {
                 deadline: None,
--- a/crates/gentianlane/src/fleet/dispatch/dispatcher.rs
+++ b/crates/gentianlane/src/fleet/dispatch/dispatcher.rs
@@ -88,7 +88,9 @@
 #[derive(Debug, Clone)]
 pub struct Dispatcher {
     pub(super) setup: Setup,
-    /// The leader's term, which every order carries.
+    /// The leader's term.
+    pub(super) term: u64,
+    /// The fencing token of the session that was opened last.
     pub(super) fencing_token: u64,
     pub(super) sessions: IndexMap<id::Worker, Session>,
     pub(super) stages: IndexMap<job::Stage, Stage>,
@@ -161,20 +163,16 @@
     /// A dispatcher for a term that begins now, rebuilt from the replicated
     /// state.
     ///
-    /// `fencing_token` is the term. A worker that this leader can't reach may
+    /// A worker that this leader can't reach may
     /// run an earlier leader's tasks until the longest lease has ended, which
     /// is taken as the configured lease plus 5%.
     #[must_use]
-    pub fn new(
-        state: &State,
-        fencing_token: u64,
-        setup: Setup,
-        now: Time,
-        wall: Wall,
-    ) -> Self {
+    pub fn new(state: &State, term: u64, setup: Setup, now: Time, wall: Wall) -> Self {
+        let fencing_token = term << TERM_SHIFT;
         let longest_lease = setup.lease.as_millis() * 21 / 20;
         let mut dispatcher = Self {
             setup,
+            term,
             fencing_token,
             sessions: IndexMap::default(),
             stages: IndexMap::default(),
@@ -185,7 +183,7 @@
             open_jobs: OpenJobs::default(),
             recurring_jobs: IndexSet::default(),
             pending_orders: IndexMap::default(),
-            last_call_id: fencing_token << TERM_SHIFT,
+            last_call_id: term << TERM_SHIFT,
             claims: Claims::default(),
             departures: IndexMap::default(),
             first_sequences: IndexMap::default(),
@@ -214,7 +212,8 @@
             effects: Effects::default(),
         };
         for worker in state.workers() {
-            let mut session = Session::new(worker, Span::from_millis(longest_lease), now);
+            let longest_lease = Span::from_millis(longest_lease);
+            let mut session = Session::new(worker, fencing_token, longest_lease, now);
             session.exposed = state.crashes().is_exposed(&worker.incarnation);
             dispatcher
                 .sessions
@@ -375,7 +374,7 @@
             id,
             worker: worker.clone(),
             address: session.profile.address,
-            fencing_token: self.fencing_token,
+            fencing_token: session.fencing_token,
             timeout,
             action,
         });
@@ -490,9 +489,10 @@
     }
 }
 
-/// The number of low bits of a [`CallId`] that count within a term. The
-/// term in the high bits keeps a late answer to an earlier term's order from
-/// matching a current one; no term sends 2^32 orders.
+/// The number of low bits of a [`CallId`] or fencing token that count within a term.
+/// The term in the high bits keeps a late answer to an earlier term's order from
+/// matching a current one, and makes every order of an earlier term stale; no term
+/// sends 2^32 orders.
 const TERM_SHIFT: u32 = 32;
 
 /// How much longer than the leader reckons a worker may accept a ticket, as its
--- a/crates/gentianlane/src/fleet/dispatch/event.rs
+++ b/crates/gentianlane/src/fleet/dispatch/event.rs
@@ -336,7 +336,9 @@
             self.declare_gone(&earlier, Evidence::LaterIncarnation, now, wall);
         }
         self.add_pending_orders(worker);
-        let mut new_session = Session::new(registered, self.setup.lease, now);
+        self.fencing_token += 1;
+        let (token, lease) = (self.fencing_token, self.setup.lease);
+        let mut new_session = Session::new(registered, token, lease, now);
         new_session.report_sequence = first_sequence.unwrap_or_default();
         self.unconfirmed.add_stopping(&mut new_session, now);
         let limit = self.setup.lease_limit;
--- a/crates/gentianlane/src/fleet/dispatch/place.rs
+++ b/crates/gentianlane/src/fleet/dispatch/place.rs
@@ -353,7 +353,7 @@
             let Some(stage) = self.stages.get_mut(id) else {
                 return;
             };
-            let number = stage.next_run_number(self.fencing_token);
+            let number = stage.next_run_number(self.term);
             self.assign_run(&task, &worker, number, ticket, now);
             match trial {
                 None => self.send_start(&worker, &task, number, now),
@@ -439,7 +439,7 @@
         let Some(stage) = self.stages.get_mut(id) else {
             return;
         };
-        let number = stage.next_run_number(self.fencing_token);
+        let number = stage.next_run_number(self.term);
         for (index, candidate) in members {
             let ticket = candidate.ticket.clone();
             let task = Task { stage: *id, index };
--- a/crates/gentianlane/src/fleet/dispatch/session.rs
+++ b/crates/gentianlane/src/fleet/dispatch/session.rs
@@ -41,6 +41,9 @@
     pub(crate) incarnation: Incarnation,
     pub(crate) profile: Profile,
     pub(crate) draining: bool,
+    /// The token of orders to this incarnation, higher than that of any order to an
+    /// earlier one under the name.
+    pub(crate) fencing_token: u64,
     /// The newest reading of the worker's clock in milliseconds, and when it
     /// was taken.
     clock: Option<(Time, u64)>,
@@ -246,7 +249,12 @@
 
 impl Session {
     /// A session with a worker that may already hold a lease of length `lease`.
-    pub(crate) fn new(worker: &Worker, lease: Span, now: Time) -> Self {
+    pub(crate) fn new(
+        worker: &Worker,
+        fencing_token: u64,
+        lease: Span,
+        now: Time,
+    ) -> Self {
         let Worker {
             incarnation,
             profile,
@@ -256,6 +264,7 @@
             incarnation,
             profile,
             draining,
+            fencing_token,
             clock: None,
             deadline: 0,
             lease_end: now.after(lease).after(LEASE_MARGIN),
--- a/crates/gentianlane/src/fleet/dispatch/stage.rs
+++ b/crates/gentianlane/src/fleet/dispatch/stage.rs
@@ -184,9 +184,9 @@
     }
 
     /// The next run's number, higher than all earlier ones of the step.
-    pub(crate) fn next_run_number(&mut self, fencing_token: u64) -> u64 {
+    pub(crate) fn next_run_number(&mut self, term: u64) -> u64 {
         self.starts += 1;
-        let earlier_terms = fencing_token.saturating_sub(1);
+        let earlier_terms = term.saturating_sub(1);
         let used = earlier_terms.saturating_mul(STARTS_PER_TERM);
         used.saturating_add(self.starts)
     }
--- a/crates/gentianlane/src/fleet/dispatch/view.rs
+++ b/crates/gentianlane/src/fleet/dispatch/view.rs
@@ -22,9 +22,9 @@
     /// The voters of the replicated log, each as its VM and its disk's
     /// generation.
     pub voters: Vec<String>,
-    /// The leader's fencing token, which is its term.
+    /// The leader's term, which its fencing tokens begin with.
     #[serde(rename = "fence")]
-    pub fencing_token: u64,
+    pub term: u64,
     /// The number of jobs that are not over yet.
     pub open_jobs: usize,
     /// The number of steps with pending tasks.
@@ -200,7 +200,7 @@
         let overview = Overview {
             plan: state.plan().map(|plan| plan.version),
             voters,
-            fencing_token: self.fencing_token,
+            term: self.term,
             open_jobs: self.open_jobs.count(),
             waiting_steps: waiting.count(),
             runs: self.placements.len(),
--- a/crates/gentianlane/src/fleet/node.rs
+++ b/crates/gentianlane/src/fleet/node.rs
@@ -397,9 +397,9 @@
     }
 
     fn start_leading(&mut self, now: Time, wall: Wall) {
-        let fencing_token = self.consensus.term().0;
+        let term = self.consensus.term().0;
         let mut dispatcher =
-            Dispatcher::new(&self.state, fencing_token, self.setup.dispatch, now, wall);
+            Dispatcher::new(&self.state, term, self.setup.dispatch, now, wall);
         for &relay in &self.relays {
             dispatcher.add_relay(relay);
         }
--- a/crates/gentianlane/src/fleet/order.rs
+++ b/crates/gentianlane/src/fleet/order.rs
@@ -19,8 +19,9 @@
     pub worker: id::Worker,
     /// The worker's address for orders.
     pub address: SocketAddr,
-    /// The leader's term; a worker refuses orders with a lower token than the
-    /// highest it has seen.
+    /// Rises with each leader, and with each incarnation of a worker that a leader
+    /// registers; a worker refuses orders with a lower token than the highest it has
+    /// seen.
     pub fencing_token: u64,
     /// How long to wait for the answer.
     pub timeout: Span,
--- a/crates/gentianlane/tests/fleet/lease.rs
+++ b/crates/gentianlane/tests/fleet/lease.rs
@@ -7,7 +7,7 @@
 use gentianlane::unit::{Span, Wall};
 
 use super::simulated_worker::job;
-use super::world::{Delay, Faults, Kind, World, plan};
+use super::world::{Delay, Faults, Hang, Kind, World, plan};
 
 fn task(job: u64, index: u32) -> Task {
     let stage = Stage {
@@ -218,3 +218,45 @@
         world.run(25_000);
     }
 }
+
+/// The end of a run was forgotten at a renewal to the worker's earlier process, which the
+/// next one carried out late, and the task was started again.
+#[test]
+fn a_late_renewal_to_an_earlier_process_has_the_next_one_forget_no_end() {
+    for late in (2_500..6_000).step_by(500) {
+        let mut world = World::new(1, 1).with_plan(plan(1, true));
+        world.checks_tickets = true;
+        world.submit(5, &job(1, 1_000));
+        world.run(8_000);
+        assert_eq!(world.starts(&task(5, 0)), 1);
+        // It acknowledges the end of that run, the first one.
+        world.delays.push(Delay {
+            worker: "w0".into(),
+            kind: Kind::Grant,
+            millis: late,
+        });
+        while !world.delays.is_empty() {
+            world.run(1);
+        }
+        let arrives = world.now + late;
+        world.crash("w0");
+        world.run(20);
+        world.restart_worker("w0");
+        world.run(600);
+        let left = arrives - world.now;
+        let runs = vec![(left - 100, Outcome::Done); 2];
+        world.scripted_runs.insert(task(7, 0), runs);
+        world.submit(7, &job(1, 1_000));
+        while world.starts(&task(7, 0)) == 0 {
+            world.run(1);
+        }
+        // Nobody reads that the run has ended until the late renewal has come. The renewal
+        // that waits at the worker is over by then.
+        world.run(left - 1_300);
+        world.hanging.insert("w0".into(), Hang::CarriesOut);
+        world.run(1_400);
+        world.hanging.clear();
+        world.run(20_000);
+        assert_eq!(world.starts(&task(7, 0)), 1, "late by {late} ms");
+    }
+}
