Count the lease that a restarted worker took under the last leader

Cause: an order to the earlier process extends the lease of the next one, to the longest that workers grant. The leader that sent the order knows that. The next one counted such a lease only for a process whose clock showed less than 13 s, and a clock starts at any reading.

Change: the log tells which registered incarnations succeed others under their names, until a leader settles them. A new leader counts the longest lease for those, from its start and from their first answer. No age of a process is looked at any more. The simulated workers' clocks no longer start at zero.

Why it works: once an incarnation has got an order of its own session it refuses those to earlier ones, and it has no run of a leader before that; so no lease that it holds for such a run ends later.

--- a/crates/gentianlane/src/fleet/command.rs
+++ b/crates/gentianlane/src/fleet/command.rs
@@ -157,6 +157,12 @@
         /// The caller's team, if its call had a key.
         team: Option<id::Team>,
     },
+    /// Record that an incarnation holds no lease from an order to an earlier one under
+    /// its name, and takes none any more.
+    Settle {
+        /// The incarnation, which has answered and outlasted any such lease.
+        incarnation: Incarnation,
+    },
 }
 
 /// A command that can't be encoded, or bytes that aren't a command.
--- a/crates/gentianlane/src/fleet/dispatch/dispatcher.rs
+++ b/crates/gentianlane/src/fleet/dispatch/dispatcher.rs
@@ -11,11 +11,11 @@
 use crate::fleet::dispatch::effort::Effort;
 use crate::fleet::dispatch::estimate::Estimator;
 use crate::fleet::dispatch::gone::{Departure, Removals};
-use crate::fleet::dispatch::grant::UnansweredGrants;
+use crate::fleet::dispatch::grant::{LateGrant, UnansweredGrants};
 use crate::fleet::dispatch::open::OpenJobs;
 use crate::fleet::dispatch::rack_demand::RackDemands;
 use crate::fleet::dispatch::schedule::{Schedule, Scope};
-use crate::fleet::dispatch::session::{RunState, Session};
+use crate::fleet::dispatch::session::{RunState, Session, longest_lease};
 use crate::fleet::dispatch::stage::Stage;
 use crate::fleet::dispatch::trial::Trial;
 use crate::fleet::dispatch::unconfirmed::UnconfirmedStarts;
@@ -169,7 +169,7 @@
     #[must_use]
     pub fn new(state: &State, term: u64, setup: Setup, now: Time, wall: Wall) -> Self {
         let fencing_token = term << TERM_SHIFT;
-        let longest_lease = setup.lease.as_millis() * 21 / 20;
+        let earlier_lease = Span::from_millis(setup.lease.as_millis() * 21 / 20);
         let mut dispatcher = Self {
             setup,
             term,
@@ -196,7 +196,7 @@
             relays: Relays::default(),
             expired_requests: IndexMap::default(),
             estimator: Estimator::default(),
-            recovery_deadline: now.after(Span::from_millis(longest_lease)),
+            recovery_deadline: now.after(earlier_lease),
             recovering: true,
             schedule: Schedule::new(now),
             reserved_workers: Vec::new(),
@@ -212,9 +212,15 @@
             effects: Effects::default(),
         };
         for worker in state.workers() {
-            let longest_lease = Span::from_millis(longest_lease);
-            let mut session = Session::new(worker, fencing_token, longest_lease, now);
+            let mut session = Session::new(worker, fencing_token, earlier_lease, now);
             session.exposed = state.crashes().is_exposed(&worker.incarnation);
+            // An incarnation that has runs had answered the leader which started them, and
+            // has taken no late grant since.
+            if state.is_unsettled(&worker.incarnation.worker) {
+                let ends_by = now.after(longest_lease(setup.lease_limit));
+                session.late_grant = Some(LateGrant::until(ends_by));
+                dispatcher.recovery_deadline = dispatcher.recovery_deadline.max(ends_by);
+            }
             dispatcher
                 .sessions
                 .insert(worker.incarnation.worker.clone(), session);
--- a/crates/gentianlane/src/fleet/dispatch/event.rs
+++ b/crates/gentianlane/src/fleet/dispatch/event.rs
@@ -7,6 +7,7 @@
 use crate::fleet::dispatch::advice::Relay;
 use crate::fleet::dispatch::dispatcher::{OrderKind, Place};
 use crate::fleet::dispatch::gone::Evidence;
+use crate::fleet::dispatch::grant::LateGrant;
 use crate::fleet::dispatch::session::{RunState, Session, longest_lease};
 use crate::fleet::dispatch::stage::Stage;
 use crate::fleet::dispatch::survey::Seen;
@@ -341,23 +342,25 @@
         let mut new_session = Session::new(registered, token, lease, now);
         new_session.report_sequence = first_sequence.unwrap_or_default();
         self.unconfirmed.add_stopping(&mut new_session, now);
-        let limit = self.setup.lease_limit;
-        let late_end = self.unanswered_grants.lease_end(worker, limit, now);
-        if let Some(end) = late_end {
-            new_session.lease_end = new_session.lease_end.max(end);
+        if state.is_unsettled(worker) {
+            // The incarnation may have carried out orders to an earlier one before it was
+            // registered, and may carry out others until it answers the first order of
+            // this session.
+            let limit = self.setup.lease_limit;
+            let early_end = now.after(longest_lease(limit));
+            let late_end = self.unanswered_grants.lease_end(worker, limit, now);
+            let ends_by = late_end.map_or(early_end, |end| end.max(early_end));
+            new_session.late_grant = Some(LateGrant::until(ends_by));
         }
         let Some(session) = self.sessions.get_mut(worker) else {
             self.sessions.insert(worker.clone(), new_session);
             return self.hold_tasks(worker);
         };
-        // The new incarnation may have carried out and answered orders to the
-        // earlier one before it was registered.
-        let early_end = now.after(longest_lease(limit));
-        new_session.lease_end = new_session.lease_end.max(early_end);
         // An order to the earlier incarnation may have reached this one, so each
         // earlier run is stopped here before its task starts anywhere.
         let old = std::mem::replace(session, new_session);
         let has_moved = old.profile.address != session.profile.address;
+        let old_end = old.lease_end();
         self.effects.decisions.push(Decision::WorkerGone {
             incarnation: old.incarnation,
             cause: Cause::OtherIncarnation,
@@ -369,7 +372,7 @@
             let in_doubt = session.runs.contains_key(&(task, number));
             // A process that listens elsewhere says nothing of the one that may run on.
             if has_moved && !run.is_unsent() {
-                let until = run.earlier_until.unwrap_or_default().max(old.lease_end);
+                let until = run.earlier_until.unwrap_or_default().max(old_end);
                 run.earlier_until = Some(until);
             }
             run.state = RunState::Stopping;
--- a/crates/gentianlane/src/fleet/dispatch/grant.rs
+++ b/crates/gentianlane/src/fleet/dispatch/grant.rs
@@ -12,6 +12,36 @@
 use crate::id;
 use crate::unit::{Span, Time};
 
+/// A lease that an incarnation may hold from an order to an earlier one under its name.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct LateGrant {
+    /// By when it has certainly ended.
+    pub(crate) ends_by: Time,
+    /// Whether the incarnation refuses all orders to earlier ones, so that it takes no
+    /// other such lease.
+    pub(crate) is_last: bool,
+}
+
+impl LateGrant {
+    /// A lease that may be taken anew at any time.
+    pub(crate) const fn until(ends_by: Time) -> Self {
+        Self {
+            ends_by,
+            is_last: false,
+        }
+    }
+
+    /// Notes that the incarnation has answered an order, whose fencing token is higher than
+    /// that of any order to an earlier one: it has taken no such lease of at most `limit`
+    /// since.
+    pub(crate) fn note_answer(&mut self, limit: Span, now: Time) {
+        if !self.is_last {
+            self.ends_by = now.after(longest_lease(limit));
+            self.is_last = true;
+        }
+    }
+}
+
 /// When the newest lease extension without an answer was sent, by worker.
 #[derive(Debug, Default, Clone)]
 pub(crate) struct UnansweredGrants {
--- a/crates/gentianlane/src/fleet/dispatch/lease.rs
+++ b/crates/gentianlane/src/fleet/dispatch/lease.rs
@@ -3,10 +3,12 @@
 
 use crate::collections::IndexMap;
 
+use crate::fleet::Command;
 use crate::fleet::decision::{Cause, Decision};
 use crate::fleet::dispatch::Dispatcher;
 use crate::fleet::dispatch::dispatcher::Place;
 use crate::fleet::dispatch::gone::Evidence;
+use crate::fleet::dispatch::grant::LateGrant;
 use crate::fleet::dispatch::session::{Run, RunState, Session};
 use crate::fleet::job::{self, Task};
 use crate::fleet::order::{Action, Start};
@@ -42,6 +44,19 @@
             self.expire_lease(&worker, now);
             self.remove_silent_worker(&worker, now, wall);
         }
+        self.settle_late_grants(now);
+    }
+
+    /// Has the log tell which workers hold no lease from an order to an earlier incarnation
+    /// any more.
+    fn settle_late_grants(&mut self, now: Time) {
+        for session in self.sessions.values_mut() {
+            let is_over = |grant: &LateGrant| grant.is_last && now >= grant.ends_by;
+            if session.late_grant.take_if(|grant| is_over(grant)).is_some() {
+                let incarnation = session.incarnation.clone();
+                self.effects.commands.push(Command::Settle { incarnation });
+            }
+        }
     }
 
     /// Sends due starts and stops again; stops a run whose start was sent too
@@ -221,7 +236,7 @@
         let Some(session) = self.sessions.get_mut(worker) else {
             return;
         };
-        if now < session.lease_end || session.runs.is_empty() {
+        if now < session.lease_end() || session.runs.is_empty() {
             return;
         }
         let runs: Vec<(Task, u64)> = session.runs.keys().copied().collect();
@@ -242,7 +257,7 @@
         let unreported = session.leaving_since.is_some()
             || now.since(session.last_report) >= REMOVAL_DELAY;
         let unreachable = session.unanswered > 0
-            && now >= session.lease_end
+            && now >= session.lease_end()
             && now >= self.recovery_deadline;
         if !unreported || !unreachable || !session.runs.is_empty() {
             return;
@@ -386,7 +401,7 @@
     let mut runs = session.runs.values();
     session.unanswered > 0
         || session.leaving_since.is_some()
-        || now >= session.lease_end
+        || now >= session.lease_end()
         || runs.any(|run| run.state != RunState::Running)
 }
 
--- a/crates/gentianlane/src/fleet/dispatch/reconcile.rs
+++ b/crates/gentianlane/src/fleet/dispatch/reconcile.rs
@@ -6,8 +6,7 @@
 use crate::fleet::dispatch::answer::UNHEALTHY_BACKOFF;
 use crate::fleet::dispatch::dispatcher::{PendingOrder, Place};
 use crate::fleet::dispatch::estimate::smoothed_slowdown;
-use crate::fleet::dispatch::session::{Run, RunState, longest_lease};
-use crate::fleet::dispatch::unconfirmed::MAX_ORDER_DELAY;
+use crate::fleet::dispatch::session::{Run, RunState};
 use crate::fleet::job::Task;
 use crate::fleet::order::{ActiveRun, EndedRun, Outcome, Status};
 use crate::fleet::{Command, Job, State};
@@ -51,12 +50,8 @@
             self.stop_unconfirmed(worker, now);
             return;
         }
-        // An order by which an earlier leader extended the lease of an earlier
-        // incarnation may have reached this one before any order of this leader.
-        let is_young = Span::from_millis(status.clock) < MAX_ORDER_DELAY;
-        if self.recovering && !session.reconciled && is_young {
-            let end = now.after(longest_lease(self.setup.lease_limit));
-            session.lease_end = session.lease_end.max(end);
+        if let Some(grant) = &mut session.late_grant {
+            grant.note_answer(self.setup.lease_limit, now);
         }
         if session.unanswered > 0 || !session.reconciled {
             self.effects.decisions.push(Decision::WorkerResponsive {
--- a/crates/gentianlane/src/fleet/dispatch/session.rs
+++ b/crates/gentianlane/src/fleet/dispatch/session.rs
@@ -7,6 +7,7 @@
 use crate::fleet::Worker;
 use crate::fleet::dispatch::estimate::NOMINAL;
 use crate::fleet::dispatch::gone::{Proof, Sign};
+use crate::fleet::dispatch::grant::LateGrant;
 use crate::fleet::dispatch::progress::Progress;
 use crate::fleet::dispatch::speed::Speed;
 use crate::fleet::dispatch::survey::Seen;
@@ -50,8 +51,11 @@
     /// The latest lease end that any order carried, in milliseconds on the
     /// worker's clock.
     deadline: u64,
-    /// The time on the leader's clock by which that lease has certainly ended.
-    pub(crate) lease_end: Time,
+    /// The time on the leader's clock by which that lease, or one that an earlier leader
+    /// granted, has certainly ended.
+    granted_until: Time,
+    /// The lease that the incarnation may hold from an order to an earlier one.
+    pub(crate) late_grant: Option<LateGrant>,
     /// Whether the worker has listed its runs in this leader's term.
     pub(crate) reconciled: bool,
     /// The pending lease renewal, and when it was sent.
@@ -267,7 +271,8 @@
             fencing_token,
             clock: None,
             deadline: 0,
-            lease_end: now.after(lease).after(LEASE_MARGIN),
+            granted_until: now.after(lease).after(LEASE_MARGIN),
+            late_grant: None,
             reconciled: false,
             renewal: None,
             next_renewal: now,
@@ -334,7 +339,7 @@
         let slack = remaining.saturating_mul(CLOCK_SLACK) / 1_000;
         let longest = remaining.saturating_add(slack);
         let ends = now.after(Span::from_millis(longest)).after(LEASE_MARGIN);
-        self.lease_end = self.lease_end.max(ends);
+        self.granted_until = self.granted_until.max(ends);
         Some(deadline)
     }
 
@@ -345,9 +350,16 @@
         Some(Time::from_millis(clock).after(now.since(read)))
     }
 
+    /// The time on the leader's clock by which the worker's lease, from whichever order,
+    /// has certainly ended.
+    pub(crate) fn lease_end(&self) -> Time {
+        let late_end = self.late_grant.map(|grant| grant.ends_by);
+        late_end.map_or(self.granted_until, |end| end.max(self.granted_until))
+    }
+
     /// The longest time for which the lease may still last.
     pub(crate) fn lease_remaining(&self, now: Time) -> Span {
-        self.lease_end.since(now)
+        self.lease_end().since(now)
     }
 
     /// The kind of worker, which is its first label; empty if the worker has no
@@ -483,7 +495,7 @@
     /// Whether the worker may have runs: it may hold a lease, and has listed runs or
     /// hasn't listed any yet.
     pub(crate) fn may_run(&self, now: Time) -> bool {
-        now < self.lease_end && (!self.reconciled || !self.runs.is_empty())
+        now < self.lease_end() && (!self.reconciled || !self.runs.is_empty())
     }
 
     /// Whether the worker answers orders and is to stay.
--- a/crates/gentianlane/src/fleet/state.rs
+++ b/crates/gentianlane/src/fleet/state.rs
@@ -2,6 +2,7 @@
 
 mod codec;
 mod crash;
+mod successor;
 mod withdrawn;
 
 use crate::collections::IndexMap;
@@ -17,6 +18,7 @@
 use crate::id;
 use crate::unit::{Span, Wall};
 
+use successor::Successors;
 use withdrawn::Withdrawn;
 
 /// The state machine that applies the log's commands; the same on every node
@@ -44,9 +46,12 @@
     /// encoded as earlier versions did.
     #[serde(skip)]
     owners: Owners,
-    /// The jobs that were cancelled before they were submitted, which come last.
+    /// The jobs that were cancelled before they were submitted.
     #[serde(skip)]
     withdrawn: Withdrawn,
+    /// The workers that have started again under their names, which come last.
+    #[serde(skip)]
+    successors: Successors,
 }
 
 /// A start without an answer, which its worker may carry out seconds later.
@@ -348,6 +353,7 @@
                 queue,
                 team,
             } => self.withdraw(at, job, &queue, team),
+            Command::Settle { incarnation } => self.settle(&incarnation),
         }
     }
 
@@ -471,7 +477,10 @@
     /// Registers a worker in place of any other incarnation.
     fn register(&mut self, incarnation: Incarnation, profile: Profile) -> Vec<Event> {
         let name = incarnation.worker.clone();
-        let draining = self.workers.get(&name).is_some_and(|current| {
+        let current = self.workers.get(&name);
+        let earlier = current.map(|current| &current.incarnation);
+        self.successors.register(&incarnation, earlier);
+        let draining = current.is_some_and(|current| {
             current.incarnation == incarnation && current.draining
         });
         let worker = Worker {
@@ -533,6 +542,7 @@
         if current.is_some_and(|worker| worker.incarnation == *incarnation) {
             self.workers.swap_remove(&incarnation.worker);
             self.report_sequences.swap_remove(&incarnation.worker);
+            self.successors.remove(incarnation);
         }
     }
 
--- a/crates/gentianlane/src/fleet/state/codec.rs
+++ b/crates/gentianlane/src/fleet/state/codec.rs
@@ -5,6 +5,7 @@
 
 use crate::fleet::State;
 use crate::fleet::command::CodecError;
+use crate::fleet::state::successor::Successors;
 use crate::fleet::team::Owners;
 
 impl State {
@@ -31,14 +32,22 @@
         let bytes = postcard::to_extend(&self.crashes, bytes).map_err(|_| CodecError)?;
         let bytes =
             postcard::to_extend(&self.report_sequences, bytes).map_err(|_| CodecError)?;
-        if self.owners == Owners::default() && self.withdrawn.is_empty() {
+        // A part is left out if it is empty and so are all that follow.
+        let no_successors = self.successors == Successors::default();
+        let no_withdrawn = self.withdrawn.is_empty() && no_successors;
+        if self.owners == Owners::default() && no_withdrawn {
             return Ok(bytes);
         }
         let bytes = postcard::to_extend(&self.owners, bytes).map_err(|_| CodecError)?;
-        if self.withdrawn.is_empty() {
+        if no_withdrawn {
             return Ok(bytes);
         }
-        postcard::to_extend(&self.withdrawn, bytes).map_err(|_| CodecError)
+        let bytes =
+            postcard::to_extend(&self.withdrawn, bytes).map_err(|_| CodecError)?;
+        if no_successors {
+            return Ok(bytes);
+        }
+        postcard::to_extend(&self.successors, bytes).map_err(|_| CodecError)
     }
 
     /// Decodes the state from a snapshot, which an earlier version may have written.
@@ -79,7 +88,13 @@
         if rest.is_empty() {
             return Ok(state);
         }
-        state.withdrawn = postcard::from_bytes(rest).map_err(|_| CodecError)?;
+        let (withdrawn, rest) =
+            postcard::take_from_bytes(rest).map_err(|_| CodecError)?;
+        state.withdrawn = withdrawn;
+        if rest.is_empty() {
+            return Ok(state);
+        }
+        state.successors = postcard::from_bytes(rest).map_err(|_| CodecError)?;
         Ok(state)
     }
 }
--- a/crates/gentianlane/tests/fleet/lease.rs
+++ b/crates/gentianlane/tests/fleet/lease.rs
@@ -2,8 +2,11 @@
 //! old or new, lets the earlier run go on.
 
 use gentianlane::fleet::call::{Call, Reply};
+use gentianlane::fleet::decision::Decision;
+use gentianlane::fleet::dispatch::Setup;
 use gentianlane::fleet::job::{Id, Schedule, Spec, Stage, Task};
 use gentianlane::fleet::order::Outcome;
+use gentianlane::fleet::{Command, State};
 use gentianlane::unit::{Span, Wall};
 
 use super::simulated_worker::job;
@@ -192,19 +195,7 @@
     for late in [1_500, 2_500, 4_000] {
         let mut world = World::new(2, 1).with_plan(plan(1, true));
         world.checks_tickets = true;
-        world.run(8_000);
-        world.crash("w1");
-        world.delays.push(Delay {
-            worker: "w0".into(),
-            kind: Kind::Grant,
-            millis: late,
-        });
-        while !world.delays.is_empty() {
-            world.run(1);
-        }
-        world.crash("w0");
-        world.run(20);
-        world.restart_worker("w0");
+        restart_beside_late_grant(&mut world, late);
         world.run(600);
         world.submit(7, &lasting());
         while world.starts(&task(7, 0)) == 0 {
@@ -260,3 +251,130 @@
         assert_eq!(world.starts(&task(7, 0)), 1, "late by {late} ms");
     }
 }
+
+/// Has the only worker take the longest lease, 10 s, from a late renewal to its earlier
+/// process, and a task start there. The other worker is down.
+fn start_beside_late_grant(late: u64) -> World {
+    let setup = Setup {
+        lease_limit: Span::from_millis(10_000),
+        ..Setup::default()
+    };
+    let mut world = World::new(2, 1)
+        .with_dispatch(setup)
+        .with_plan(plan(1, true));
+    world.checks_tickets = true;
+    for worker in &mut world.workers {
+        worker.lease_limit = 10_000;
+    }
+    restart_beside_late_grant(&mut world, late);
+    world.run(600);
+    world.submit(7, &lasting());
+    while world.starts(&task(7, 0)) == 0 {
+        world.run(1);
+    }
+    world
+}
+
+/// Kills the leader, restarts its process and waits for the next one.
+fn lose_leader(world: &mut World) {
+    let leader = world.leader().unwrap_or(0);
+    world.kill(leader);
+    world.run(300);
+    world.restart(leader);
+    while world.leader().is_none() {
+        world.run(1);
+    }
+}
+
+#[test]
+fn leaders_lost_in_a_row_count_the_lease_that_a_worker_took_from_an_old_order() {
+    for late in (150..600).step_by(50) {
+        let mut world = start_beside_late_grant(late);
+        lose_leader(&mut world);
+        lose_leader(&mut world);
+        world.unreachable.insert("w0".into());
+        world.restart_worker("w1");
+        // The oracle fails on a second run beside the first.
+        world.run(25_000);
+        assert_eq!(world.starts(&task(7, 0)), 2, "late by {late} ms");
+    }
+}
+
+#[test]
+fn a_leader_that_is_handed_over_to_counts_the_lease_that_a_worker_took_from_an_old_order()
+{
+    for late in (150..600).step_by(50) {
+        let mut world = start_beside_late_grant(late);
+        let leader = world.leader().expect("a leader");
+        if let Some(node) = &mut world.cores[leader].node {
+            node.transfer_leadership();
+        }
+        while world.leader().is_none_or(|now| now == leader) {
+            world.run(1);
+        }
+        world.unreachable.insert("w0".into());
+        world.restart_worker("w1");
+        // The oracle fails on a second run beside the first.
+        world.run(25_000);
+        assert_eq!(world.starts(&task(7, 0)), 2, "late by {late} ms");
+    }
+}
+
+/// The lease that the present leader counted when it first heard a worker.
+fn lease_when_heard(world: &World) -> Option<Span> {
+    let mut decisions = world.decisions.iter().rev();
+    decisions.find_map(|decision| match decision {
+        Decision::WorkerResponsive { lease, .. } => Some(*lease),
+        _ => None,
+    })
+}
+
+#[test]
+fn a_calm_takeover_counts_no_lease_from_an_old_order() {
+    // The usual lease and the margins on it.
+    let usual = Span::from_millis(5_000 * 21 / 20 + 50);
+    for restarts in [false, true] {
+        for wait in [1_000, 20_000] {
+            let mut world = World::new(1, 1).with_plan(plan(1, true));
+            world.run(8_000);
+            if restarts {
+                world.crash("w0");
+                world.run(20);
+                world.restart_worker("w0");
+            }
+            world.run(wait);
+            lose_leader(&mut world);
+            world.run(2_000);
+            let lease = lease_when_heard(&world).expect("the worker is heard");
+            let is_counted = restarts && wait < 20_000;
+            assert_eq!(lease > usual, is_counted, "{restarts}, {wait}: {lease:?}");
+        }
+    }
+}
+
+#[test]
+fn a_core_that_restarts_from_a_snapshot_knows_which_workers_have_restarted() {
+    let mut state = State::default();
+    let worker = super::simulated_worker::Worker::new(
+        "w0",
+        1_000,
+        gentianlane::fleet::job::Resources::default(),
+        0,
+    );
+    for started_at in [1, 2] {
+        let mut incarnation = worker.incarnation.clone();
+        incarnation.started_at = Wall::from_millis(started_at);
+        let profile = worker.profile.clone();
+        state.apply(Command::Join {
+            incarnation,
+            profile,
+        });
+    }
+    let bytes = state.encode().expect("a snapshot");
+    assert_eq!(State::decode(&bytes).expect("a state"), state);
+    let mut settled = state.clone();
+    let mut incarnation = worker.incarnation.clone();
+    incarnation.started_at = Wall::from_millis(2);
+    settled.apply(Command::Settle { incarnation });
+    assert_ne!(settled, state);
+}
--- a/crates/gentianlane/tests/fleet/regression.rs
+++ b/crates/gentianlane/tests/fleet/regression.rs
@@ -227,6 +227,8 @@
     leader.answer(renewal.id, Answer::Unreachable);
 
     let mut later = new_worker();
+    // Below the deadline of the late start.
+    later.clock_at_start = 0;
     let demand = Resources::default();
     let spec = |_: &Start| (demand, Some(100), Outcome::Done);
     let (_, started) = later.handle(late_start, false, spec, 0);
--- a/crates/gentianlane/tests/fleet/simulated_worker.rs
+++ b/crates/gentianlane/tests/fleet/simulated_worker.rs
@@ -48,6 +48,8 @@
     pub(crate) profile: Profile,
     /// When the process started, on the world's clock in milliseconds.
     pub(crate) spawned_at: u64,
+    /// What the worker's own clock showed then, in milliseconds.
+    pub(crate) clock_at_start: u64,
     pub(crate) up: bool,
     /// Whether its process has closed its listener and sends no reports.
     pub(crate) hidden: bool,
@@ -55,6 +57,8 @@
     /// Whether runs that are being stopped aren't listed until they have ended.
     pub(crate) hides_stopping: bool,
     pub(crate) reports: u64,
+    /// The longest lease that it accepts, in milliseconds.
+    pub(crate) lease_limit: u64,
     fencing_token: u64,
     deadline: u64,
     /// The active runs by task and number: a worker starts a run beside another
@@ -80,9 +84,15 @@
 /// How long a stop takes for a step's first task, in milliseconds.
 const STOP_MS: u64 = 150;
 
-/// The longest lease that the worker accepts, in milliseconds.
+/// The longest lease that a worker accepts unless it is set, in milliseconds.
 const LEASE_LIMIT_MS: u64 = 6_000;
 
+/// What the clock of a process shows at its start, in milliseconds: less than that of any
+/// process before, as a deadline for one of those is then far ahead here.
+fn clock_at_start(now: u64) -> u64 {
+    70_000_000_u64.saturating_sub(2 * now)
+}
+
 impl Worker {
     pub(crate) fn new(name: &str, port: u16, capacity: Resources, now: u64) -> Self {
         Self {
@@ -98,11 +108,13 @@
                 labels: vec!["kind".to_owned(), format!("rack-{}", port % 3)],
             },
             spawned_at: now,
+            clock_at_start: clock_at_start(now),
             up: true,
             hidden: false,
             draining: false,
             hides_stopping: false,
             reports: 0,
+            lease_limit: LEASE_LIMIT_MS,
             fencing_token: 0,
             deadline: 0,
             runs: BTreeMap::new(),
@@ -133,7 +145,7 @@
 
     /// The worker's own clock in milliseconds, which is 2% slow.
     pub(crate) fn clock(&self, now: u64) -> u64 {
-        (now - self.spawned_at) * 98 / 100 + 5
+        self.clock_at_start + (now - self.spawned_at) * 98 / 100
     }
 
     pub(crate) fn report(&mut self) -> Report {
@@ -304,7 +316,7 @@
     }
 
     fn extend_lease(&mut self, deadline: u64, clock: u64) {
-        self.deadline = self.deadline.max(deadline.min(clock + LEASE_LIMIT_MS));
+        self.deadline = self.deadline.max(deadline.min(clock + self.lease_limit));
     }
 
     /// The status that answers a lease renewal.
--- a/crates/gentianlane/tests/fleet/world.rs
+++ b/crates/gentianlane/tests/fleet/world.rs
@@ -1127,7 +1127,9 @@
         };
         let old = &self.workers[at];
         let (port, capacity) = (old.profile.address.port(), old.profile.capacity);
+        let lease_limit = old.lease_limit;
         self.workers[at] = Worker::new(name, port, capacity, now);
+        self.workers[at].lease_limit = lease_limit;
     }
 
     /// When the starts of a task that are on their way arrive, soonest first.
