Bind a task for the lease of a late start too

What callers saw: two runs of one task at once, where starts carry no tickets. Cause: a start without an answer bound its task to its worker for the 13 s in which it may be carried out, and not for the lease that a later process behind a cut takes from it. While the simulated workers' clocks began at zero, such a lease was short in most tests.

Change: it binds until the longest lease is over after those 13 s. A start with a ticket binds as long as before, as a later process refuses the ticket.

--- a/crates/gentianlane/src/fleet/dispatch/unconfirmed.rs
+++ b/crates/gentianlane/src/fleet/dispatch/unconfirmed.rs
@@ -5,13 +5,14 @@
 //! earlier incarnation: the deadline refers to another clock, and the worker
 //! has no record of earlier runs. The new incarnation is therefore ordered to stop
 //! each such run before it gets any tasks. As it may carry out the start before any
-//! order reaches it, the task is placed on no other worker meanwhile.
+//! order reaches it, the task is placed on no other worker meanwhile, nor for as long
+//! as the lease may last that it takes from the start.
 
 use crate::collections::IndexMap;
 
 use crate::fleet::dispatch::Dispatcher;
 use crate::fleet::dispatch::dispatcher::PendingOrder;
-use crate::fleet::dispatch::session::{Run, RunState, Session};
+use crate::fleet::dispatch::session::{Run, RunState, Session, longest_lease};
 use crate::fleet::dispatch::stage::Stage;
 use crate::fleet::job::{Resources, Task};
 use crate::fleet::order::Action;
@@ -92,7 +93,7 @@
     /// Removes the starts that can't be carried out any more.
     pub(crate) fn expire(&mut self, now: Time) {
         self.starts.retain(|_, starts| {
-            starts.retain(|start| now < start.until);
+            starts.retain(|start| now < start.until.max(start.binds_until));
             !starts.is_empty()
         });
     }
@@ -173,13 +174,22 @@
             until,
             binds_until: match session.is_none_or(|session| session.draining) {
                 true => order.sent_at,
-                false => order.ticket_until.map_or(until, |end| end.min(until)),
+                // A later incarnation refuses the ticket of an earlier one.
+                false => order
+                    .ticket_until
+                    .map_or_else(|| self.end_of_run(until), |end| end.min(until)),
             },
         };
         self.unconfirmed.add(task, start.clone());
         start
     }
 
+    /// By when a run has ended that an incarnation which nobody reaches starts by
+    /// `started_by`: the start grants a lease, which no order extends.
+    fn end_of_run(&self, started_by: Time) -> Time {
+        started_by.after(longest_lease(self.setup.lease_limit))
+    }
+
     /// Proposes a start without an answer to the log, for the leaders that follow.
     ///
     /// They wait for a worker that they can't reach for as long as a lease anyway.
@@ -241,7 +251,10 @@
                 demand: Some(step.demand()),
                 charge: owner.and_then(|owner| owner.charge(&start.task)),
                 until,
-                binds_until: if draining { now } else { until },
+                binds_until: match draining {
+                    true => now,
+                    false => self.end_of_run(until),
+                },
             };
             self.unconfirmed.add(start.task, inherited);
         }
--- a/crates/gentianlane/tests/fleet/late_start.rs
+++ b/crates/gentianlane/tests/fleet/late_start.rs
@@ -145,7 +145,10 @@
     world.run(6_000);
     assert_eq!(cause_of_wait(&mut world), Some(Blocker::LateStart));
     assert_eq!(world.starts(&TASK), 0);
-    world.run(9_000);
+    // Until 13 s after the start, and for the longest lease from then on.
+    world.run(12_000);
+    assert_eq!(cause_of_wait(&mut world), Some(Blocker::LateStart));
+    world.run(3_000);
     assert_eq!(cause_of_wait(&mut world), None);
     assert_eq!(world.starts(&TASK), 1);
 }
