Remember that a worker had restarted when it registers again

Cause: the log's mark that an incarnation succeeds another was dropped with its removal, and the incarnation before it, which had been replaced and not removed, was not remembered. So when another worker answered at its address for a moment, and it then registered again, no leader counted the lease that it held from an old order. The leader that had sent the order didn't either, as it asked the log first.

Change: replaced incarnations are remembered like removed ones, and a leader counts its own orders without an answer whatever the log says.

Measured: a_restarted_worker_that_registers_again_may_hold_the_lease_of_an_old_order and the_next_leader_knows_that_a_worker_which_registered_again_had_restarted failed before ('run 2 starts at 21230 ms', 'run starts at 21005 ms while another run is active') and pass.

--- a/crates/gentianlane/src/fleet/dispatch/event.rs
+++ b/crates/gentianlane/src/fleet/dispatch/event.rs
@@ -342,16 +342,14 @@
         let mut new_session = Session::new(registered, token, lease, now);
         new_session.report_sequence = first_sequence.unwrap_or_default();
         self.unconfirmed.add_stopping(&mut new_session, now);
-        if state.is_unsettled(worker) {
-            // The incarnation may have carried out orders to an earlier one before it was
-            // registered, and may carry out others until it answers the first order of
-            // this session.
-            let limit = self.setup.lease_limit;
-            let early_end = now.after(longest_lease(limit));
-            let late_end = self.unanswered_grants.lease_end(worker, limit, now);
-            let ends_by = late_end.map_or(early_end, |end| end.max(early_end));
-            new_session.late_grant = Some(LateGrant::until(ends_by));
-        }
+        // The incarnation may have carried out orders to an earlier one before it was
+        // registered, and may carry out others until it answers the first order of this
+        // session.
+        let limit = self.setup.lease_limit;
+        let early_end = now.after(longest_lease(limit));
+        let early_end = state.is_unsettled(worker).then_some(early_end);
+        let late_end = self.unanswered_grants.lease_end(worker, limit, now);
+        new_session.late_grant = early_end.max(late_end).map(LateGrant::until);
         let Some(session) = self.sessions.get_mut(worker) else {
             self.sessions.insert(worker.clone(), new_session);
             return self.hold_tasks(worker);
--- a/crates/gentianlane/src/fleet/state/successor.rs
+++ b/crates/gentianlane/src/fleet/state/successor.rs
@@ -13,7 +13,7 @@
 use crate::fleet::{Event, State};
 use crate::id;
 
-/// How many removed incarnations are remembered. More would have to be removed within the
+/// How many earlier incarnations are remembered. More would have to be removed within the
 /// time in which an order may be carried out late for one to be forgotten too soon.
 const REMOVED_LIMIT: usize = 4_096;
 
@@ -22,7 +22,7 @@
 pub(crate) struct Successors {
     /// Of the registered incarnations, those that may hold such a lease.
     unsettled: IndexSet<id::Worker>,
-    /// The incarnations that were removed last, the oldest first.
+    /// The incarnations that were removed or replaced last, the oldest first.
     removed: VecDeque<Incarnation>,
 }
 
@@ -39,11 +39,18 @@
         if earlier.is_some_and(is_earlier) || self.removed.iter().any(is_earlier) {
             self.unsettled.insert(incarnation.worker.clone());
         }
+        if let Some(earlier) = earlier.filter(|earlier| is_earlier(earlier)) {
+            self.remember(earlier);
+        }
     }
 
     /// Records that a registered incarnation has been removed.
     pub(super) fn remove(&mut self, incarnation: &Incarnation) {
         self.unsettled.swap_remove(&incarnation.worker);
+        self.remember(incarnation);
+    }
+
+    fn remember(&mut self, incarnation: &Incarnation) {
         if self.removed.len() >= REMOVED_LIMIT {
             self.removed.pop_front();
         }
--- a/crates/gentianlane/tests/fleet/main.rs
+++ b/crates/gentianlane/tests/fleet/main.rs
@@ -14,6 +14,7 @@
 mod lease;
 mod proof;
 mod regression;
+mod restart;
 mod review;
 mod run_number;
 mod simulated_worker;
--- /dev/null
+++ b/crates/gentianlane/tests/fleet/restart.rs
@@ -0,0 +1,106 @@
+//! Tests of workers that start again under their names, in histories in which what a
+//! leader knows of them gets lost or isn't there yet. The oracle fails on a second run.
+
+use gentianlane::fleet::dispatch::Setup;
+use gentianlane::fleet::job::{Id, Spec, Stage, Task};
+use gentianlane::id;
+use gentianlane::unit::Span;
+
+use super::simulated_worker::job;
+use super::world::{Delay, Kind, World, plan};
+
+fn task(job: u64, index: u32) -> Task {
+    let stage = Stage {
+        job: Id(job),
+        occurrence: 0,
+        step: 0,
+    };
+    Task { stage, index }
+}
+
+fn lasting() -> Spec {
+    let mut spec = job(1, 4_000);
+    spec.steps[0].long_running = true;
+    spec
+}
+
+/// Two workers that grant leases of up to `limit` milliseconds.
+fn world_with_limit(limit: u64, advice: bool) -> World {
+    let setup = Setup {
+        lease_limit: Span::from_millis(limit),
+        ..Setup::default()
+    };
+    let mut world = World::new(2, 1)
+        .with_dispatch(setup)
+        .with_plan(plan(1, advice));
+    for worker in &mut world.workers {
+        worker.lease_limit = limit;
+    }
+    world
+}
+
+fn restart_beside_late_grant(world: &mut World, millis: u64) {
+    world.run(8_000);
+    world.crash("w1");
+    world.delays.push(Delay {
+        worker: "w0".into(),
+        kind: Kind::Grant,
+        millis,
+    });
+    while !world.delays.is_empty() {
+        world.run(1);
+    }
+    world.crash("w0");
+    world.run(20);
+    world.restart_worker("w0");
+}
+
+/// Kills the leader, restarts its process and waits for the next one.
+fn lose_leader(world: &mut World) {
+    let leader = world.leader().unwrap_or(0);
+    world.kill(leader);
+    world.run(300);
+    world.restart(leader);
+    while world.leader().is_none() {
+        world.run(1);
+    }
+}
+
+/// Has a worker take the longest lease from an order to its earlier process, be removed
+/// while another one answers at its address, and register again as the same process.
+fn check_second_registration(late: u64, kills: bool) {
+    let mut world = world_with_limit(10_000, true);
+    world.checks_tickets = true;
+    restart_beside_late_grant(&mut world, late);
+    world.run(700);
+    let name = id::Worker::from("w0");
+    world.displaced.insert(name.clone());
+    world.run(2_300);
+    world.displaced.remove(&name);
+    world.submit(7, &lasting());
+    while world.starts(&task(7, 0)) == 0 {
+        world.run(1);
+    }
+    if kills {
+        lose_leader(&mut world);
+    }
+    world.unreachable.insert(name);
+    world.restart_worker("w1");
+    world.run(25_000);
+    assert_eq!(world.starts(&task(7, 0)), 2, "late by {late} ms");
+}
+
+/// Whether a worker had started again was forgotten when it was removed.
+#[test]
+fn a_restarted_worker_that_registers_again_may_hold_the_lease_of_an_old_order() {
+    for late in [300, 500, 650] {
+        check_second_registration(late, false);
+    }
+}
+
+#[test]
+fn the_next_leader_knows_that_a_worker_which_registered_again_had_restarted() {
+    for late in [300, 500, 650] {
+        check_second_registration(late, true);
+    }
+}
