Count the longest lease once a worker's next process has answered

Cause: a process that no leader knew of carried out a start to the one before and confirmed it. The answer to a start names no process, so the leader took it for one of the former process, whose lease is 5 s, while the new one took the longest. When the worker was cut off before its new process was registered, the task was started elsewhere too soon, without any change of leader.

Change: an answer whose clock is below the newest reading at the time of its order, or that names another process, has the leader count the longest lease for the session. The check took answers up to 2 s behind the newest reading for late ones before.

Measured: a_process_that_no_leader_knows_may_carry_out_a_start_to_the_one_before ('run 2 starts at 19260 ms while another run is active') and a_process_whose_clock_is_near_that_of_the_one_ before_may_carry_out_its_start ('run 2 starts at 19580 ms') failed before and pass.

--- a/crates/gentianlane/src/fleet/dispatch/answer.rs
+++ b/crates/gentianlane/src/fleet/dispatch/answer.rs
@@ -140,11 +140,12 @@
                 session.unreachable = 0;
                 let is_named = matches!(&answer, Answer::Status(status)
                     if status.started_at.unwrap_or_default() == order.started_at);
-                if clock_of(&answer)
-                    .is_some_and(|clock| !session.update_clock(clock, is_named, now))
-                {
+                if clock_of(&answer).is_some_and(|clock| {
+                    !session.update_clock(clock, order.clock, is_named, now)
+                }) {
                     // The answer to the next renewal tells which incarnation
                     // this is.
+                    session.note_later_incarnation(self.setup.lease_limit, now);
                     session.unanswered += 1;
                     session.next_renewal = now;
                     self.effects.decisions.push(Decision::WorkerAvoided {
--- a/crates/gentianlane/src/fleet/dispatch/claim.rs
+++ b/crates/gentianlane/src/fleet/dispatch/claim.rs
@@ -118,6 +118,7 @@
             ticket_until: None,
             kind: OrderKind::Question,
             extends_lease: false,
+            clock: 0,
         };
         self.pending_orders.insert(id, question);
         self.effects.orders.push(Order {
--- a/crates/gentianlane/src/fleet/dispatch/dispatcher.rs
+++ b/crates/gentianlane/src/fleet/dispatch/dispatcher.rs
@@ -56,6 +56,8 @@
     pub(super) kind: OrderKind,
     /// Whether the order extends the worker's lease.
     pub(super) extends_lease: bool,
+    /// The newest reading of the worker's clock when the order was sent, in milliseconds.
+    pub(super) clock: u64,
 }
 
 impl PendingOrder {
@@ -374,6 +376,7 @@
             ticket_until: self.ticket_until(worker, &action),
             kind,
             extends_lease,
+            clock: session.newest_clock(),
         };
         self.pending_orders.insert(id, order);
         self.effects.orders.push(Order {
--- a/crates/gentianlane/src/fleet/dispatch/reconcile.rs
+++ b/crates/gentianlane/src/fleet/dispatch/reconcile.rs
@@ -45,6 +45,7 @@
         {
             // Another incarnation answered. It registers through its own report;
             // until then none of its runs are known.
+            session.note_later_incarnation(self.setup.lease_limit, now);
             session.unanswered += 1;
             session.next_renewal = now.after(UNHEALTHY_BACKOFF);
             self.stop_unconfirmed(worker, now);
--- a/crates/gentianlane/src/fleet/dispatch/session.rs
+++ b/crates/gentianlane/src/fleet/dispatch/session.rs
@@ -22,10 +22,6 @@
 /// the users guarantee 2%.
 const CLOCK_SLACK: u64 = 25;
 
-/// How far behind the newest clock reading an answer that arrives out of order
-/// may be, in milliseconds; no order waits longer for its answer.
-const MAX_REORDERING_MS: u64 = 2_000;
-
 /// Added to a lease's end beyond the clock slack, for rounding and late timers.
 const LEASE_MARGIN: Span = Span::from_millis(50);
 
@@ -307,17 +303,29 @@
     /// Records a reading of the worker's clock, in milliseconds; false if it
     /// can't come from this incarnation.
     ///
-    /// The clock never goes back within an incarnation, so a reading that is
-    /// too far back comes from a later incarnation under the same name. One that is ahead
+    /// `earlier` is the newest reading at the time at which the order was sent. The clock
+    /// never goes back within an incarnation, so a reading below that one comes from a
+    /// later incarnation under the same name. One that is ahead
     /// may come from an earlier one, unless the answer names the incarnation; it would
     /// make leases longer than they are reckoned.
-    pub(crate) fn update_clock(&mut self, clock: u64, is_named: bool, now: Time) -> bool {
-        let newest = self.clock.map_or(0, |(_, newest)| newest);
+    pub(crate) fn update_clock(
+        &mut self,
+        clock: u64,
+        earlier: u64,
+        is_named: bool,
+        now: Time,
+    ) -> bool {
+        let newest = self.newest_clock();
         let expected = self.clock_at(now).map_or(0, Time::as_millis);
         if clock >= newest && (is_named || clock <= expected) {
             self.clock = Some((now, clock));
         }
-        clock.saturating_add(MAX_REORDERING_MS) >= newest
+        clock >= earlier
+    }
+
+    /// The newest reading of the worker's clock, in milliseconds; zero if there is none.
+    pub(crate) fn newest_clock(&self) -> u64 {
+        self.clock.map_or(0, |(_, newest)| newest)
     }
 
     /// Extends the lease to `lease` from now; returns its end in milliseconds
@@ -350,6 +358,12 @@
         Some(Time::from_millis(clock).after(now.since(read)))
     }
 
+    /// Counts the longest lease, as a later incarnation, which isn't registered yet, may
+    /// have taken one of at most `limit` from an order to this one.
+    pub(crate) fn note_later_incarnation(&mut self, limit: Span, now: Time) {
+        self.granted_until = self.granted_until.max(now.after(longest_lease(limit)));
+    }
+
     /// The time on the leader's clock by which the worker's lease, from whichever order,
     /// has certainly ended.
     pub(crate) fn lease_end(&self) -> Time {
--- a/crates/gentianlane/tests/fleet/restart.rs
+++ b/crates/gentianlane/tests/fleet/restart.rs
@@ -104,3 +104,72 @@
         check_second_registration(late, true);
     }
 }
+
+/// Has a process that no leader knows of yet carry out a start to the one before and
+/// confirm it, and cuts the worker off.
+fn check_start_at_unknown_process(limit: u64, advice: bool, after: u64, kills: bool) {
+    // With advice, it is asked once the new process is up, so that the ticket is for it.
+    let mut world = world_with_limit(limit, advice);
+    world.run(8_000);
+    world.crash("w1");
+    world.run(3_000 + after);
+    world.crash("w0");
+    world.run(20);
+    world.restart_worker("w0");
+    world.next_report = world.now + 60_000;
+    world.submit(7, &lasting());
+    world.run(100);
+    assert!(world.starts(&task(7, 0)) <= 1);
+    if kills {
+        let leader = world.leader().unwrap_or(0);
+        world.kill(leader);
+    }
+    world.unreachable.insert("w0".into());
+    world.restart_worker("w1");
+    world.next_report = world.now + 100;
+    println!("limit {limit}, advice {advice}, {after} ms after a renewal");
+    world.run(25_000);
+}
+
+/// A start that the next process had carried out and confirmed counted as one at the process
+/// before, whose lease was shorter.
+#[test]
+fn a_process_that_no_leader_knows_may_carry_out_a_start_to_the_one_before() {
+    for after in (0..1_000).step_by(200) {
+        for limit in [6_000, 10_000] {
+            for advice in [false, true] {
+                check_start_at_unknown_process(limit, advice, after, false);
+            }
+        }
+    }
+}
+
+/// As above, and the leader that sent the start is lost before the process is known.
+#[test]
+fn a_leader_may_be_lost_before_a_process_with_a_start_to_the_one_before_is_known() {
+    for after in (0..1_000).step_by(200) {
+        check_start_at_unknown_process(10_000, false, after, true);
+    }
+}
+
+/// As above, by the clock of a process that is little behind that of the one before.
+#[test]
+fn a_process_whose_clock_is_near_that_of_the_one_before_may_carry_out_its_start() {
+    let mut world = world_with_limit(10_000, true);
+    world.run(8_000);
+    world.crash("w1");
+    world.run(3_300);
+    let clock = world.workers[0].clock(world.now);
+    world.crash("w0");
+    world.run(20);
+    world.restart_worker("w0");
+    world.workers[0].clock_at_start = clock - 1_500;
+    world.next_report = world.now + 60_000;
+    world.submit(7, &lasting());
+    world.run(100);
+    assert_eq!(world.starts(&task(7, 0)), 1);
+    world.unreachable.insert("w0".into());
+    world.restart_worker("w1");
+    world.next_report = world.now + 100;
+    world.run(25_000);
+}
