Have the log number the report that registers a worker

Cause: the number of the report by which a worker is registered was known to its leader alone. The next one took an older report of the same process for a new one, and with it a larger capacity that the worker no longer has.

Change: the profile is updated under the report's number right after the registration.

Measured: a_report_from_before_the_registration_reaches_the_next_leader failed before ('run exceeds the capacity of w0 at 11019 ms') and passes.

--- a/crates/gentianlane/src/fleet/dispatch/claim.rs
+++ b/crates/gentianlane/src/fleet/dispatch/claim.rs
@@ -15,7 +15,7 @@
 use crate::fleet::dispatch::dispatcher::{OrderKind, PendingOrder};
 use crate::fleet::order::{Action, Answer, CallId, Order};
 use crate::fleet::worker::{Incarnation, Report};
-use crate::fleet::{Command, State, Ticket};
+use crate::fleet::{Command, State, Ticket, Worker};
 use crate::id;
 use crate::unit::{Span, Time, Wall};
 
@@ -214,15 +214,16 @@
 /// The changes that register what a report says.
 fn registration(state: &State, report: &Report) -> Vec<Command> {
     let (incarnation, profile) = (report.incarnation.clone(), report.profile.clone());
-    let Some(registered) = state.worker(&incarnation.worker) else {
-        return vec![Command::Join {
-            incarnation,
-            profile,
-        }];
+    // Its number has any leader turn down older reports.
+    let update = Command::Update {
+        incarnation: incarnation.clone(),
+        profile: profile.clone(),
+        sequence: report.sequence,
     };
-    if registered.incarnation != incarnation {
-        let is_later = registered.incarnation.started_at > incarnation.started_at;
-        return vec![match is_later {
+    let registered = state.worker(&incarnation.worker);
+    let Some(registered) = registered.filter(|it| it.incarnation == incarnation) else {
+        let is_later = |it: &Worker| it.incarnation.started_at > incarnation.started_at;
+        let register = match registered.is_some_and(is_later) {
             true => Command::Reinstate {
                 incarnation,
                 profile,
@@ -231,13 +232,10 @@
                 incarnation,
                 profile,
             },
-        }];
-    }
-    let mut commands = vec![Command::Update {
-        incarnation: incarnation.clone(),
-        profile,
-        sequence: report.sequence,
-    }];
+        };
+        return vec![register, update];
+    };
+    let mut commands = vec![update];
     if report.draining && !registered.draining {
         commands.push(Command::Drain { incarnation });
     }
--- a/crates/gentianlane/tests/fleet/restart.rs
+++ b/crates/gentianlane/tests/fleet/restart.rs
@@ -1,6 +1,7 @@
 //! Tests of workers that start again under their names, in histories in which what a
 //! leader knows of them gets lost or isn't there yet. The oracle fails on a second run.
 
+use gentianlane::fleet::call::Call;
 use gentianlane::fleet::dispatch::Setup;
 use gentianlane::fleet::job::{Id, Spec, Stage, Task};
 use gentianlane::id;
@@ -173,3 +174,35 @@
     world.next_report = world.now + 100;
     world.run(25_000);
 }
+
+/// An older report of a larger capacity, which the leader that registered the worker turned
+/// down, was taken by the next one.
+#[test]
+fn a_report_from_before_the_registration_reaches_the_next_leader() {
+    for kills in [false, true] {
+        let mut world = World::new(1, 1).with_plan(plan(1, false));
+        world.run(2_000);
+        world.crash("w0");
+        world.run(20);
+        world.restart_worker("w0");
+        let late = world.workers[0].report();
+        // The worker has less room before any of its reports arrives.
+        world.workers[0].profile.capacity.millicores = 1_000;
+        world.run(5_000);
+        if kills {
+            let leader = world.leader().unwrap_or(0);
+            world.kill(leader);
+            world.next_report = world.now + 60_000;
+            while world.leader().is_none() {
+                world.run(1);
+            }
+            world.run(100);
+        }
+        world.next_report = world.now + 450;
+        world.submit(7, &lasting());
+        world.run(20);
+        world.call(Call::Report(late));
+        world.run(440);
+        assert_eq!(world.starts(&task(7, 0)), 0, "leader killed: {kills}");
+    }
+}
