Have the log tell which removed workers had drained

Cause: that a worker which was removed had drained was known to its leader alone. A report from before the drain, which arrived after the next leader's beginning, registered it as one that doesn't drain, and it got tasks while its process ended.

Change: the removed incarnations that the log keeps tell whether they had drained.

Measured: a_report_from_before_the_drain_reaches_the_next_leader failed before ('leader killed: true: a task was started on a worker that had left') and passes.

--- a/crates/gentianlane/src/fleet/dispatch/report.rs
+++ b/crates/gentianlane/src/fleet/dispatch/report.rs
@@ -37,7 +37,10 @@
                 Reception::Change(self.handle_own_report(state, worker, report, now))
             }
             // An incarnation that isn't registered and drains gets no task either way.
-            None if report.draining || self.removals.has_drained(&report.incarnation) => {
+            None if report.draining
+                || self.removals.has_drained(&report.incarnation)
+                || state.has_drained(&report.incarnation) =>
+            {
                 Reception::Change(Vec::new())
             }
             _ => self.check_claim(report, ticket, now),
--- a/crates/gentianlane/src/fleet/state.rs
+++ b/crates/gentianlane/src/fleet/state.rs
@@ -478,8 +478,7 @@
     fn register(&mut self, incarnation: Incarnation, profile: Profile) -> Vec<Event> {
         let name = incarnation.worker.clone();
         let current = self.workers.get(&name);
-        let earlier = current.map(|current| &current.incarnation);
-        self.successors.register(&incarnation, earlier);
+        self.successors.register(&incarnation, current);
         let draining = current.is_some_and(|current| {
             current.incarnation == incarnation && current.draining
         });
@@ -540,9 +539,10 @@
     fn deregister(&mut self, incarnation: &Incarnation) {
         let current = self.workers.get(&incarnation.worker);
         if current.is_some_and(|worker| worker.incarnation == *incarnation) {
-            self.workers.swap_remove(&incarnation.worker);
+            if let Some(removed) = self.workers.swap_remove(&incarnation.worker) {
+                self.successors.remove(&removed);
+            }
             self.report_sequences.swap_remove(&incarnation.worker);
-            self.successors.remove(incarnation);
         }
     }
 
--- a/crates/gentianlane/src/fleet/state/successor.rs
+++ b/crates/gentianlane/src/fleet/state/successor.rs
@@ -10,7 +10,7 @@
 
 use crate::collections::IndexSet;
 use crate::fleet::worker::Incarnation;
-use crate::fleet::{Event, State};
+use crate::fleet::{Event, State, Worker};
 use crate::id;
 
 /// How many earlier incarnations are remembered. More would have to be removed within the
@@ -23,7 +23,15 @@
     /// Of the registered incarnations, those that may hold such a lease.
     unsettled: IndexSet<id::Worker>,
     /// The incarnations that were removed or replaced last, the oldest first.
-    removed: VecDeque<Incarnation>,
+    removed: VecDeque<Removed>,
+}
+
+/// An incarnation that was removed or replaced.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct Removed {
+    incarnation: Incarnation,
+    /// Whether it had drained, so that it takes no task again.
+    drained: bool,
 }
 
 impl Successors {
@@ -31,30 +39,35 @@
     pub(super) fn register(
         &mut self,
         incarnation: &Incarnation,
-        earlier: Option<&Incarnation>,
+        earlier: Option<&Worker>,
     ) {
         let is_earlier = |other: &Incarnation| {
             other.worker == incarnation.worker && other != incarnation
         };
-        if earlier.is_some_and(is_earlier) || self.removed.iter().any(is_earlier) {
+        let earlier = earlier.filter(|earlier| is_earlier(&earlier.incarnation));
+        let mut removed = self.removed.iter();
+        if earlier.is_some() || removed.any(|removed| is_earlier(&removed.incarnation)) {
             self.unsettled.insert(incarnation.worker.clone());
         }
-        if let Some(earlier) = earlier.filter(|earlier| is_earlier(earlier)) {
+        if let Some(earlier) = earlier {
             self.remember(earlier);
         }
     }
 
     /// Records that a registered incarnation has been removed.
-    pub(super) fn remove(&mut self, incarnation: &Incarnation) {
-        self.unsettled.swap_remove(&incarnation.worker);
-        self.remember(incarnation);
+    pub(super) fn remove(&mut self, worker: &Worker) {
+        self.unsettled.swap_remove(&worker.incarnation.worker);
+        self.remember(worker);
     }
 
-    fn remember(&mut self, incarnation: &Incarnation) {
+    fn remember(&mut self, worker: &Worker) {
         if self.removed.len() >= REMOVED_LIMIT {
             self.removed.pop_front();
         }
-        self.removed.push_back(incarnation.clone());
+        self.removed.push_back(Removed {
+            incarnation: worker.incarnation.clone(),
+            drained: worker.draining,
+        });
     }
 }
 
@@ -65,6 +78,12 @@
         self.successors.unsettled.contains(worker)
     }
 
+    /// Whether an incarnation that was removed had drained.
+    pub(crate) fn has_drained(&self, incarnation: &Incarnation) -> bool {
+        let mut removed = self.successors.removed.iter();
+        removed.any(|removed| removed.incarnation == *incarnation && removed.drained)
+    }
+
     /// Records that an incarnation holds no lease from an order to an earlier one.
     pub(super) fn settle(&mut self, incarnation: &Incarnation) -> Vec<Event> {
         let current = self.workers.get(&incarnation.worker);
--- a/crates/gentianlane/tests/fleet/restart.rs
+++ b/crates/gentianlane/tests/fleet/restart.rs
@@ -1,7 +1,7 @@
 //! Tests of workers that start again under their names, in histories in which what a
 //! leader knows of them gets lost or isn't there yet. The oracle fails on a second run.
 
-use gentianlane::fleet::call::Call;
+use gentianlane::fleet::call::{Call, Reply};
 use gentianlane::fleet::dispatch::Setup;
 use gentianlane::fleet::job::{Id, Spec, Stage, Task};
 use gentianlane::id;
@@ -206,3 +206,41 @@
         assert_eq!(world.starts(&task(7, 0)), 0, "leader killed: {kills}");
     }
 }
+
+/// A worker that had drained and left was registered again, as one that doesn't drain, by
+/// the leader after the one that had removed it.
+#[test]
+fn a_report_from_before_the_drain_reaches_the_next_leader() {
+    for kills in [false, true] {
+        let mut world = World::new(2, 1).with_plan(plan(1, false));
+        world.run(500);
+        let late = world.workers[0].report();
+        world.workers[0].draining = true;
+        world.run(1_000);
+        let name = world.workers[0].incarnation.worker.clone();
+        world.silent.insert(name.clone());
+        let incarnation = world.workers[0].incarnation.clone();
+        let ticket = world.call(Call::Leave(incarnation));
+        world.run(300);
+        assert_eq!(world.replies.get(&ticket), Some(&Reply::Done));
+        if kills {
+            let leader = world.leader().unwrap_or(0);
+            world.kill(leader);
+            while world.leader().is_none() {
+                world.run(1);
+            }
+            world.run(100);
+        }
+        world.call(Call::Report(late));
+        world.run(300);
+        for id in [7, 8] {
+            world.submit(id, &lasting());
+        }
+        world.run(1_000);
+        let mut runs = world.observed_runs.iter();
+        assert!(
+            !runs.any(|run| run.worker == name),
+            "leader killed: {kills}: a task was started on a worker that had left"
+        );
+    }
+}
