End a late start's binding once its worker lists its runs

What callers saw: nothing yet; since a task could wait some 6 s longer for a start that can't be carried out any more, though its worker answers. Cause: the binding was counted by time alone.

Change: a list of runs that the worker was asked for after the 13 s in which a start may be carried out ends the binding: whichever process has carried it out lists the run.

--- a/crates/gentianlane/src/fleet/dispatch/reconcile.rs
+++ b/crates/gentianlane/src/fleet/dispatch/reconcile.rs
@@ -76,6 +76,9 @@
             self.update_run(state, worker, running, read_at, now);
         }
         self.drop_unlisted_runs(worker, status, order.sent_at, now);
+        if !status.ends_cut {
+            self.unconfirmed.unbind_listed(worker, order.sent_at);
+        }
         self.stop_runs_if_leaving(worker, now);
         self.remove_idle(worker, now, wall);
         self.restart_stragglers(worker, now);
--- a/crates/gentianlane/src/fleet/dispatch/unconfirmed.rs
+++ b/crates/gentianlane/src/fleet/dispatch/unconfirmed.rs
@@ -86,6 +86,17 @@
         }
     }
 
+    /// Ends the binding to a worker that was asked at `asked_at` for all its runs, of the
+    /// starts that couldn't be carried out any more by then.
+    pub(crate) fn unbind_listed(&mut self, worker: &id::Worker, asked_at: Time) {
+        let starts = self.starts.values_mut().flatten();
+        for start in starts.filter(|start| start.worker == *worker) {
+            if start.until <= asked_at {
+                start.binds_until = start.binds_until.min(asked_at);
+            }
+        }
+    }
+
     /// Removes the starts that can't be carried out any more.
     pub(crate) fn expire(&mut self, now: Time) {
         self.starts.retain(|_, starts| {
--- a/crates/gentianlane/tests/fleet/late_start.rs
+++ b/crates/gentianlane/tests/fleet/late_start.rs
@@ -153,6 +153,25 @@
     assert_eq!(world.starts(&TASK), 1);
 }
 
+/// A task waited for the longest lease of a late start though its worker had listed its runs.
+#[test]
+fn a_task_waits_for_a_late_start_no_longer_than_until_its_worker_lists_its_runs() {
+    let (mut world, placed) = world_with_late_start(1);
+    let placed = placed.expect("a start");
+    let due = world.late_starts(&TASK).last().copied();
+    // The late start is for a process that has ended; the next one lists its runs.
+    world.crash(placed.as_str());
+    world.run(100);
+    world.restart_worker(placed.as_str());
+    world.silent.insert(placed.clone());
+    world.refusing.insert(placed.clone());
+    world.run(due.map_or(0, |due| due.saturating_sub(world.now) + 500));
+    world.refusing.clear();
+    world.silent.clear();
+    world.run(3_000);
+    assert_ne!(cause_of_wait(&mut world), Some(Blocker::LateStart));
+}
+
 #[test]
 fn a_snapshot_keeps_the_starts_without_an_answer() {
     let mut state = State::default();
