--- a/crates/gentianlane/tests/fleet/crash_fuzz.rs
+++ b/crates/gentianlane/tests/fleet/crash_fuzz.rs
@@ -76,7 +76,9 @@
 
 fn history(seed: u64) {
     let advice = seed.is_multiple_of(2);
-    let mut world = World::new(8, seed).with_plan(plan(1, advice));
+    let mut world = World::new(8, seed)
+        .with_drawn_clocks(seed)
+        .with_plan(plan(1, advice));
     world.resets_connections = true;
     world.renames = advice && seed.is_multiple_of(3);
     let (mut accepted, mut lasting) = (Vec::new(), Vec::new());
--- a/crates/gentianlane/tests/fleet/departure_fuzz.rs
+++ b/crates/gentianlane/tests/fleet/departure_fuzz.rs
@@ -7,7 +7,7 @@
 use gentianlane::unit::{Span, Wall};
 
 use super::fuzz::{check_end, chosen_seeds};
-use super::simulated_worker::{Worker, job};
+use super::simulated_worker::job;
 use super::world::{Faults, World, plan, target};
 
 /// The length of a history, in rounds of 250 ms.
@@ -92,7 +92,7 @@
                     false => name,
                 };
                 world.silent.remove(&incarnation.worker);
-                world.workers[at] = Worker::new(&next, port, capacity, now);
+                world.workers[at] = world.new_worker(&next, port, capacity);
             }
         }
     }
@@ -124,7 +124,9 @@
 }
 
 fn history(seed: u64) {
-    let mut world = World::new(6, seed).with_plan(plan(1, true));
+    let mut world = World::new(6, seed)
+        .with_drawn_clocks(seed)
+        .with_plan(plan(1, true));
     world.checks_tickets = true;
     world.resets_connections = seed.is_multiple_of(2);
     let (mut accepted, mut lasting) = (Vec::new(), Vec::new());
--- a/crates/gentianlane/tests/fleet/fuzz.rs
+++ b/crates/gentianlane/tests/fleet/fuzz.rs
@@ -90,7 +90,9 @@
 }
 
 fn history(seed: u64, cores: Cores, advice: Advice) {
-    let mut world = World::new(5, seed).with_plan(plan(1, advice == Advice::Needed));
+    let mut world = World::new(5, seed)
+        .with_drawn_clocks(seed)
+        .with_plan(plan(1, advice == Advice::Needed));
     let mut accepted = Vec::new();
     let mut dead: Option<usize> = None;
     let mut crashed: Option<String> = None;
@@ -362,7 +364,9 @@
 /// born again quickly, while starts and stops are carried out late.
 fn unsound_history(seed: u64, starts: Starts) {
     let ticketed = starts == Starts::Ticketed;
-    let mut world = World::new(4, seed).with_plan(plan(1, ticketed));
+    let mut world = World::new(4, seed)
+        .with_drawn_clocks(seed)
+        .with_plan(plan(1, ticketed));
     world.checks_tickets = ticketed;
     let mut accepted = Vec::new();
     let mut lasting = Vec::new();
--- a/crates/gentianlane/tests/fleet/main.rs
+++ b/crates/gentianlane/tests/fleet/main.rs
@@ -15,6 +15,7 @@
 mod proof;
 mod regression;
 mod restart;
+mod restart_fuzz;
 mod review;
 mod run_number;
 mod simulated_worker;
--- a/crates/gentianlane/tests/fleet/simulated_worker.rs
+++ b/crates/gentianlane/tests/fleet/simulated_worker.rs
@@ -11,6 +11,8 @@
 use gentianlane::fleet::worker::{Incarnation, Profile, Report};
 use gentianlane::id;
 use gentianlane::unit::Wall;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 
 /// A run that is active on the simulated worker.
 #[derive(Debug, Clone)]
@@ -128,6 +130,16 @@
         }
     }
 
+    /// Draws what its clock showed at its start, between zero and a day; any process at
+    /// its address that starts at another time gets another reading.
+    pub(crate) fn draw_clock(&mut self, seed: u64) {
+        let port = u64::from(self.profile.address.port());
+        let of_process = seed << 40 | port << 24 | self.spawned_at;
+        let mut random = ChaCha8Rng::seed_from_u64(of_process);
+        let hours = [0, 1, 4, 24][random.random_range(0..4)];
+        self.clock_at_start = random.random_range(0..=hours * 3_600_000 + 5_000);
+    }
+
     /// Whether its process takes connections at an address.
     pub(crate) fn listens_at(&self, address: SocketAddr) -> bool {
         self.up && !self.hidden && self.profile.address == address
--- a/crates/gentianlane/tests/fleet/world.rs
+++ b/crates/gentianlane/tests/fleet/world.rs
@@ -236,6 +236,8 @@
     pub(crate) advice_delay: u64,
     /// The prefixes of the names of workers that advice allows for no step.
     pub(crate) ineligible: Vec<&'static str>,
+    /// The seed of the workers' clocks, if each process draws its own.
+    clock_seed: Option<u64>,
     /// Whether a worker that is back has another name.
     pub(crate) renames: bool,
     /// The crashes that deadly tasks have caused, each with its time and task.
@@ -316,6 +318,7 @@
             resets_connections: false,
             advice_delay: 20,
             ineligible: Vec::new(),
+            clock_seed: None,
             renames: false,
             crashes: Vec::new(),
             earlier_capacities: BTreeMap::new(),
@@ -350,6 +353,30 @@
         world
     }
 
+    /// Has the clock of each worker's process start at a reading of its own. The seed
+    /// isn't that of the world's random numbers, which stay what they are.
+    pub(crate) fn with_drawn_clocks(mut self, seed: u64) -> Self {
+        self.clock_seed = Some(seed);
+        for worker in &mut self.workers {
+            worker.draw_clock(seed);
+        }
+        self
+    }
+
+    /// A worker's process that starts now.
+    pub(crate) fn new_worker(
+        &self,
+        name: &str,
+        port: u16,
+        capacity: Resources,
+    ) -> Worker {
+        let mut worker = Worker::new(name, port, capacity, self.now);
+        if let Some(seed) = self.clock_seed {
+            worker.draw_clock(seed);
+        }
+        worker
+    }
+
     /// Starts all cores anew with a setup of the dispatcher.
     pub(crate) fn with_dispatch(mut self, dispatch: dispatch::Setup) -> Self {
         self.dispatch = dispatch;
@@ -510,7 +537,7 @@
             false => worker.incarnation.worker.to_string(),
         };
         let (port, capacity) = (worker.profile.address.port(), worker.profile.capacity);
-        self.workers[at] = Worker::new(&name, port, capacity, self.now);
+        self.workers[at] = self.new_worker(&name, port, capacity);
         self.earlier_capacities.remove(&at);
     }
 
@@ -1117,7 +1144,6 @@
 
     /// Starts a new incarnation of a crashed worker with its name and address.
     pub(crate) fn restart_worker(&mut self, name: &str) {
-        let now = self.now;
         let at = self
             .workers
             .iter()
@@ -1128,7 +1154,7 @@
         let old = &self.workers[at];
         let (port, capacity) = (old.profile.address.port(), old.profile.capacity);
         let lease_limit = old.lease_limit;
-        self.workers[at] = Worker::new(name, port, capacity, now);
+        self.workers[at] = self.new_worker(name, port, capacity);
         self.workers[at].lease_limit = lease_limit;
     }
 
