Play the restarted worker's incident in the soak

The soak's workers all started their clocks at zero and granted at most 6 s, and none of its orders was carried out by a later process, so no seed could show it.

Workers grant 6 or 10 s by the seed. A new lane has up to three workers start again under their names, once or twice, with renewals to the earlier process carried out by the next one at once or up to 0.9 s late, has tasks that last come, loses one or two leaders by SIGKILL or SIGTERM, and cuts the workers off for 8 to 11 s. The checks and their times are the same.

--- a/crates/gentianlane-daemon/tests/soak/caller.rs
+++ b/crates/gentianlane-daemon/tests/soak/caller.rs
@@ -117,9 +117,26 @@
             steps.push(next);
         }
         let body = json!({ "task_spec": spec, "steps": steps }).to_string();
+        self.post(&job, kind, tasks * count, &body, stop);
+    }
+
+    /// Submits a job whose tasks run until it is cancelled.
+    pub(crate) fn submit_lasting(&mut self, tasks: u64) {
+        self.submitted += 1;
+        let job = format!("{:06x}{:010x}", self.number, self.submitted);
+        let step = json!({
+            "count": tasks, "cpu": 500, "mem_mb": 10, "estimated_ms": 1_000,
+            "long_running": true,
+        });
+        let body = json!({ "task_spec": "cpu=500", "steps": [step] }).to_string();
+        self.post(&job, Kind::Lasting, tasks, &body, &AtomicBool::new(false));
+    }
+
+    /// Submits a job until it is accepted.
+    fn post(&mut self, job: &str, kind: Kind, tasks: u64, body: &str, stop: &AtomicBool) {
         let new = Job {
             kind,
-            tasks: tasks * count,
+            tasks,
             accepted: false,
             in_doubt: false,
             cancel_sent: false,
@@ -127,15 +144,15 @@
             completed: None,
             failed: None,
         };
-        self.record.jobs().insert(job.clone(), new);
+        self.record.jobs().insert(job.to_owned(), new);
         while !stop.load(Ordering::SeqCst) {
-            let told = self.ask("POST", &job, &body);
+            let told = self.ask("POST", job, body);
             let mut jobs = self.record.jobs();
-            let entry = jobs.get_mut(&job).unwrap();
+            let entry = jobs.get_mut(job).unwrap();
             match told {
                 Some((200..300, _)) => {
                     entry.accepted = true;
-                    self.open.push(job);
+                    self.open.push(job.to_owned());
                     return;
                 }
                 Some((429 | 503, _)) => {}
--- a/crates/gentianlane-daemon/tests/soak/fault.rs
+++ b/crates/gentianlane-daemon/tests/soak/fault.rs
@@ -1,6 +1,6 @@
 //! The faults of a soak, drawn from its seed: lanes of them that overlap.
 
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::{self, Scope};
 use std::time::{Duration, Instant};
@@ -9,6 +9,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::fleet::{Fleet, Member, Role};
+use crate::habit::Habits;
 use crate::record::Record;
 use crate::worker::{Setup, Worker};
 
@@ -71,18 +72,20 @@
 }
 
 #[derive(Debug, Clone, Copy)]
-struct Restart {
-    after_ms: u64,
-    same_id: bool,
+pub(crate) struct Restart {
+    pub(crate) after_ms: u64,
+    pub(crate) same_id: bool,
 }
 
 /// The place of a worker: an address, and the process that has it now.
 pub(crate) struct Slot {
     number: u8,
-    current: Mutex<Arc<Worker>>,
+    pub(crate) current: Mutex<Arc<Worker>>,
     incarnations: Mutex<u64>,
-    /// Whether a departure or a replacement is under way.
-    busy: AtomicBool,
+    /// How many processes it has had.
+    processes: AtomicU64,
+    /// Whether a change of its process is under way.
+    pub(crate) busy: AtomicBool,
 }
 
 pub(crate) struct Plan<'a> {
@@ -92,9 +95,11 @@
     pub(crate) seed: u64,
     /// No fault begins after this time.
     pub(crate) until: Duration,
+    /// Held while a core is down.
+    pub(crate) cores: Mutex<()>,
 }
 
-fn sleep_ms(ms: u64) {
+pub(crate) fn sleep_ms(ms: u64) {
     thread::sleep(Duration::from_millis(ms));
 }
 
@@ -113,11 +118,14 @@
                 cores: fleet.controls(),
                 rate: 1_000 - 10 * u64::from(number % 3),
                 lists_stopping: number % 2 == 0,
+                lease_limit_ms: fleet.lease_limit_ms,
+                habits: habits(seed, number, 0),
             };
             Slot {
                 number,
                 current: Mutex::new(Worker::start(record, setup)),
                 incarnations: Mutex::new(0),
+                processes: AtomicU64::new(1),
                 busy: AtomicBool::new(false),
             }
         };
@@ -127,14 +135,15 @@
             slots: (0..workers).map(slot).collect(),
             seed,
             until,
+            cores: Mutex::new(()),
         }
     }
 
-    fn rng(&self, lane: u64) -> ChaCha8Rng {
+    pub(crate) fn rng(&self, lane: u64) -> ChaCha8Rng {
         ChaCha8Rng::seed_from_u64(self.seed << 8 | 0x80 | lane)
     }
 
-    fn is_over(&self) -> bool {
+    pub(crate) fn is_over(&self) -> bool {
         self.record.now() >= self.until
     }
 
@@ -144,6 +153,7 @@
             scope.spawn(move || self.play_worker_faults(scope, lane));
         }
         scope.spawn(|| self.play_process_faults());
+        scope.spawn(|| self.play_restarts_before_lost_leaders());
         scope.spawn(|| self.play_configurations());
     }
 
@@ -274,9 +284,11 @@
         self.record.fault(&worker.name, "drain acknowledged");
     }
 
-    fn restart(&self, slot: &Slot, before: &Worker, restart: Restart) {
+    pub(crate) fn restart(&self, slot: &Slot, before: &Worker, restart: Restart) {
         sleep_ms(restart.after_ms);
         let mut setup = before.setup.clone();
+        let process = slot.processes.fetch_add(1, Ordering::SeqCst);
+        setup.habits = habits(self.seed, slot.number, process);
         if !restart.same_id {
             let mut incarnations = slot.incarnations.lock().unwrap();
             *incarnations += 1;
@@ -295,6 +307,7 @@
             let member = members[rng.random_range(0..members.len())];
             let name = member.name();
             let down = rng.random_range(50..2_000);
+            let _cores = self.cores.lock().unwrap();
             match rng.random_range(0..5) {
                 0 => {
                     self.record.fault(&name, format!("SIGKILL, down {down}"));
@@ -334,6 +347,12 @@
     }
 }
 
+/// The habits of a worker's process.
+fn habits(seed: u64, slot: u8, process: u64) -> Habits {
+    let of_slot = seed << 24 | u64::from(slot) << 16 | process;
+    Habits::draw(&mut ChaCha8Rng::seed_from_u64(of_slot), process)
+}
+
 fn close(worker: &Worker, closing: Closing) {
     match closing {
         Closing::Nothing => {}
--- a/crates/gentianlane-daemon/tests/soak/fleet.rs
+++ b/crates/gentianlane-daemon/tests/soak/fleet.rs
@@ -11,7 +11,7 @@
 use serde_json::json;
 
 use crate::common::{Process, until};
-use crate::worker::{LEASE_LIMIT_MS, STOP_MS};
+use crate::worker::STOP_MS;
 
 pub(crate) const CORES: u8 = 3;
 pub(crate) const ENTRIES: u8 = 2;
@@ -72,9 +72,13 @@
 
 pub(crate) struct Fleet {
     pub(crate) folder: PathBuf,
+    /// The longest lease that a worker grants.
+    pub(crate) lease_limit_ms: u64,
     net: [u8; 3],
     _claim: TcpListener,
     processes: Vec<Mutex<Option<Process>>>,
+    /// The length of each process's log at its last start.
+    starts: Vec<AtomicU64>,
     version: AtomicU64,
 }
 
@@ -89,15 +93,17 @@
 }
 
 impl Fleet {
-    pub(crate) fn start(folder: PathBuf) -> Self {
+    pub(crate) fn start(folder: PathBuf, lease_limit_ms: u64) -> Self {
         let (net, claim) = claim_net();
         let _ = fs::remove_dir_all(&folder);
         fs::create_dir_all(&folder).unwrap();
         let fleet = Self {
             folder,
+            lease_limit_ms,
             net,
             _claim: claim,
             processes: Member::all().map(|_| Mutex::new(None)).collect(),
+            starts: Member::all().map(|_| AtomicU64::new(0)).collect(),
             version: AtomicU64::new(0),
         };
         for member in Member::all() {
@@ -134,6 +140,8 @@
         };
         let arguments = [role, "--settings", path.to_str().unwrap()];
         let said = self.folder.join(format!("{name}.log"));
+        let length = fs::metadata(&said).map_or(0, |it| it.len());
+        self.starts[member.index()].store(length, Ordering::SeqCst);
         let process = Process::start(&arguments, &said);
         *self.processes[member.index()].lock().unwrap() = Some(process);
     }
@@ -144,7 +152,7 @@
         let mut settings = json!({
             "node": name, "ip": ip, "domain": "d", "link_port": LINK,
             "seeds": self.controls(), "losses": 1, "adviser": "",
-            "lease_limit_ms": LEASE_LIMIT_MS, "stop_ms": STOP_MS, "grace_s": 6,
+            "lease_limit_ms": self.lease_limit_ms, "stop_ms": STOP_MS, "grace_s": 6,
         });
         match member.role {
             Role::Core => {
@@ -214,6 +222,15 @@
         version
     }
 
+    /// What a process has logged since its last start.
+    pub(crate) fn said_since_start(&self, member: Member) -> String {
+        let path = self.folder.join(format!("{}.log", member.name()));
+        let said = fs::read(path).unwrap();
+        let start = self.starts[member.index()].load(Ordering::SeqCst);
+        let start = usize::try_from(start).unwrap();
+        String::from_utf8_lossy(&said[start..]).into_owned()
+    }
+
     /// What the processes have logged about a job, in the order of time.
     pub(crate) fn log_of(&self, job: &str) -> Vec<String> {
         let mut lines = Vec::new();
--- a/crates/gentianlane-daemon/tests/soak/http.rs
+++ b/crates/gentianlane-daemon/tests/soak/http.rs
@@ -7,6 +7,7 @@
 use serde_json::Value;
 
 /// A request or a response.
+#[derive(Clone)]
 pub(crate) struct Message {
     /// The words of the first line.
     pub(crate) first: Vec<String>,
--- a/crates/gentianlane-daemon/tests/soak/main.rs
+++ b/crates/gentianlane-daemon/tests/soak/main.rs
@@ -9,9 +9,12 @@
 mod caller;
 mod fault;
 mod fleet;
+mod habit;
 mod http;
+mod late;
 mod oracle;
 mod record;
+mod restart;
 mod worker;
 
 use std::collections::BTreeSet;
@@ -46,7 +49,12 @@
 fn soak(seed: u64) -> Vec<Breach> {
     let name = format!("soak-{seed}-{}", std::process::id());
     let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
-    let fleet = Fleet::start(folder);
+    let lease_limit_ms = if seed.is_multiple_of(3) {
+        6_000
+    } else {
+        10_000
+    };
+    let fleet = Fleet::start(folder, lease_limit_ms);
     let record = Arc::new(Record::new());
     let plan = Plan::new(&fleet, &record, seed, workers(), FAULTS);
     let stop = AtomicBool::new(false);
@@ -163,6 +171,11 @@
     assert!(soak(13).is_empty(), "seed 13 broke a rule");
 }
 
+#[test]
+fn workers_that_start_again_before_the_leader_is_lost_have_no_task_started_elsewhere() {
+    assert!(soak(2).is_empty(), "seed 2 broke a rule");
+}
+
 /// Plays more soaks to search for new failures: `SOAK_SEEDS=1..21`, and `SOAK_WORKERS`
 /// for larger ones.
 #[test]
--- a/crates/gentianlane-daemon/tests/soak/worker.rs
+++ b/crates/gentianlane-daemon/tests/soak/worker.rs
@@ -12,15 +12,13 @@
 use serde_json::{Value, json};
 use tokio::net::TcpSocket;
 
+use crate::habit::Habits;
 use crate::http::{self, Connection, Message};
 use crate::record::{How, Record, What};
 
 /// The millicores of each worker.
 pub(crate) const CAPACITY: u64 = 8_000;
 
-/// The longest lease that a worker grants.
-pub(crate) const LEASE_LIMIT_MS: u64 = 6_000;
-
 /// How long a stop takes at most, as the settings of the cores say.
 pub(crate) const STOP_MS: u64 = 200;
 
@@ -46,6 +44,9 @@
     /// Whether it lists runs that are being stopped among those that run. The platform's
     /// page says only that their ends are listed.
     pub(crate) lists_stopping: bool,
+    /// The longest lease that it grants.
+    pub(crate) lease_limit_ms: u64,
+    pub(crate) habits: Habits,
 }
 
 struct Run {
@@ -106,7 +107,7 @@
     pub(crate) name: String,
     born: u64,
     start: Instant,
-    record: Arc<Record>,
+    pub(crate) record: Arc<Record>,
     state: Mutex<State>,
     changed: Condvar,
     listener: Mutex<Option<TcpListener>>,
@@ -115,6 +116,9 @@
     pub(crate) draining: AtomicBool,
     pub(crate) drain_acknowledged: AtomicBool,
     pub(crate) mute: AtomicBool,
+    pub(crate) postpones: AtomicBool,
+    /// The orders that it hasn't carried out.
+    pub(crate) postponed: Mutex<Vec<Message>>,
     /// The whole process stands still.
     pub(crate) stalled: Until,
     /// Nothing reaches it or leaves it.
@@ -157,12 +161,18 @@
             draining: AtomicBool::new(false),
             drain_acknowledged: AtomicBool::new(false),
             mute: AtomicBool::new(false),
+            postpones: AtomicBool::new(false),
+            postponed: Mutex::default(),
             stalled: Until::default(),
             cut: Until::default(),
             resets: Until::default(),
             full: Until::default(),
         });
-        record.fault(&worker.name, format!("starts at {}", worker.setup.address));
+        let habits = worker.setup.habits;
+        record.fault(
+            &worker.name,
+            format!("starts at {}, {habits:?}", worker.setup.address),
+        );
         for work in [Self::accept, Self::advance, Self::report] {
             let worker = Arc::clone(&worker);
             thread::spawn(move || work(&worker));
@@ -223,7 +233,7 @@
 
     fn clock(&self) -> u64 {
         let elapsed = u64::try_from(self.start.elapsed().as_millis()).unwrap();
-        elapsed * self.setup.rate / 1_000
+        self.setup.habits.clock_at_start + elapsed * self.setup.rate / 1_000
     }
 
     /// Waits while the process stands still, or, if it communicates, while it is cut off.
@@ -273,6 +283,9 @@
         while !self.is_over() {
             let request = Message::read(&mut reader)?;
             self.pause(true);
+            if self.postpone(&request) {
+                continue;
+            }
             let deaf = channel.deaf.load(Ordering::SeqCst);
             if deaf && !channel.executes.load(Ordering::SeqCst) {
                 continue;
@@ -310,7 +323,8 @@
         if state.holds_lease && self.clock() >= state.lease {
             state.holds_lease = false;
             // A process that stood still when its lease ended has run nothing since.
-            let lasted = Duration::from_millis(state.lease * 1_000 / self.setup.rate);
+            let lasted = state.lease - self.setup.habits.clock_at_start;
+            let lasted = Duration::from_millis(lasted * 1_000 / self.setup.rate);
             let over = (self.start + lasted).duration_since(self.record.began);
             let at = match self.stalled.end() > over {
                 true => over,
@@ -372,12 +386,15 @@
         *over = run.run.max(*over);
         self.record
             .event_at(at, &self.name, &run.task, run.run, What::End(how));
-        state.last_end += 1;
+        state.last_end += match state.last_end {
+            0 => 1,
+            _ => self.setup.habits.end_step,
+        };
         state.ended.push((state.last_end, run.task, run.run, how));
         self.changed.notify_all();
     }
 
-    fn answer(&self, request: &Message) -> (u16, Value) {
+    pub(crate) fn answer(&self, request: &Message) -> (u16, Value) {
         let target = request.header("target-instance");
         if let Some(other) = target.filter(|id| *id != self.setup.id) {
             self.record.fault(&self.name, format!("421 for {other}"));
@@ -416,7 +433,9 @@
             return;
         };
         let now = self.clock();
-        state.lease = state.lease.max(deadline.min(now + LEASE_LIMIT_MS));
+        state.lease = state
+            .lease
+            .max(deadline.min(now + self.setup.lease_limit_ms));
         state.holds_lease = state.lease > now;
     }
 
@@ -538,11 +557,12 @@
 
     /// Reports to the cores in turn, and to the address that one has named.
     fn report(self: &Arc<Self>) {
-        let mut number = 0_u64;
+        let habits = self.setup.habits;
+        let mut number = habits.first_call;
         let mut at = usize::try_from(self.born).unwrap();
         let mut named: Option<SocketAddr> = None;
         while !self.is_over() {
-            number += 1;
+            number += habits.call_step;
             let draining = self.draining.load(Ordering::SeqCst);
             let mut report = json!({
                 "backend": "pool", "address": self.setup.address.to_string(),
