Read the machine's memory from the settings

Two gauges show the limit and the resident memory. Nothing else depends on it yet.

0 is refused with its line.

--- a/crates/gentianlane-daemon/src/fleet/metrics.rs
+++ b/crates/gentianlane-daemon/src/fleet/metrics.rs
@@ -1,4 +1,4 @@
-//! Counters and latency histograms, rendered in the Prometheus text format.
+//! Counters, gauges and latency histograms, rendered in the Prometheus text format.
 
 use std::fmt::Write as _;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -20,6 +20,7 @@
 #[derive(Debug, Default)]
 struct Registry {
     counters: IndexMap<&'static str, u64>,
+    gauges: IndexMap<&'static str, u64>,
     latencies: IndexMap<&'static str, Histogram<u64>>,
 }
 
@@ -29,6 +30,11 @@
         *self.lock().counters.entry(name).or_insert(0) += by;
     }
 
+    /// Sets a gauge.
+    pub(crate) fn set(&self, name: &'static str, value: u64) {
+        self.lock().gauges.insert(name, value);
+    }
+
     /// Records a latency.
     pub(crate) fn time(&self, name: &'static str, took: Duration) {
         let micros = u64::try_from(took.as_micros())
@@ -53,6 +59,9 @@
             // Writing to a string can't fail.
             let _ = writeln!(text, "gentianlane_{name}_total {count}");
         }
+        for (name, value) in &registry.gauges {
+            let _ = writeln!(text, "gentianlane_{name} {value}");
+        }
         for (name, histogram) in &registry.latencies {
             for quantile in [0.5, 0.9, 0.99, 1.0] {
                 let micros = histogram.value_at_quantile(quantile);
--- a/crates/gentianlane-daemon/src/fleet/mod.rs
+++ b/crates/gentianlane-daemon/src/fleet/mod.rs
@@ -13,6 +13,7 @@
 mod link;
 mod link_server;
 mod log;
+mod memory;
 mod metrics;
 mod replica;
 mod server;
--- a/crates/gentianlane-daemon/src/fleet/server.rs
+++ b/crates/gentianlane-daemon/src/fleet/server.rs
@@ -23,6 +23,7 @@
 use tokio::sync::watch;
 
 use crate::fleet::Settings;
+use crate::fleet::memory;
 use crate::fleet::metrics::Metrics;
 
 /// The time limit for a request's head, which includes the idle time before it.
@@ -253,6 +254,7 @@
         return;
     };
     let metrics = metrics.clone();
+    metrics.set("memory_limit_bytes", settings.memory_limit());
     let address = (settings.ip, port).into();
     let served = server
         .listen(address, move |_| metrics_response(metrics.clone()))
@@ -264,6 +266,9 @@
 
 /// The response with a process's metrics.
 async fn metrics_response(metrics: Metrics) -> ApiResponse {
+    if let Some(bytes) = memory::resident_bytes() {
+        metrics.set("memory_resident_bytes", bytes);
+    }
     ApiResponse {
         status: 200,
         retry_after: None,
--- a/crates/gentianlane-daemon/src/fleet/settings.rs
+++ b/crates/gentianlane-daemon/src/fleet/settings.rs
@@ -1,6 +1,7 @@
 //! The settings file of a fleet's process: JSON with comments.
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::num::NonZeroU32;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
@@ -23,6 +24,9 @@
 /// and the loss of two leaders in a row, which takes up to 1.3 s each.
 const MAX_LEASE: Span = Span::from_millis(5_000);
 
+/// The memory of a process whose settings don't give it, in MiB.
+const DEFAULT_MEMORY_MB: u32 = 256;
+
 /// The settings of one process.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -70,6 +74,9 @@
     pub(crate) stop_ms: u64,
     /// The stop grace: the time from SIGTERM to SIGKILL, in seconds.
     pub(crate) grace_s: f64,
+    /// The memory that the process may use, in MiB.
+    #[serde(default)]
+    memory_mb: Option<NonZeroU32>,
     /// How the process divides its file descriptors among its uses.
     #[serde(default)]
     pub(crate) descriptors: Descriptors,
@@ -187,6 +194,12 @@
         Budget::of_process(self.descriptors)
     }
 
+    /// The memory that the process may use, in bytes.
+    pub(crate) fn memory_limit(&self) -> u64 {
+        let mebibytes = self.memory_mb.map_or(DEFAULT_MEMORY_MB, NonZeroU32::get);
+        u64::from(mebibytes) << 20
+    }
+
     /// The address for connections from other processes of the fleet.
     pub(crate) fn link_address(&self) -> SocketAddr {
         (self.ip, self.link_port).into()
--- a/crates/gentianlane-daemon/tests/common/mod.rs
+++ b/crates/gentianlane-daemon/tests/common/mod.rs
@@ -2,6 +2,8 @@
 #![allow(dead_code, reason = "each test file uses a part of it")]
 #![allow(clippy::unwrap_used, clippy::panic, reason = "a test ends at a fault")]
 
+pub(crate) mod system;
+
 use std::fs::{self, File};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
