Bound the memory of requests in arrival

What callers saw: clients that sent heads, empty lines or bodies without end, or many bodies just short of theirs, had a process use more memory than its machine has.

Cause: each connection had limits (a read buffer of 400 KiB, a body of 4 MiB on every port) and the process had none, so that what they held grew with their number. The pieces of a body were kept until it was whole, each with the buffer that it had been read into.

Change: an account of what all connections of a process hold, over all ports, bounded by an eighth of memory_mb. A connection takes memory before it holds it. Beyond the bound the one that has made no progress for longest ends, with 503 and Retry-After if its head has arrived; a request that is with its handler is never cut. Bodies are copied into one buffer, whose capacity counts. Body limits are the port's own and checked before the body is read (413): 262,144 bytes from callers, 4 MiB at the control port, 4 KiB for readiness and metrics. Heads are limited to 32 KiB. A body that doesn't arrive within 3 s gets 503, which was 400: it may have waited for memory, and an operator gives up at a 400.

The two tests of unread answers still fail.

--- a/crates/gentianlane-daemon/src/fleet/core.rs
+++ b/crates/gentianlane-daemon/src/fleet/core.rs
@@ -28,6 +28,7 @@
     control_address,
 };
 use crate::fleet::forward::{self, ForwardOutcome, Forwarder, lock};
+use crate::fleet::intake::Intake;
 use crate::fleet::lateness::{self, Lateness};
 use crate::fleet::link_server;
 use crate::fleet::log::LogWriter;
@@ -46,6 +47,10 @@
 /// How long a process that ends waits for its last replies to be written.
 const REPLY_DRAIN_TIME: Duration = Duration::from_millis(300);
 
+/// The longest body of a call, in bytes. Workers' reports and operators' plans are the
+/// longest.
+const BODY_LIMIT: usize = 4 << 20;
+
 /// How often the settings file is checked for changes.
 const SETTINGS_POLL_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -140,7 +145,13 @@
     mut effect_wait: Lateness,
 ) -> Result<()> {
     let mut signals = Signals::listen().into_diagnostic()?;
-    let server = Server::new(shared.budget.callers);
+    let intake = Intake::of_memory(settings.memory_limit());
+    tokio::spawn(server::report_intake(
+        intake.clone(),
+        shared.metrics.clone(),
+        shared.log.clone(),
+    ));
+    let server = Server::new(shared.budget.callers, intake);
     let listener = TcpListener::bind(settings.link_address())
         .await
         .into_diagnostic()?;
@@ -152,7 +163,7 @@
     let control_shared = shared.clone();
     let handler = move |request| serve_control_call(control_shared.clone(), request);
     server
-        .listen(shared.own_address, handler)
+        .listen(shared.own_address, BODY_LIMIT, handler)
         .await
         .into_diagnostic()?;
     server::serve_metrics(&server, &settings, &shared.metrics, &shared.log).await;
--- a/crates/gentianlane-daemon/src/fleet/entry.rs
+++ b/crates/gentianlane-daemon/src/fleet/entry.rs
@@ -16,9 +16,10 @@
 use crate::fleet::Settings;
 use crate::fleet::downstream;
 use crate::fleet::forward::{self, ForwardOutcome, Forwarder};
+use crate::fleet::intake::Intake;
 use crate::fleet::log::LogWriter;
 use crate::fleet::metrics::Metrics;
-use crate::fleet::server::{self, HttpRequest, Server};
+use crate::fleet::server::{self, HttpRequest, READ_BODY_LIMIT, Server};
 use crate::fleet::settings::Fault;
 use crate::fleet::stop::{SignalRequest, Signals};
 
@@ -36,6 +37,9 @@
 /// The most connections for readiness checks and metrics.
 const BALANCER_CONNECTIONS: usize = 32;
 
+/// The longest body of a caller's request, in bytes.
+const BODY_LIMIT: usize = 262_144;
+
 /// How often the settings file is checked for changes.
 const SETTINGS_POLL_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -72,7 +76,13 @@
     let ready = settings.ready.ok_or(Fault::Missing { field: "ready" })?;
     let mut signals = Signals::listen().into_diagnostic()?;
     let budget = settings.descriptor_budget();
-    let server = Server::new(budget.callers);
+    let intake = Intake::of_memory(settings.memory_limit());
+    tokio::spawn(server::report_intake(
+        intake.clone(),
+        forwarder.metrics.clone(),
+        forwarder.log.clone(),
+    ));
+    let server = Server::new(budget.callers, intake.clone());
     tokio::spawn(forward::maintain_link(
         forwarder.clone(),
         settings.link_port,
@@ -84,15 +94,15 @@
     tokio::spawn(accepting);
     let caller_forwarder = forwarder.clone();
     server
-        .listen(front, move |request| {
+        .listen(front, BODY_LIMIT, move |request| {
             serve_caller(caller_forwarder.clone(), request)
         })
         .await
         .into_diagnostic()?;
     let (ready_forwarder, own_server) = (forwarder.clone(), server.clone());
-    let balancer = Server::new(BALANCER_CONNECTIONS);
+    let balancer = Server::new(BALANCER_CONNECTIONS, intake);
     balancer
-        .listen(ready, move |_| {
+        .listen(ready, READ_BODY_LIMIT, move |_| {
             readiness(ready_forwarder.clone(), own_server.clone())
         })
         .await
--- a/crates/gentianlane-daemon/src/fleet/mod.rs
+++ b/crates/gentianlane-daemon/src/fleet/mod.rs
@@ -9,6 +9,7 @@
 mod downstream;
 mod entry;
 mod forward;
+mod intake;
 mod lateness;
 mod link;
 mod link_server;
--- a/crates/gentianlane-daemon/src/fleet/server.rs
+++ b/crates/gentianlane-daemon/src/fleet/server.rs
@@ -1,40 +1,43 @@
 //! The HTTP server of cores and entries, for callers, workers, operators, the
 //! load balancer and metrics.
 
+mod exchange;
+mod report;
+mod stream;
+
 use std::convert::Infallible;
-use std::future::Future;
+use std::future::{Future, poll_fn};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::task::Poll;
 use std::time::Duration;
 
 use gentianlane::fleet::team::Credential;
 use gentianlane_platform::Response as ApiResponse;
-use gentianlane_platform::front::CREDENTIAL_HEADER;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::{Bytes, Incoming};
-use hyper::header::{CONNECTION, CONTENT_TYPE, HOST, HeaderValue, LOCATION, RETRY_AFTER};
+use hyper::body::Bytes;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use slog::{Logger, warn};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
 use crate::fleet::Settings;
+use crate::fleet::intake::{Connection, Eviction, Intake};
 use crate::fleet::memory;
 use crate::fleet::metrics::Metrics;
+use crate::fleet::server::stream::Stream;
+pub(crate) use report::report_intake;
 
 /// The time limit for a request's head, which includes the idle time before it.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(15);
 
-/// The time limit for a request's body; a refusal's text repeats the number.
-const BODY_TIMEOUT: Duration = Duration::from_secs(3);
+/// The longest head, in bytes: what a connection's read buffer may hold.
+const HEAD_LIMIT: usize = 32 << 10;
 
-/// The longest request body, in bytes. Workers' reports and operators' plans
-/// are the longest in use. A refusal's text repeats the number.
-const BODY_LIMIT: usize = 4 << 20;
+/// The longest body of a request to read something, in bytes; none is needed.
+pub(crate) const READ_BODY_LIMIT: usize = 4 << 10;
 
 /// The parts of a request that a handler gets.
 #[derive(Debug)]
@@ -58,17 +61,20 @@
     open_connections: Arc<AtomicUsize>,
     /// The most connections that are served at a time; further ones are closed.
     connection_limit: usize,
+    intake: Intake,
     /// Whether no more connections are accepted and idle ones are closed.
     closing: watch::Sender<bool>,
 }
 
 impl Server {
-    /// A server for at most `connection_limit` connections at a time.
-    pub(crate) fn new(connection_limit: usize) -> Self {
+    /// A server for at most `connection_limit` connections at a time, which it adds to
+    /// the account.
+    pub(crate) fn new(connection_limit: usize, intake: Intake) -> Self {
         Self {
             stopping: Arc::default(),
             open_connections: Arc::default(),
             connection_limit,
+            intake,
             closing: watch::Sender::new(false),
         }
     }
@@ -92,7 +98,8 @@
         self.open_connections.load(Ordering::Relaxed)
     }
 
-    /// Binds an address and serves connections to it in a task of its own.
+    /// Binds an address and serves connections to it in a task of its own. Requests
+    /// whose body is longer than `body_limit` bytes are refused.
     ///
     /// # Errors
     ///
@@ -100,6 +107,7 @@
     pub(crate) async fn listen<H, F>(
         &self,
         address: SocketAddr,
+        body_limit: usize,
         handler: H,
     ) -> std::io::Result<()>
     where
@@ -108,11 +116,11 @@
     {
         let listener = TcpListener::bind(address).await?;
         let server = self.clone();
-        tokio::spawn(async move { server.accept(&listener, handler).await });
+        tokio::spawn(async move { server.accept(&listener, body_limit, handler).await });
         Ok(())
     }
 
-    async fn accept<H, F>(&self, listener: &TcpListener, handler: H)
+    async fn accept<H, F>(&self, listener: &TcpListener, body_limit: usize, handler: H)
     where
         H: Fn(HttpRequest) -> F + Clone + Send + Sync + 'static,
         F: Future<Output = ApiResponse> + Send + 'static,
@@ -134,45 +142,65 @@
             if self.open_connections() >= self.connection_limit {
                 continue;
             }
+            self.open_connections.fetch_add(1, Ordering::Relaxed);
+            let connection = Arc::new(self.intake.open());
             let server = self.clone();
             let handler = handler.clone();
-            tokio::spawn(async move { server.serve(stream, handler).await });
+            tokio::spawn(async move {
+                server.serve(stream, body_limit, handler, connection).await;
+                server.open_connections.fetch_sub(1, Ordering::Relaxed);
+            });
         }
     }
 
-    async fn serve<H, F>(self, stream: TcpStream, handler: H)
-    where
+    async fn serve<H, F>(
+        &self,
+        stream: TcpStream,
+        body_limit: usize,
+        handler: H,
+        connection: Arc<Connection>,
+    ) where
         H: Fn(HttpRequest) -> F + Clone + Send + Sync + 'static,
         F: Future<Output = ApiResponse> + Send + 'static,
     {
         if stream.set_nodelay(true).is_err() {
             return;
         }
-        self.open_connections.fetch_add(1, Ordering::Relaxed);
         let stopping = Arc::clone(&self.stopping);
+        let account = Arc::clone(&connection);
         let service = service_fn(move |request| {
-            let handler = handler.clone();
             let stopping = Arc::clone(&stopping);
+            let closes = move || stopping.load(Ordering::Relaxed);
+            let (handler, account) = (handler.clone(), Arc::clone(&account));
             async move {
-                let answer = handle_request(request, handler).await;
-                let closes_connection = stopping.load(Ordering::Relaxed);
-                Ok::<_, Infallible>(to_http_response(answer, closes_connection))
+                let served =
+                    exchange::serve(request, handler, body_limit, account, closes);
+                Ok::<_, Infallible>(served.await)
             }
         });
-        let connection = http1::Builder::new()
+        let stream = TokioIo::new(Stream::new(stream, Arc::clone(&connection)));
+        let served = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(HEAD_TIMEOUT)
-            .serve_connection(TokioIo::new(stream), service);
-        tokio::pin!(connection);
+            .max_buf_size(HEAD_LIMIT)
+            .serve_connection(stream, service);
+        tokio::pin!(served);
         let mut closing = self.closing.subscribe();
+        // A refused request's own task answers it, and then the connection ends.
+        let evicted = poll_fn(|context| match connection.poll_evicted(context) {
+            Poll::Ready(Eviction::Close) => Poll::Ready(()),
+            Poll::Ready(Eviction::Refuse) | Poll::Pending => Poll::Pending,
+        });
+        tokio::pin!(evicted);
         tokio::select! {
-            _ = connection.as_mut() => {}
-            () = closed(&mut closing) => {
-                connection.as_mut().graceful_shutdown();
-                let _ = connection.await;
-            }
+            _ = served.as_mut() => return,
+            () = evicted.as_mut() => return,
+            () = closed(&mut closing) => served.as_mut().graceful_shutdown(),
+        }
+        tokio::select! {
+            _ = served => {}
+            () = evicted => {}
         }
-        self.open_connections.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
@@ -185,63 +213,6 @@
 /// The delay after a failed accept.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// Reads a request's body and calls the handler.
-async fn handle_request<H, F>(request: Request<Incoming>, handler: H) -> ApiResponse
-where
-    H: Fn(HttpRequest) -> F,
-    F: Future<Output = ApiResponse>,
-{
-    let (head, body) = request.into_parts();
-    let header = |name: &str| head.headers.get(name)?.to_str().ok();
-    let deadline = header("Deadline-Ms").and_then(|text| text.parse().ok());
-    let credential = header(CREDENTIAL_HEADER).map(Credential::from);
-    let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
-    let host = head
-        .headers
-        .get(HOST)
-        .and_then(|host| host.to_str().ok())
-        .unwrap_or_default();
-    let body = Limited::new(body, BODY_LIMIT).collect();
-    let Ok(Ok(body)) = tokio::time::timeout(BODY_TIMEOUT, body).await else {
-        return ApiResponse::malformed(&gentianlane_platform::Fault::InvalidValue {
-            field: "the body",
-            reason: "incomplete, longer than 4 MiB or not received within 3 s".to_owned(),
-        });
-    };
-    handler(HttpRequest {
-        method: head.method.to_string(),
-        host: host.to_owned(),
-        path: path.to_owned(),
-        deadline: deadline.map(Duration::from_millis),
-        credential,
-        body: body.to_bytes(),
-    })
-    .await
-}
-
-fn to_http_response(
-    answer: ApiResponse,
-    closes_connection: bool,
-) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(Bytes::from(answer.body)));
-    *response.status_mut() =
-        StatusCode::from_u16(answer.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
-    let headers = response.headers_mut();
-    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-    if let Some(seconds) = answer.retry_after {
-        headers.insert(RETRY_AFTER, HeaderValue::from(seconds));
-    }
-    if let Some(location) = answer.location
-        && let Ok(location) = HeaderValue::from_str(&location)
-    {
-        headers.insert(LOCATION, location);
-    }
-    if closes_connection {
-        headers.insert(CONNECTION, HeaderValue::from_static("close"));
-    }
-    response
-}
-
 /// Serves the process's metrics on the port from the settings, if there is one.
 /// If the port can't be bound, the process runs on without serving metrics.
 pub(crate) async fn serve_metrics(
@@ -257,7 +228,9 @@
     metrics.set("memory_limit_bytes", settings.memory_limit());
     let address = (settings.ip, port).into();
     let served = server
-        .listen(address, move |_| metrics_response(metrics.clone()))
+        .listen(address, READ_BODY_LIMIT, move |_| {
+            metrics_response(metrics.clone())
+        })
         .await;
     if let Err(error) = served {
         warn!(log, "no_metrics"; "error" => %error);
--- /dev/null
+++ b/crates/gentianlane-daemon/src/fleet/server/stream.rs
@@ -0,0 +1,111 @@
+//! A connection's stream, which accounts for the buffer that it is read into.
+
+use std::io::{IoSlice, Result};
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll, ready};
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+use crate::fleet::intake::{CONNECTION_SIZE, Connection};
+
+/// A stream that takes the memory of its read buffer from a connection's account before
+/// it reads.
+#[derive(Debug)]
+pub(super) struct Stream {
+    stream: TcpStream,
+    connection: Arc<Connection>,
+    /// The read buffer as far as it is accounted for, in bytes.
+    buffer: usize,
+    /// What the read buffer still holds at most, in bytes.
+    unparsed: usize,
+    /// The bytes of the last read.
+    last_read: usize,
+    /// The heads that had arrived at the last read.
+    heads: u64,
+}
+
+impl Stream {
+    pub(super) fn new(stream: TcpStream, connection: Arc<Connection>) -> Self {
+        Self {
+            stream,
+            connection,
+            buffer: CONNECTION_SIZE / 2,
+            unparsed: 0,
+            last_read: 0,
+            heads: 0,
+        }
+    }
+}
+
+impl AsyncRead for Stream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<Result<()>> {
+        let (heads, in_body) = self.connection.arrival();
+        if in_body {
+            // A body is read on once the buffer is empty.
+            self.unparsed = 0;
+        } else if heads != self.heads {
+            self.unparsed = self.last_read;
+        }
+        self.heads = heads;
+        let size = buffer.remaining() + self.unparsed;
+        if size > self.buffer {
+            let more = size - self.buffer;
+            // An evicted connection is ended by its own task, after a refusal.
+            let Ok(()) = ready!(self.connection.poll_take(context, more)) else {
+                return Poll::Pending;
+            };
+            self.buffer = size;
+        }
+        let before = buffer.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
+        let read = buffer.filled().len() - before;
+        if read > 0 {
+            self.unparsed += read;
+            self.last_read = read;
+            self.connection.receive();
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for Stream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[IoSlice<'_>],
+    ) -> Poll<Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(context, bytes)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
