Bound the memory of answers that nobody reads

What callers saw: clients that send requests one after another and read no answer filled a core's memory, and kept other callers out.

Cause: an answer was held until its client had read it, and the answer to the next request beside it, without a limit of bytes or time.

Change: an answer counts in the account of connections until it is written, so that beyond the bound the connection whose answer has waited longest is closed. A GET takes memory before it is handled: as much as the longest body or answer of its port so far, as a plan is read back as it was sent. A write without progress for 5 s ends its connection.

--- a/crates/gentianlane-daemon/src/fleet/intake.rs
+++ b/crates/gentianlane-daemon/src/fleet/intake.rs
@@ -1,5 +1,5 @@
-//! The memory of a process's connections: one bound for what requests in arrival hold,
-//! whatever the number of connections and the port.
+//! The memory of a process's connections: one bound for what requests in arrival and
+//! answers in departure hold, whatever the number of connections and the port.
 //!
 //! Pure accounting: a [`Connection`] asks for memory before it takes any. Beyond the
 //! bound the connection that has made no progress for longest is told to end.
@@ -104,23 +104,30 @@
     Refused,
     /// A connection was closed, as the bound was reached.
     ClosedForMemory,
+    /// A connection was closed, as its client read no answer.
+    Unread,
     /// A request was refused for the length of its body.
     TooLong,
 }
 
 impl Event {
     /// The number of kinds.
-    const COUNT: usize = 3;
+    const COUNT: usize = 4;
 
     /// All kinds.
-    pub(crate) const ALL: [Self; Self::COUNT] =
-        [Self::Refused, Self::ClosedForMemory, Self::TooLong];
+    pub(crate) const ALL: [Self; Self::COUNT] = [
+        Self::Refused,
+        Self::ClosedForMemory,
+        Self::Unread,
+        Self::TooLong,
+    ];
 
     /// The name of the kind's counter.
     pub(crate) const fn name(self) -> &'static str {
         match self {
             Self::Refused => "requests_refused_crowded",
             Self::ClosedForMemory => "connections_closed_memory",
+            Self::Unread => "connections_closed_unread",
             Self::TooLong => "bodies_too_long",
         }
     }
@@ -305,6 +312,11 @@
         self.shared.tally(event);
     }
 
+    /// The bound for all connections, in bytes.
+    pub(crate) fn limit(&self) -> usize {
+        self.shared.limit
+    }
+
     /// Takes memory, or waits until there is room and has others evicted for it.
     ///
     /// # Errors
@@ -413,20 +425,29 @@
         }
     }
 
-    /// An answer is about to be written.
-    pub(crate) fn answer(&self) {
+    /// An answer is about to be written, which holds as many bytes.
+    pub(crate) fn answer(&self, bytes: usize) {
         let mut state = lock(&self.entry.state);
         state.enter(Phase::Departing);
         state.answers += 1;
+        state.held += bytes;
+        if state.eviction.is_some() {
+            self.shared.leaving.fetch_add(bytes, Ordering::Relaxed);
+        }
+        drop(state);
+        self.shared.held.fetch_add(bytes, Ordering::Relaxed);
     }
 
     /// An answer has been written.
-    pub(crate) fn depart(&self) {
+    pub(crate) fn depart(&self, bytes: usize) {
         let mut state = lock(&self.entry.state);
         state.answers -= 1;
+        self.release(&mut state, bytes);
         if state.phase == Phase::Departing && state.answers == 0 {
             state.enter(Phase::Idle);
         }
+        drop(state);
+        self.shared.give(bytes);
     }
 }
 
--- a/crates/gentianlane-daemon/src/fleet/server.rs
+++ b/crates/gentianlane-daemon/src/fleet/server.rs
@@ -27,6 +27,7 @@
 use crate::fleet::intake::{Connection, Eviction, Intake};
 use crate::fleet::memory;
 use crate::fleet::metrics::Metrics;
+use crate::fleet::server::exchange::Port;
 use crate::fleet::server::stream::Stream;
 pub(crate) use report::report_intake;
 
@@ -116,11 +117,14 @@
     {
         let listener = TcpListener::bind(address).await?;
         let server = self.clone();
-        tokio::spawn(async move { server.accept(&listener, body_limit, handler).await });
+        tokio::spawn(async move {
+            let port = Arc::new(Port::new(body_limit));
+            server.accept(&listener, &port, handler).await;
+        });
         Ok(())
     }
 
-    async fn accept<H, F>(&self, listener: &TcpListener, body_limit: usize, handler: H)
+    async fn accept<H, F>(&self, listener: &TcpListener, port: &Arc<Port>, handler: H)
     where
         H: Fn(HttpRequest) -> F + Clone + Send + Sync + 'static,
         F: Future<Output = ApiResponse> + Send + 'static,
@@ -145,9 +149,9 @@
             self.open_connections.fetch_add(1, Ordering::Relaxed);
             let connection = Arc::new(self.intake.open());
             let server = self.clone();
-            let handler = handler.clone();
+            let (handler, port) = (handler.clone(), Arc::clone(port));
             tokio::spawn(async move {
-                server.serve(stream, body_limit, handler, connection).await;
+                server.serve(stream, port, handler, connection).await;
                 server.open_connections.fetch_sub(1, Ordering::Relaxed);
             });
         }
@@ -156,7 +160,7 @@
     async fn serve<H, F>(
         &self,
         stream: TcpStream,
-        body_limit: usize,
+        port: Arc<Port>,
         handler: H,
         connection: Arc<Connection>,
     ) where
@@ -171,10 +175,10 @@
         let service = service_fn(move |request| {
             let stopping = Arc::clone(&stopping);
             let closes = move || stopping.load(Ordering::Relaxed);
-            let (handler, account) = (handler.clone(), Arc::clone(&account));
+            let (handler, port) = (handler.clone(), Arc::clone(&port));
+            let account = Arc::clone(&account);
             async move {
-                let served =
-                    exchange::serve(request, handler, body_limit, account, closes);
+                let served = exchange::serve(request, handler, &port, account, closes);
                 Ok::<_, Infallible>(served.await)
             }
         });
--- a/crates/gentianlane-daemon/src/fleet/server/exchange.rs
+++ b/crates/gentianlane-daemon/src/fleet/server/exchange.rs
@@ -1,8 +1,9 @@
 //! One request and its answer: the body is read within the memory of the connection's
-//! account.
+//! account, and the answer is accounted for until it is written.
 
 use std::future::{Future, poll_fn};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use gentianlane::fleet::team::Credential;
@@ -13,7 +14,7 @@
 use hyper::body::{Body as _, Bytes, Incoming};
 use hyper::header::{CONNECTION, CONTENT_TYPE, HOST, HeaderValue, LOCATION, RETRY_AFTER};
 use hyper::http::request::Parts;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Method, Request, Response, StatusCode};
 
 use crate::fleet::intake::{Connection, Event, Evicted};
 use crate::fleet::server::HttpRequest;
@@ -68,11 +69,33 @@
     }
 }
 
+/// What the requests to one port have in common.
+#[derive(Debug)]
+pub(super) struct Port {
+    /// The longest body, in bytes.
+    body_limit: usize,
+    /// The longest body or answer so far, in bytes: what is read has been written once.
+    longest: AtomicUsize,
+}
+
+impl Port {
+    pub(super) const fn new(body_limit: usize) -> Self {
+        Self {
+            body_limit,
+            longest: AtomicUsize::new(0),
+        }
+    }
+
+    fn lengthen(&self, length: usize) {
+        self.longest.fetch_max(length, Ordering::Relaxed);
+    }
+}
+
 /// Reads a request's body, calls the handler and gives its answer.
 pub(super) async fn serve<H, F>(
     request: Request<Incoming>,
     handler: H,
-    body_limit: usize,
+    port: &Port,
     connection: Arc<Connection>,
     closes: impl Fn() -> bool,
 ) -> Response<Full<Bytes>>
@@ -85,30 +108,46 @@
     let mut request = without_body(&head);
     // The read buffer can't be used again before.
     drop(head);
-    match prepare(&mut request, body, body_limit, &connection).await {
-        Ok(()) => {
+    match prepare(&mut request, body, port, &connection).await {
+        Ok(room) => {
             let answer = handler(request).await;
-            to_response(answer, closes(), connection)
+            port.lengthen(answer.body.len());
+            let response = to_response(answer, closes(), connection);
+            drop(room);
+            response
         }
         Err(refusal) => {
             if refusal == Refusal::TooLong {
                 connection.tally(Event::TooLong);
             }
-            to_response(refusal.answer(body_limit), true, connection)
+            to_response(refusal.answer(port.body_limit), true, connection)
         }
     }
 }
 
-/// Reads a request's body. From then on the request isn't refused any more.
+/// Reads a request's body and takes the memory of the answer. From then on the request
+/// isn't refused any more.
 async fn prepare(
     request: &mut HttpRequest,
     body: Incoming,
-    body_limit: usize,
+    port: &Port,
     connection: &Arc<Connection>,
-) -> Result<(), Refusal> {
-    request.body = read_body(body, body_limit, connection).await?;
+) -> Result<Room, Refusal> {
+    request.body = read_body(body, port.body_limit, connection).await?;
+    port.lengthen(request.body.len());
+    let mut room = Room::new(Arc::clone(connection));
+    if request.method == Method::GET.as_str() {
+        // A request that takes half of the bound has to be served as well.
+        let longest = port.longest.load(Ordering::Relaxed);
+        let waiting = room.grow(longest.min(connection.limit() / 2));
+        let evicted = poll_fn(|context| connection.poll_evicted(context));
+        tokio::select! {
+            grown = waiting => grown?,
+            _ = evicted => return Err(Refusal::Crowded),
+        }
+    }
     connection.begin()?;
-    Ok(())
+    Ok(room)
 }
 
 /// The parts of a request that its head gives.
@@ -235,7 +274,7 @@
     }
 }
 
-/// An answer's body; its connection is idle again once it is written.
+/// An answer's body, which a connection's account holds until it is written.
 #[derive(Debug)]
 struct Departing {
     bytes: Vec<u8>,
@@ -244,7 +283,7 @@
 
 impl Departing {
     fn new(bytes: Vec<u8>, connection: Arc<Connection>) -> Self {
-        connection.answer();
+        connection.answer(bytes.capacity());
         Self { bytes, connection }
     }
 }
@@ -257,7 +296,8 @@
 
 impl Drop for Departing {
     fn drop(&mut self) {
-        self.connection.depart();
+        let held = std::mem::take(&mut self.bytes).capacity();
+        self.connection.depart(held);
     }
 }
 
--- a/crates/gentianlane-daemon/src/fleet/server/stream.rs
+++ b/crates/gentianlane-daemon/src/fleet/server/stream.rs
@@ -1,17 +1,21 @@
 //! A connection's stream, which accounts for the buffer that it is read into.
 
-use std::io::{IoSlice, Result};
+use std::io::{Error, IoSlice, Result};
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll, ready};
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::time::{Duration, Sleep, sleep};
 
-use crate::fleet::intake::{CONNECTION_SIZE, Connection};
+use crate::fleet::intake::{CONNECTION_SIZE, Connection, Event};
+
+/// How long a write may make no progress.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// A stream that takes the memory of its read buffer from a connection's account before
-/// it reads.
+/// it reads, and fails if nothing can be written for [`WRITE_TIMEOUT`].
 #[derive(Debug)]
 pub(super) struct Stream {
     stream: TcpStream,
@@ -24,6 +28,8 @@
     last_read: usize,
     /// The heads that had arrived at the last read.
     heads: u64,
+    /// Runs while a write waits.
+    write_timeout: Option<Pin<Box<Sleep>>>,
 }
 
 impl Stream {
@@ -35,7 +41,26 @@
             unparsed: 0,
             last_read: 0,
             heads: 0,
+            write_timeout: None,
+        }
+    }
+
+    /// Fails once a write has waited for too long.
+    fn check_write<T>(
+        &mut self,
+        written: Poll<Result<T>>,
+        context: &mut Context<'_>,
+    ) -> Poll<Result<T>> {
+        if written.is_ready() {
+            self.write_timeout = None;
+            return written;
         }
+        let timeout = self
+            .write_timeout
+            .get_or_insert_with(|| Box::pin(sleep(WRITE_TIMEOUT)));
+        ready!(timeout.as_mut().poll(context));
+        self.connection.tally(Event::Unread);
+        Poll::Ready(Err(Error::from(std::io::ErrorKind::TimedOut)))
     }
 }
 
@@ -80,7 +105,8 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.check_write(written, context)
     }
 
     fn poll_write_vectored(
@@ -88,7 +114,8 @@
         context: &mut Context<'_>,
         bytes: &[IoSlice<'_>],
     ) -> Poll<Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, bytes)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(context, bytes);
+        self.check_write(written, context)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/gentianlane-daemon/tests/intake.rs
+++ b/crates/gentianlane-daemon/tests/intake.rs
@@ -99,8 +99,8 @@
     idle.receive();
     idle.receive_head();
     idle.begin().unwrap();
-    idle.answer();
-    idle.depart();
+    idle.answer(0);
+    idle.depart(0);
     let stalled = intake.open();
     thread::sleep(STALLED);
     let fresh = arriving(&intake);
@@ -113,6 +113,22 @@
     assert!(evicted(&fresh).is_pending());
 }
 
+#[test]
+fn an_answer_counts_until_it_is_written_and_its_connection_ends_with_it() {
+    let intake = account(2, 50);
+    let reader = arriving(&intake);
+    reader.begin().unwrap();
+    reader.answer(50);
+    assert_eq!(intake.held(), 2 * CONNECTION_SIZE + 50 - CONNECTION_SIZE);
+    let other = arriving(&intake);
+    assert_eq!(take(&other, 10), Poll::Pending);
+    assert_eq!(evicted(&reader), Poll::Ready(Eviction::Close));
+    assert_eq!(intake.take_tally(Event::ClosedForMemory), 1);
+    reader.depart(50);
+    drop(reader);
+    assert_eq!(take(&other, 10), Poll::Ready(Ok(())));
+}
+
 #[test]
 fn a_connection_that_waits_is_woken_when_memory_is_given_back() {
     let intake = account(2, 10);
@@ -137,7 +153,7 @@
     Arrive(usize),
     Take(usize, usize),
     Begin(usize),
-    Answer(usize),
+    Answer(usize, usize),
     Close(usize),
 }
 
@@ -149,7 +165,7 @@
             1 => Self::Arrive(at),
             2 => Self::Take(at, bytes),
             3 => Self::Begin(at),
-            4 => Self::Answer(at),
+            4 => Self::Answer(at, bytes),
             _ => Self::Close(at),
         }
     }
@@ -186,10 +202,10 @@
                         }
                     }
                 }
-                Step::Answer(at) => {
+                Step::Answer(at, bytes) => {
                     if let Some(connection) = open.get(at % count) {
-                        connection.answer();
-                        connection.depart();
+                        connection.answer(bytes);
+                        connection.depart(bytes);
                     }
                 }
                 Step::Close(at) => {
