Close a stalled connection for a new one

What callers saw: with as many clients as a process serves connections, all of which stay open, every further connection was closed at once until one of theirs ran into a time limit.

Cause: at the limit the newcomer was refused, whatever the others did.

Change: the connection of the port's group that has made no progress for longest ends for the newcomer, stalled ones before idle ones; one whose request is with its handler never does. A newcomer is closed only if all have such a request.

The test of the account, a_group_at_its_limit_..., is of a new interface.

--- a/crates/gentianlane-daemon/src/fleet/core.rs
+++ b/crates/gentianlane-daemon/src/fleet/core.rs
@@ -28,7 +28,7 @@
     control_address,
 };
 use crate::fleet::forward::{self, ForwardOutcome, Forwarder, lock};
-use crate::fleet::intake::Intake;
+use crate::fleet::intake::{Group, Intake};
 use crate::fleet::lateness::{self, Lateness};
 use crate::fleet::link_server;
 use crate::fleet::log::LogWriter;
@@ -51,6 +51,9 @@
 /// longest.
 const BODY_LIMIT: usize = 4 << 20;
 
+/// The connections of workers, operators and health checks.
+const CALLERS: Group = Group(0);
+
 /// How often the settings file is checked for changes.
 const SETTINGS_POLL_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -151,7 +154,7 @@
         shared.metrics.clone(),
         shared.log.clone(),
     ));
-    let server = Server::new(shared.budget.callers, intake);
+    let server = Server::new(shared.budget.callers, intake, CALLERS);
     let listener = TcpListener::bind(settings.link_address())
         .await
         .into_diagnostic()?;
--- a/crates/gentianlane-daemon/src/fleet/entry.rs
+++ b/crates/gentianlane-daemon/src/fleet/entry.rs
@@ -16,7 +16,7 @@
 use crate::fleet::Settings;
 use crate::fleet::downstream;
 use crate::fleet::forward::{self, ForwardOutcome, Forwarder};
-use crate::fleet::intake::Intake;
+use crate::fleet::intake::{Group, Intake};
 use crate::fleet::log::LogWriter;
 use crate::fleet::metrics::Metrics;
 use crate::fleet::server::{self, HttpRequest, READ_BODY_LIMIT, Server};
@@ -40,6 +40,10 @@
 /// The longest body of a caller's request, in bytes.
 const BODY_LIMIT: usize = 262_144;
 
+/// The connections of callers, and those for readiness checks and metrics.
+const CALLERS: Group = Group(0);
+const BALANCER: Group = Group(1);
+
 /// How often the settings file is checked for changes.
 const SETTINGS_POLL_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -82,7 +86,7 @@
         forwarder.metrics.clone(),
         forwarder.log.clone(),
     ));
-    let server = Server::new(budget.callers, intake.clone());
+    let server = Server::new(budget.callers, intake.clone(), CALLERS);
     tokio::spawn(forward::maintain_link(
         forwarder.clone(),
         settings.link_port,
@@ -100,7 +104,7 @@
         .await
         .into_diagnostic()?;
     let (ready_forwarder, own_server) = (forwarder.clone(), server.clone());
-    let balancer = Server::new(BALANCER_CONNECTIONS, intake);
+    let balancer = Server::new(BALANCER_CONNECTIONS, intake, BALANCER);
     balancer
         .listen(ready, READ_BODY_LIMIT, move |_| {
             readiness(ready_forwarder.clone(), own_server.clone())
--- a/crates/gentianlane-daemon/src/fleet/intake.rs
+++ b/crates/gentianlane-daemon/src/fleet/intake.rs
@@ -53,6 +53,7 @@
 
 #[derive(Debug)]
 struct Entry {
+    group: Group,
     state: Mutex<State>,
 }
 
@@ -72,6 +73,10 @@
     waker: Option<Waker>,
 }
 
+/// The connections that share a limit of their number.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Group(pub(crate) u8);
+
 /// What a connection is doing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Phase {
@@ -97,13 +102,25 @@
     Close,
 }
 
+/// Why a connection is evicted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Cause {
+    Memory,
+    Number,
+}
+
 /// What operators are told of, by number.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Event {
-    /// A request in arrival was refused, as the bound was reached.
+    /// A request in arrival was refused, for memory or for a new connection.
     Refused,
     /// A connection was closed, as the bound was reached.
     ClosedForMemory,
+    /// A connection was closed for a new one, as there were as many as may be.
+    ClosedForNumber,
+    /// A new connection was closed, as there were as many as may be, all with a
+    /// request that was being handled.
+    TurnedAway,
     /// A connection was closed, as its client read no answer.
     Unread,
     /// A request was refused for the length of its body.
@@ -112,12 +129,14 @@
 
 impl Event {
     /// The number of kinds.
-    const COUNT: usize = 4;
+    const COUNT: usize = 6;
 
     /// All kinds.
     pub(crate) const ALL: [Self; Self::COUNT] = [
         Self::Refused,
         Self::ClosedForMemory,
+        Self::ClosedForNumber,
+        Self::TurnedAway,
         Self::Unread,
         Self::TooLong,
     ];
@@ -127,6 +146,8 @@
         match self {
             Self::Refused => "requests_refused_crowded",
             Self::ClosedForMemory => "connections_closed_memory",
+            Self::ClosedForNumber => "connections_closed_number",
+            Self::TurnedAway => "connections_turned_away",
             Self::Unread => "connections_closed_unread",
             Self::TooLong => "bodies_too_long",
         }
@@ -168,6 +189,11 @@
         self.shared.held.load(Ordering::Relaxed)
     }
 
+    /// Counts an event.
+    pub(crate) fn tally(&self, event: Event) {
+        self.shared.tally(event);
+    }
+
     /// How often an event was counted since the last call.
     pub(crate) fn take_tally(&self, event: Event) -> u64 {
         self.shared.tallies[event as usize].swap(0, Ordering::Relaxed)
@@ -175,8 +201,9 @@
 
     /// Adds a connection, which holds [`CONNECTION_SIZE`] from now on; beyond the bound
     /// others are evicted for it.
-    pub(crate) fn open(&self) -> Connection {
+    pub(crate) fn open(&self, group: Group) -> Connection {
         let entry = Arc::new(Entry {
+            group,
             state: Mutex::new(State {
                 phase: Phase::Open,
                 since: Instant::now(),
@@ -203,6 +230,15 @@
             entry,
         }
     }
+
+    /// Has a connection of a group end, unless one is about to. False if all have a
+    /// request with its handler.
+    pub(crate) fn evict_from(&self, group: Group) -> bool {
+        let table = lock(&self.shared.table);
+        let mut members = table.connections.values().filter(|it| it.group == group);
+        members.any(|entry| lock(&entry.state).eviction.is_some())
+            || self.shared.evict(&table, Some(group), Cause::Number)
+    }
 }
 
 impl Shared {
@@ -236,14 +272,18 @@
     fn make_room(&self, table: &Table, bytes: usize) {
         let held = self.held.load(Ordering::Relaxed).saturating_add(bytes);
         let excess = held.saturating_sub(self.limit);
-        while self.leaving.load(Ordering::Relaxed) < excess && self.evict(table) {}
+        while self.leaving.load(Ordering::Relaxed) < excess
+            && self.evict(table, None, Cause::Memory)
+        {}
     }
 
     /// Has the connection end that has made no progress for longest. False if all have
     /// a request with its handler, or are about to end.
-    fn evict(&self, table: &Table) -> bool {
+    fn evict(&self, table: &Table, group: Option<Group>, cause: Cause) -> bool {
         let now = Instant::now();
-        let ranked = table.connections.values().filter_map(|entry| {
+        let members = table.connections.values();
+        let members = members.filter(|entry| group.is_none_or(|it| it == entry.group));
+        let ranked = members.filter_map(|entry| {
             let state = lock(&entry.state);
             Some((state.rank(now)?, state.since, entry))
         });
@@ -259,9 +299,10 @@
         };
         state.eviction = Some(eviction);
         self.leaving.fetch_add(state.held, Ordering::Relaxed);
-        self.tally(match eviction {
-            Eviction::Refuse => Event::Refused,
-            Eviction::Close => Event::ClosedForMemory,
+        self.tally(match (eviction, cause) {
+            (Eviction::Refuse, _) => Event::Refused,
+            (Eviction::Close, Cause::Memory) => Event::ClosedForMemory,
+            (Eviction::Close, Cause::Number) => Event::ClosedForNumber,
         });
         if let Some(waker) = state.waker.take() {
             waker.wake();
--- a/crates/gentianlane-daemon/src/fleet/server.rs
+++ b/crates/gentianlane-daemon/src/fleet/server.rs
@@ -21,10 +21,10 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use slog::{Logger, warn};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use crate::fleet::Settings;
-use crate::fleet::intake::{Connection, Eviction, Intake};
+use crate::fleet::intake::{Connection, Event, Eviction, Group, Intake};
 use crate::fleet::memory;
 use crate::fleet::metrics::Metrics;
 use crate::fleet::server::exchange::Port;
@@ -40,6 +40,9 @@
 /// The longest body of a request to read something, in bytes; none is needed.
 pub(crate) const READ_BODY_LIMIT: usize = 4 << 10;
 
+/// How long a new connection waits for one that was told to end before it looks again.
+const EVICTION_POLL_INTERVAL: Duration = Duration::from_millis(50);
+
 /// The parts of a request that a handler gets.
 #[derive(Debug)]
 pub(crate) struct HttpRequest {
@@ -60,22 +63,28 @@
     /// Whether responses ask to close their connection.
     stopping: Arc<AtomicBool>,
     open_connections: Arc<AtomicUsize>,
-    /// The most connections that are served at a time; further ones are closed.
+    /// The most connections that are served at a time; for a further one that without
+    /// progress for longest is closed.
     connection_limit: usize,
     intake: Intake,
+    group: Group,
+    /// Notified when a connection has ended.
+    ended: Arc<Notify>,
     /// Whether no more connections are accepted and idle ones are closed.
     closing: watch::Sender<bool>,
 }
 
 impl Server {
     /// A server for at most `connection_limit` connections at a time, which it adds to
-    /// the account.
-    pub(crate) fn new(connection_limit: usize, intake: Intake) -> Self {
+    /// the account as a group of their own.
+    pub(crate) fn new(connection_limit: usize, intake: Intake, group: Group) -> Self {
         Self {
             stopping: Arc::default(),
             open_connections: Arc::default(),
             connection_limit,
             intake,
+            group,
+            ended: Arc::default(),
             closing: watch::Sender::new(false),
         }
     }
@@ -143,20 +152,35 @@
                 },
                 _ = closing.changed() => return,
             };
-            if self.open_connections() >= self.connection_limit {
+            if !self.make_room().await {
+                self.intake.tally(Event::TurnedAway);
                 continue;
             }
             self.open_connections.fetch_add(1, Ordering::Relaxed);
-            let connection = Arc::new(self.intake.open());
+            let connection = Arc::new(self.intake.open(self.group));
             let server = self.clone();
             let (handler, port) = (handler.clone(), Arc::clone(port));
             tokio::spawn(async move {
                 server.serve(stream, port, handler, connection).await;
                 server.open_connections.fetch_sub(1, Ordering::Relaxed);
+                server.ended.notify_one();
             });
         }
     }
 
+    /// Has a connection end if there are as many as may be, and waits for it. False if
+    /// all have a request with the handler.
+    async fn make_room(&self) -> bool {
+        while self.open_connections() >= self.connection_limit {
+            if !self.intake.evict_from(self.group) {
+                return false;
+            }
+            let ended = self.ended.notified();
+            let _ = tokio::time::timeout(EVICTION_POLL_INTERVAL, ended).await;
+        }
+        true
+    }
+
     async fn serve<H, F>(
         &self,
         stream: TcpStream,
--- a/crates/gentianlane-daemon/src/fleet/server/report.rs
+++ b/crates/gentianlane-daemon/src/fleet/server/report.rs
@@ -23,8 +23,9 @@
             tally
         });
         if tallies.iter().any(|tally| *tally > 0) {
-            let [refused, memory, unread, too_long] = tallies;
+            let [refused, memory, number, turned_away, unread, too_long] = tallies;
             warn!(log, "crowded"; "refused" => refused, "closed_memory" => memory,
+                "closed_number" => number, "turned_away" => turned_away,
                 "closed_unread" => unread, "too_long" => too_long,
                 "held" => intake.held(), "limit" => intake.limit());
         }
--- a/crates/gentianlane-daemon/tests/intake.rs
+++ b/crates/gentianlane-daemon/tests/intake.rs
@@ -16,9 +16,14 @@
 use std::thread;
 use std::time::Duration;
 
-use fleet::intake::{CONNECTION_SIZE, Connection, Event, Evicted, Eviction, Intake};
+use fleet::intake::{
+    CONNECTION_SIZE, Connection, Event, Evicted, Eviction, Group, Intake,
+};
 use quickcheck::{Arbitrary, Gen, quickcheck};
 
+const CALLERS: Group = Group(0);
+const OTHERS: Group = Group(1);
+
 /// More than the time after which a request counts as stalled.
 const STALLED: Duration = Duration::from_millis(1_100);
 
@@ -42,7 +47,7 @@
 
 /// A connection with a body in arrival.
 fn arriving(intake: &Intake) -> Connection {
-    let connection = intake.open();
+    let connection = intake.open(CALLERS);
     connection.receive();
     connection.receive_head();
     connection
@@ -87,7 +92,7 @@
     assert_eq!(refused.begin(), Err(Evicted));
     drop(refused);
     assert_eq!(take(&handled, 11), Poll::Ready(Ok(())));
-    let newcomer = intake.open();
+    let newcomer = intake.open(CALLERS);
     assert!(evicted(&handled).is_pending());
     drop(newcomer);
 }
@@ -95,20 +100,20 @@
 #[test]
 fn stalled_connections_end_before_idle_ones_and_these_before_fresh_ones() {
     let intake = account(3, 0);
-    let idle = intake.open();
+    let idle = intake.open(CALLERS);
     idle.receive();
     idle.receive_head();
     idle.begin().unwrap();
     idle.answer(0);
     idle.depart(0);
-    let stalled = intake.open();
+    let stalled = intake.open(CALLERS);
     thread::sleep(STALLED);
     let fresh = arriving(&intake);
-    let _newcomer = intake.open();
+    let _newcomer = intake.open(CALLERS);
     assert_eq!(evicted(&stalled), Poll::Ready(Eviction::Close));
     assert!(evicted(&idle).is_pending());
     drop(stalled);
-    let _another = intake.open();
+    let _another = intake.open(CALLERS);
     assert_eq!(evicted(&idle), Poll::Ready(Eviction::Close));
     assert!(evicted(&fresh).is_pending());
 }
@@ -146,6 +151,24 @@
     assert_eq!(take(&waiting, 20), Poll::Ready(Ok(())));
 }
 
+#[test]
+fn a_group_at_its_limit_ends_one_of_its_own_and_none_that_is_handled() {
+    let intake = account(8, 0);
+    let other = intake.open(OTHERS);
+    let handled = arriving(&intake);
+    handled.begin().unwrap();
+    assert!(!intake.evict_from(CALLERS));
+    let silent = intake.open(CALLERS);
+    assert!(intake.evict_from(CALLERS));
+    assert_eq!(evicted(&silent), Poll::Ready(Eviction::Close));
+    // It is about to end, so that no other one has to.
+    let next = intake.open(CALLERS);
+    assert!(intake.evict_from(CALLERS));
+    assert!(evicted(&next).is_pending());
+    assert!(evicted(&other).is_pending());
+    assert_eq!(intake.take_tally(Event::ClosedForNumber), 1);
+}
+
 /// One step of some connection.
 #[derive(Debug, Clone, Copy)]
 enum Step {
@@ -179,7 +202,7 @@
         for step in steps {
             let count = open.len().max(1);
             match step {
-                Step::Open => open.push(intake.open()),
+                Step::Open => open.push(intake.open(CALLERS)),
                 Step::Arrive(at) => {
                     if let Some(connection) = open.get(at % count) {
                         connection.receive();
