Reserve memory at the front for answers only

What callers saw: nothing yet; found by reading. Cause: a request to read something took memory for the longest body or answer of its port so far, as a plan is read back. At the front no answer repeats a body, so that one long job would have had each reader of a state take as much, and at most some hundred of them served at a time.

Change: bodies count only for the port at which a plan is read back.

--- a/crates/gentianlane-daemon/src/fleet/core.rs
+++ b/crates/gentianlane-daemon/src/fleet/core.rs
@@ -34,7 +34,7 @@
 use crate::fleet::log::LogWriter;
 use crate::fleet::metrics::Metrics;
 use crate::fleet::replica::{build_node, identity, open_journal};
-use crate::fleet::server::{self, HttpRequest, Server};
+use crate::fleet::server::{self, HttpRequest, Port, Server};
 use crate::fleet::settings::Fault;
 use crate::fleet::shared::{BUSY_RETRY, OWN_RELAY, Shared, broadcast_hint_later};
 use crate::fleet::stop::{SignalRequest, Signals};
@@ -166,7 +166,11 @@
     let control_shared = shared.clone();
     let handler = move |request| serve_control_call(control_shared.clone(), request);
     server
-        .listen(shared.own_address, BODY_LIMIT, handler)
+        .listen(
+            shared.own_address,
+            Port::new(BODY_LIMIT).repeating_bodies(),
+            handler,
+        )
         .await
         .into_diagnostic()?;
     server::serve_metrics(&server, &settings, &shared.metrics, &shared.log).await;
--- a/crates/gentianlane-daemon/src/fleet/entry.rs
+++ b/crates/gentianlane-daemon/src/fleet/entry.rs
@@ -19,7 +19,7 @@
 use crate::fleet::intake::{Group, Intake};
 use crate::fleet::log::LogWriter;
 use crate::fleet::metrics::Metrics;
-use crate::fleet::server::{self, HttpRequest, READ_BODY_LIMIT, Server};
+use crate::fleet::server::{self, HttpRequest, Port, READ_BODY_LIMIT, Server};
 use crate::fleet::settings::Fault;
 use crate::fleet::stop::{SignalRequest, Signals};
 
@@ -98,7 +98,7 @@
     tokio::spawn(accepting);
     let caller_forwarder = forwarder.clone();
     server
-        .listen(front, BODY_LIMIT, move |request| {
+        .listen(front, Port::new(BODY_LIMIT), move |request| {
             serve_caller(caller_forwarder.clone(), request)
         })
         .await
@@ -106,7 +106,7 @@
     let (ready_forwarder, own_server) = (forwarder.clone(), server.clone());
     let balancer = Server::new(BALANCER_CONNECTIONS, intake, BALANCER);
     balancer
-        .listen(ready, READ_BODY_LIMIT, move |_| {
+        .listen(ready, Port::new(READ_BODY_LIMIT), move |_| {
             readiness(ready_forwarder.clone(), own_server.clone())
         })
         .await
--- a/crates/gentianlane-daemon/src/fleet/server.rs
+++ b/crates/gentianlane-daemon/src/fleet/server.rs
@@ -27,7 +27,7 @@
 use crate::fleet::intake::{Connection, Event, Eviction, Group, Intake};
 use crate::fleet::memory;
 use crate::fleet::metrics::Metrics;
-use crate::fleet::server::exchange::Port;
+pub(crate) use crate::fleet::server::exchange::Port;
 use crate::fleet::server::stream::Stream;
 pub(crate) use report::report_intake;
 
@@ -108,8 +108,7 @@
         self.open_connections.load(Ordering::Relaxed)
     }
 
-    /// Binds an address and serves connections to it in a task of its own. Requests
-    /// whose body is longer than `body_limit` bytes are refused.
+    /// Binds an address and serves connections to it in a task of its own.
     ///
     /// # Errors
     ///
@@ -117,7 +116,7 @@
     pub(crate) async fn listen<H, F>(
         &self,
         address: SocketAddr,
-        body_limit: usize,
+        port: Port,
         handler: H,
     ) -> std::io::Result<()>
     where
@@ -127,8 +126,7 @@
         let listener = TcpListener::bind(address).await?;
         let server = self.clone();
         tokio::spawn(async move {
-            let port = Arc::new(Port::new(body_limit));
-            server.accept(&listener, &port, handler).await;
+            server.accept(&listener, &Arc::new(port), handler).await;
         });
         Ok(())
     }
@@ -256,7 +254,7 @@
     metrics.set("memory_limit_bytes", settings.memory_limit());
     let address = (settings.ip, port).into();
     let served = server
-        .listen(address, READ_BODY_LIMIT, move |_| {
+        .listen(address, Port::new(READ_BODY_LIMIT), move |_| {
             metrics_response(metrics.clone())
         })
         .await;
--- a/crates/gentianlane-daemon/src/fleet/server/exchange.rs
+++ b/crates/gentianlane-daemon/src/fleet/server/exchange.rs
@@ -71,21 +71,33 @@
 
 /// What the requests to one port have in common.
 #[derive(Debug)]
-pub(super) struct Port {
+pub(crate) struct Port {
     /// The longest body, in bytes.
     body_limit: usize,
-    /// The longest body or answer so far, in bytes: what is read has been written once.
+    /// Whether an answer may repeat a body.
+    repeats_bodies: bool,
+    /// The longest answer so far, in bytes, or body that an answer may repeat.
     longest: AtomicUsize,
 }
 
 impl Port {
-    pub(super) const fn new(body_limit: usize) -> Self {
+    /// A port whose answers repeat no body. `body_limit` is in bytes.
+    pub(crate) const fn new(body_limit: usize) -> Self {
         Self {
             body_limit,
+            repeats_bodies: false,
             longest: AtomicUsize::new(0),
         }
     }
 
+    /// The same for a port whose answers may repeat a body, as a plan is read back.
+    pub(crate) const fn repeating_bodies(self) -> Self {
+        Self {
+            repeats_bodies: true,
+            ..self
+        }
+    }
+
     fn lengthen(&self, length: usize) {
         self.longest.fetch_max(length, Ordering::Relaxed);
     }
@@ -134,7 +146,9 @@
     connection: &Arc<Connection>,
 ) -> Result<Room, Refusal> {
     request.body = read_body(body, port.body_limit, connection).await?;
-    port.lengthen(request.body.len());
+    if port.repeats_bodies {
+        port.lengthen(request.body.len());
+    }
     let mut room = Room::new(Arc::clone(connection));
     if request.method == Method::GET.as_str() {
         // A request that takes half of the bound has to be served as well.
