--- a/crates/gentianlane/tests/fleet/lease.rs
+++ b/crates/gentianlane/tests/fleet/lease.rs
@@ -12,7 +12,7 @@
 use super::simulated_worker::job;
 use super::world::{Delay, Faults, Hang, Kind, World, plan};
 
-fn task(job: u64, index: u32) -> Task {
+pub(crate) fn task(job: u64, index: u32) -> Task {
     let stage = Stage {
         job: Id(job),
         occurrence: 0,
@@ -71,7 +71,7 @@
 }
 
 /// A job of one task that takes a whole worker and has no end.
-fn lasting() -> Spec {
+pub(crate) fn lasting() -> Spec {
     let mut spec = job(1, 4_000);
     spec.steps[0].long_running = true;
     spec
@@ -79,7 +79,7 @@
 
 /// Waits until the next lease renewal to a worker is one that will be carried out
 /// late, then restarts the worker.
-fn restart_beside_late_grant(world: &mut World, millis: u64) {
+pub(crate) fn restart_beside_late_grant(world: &mut World, millis: u64) {
     world.run(8_000);
     world.crash("w1");
     world.delays.push(Delay {
@@ -276,7 +276,7 @@
 }
 
 /// Kills the leader, restarts its process and waits for the next one.
-fn lose_leader(world: &mut World) {
+pub(crate) fn lose_leader(world: &mut World) {
     let leader = world.leader().unwrap_or(0);
     world.kill(leader);
     world.run(300);
--- a/crates/gentianlane/tests/fleet/restart.rs
+++ b/crates/gentianlane/tests/fleet/restart.rs
@@ -3,27 +3,11 @@
 
 use gentianlane::fleet::call::{Call, Reply};
 use gentianlane::fleet::dispatch::Setup;
-use gentianlane::fleet::job::{Id, Spec, Stage, Task};
 use gentianlane::id;
 use gentianlane::unit::Span;
 
-use super::simulated_worker::job;
-use super::world::{Delay, Kind, World, plan};
-
-fn task(job: u64, index: u32) -> Task {
-    let stage = Stage {
-        job: Id(job),
-        occurrence: 0,
-        step: 0,
-    };
-    Task { stage, index }
-}
-
-fn lasting() -> Spec {
-    let mut spec = job(1, 4_000);
-    spec.steps[0].long_running = true;
-    spec
-}
+use super::lease::{lasting, lose_leader, restart_beside_late_grant, task};
+use super::world::{World, plan};
 
 /// Two workers that grant leases of up to `limit` milliseconds.
 fn world_with_limit(limit: u64, advice: bool) -> World {
@@ -40,33 +24,6 @@
     world
 }
 
-fn restart_beside_late_grant(world: &mut World, millis: u64) {
-    world.run(8_000);
-    world.crash("w1");
-    world.delays.push(Delay {
-        worker: "w0".into(),
-        kind: Kind::Grant,
-        millis,
-    });
-    while !world.delays.is_empty() {
-        world.run(1);
-    }
-    world.crash("w0");
-    world.run(20);
-    world.restart_worker("w0");
-}
-
-/// Kills the leader, restarts its process and waits for the next one.
-fn lose_leader(world: &mut World) {
-    let leader = world.leader().unwrap_or(0);
-    world.kill(leader);
-    world.run(300);
-    world.restart(leader);
-    while world.leader().is_none() {
-        world.run(1);
-    }
-}
-
 /// Has a worker take the longest lease from an order to its earlier process, be removed
 /// while another one answers at its address, and register again as the same process.
 fn check_second_registration(late: u64, kills: bool) {
