--- a/review/standin-4/cases.rs
+++ b/review/standin-4/cases.rs
@@ -48,6 +48,9 @@
         "renamed" => renamed,
         "crashes" => crashes,
         "reserved" => reserved,
+        "late" => late,
+        "probe" => probe,
+        "dark" => dark,
         _ => return Verdict::Void("no such case".to_owned()),
     };
     let mut scene = match Scene::begin(record) {
@@ -428,3 +431,130 @@
         false => Verdict::Broken(text),
     }
 }
+
+/// A worker leaves a start unanswered, drains, ends and starts again under its id, and
+/// carries the start out before its first report.
+fn late(scene: &mut Scene, trouble: bool) -> Verdict {
+    // Best fit prefers the smaller one.
+    scene.add_worker("catalog", &["a", "r1-1"], (8_000, 16_384, 0));
+    scene.add_worker("catalog", &["a", "r1-2"], CATALOG);
+    check!(scene.configure(1, &[Route::new("r-price", "/price/", "catalog", 4)]));
+    seconds(4);
+    let worker = Arc::clone(&scene.workers[0]);
+    if trouble {
+        worker.delay_starts();
+    }
+    let job = Job {
+        count: 1,
+        gang: false,
+        course: Box::new(|_, _| Course::Done(Duration::from_secs(15))),
+    };
+    let steps = "{\"count\":1,\"cpu\":1000,\"mem_mb\":512,\"estimated_ms\":15000}";
+    check!(scene.submit("/price/", JOB, job, steps));
+    thread::sleep(Duration::from_millis(200));
+    if !worker.drain() {
+        return Verdict::Void("the drain wasn't acknowledged".to_owned());
+    }
+    thread::sleep(Duration::from_millis(2_200));
+    worker.deregister();
+    worker.crash();
+    thread::sleep(Duration::from_millis(500));
+    worker.be_quiet(Duration::from_millis(700));
+    worker.restart();
+    worker.carry_out_delayed();
+    seconds(20);
+    let task = format!("{JOB}.0.0.0");
+    let mut active = 0;
+    let mut most = 0;
+    for event in scene.events_of(&task) {
+        match event.kind {
+            "start" => active += 1,
+            _ => active -= 1,
+        }
+        most = active.max(most);
+    }
+    let text = format!("at most {most} runs of {task} were active at a time");
+    match most {
+        0 | 1 => Verdict::Held(text),
+        _ => Verdict::Broken(text),
+    }
+}
+
+/// A task fails on the only worker that has its label, a service of one task comes to that
+/// worker next, and then another job.
+fn probe(scene: &mut Scene, trouble: bool) -> Verdict {
+    scene.add_worker("catalog", &["b", "r1-1"], CATALOG);
+    scene.add_worker("catalog", &["a", "r1-2"], CATALOG);
+    check!(scene.configure(1, &[Route::new("r-price", "/price/", "catalog", 2)]));
+    seconds(3);
+    let step = |more: &str| {
+        format!(
+            "{{\"count\":1,\"cpu\":1000,\"mem_mb\":512,\"estimated_ms\":500,\
+             \"required_label\":\"b\"{more}}}"
+        )
+    };
+    let job = |course: Course| Job {
+        count: 1,
+        gang: false,
+        course: Box::new(move |_, _| course),
+    };
+    let half = Duration::from_millis(500);
+    let first = if trouble {
+        Course::Failed(half)
+    } else {
+        Course::Done(half)
+    };
+    check!(scene.submit("/price/", "00000000000000a1", job(first), &step("")));
+    seconds(5);
+    let lasting = step(",\"long_running\":true");
+    check!(scene.submit("/price/", JOB, job(Course::Lasts), &lasting));
+    seconds(3);
+    if scene.idle_for(&format!("{JOB}.0.0.0")) != Some(Duration::ZERO) {
+        return Verdict::Void("the service doesn't run".to_owned());
+    }
+    let id = "00000000000000b2";
+    check!(scene.submit("/price/", id, job(Course::Done(half)), &step("")));
+    let submitted = scene.record.now();
+    seconds(50);
+    let start = scene.events_of(&format!("{id}.0.0.0")).into_iter().next();
+    let waited = start.map(|start| start.at.saturating_sub(submitted));
+    let state = scene.client.state("/price/", id);
+    let text = format!(
+        "the job's task, for which 15 of 16 cores are free, has waited for {waited:?} until \
+         its start; after 50 s the job is shown as {state:?}"
+    );
+    match waited {
+        Some(waited) if waited < FINISH + IDLE => Verdict::Held(text),
+        _ => Verdict::Broken(text),
+    }
+}
+
+/// A worker goes dark for good, and a job comes right then.
+fn dark(scene: &mut Scene, trouble: bool) -> Verdict {
+    // Best fit prefers the smaller one.
+    scene.add_worker("catalog", &["a", "r1-1"], (8_000, 16_384, 0));
+    for rack in 2..=8 {
+        scene.add_worker("catalog", &["a", &format!("r1-{rack}")], CATALOG);
+    }
+    check!(scene.configure(1, &[Route::new("r-price", "/price/", "catalog", 4)]));
+    seconds(5);
+    if trouble {
+        scene.workers[0].go_dark();
+    }
+    let job = Job {
+        count: 1,
+        gang: false,
+        course: Box::new(|_, _| Course::Done(Duration::from_secs(1))),
+    };
+    let steps = "{\"count\":1,\"cpu\":1000,\"mem_mb\":512,\"estimated_ms\":1000}";
+    check!(scene.submit("/price/", JOB, job, steps));
+    let submitted = scene.record.now();
+    seconds(40);
+    let start = scene.events_of(&format!("{JOB}.0.0.0")).into_iter().next();
+    let waited = start.map(|start| start.at.saturating_sub(submitted));
+    let text = format!("the task has waited for {waited:?} until its start");
+    match waited {
+        Some(waited) if waited < FINISH + IDLE => Verdict::Held(text),
+        _ => Verdict::Broken(text),
+    }
+}
--- a/review/standin-4/http.rs
+++ b/review/standin-4/http.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 /// A request or a response: its first line, its headers in lower case, and its body.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Message {
     pub first: String,
     pub headers: Vec<(String, String)>,
--- a/review/standin-4/worker.rs
+++ b/review/standin-4/worker.rs
@@ -161,6 +161,14 @@
     /// The highest run of each task that was stopped or has ended here.
     closed: HashMap<String, u64>,
     streams: Vec<TcpStream>,
+    draining: bool,
+    /// Whether nothing answers here any more.
+    dark: bool,
+    /// Whether starts get no answer; they are kept to be carried out late.
+    delays_starts: bool,
+    delayed: Vec<http::Message>,
+    /// No report is sent before.
+    quiet_until: Instant,
 }
 
 /// One worker: its name stays, and each life starts anew.
@@ -208,6 +216,11 @@
                 last_end: 0,
                 closed: HashMap::new(),
                 streams: Vec::new(),
+                draining: false,
+                dark: false,
+                delays_starts: false,
+                delayed: Vec::new(),
+                quiet_until: Instant::now(),
             }),
             changed: Condvar::new(),
         });
@@ -235,6 +248,7 @@
         state.last_end = 0;
         state.ended.clear();
         state.closed.clear();
+        state.draining = false;
         let (id, born) = (&self.id, state.born);
         self.fleet.record.note(format!("{id}: up, born={born}"));
     }
@@ -263,7 +277,13 @@
         let mut listener: Option<TcpListener> = None;
         while !worker.fleet.is_over() {
             thread::sleep(Duration::from_millis(2));
-            let life = worker.lock().life;
+            let (life, dark) = {
+                let state = worker.lock();
+                (state.life, state.dark)
+            };
+            if dark {
+                continue;
+            }
             if life == 0 {
                 listener = None;
                 continue;
@@ -297,6 +317,9 @@
             if self.lock().life != life {
                 return;
             }
+            if self.keeps_back(&request) {
+                return;
+            }
             let (status, body) = self.handle(&request, life);
             if self.lock().life != life
                 || http::respond(&mut stream, status, &body).is_err()
@@ -306,6 +329,84 @@
         }
     }
 
+    /// Whether a request gets no answer; the connection is held until then.
+    fn keeps_back(&self, request: &http::Message) -> bool {
+        let mut state = self.lock();
+        let is_delayed = state.delays_starts && request.first.contains("/v1/run-start");
+        if is_delayed {
+            let text = format!("{}: leaves unanswered {}", self.id, request.body);
+            self.fleet.record.note(text);
+            state.delayed.push(request.clone());
+        }
+        let is_dark = state.dark;
+        drop(state);
+        while (is_delayed || is_dark) && !self.fleet.is_over() {
+            thread::sleep(Duration::from_millis(50));
+        }
+        is_delayed || is_dark
+    }
+
+    /// Leaves starts unanswered from now on.
+    pub fn delay_starts(&self) {
+        self.lock().delays_starts = true;
+    }
+
+    /// Carries out the starts that were left unanswered.
+    pub fn carry_out_delayed(&self) {
+        let mut state = self.lock();
+        state.delays_starts = false;
+        let (delayed, life) = (std::mem::take(&mut state.delayed), state.life);
+        drop(state);
+        for request in delayed {
+            let (status, body) = self.handle(&request, life);
+            let text = format!("{}: late start -> {status} {body}", self.id);
+            self.fleet.record.note(text);
+        }
+    }
+
+    /// Crashes without a sign, for good: nothing answers, and no connection is closed.
+    pub fn go_dark(&self) {
+        let mut state = self.lock();
+        state.dark = true;
+        self.fleet.record.note(format!("{}: dark", self.id));
+        for run in std::mem::take(&mut state.runs) {
+            self.fleet.note(&self.id, &run.task, run.number, "crashed");
+        }
+    }
+
+    /// Reports that it drains; true once that is acknowledged.
+    pub fn drain(&self) -> bool {
+        self.lock().draining = true;
+        let body = self.report().unwrap_or_default();
+        self.tell("heartbeat", &body)
+    }
+
+    /// Announces that it ends; true once that is acknowledged.
+    pub fn deregister(&self) -> bool {
+        let born = self.lock().born;
+        self.tell("deregister", &format!("{{\"born\":{born}}}"))
+    }
+
+    /// Sends a call about itself to one control address after another.
+    fn tell(&self, what: &str, body: &str) -> bool {
+        let path = format!("/v1/instances/{}/{what}", self.id);
+        let second = Duration::from_secs(1);
+        let mut controls = self.controls.iter().cycle().take(12);
+        controls.any(|&control| {
+            let answer = http::call(control, "POST", &path, "control", "", body, second);
+            let status = answer.map_or(0, |answer| answer.status());
+            self.fleet
+                .record
+                .note(format!("{}: {what} -> {status}", self.id));
+            status == 200
+        })
+    }
+
+    /// Sends no report for a time.
+    pub fn be_quiet(&self, time: Duration) {
+        self.lock().quiet_until = Instant::now() + time;
+    }
+
     fn handle(&self, request: &http::Message, life: u64) -> (u16, String) {
         if request.header("target-instance") != Some(self.id.as_str()) {
             return (421, "{}".to_owned());
@@ -522,7 +623,7 @@
     /// The body of the next liveness report; none while the worker is down.
     fn report(&self) -> Option<String> {
         let mut state = self.lock();
-        if state.life == 0 {
+        if state.life == 0 || state.dark || Instant::now() < state.quiet_until {
             return None;
         }
         state.sequence += 1;
@@ -534,11 +635,12 @@
             .collect();
         Some(format!(
             "{{\"backend\":\"{}\",\"address\":\"{}\",\"zone\":\"cairo-a\",\"version\":\"v1\",\
-             \"slots\":8,\"state\":\"ready\",\"cold_left_ms\":0,\"capacity\":{{\"cpu\":{cpu},\
+             \"slots\":8,\"state\":\"{}\",\"cold_left_ms\":0,\"capacity\":{{\"cpu\":{cpu},\
              \"mem_mb\":{memory},\"gpu\":{gpu}}},\"labels\":[{}],\"clock_ms\":{},\
              \"call_seq\":{},\"born\":{}}}",
             self.pool,
             self.address,
+            if state.draining { "draining" } else { "ready" },
             labels.join(","),
             state.clock.elapsed().as_millis(),
             state.sequence,
