--- a/review/standin-4/client.rs
+++ b/review/standin-4/client.rs
@@ -5,6 +5,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use crate::adviser::Times;
 use crate::http;
 use crate::json::Json;
 use crate::record::Record;
@@ -15,18 +16,23 @@
 #[derive(Debug, Clone)]
 pub struct Route {
     pub name: String,
+    pub host: String,
     pub prefix: String,
     pub service: String,
     pub max_attempts: u32,
+    /// The times of the adviser, if the queue has one.
+    pub advice: Option<Times>,
 }
 
 impl Route {
     pub fn new(name: &str, prefix: &str, service: &str, max_attempts: u32) -> Self {
         Self {
             name: name.to_owned(),
+            host: HOST.to_owned(),
             prefix: prefix.to_owned(),
             service: service.to_owned(),
             max_attempts,
+            advice: None,
         }
     }
 }
@@ -36,12 +42,20 @@
     let routes: Vec<String> = routes
         .iter()
         .map(|route| {
+            let advice = route.advice.map(|times| {
+                format!(
+                    ",\"recommendation\":{{\"decision_ms\":{},\"each_ms\":{},\
+                     \"validity_ms\":{}}}",
+                    times.decision_ms, times.each_ms, times.validity_ms
+                )
+            });
+            let advice = advice.unwrap_or_default();
             format!(
-                "{{\"name\":\"{}\",\"hostname\":\"{HOST}\",\"path_prefix\":\"{}\",\
+                "{{\"name\":\"{}\",\"hostname\":\"{}\",\"path_prefix\":\"{}\",\
                  \"route_type\":\"non_idempotent\",\"timeout_ms\":3000,\
                  \"target_latency_ms\":1000,\"priority\":1,\"backend\":\"{}\",\
-                 \"max_attempts\":{},\"stretch\":2.2}}",
-                route.name, route.prefix, route.service, route.max_attempts
+                 \"max_attempts\":{},\"stretch\":2.2{advice}}}",
+                route.name, route.host, route.prefix, route.service, route.max_attempts
             )
         })
         .collect();
--- a/review/standin-4/main.rs
+++ b/review/standin-4/main.rs
@@ -4,6 +4,7 @@
 //! operator and the workers, and judges what these have seen. It exits with 1 if the rule
 //! was broken, 0 if it held, and 2 if the case couldn't run.
 
+mod adviser;
 mod cases;
 mod client;
 mod http;
--- a/review/standin-4/system.rs
+++ b/review/standin-4/system.rs
@@ -18,6 +18,7 @@
 const FRONT_PORT: u16 = 8149;
 const READY_PORT: u16 = 8141;
 const METRICS_PORT: u16 = 9464;
+const ADVISER_PORT: u16 = 8142;
 pub const WORKER_PORT: u16 = 8080;
 
 /// The bounds of the small deployment `hanafy-yard`.
@@ -85,6 +86,10 @@
         (0..2).filter_map(|zone| address(zone).ok()).collect()
     }
 
+    pub fn adviser_address(&self) -> SocketAddr {
+        ([127, self.net.0, self.net.1, 90], ADVISER_PORT).into()
+    }
+
     pub fn worker_address(&self, number: u8) -> SocketAddr {
         let ip = [127, self.net.0, self.net.1, 100 + number];
         (ip, WORKER_PORT).into()
@@ -116,7 +121,7 @@
             ("bootstrap|json", "true".to_owned()),
             ("fault_tolerance.machines", "1".to_owned()),
             ("data_dir", data.display().to_string()),
-            ("recommendation", format!("{}:8142", self.ip(90))),
+            ("recommendation", self.adviser_address().to_string()),
             ("bounds.hold_max_ms", HOLD_MAX_MS.to_string()),
             ("bounds.stop_ms", STOP_MS.to_string()),
             ("bounds.grace_s", "6".to_owned()),
@@ -215,7 +220,8 @@
             .into_iter()
             .all(|low| bind(low, METRICS_PORT));
         let workers = (101..=120).all(|low| bind(low, WORKER_PORT));
-        cores && entries && metrics && workers
+        let adviser = bind(90, ADVISER_PORT);
+        adviser && cores && entries && metrics && workers
     };
     let nets = (0..50).map(|step| (77, first.wrapping_add(step)));
     nets.into_iter()
