--- a/review/standin-4/cases.rs
+++ b/review/standin-4/cases.rs
@@ -415,7 +415,7 @@
     let state = scene.client.state("/price/", id);
     let text = format!(
         "the job's task has waited for {waited:?} until its start, with 11 of 16 cores free on each of \
-         seven workers free; the adviser was called {} times about it; after 45 s the job is \
+         seven workers; the adviser was called {} times about it; after 45 s the job is \
          shown as {state:?}",
         adviser.calls(id)
     );
