Log which workers are on probation, and show them in the overview

Whether a gang waits since its only worker takes one task at a time after a failure, or since one of its members isn't pending yet, or since the worker is reserved or paused, couldn't be told from logs: `blocked` counts workers that could run a step, and the overview says `room` for all of these.

The count of failures moves from reconcile.rs and session.rs into probation.rs, with the lines worker_on_probation and worker_sound and two fields of a worker in the overview; `gentianlane fleet` says `probation` or `paused`.

--- a/crates/gentianlane-cli/src/command/fleet.rs
+++ b/crates/gentianlane-cli/src/command/fleet.rs
@@ -96,6 +96,8 @@
     for worker in &overview.workers {
         let state = match (worker.draining, worker.unanswered) {
             (true, _) => "draining",
+            (false, 0) if worker.paused_ms > 0 => "paused",
+            (false, 0) if worker.failures > 0 => "probation",
             (false, 0) => "ready",
             (false, _) => "silent",
         };
--- a/crates/gentianlane/src/fleet/decision.rs
+++ b/crates/gentianlane/src/fleet/decision.rs
@@ -362,6 +362,27 @@
         /// How long the worker is avoided.
         duration: Span,
     },
+    /// A run has failed on a worker, which takes one probe at a time until one shows that
+    /// it is sound.
+    #[display("event=worker_on_probation worker={worker} task={task} failures={failures} pause_ms={}", pause.as_millis())]
+    WorkerOnProbation {
+        /// The worker.
+        worker: id::Worker,
+        /// The task whose run has failed.
+        task: Task,
+        /// How many failures count against the worker.
+        failures: u32,
+        /// How long the worker takes no probe; zero if it may take one at once.
+        pause: Span,
+    },
+    /// A run has shown that a worker on probation is sound.
+    #[display("event=worker_sound worker={worker} why={soundness}")]
+    WorkerSound {
+        /// The worker.
+        worker: id::Worker,
+        /// What the run has done.
+        soundness: Soundness,
+    },
     /// A stage waits for a place where its tasks run faster than where there is room.
     #[display("event=waits_for_place stage={stage} here_ms={} there_ms={} free_in_ms={} limit_ms={}", here.as_millis(), there.as_millis(), free_in.as_millis(), limit.as_millis())]
     WaitsForPlace {
@@ -539,10 +560,15 @@
     /// The worker has sent no report for a long time.
     #[display("unreported")]
     Unreported,
-    /// Runs of unrelated jobs failed on the worker.
-    #[display("failures")]
-    Failures,
     /// The worker refused to renew its lease.
     #[display("refusals")]
     Refusals,
 }
+
+/// How a run has shown that its worker is sound.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum Soundness {
+    /// It has completed.
+    #[display("completed")]
+    Completed,
+}
--- a/crates/gentianlane/src/fleet/dispatch/ask.rs
+++ b/crates/gentianlane/src/fleet/dispatch/ask.rs
@@ -257,7 +257,7 @@
                 let has_room = session.is_usable(now) && demand.fits(&session.free());
                 let remote_data = preferred_rack
                     .is_some_and(|rack| !session.profile.labels.contains(rack));
-                let suspect = session.failures > 0;
+                let suspect = session.probation.is_on();
                 let speed_penalty = self.speed_penalty(stage, session);
                 ((!has_room, suspect, remote_data, speed_penalty), worker)
             })
--- a/crates/gentianlane/src/fleet/dispatch/mod.rs
+++ b/crates/gentianlane/src/fleet/dispatch/mod.rs
@@ -26,6 +26,7 @@
 mod open;
 mod place;
 mod preempt;
+mod probation;
 mod progress;
 mod rack_demand;
 mod rank;
--- a/crates/gentianlane/src/fleet/dispatch/place.rs
+++ b/crates/gentianlane/src/fleet/dispatch/place.rs
@@ -233,7 +233,7 @@
             free,
             task_limit,
             remote_data: preferred_rack.is_some_and(is_remote),
-            suspect: session.failures > 0,
+            suspect: session.probation.is_on(),
             speed_penalty: self.speed_penalty(stage, session),
             slowdown: self.slowdown_at(stage, session),
             ticket,
@@ -567,10 +567,10 @@
         Some(limit) => limit.saturating_sub(session.count_of(&stage.id)),
         None => u32::MAX,
     };
-    // A suspect worker is probed with one task at a time.
-    match session.failures {
-        0 => limit,
-        _ => limit.min(u32::from(!session.has_trial_run())),
+    // A worker on probation takes one probe at a time.
+    match session.probation.is_on() {
+        false => limit,
+        true => limit.min(u32::from(!session.has_probe())),
     }
 }
 
--- a/crates/gentianlane/src/fleet/dispatch/reconcile.rs
+++ b/crates/gentianlane/src/fleet/dispatch/reconcile.rs
@@ -13,14 +13,6 @@
 use crate::id;
 use crate::unit::{Span, Time, Wall};
 
-/// The consecutive failures, of tasks that failed nowhere else, from which on a
-/// worker is avoided for a while.
-const SUSPECT_FAILURES: u32 = 3;
-
-/// How long such a worker is avoided at first; each further failure doubles it,
-/// up to four times this.
-const SUSPECT_BACKOFF: Span = Span::from_millis(2_000);
-
 /// How long after the time that a stop may take a run that is still listed is stopped
 /// again: another process may have confirmed the stop.
 const STOP_SLACK: Span = Span::from_millis(250);
@@ -168,55 +160,13 @@
                 }
             }
         }
-        self.count_failure(worker, &task, ended.outcome, now);
-        if is_current {
-            self.release_run(worker, &task, ended.run);
-        }
-    }
-
-    /// Updates the worker's count of failures by the outcome of a run, and
-    /// avoids the worker if there are too many.
-    fn count_failure(
-        &mut self,
-        worker: &id::Worker,
-        task: &Task,
-        outcome: Outcome,
-        now: Time,
-    ) {
-        let stage = self.stages.get(&task.stage);
-        let failed_on: Vec<id::Worker> = stage
-            .and_then(|stage| stage.failed_on.get(&stage.unit_key(task.index)))
-            .map(|workers| workers.iter().cloned().collect())
-            .unwrap_or_default();
-        // A task that fails on several workers is itself at fault, so its
-        // failure doesn't count against the earlier worker any more.
-        if outcome == Outcome::Failed && failed_on.len() > 1 {
-            for other in failed_on.iter().filter(|other| *other != worker) {
-                if let Some(session) = self.sessions.get_mut(other) {
-                    session.failures = session.failures.saturating_sub(1);
-                }
-            }
-        }
-        let Some(session) = self.sessions.get_mut(worker) else {
-            return;
-        };
-        match outcome {
-            Outcome::Done => session.failures = 0,
-            Outcome::Failed if failed_on.len() <= 1 => {
-                session.failures += 1;
-                session.last_failure = now;
-            }
+        match ended.outcome {
+            Outcome::Done => self.note_completion(worker),
+            Outcome::Failed => self.count_failure(worker, &task, now),
             _ => {}
         }
-        if outcome == Outcome::Failed && session.failures >= SUSPECT_FAILURES {
-            let doublings = (session.failures - SUSPECT_FAILURES).min(2);
-            let backoff = SUSPECT_BACKOFF.saturating_mul(1 << doublings);
-            session.avoid_until = now.after(backoff);
-            self.effects.decisions.push(Decision::WorkerAvoided {
-                worker: worker.clone(),
-                cause: Cause::Failures,
-                duration: backoff,
-            });
+        if is_current {
+            self.release_run(worker, &task, ended.run);
         }
     }
 
--- a/crates/gentianlane/src/fleet/dispatch/session.rs
+++ b/crates/gentianlane/src/fleet/dispatch/session.rs
@@ -8,6 +8,7 @@
 use crate::fleet::dispatch::estimate::NOMINAL;
 use crate::fleet::dispatch::gone::{Proof, Sign};
 use crate::fleet::dispatch::grant::LateGrant;
+use crate::fleet::dispatch::probation::Probation;
 use crate::fleet::dispatch::progress::Progress;
 use crate::fleet::dispatch::speed::Speed;
 use crate::fleet::dispatch::survey::Seen;
@@ -86,15 +87,12 @@
     pub(crate) unreachable: u32,
     /// The worker gets no new tasks before this time.
     pub(crate) avoid_until: Time,
-    /// Failed runs since the last completed one, without those of tasks that
-    /// failed on other workers too.
-    pub(crate) failures: u32,
+    /// What the failures of runs there say about the worker.
+    pub(crate) probation: Probation,
     /// The worker's speed, as far as it has been learned.
     pub(crate) speed: Speed,
     /// Run times here relative to other workers of the kind, in thousandths.
     pub(crate) slowdown: u64,
-    /// When a run last failed here.
-    pub(crate) last_failure: Time,
     /// The runs that are, may be or are being stopped on the worker, by task and
     /// number: a worker starts a run beside another one of its task.
     pub(crate) runs: IndexMap<(Task, u64), Run>,
@@ -285,10 +283,9 @@
             trial: None,
             unreachable: 0,
             avoid_until: now,
-            failures: 0,
+            probation: Probation::new(now),
             speed: Speed::default(),
             slowdown: NOMINAL,
-            last_failure: now,
             runs: IndexMap::default(),
             used: Resources::default(),
             charges: IndexMap::default(),
@@ -494,13 +491,6 @@
         self.runs.keys().any(|(other, _)| other == task)
     }
 
-    /// Whether a run that was placed since the last failure is still here.
-    pub(crate) fn has_trial_run(&self) -> bool {
-        self.runs
-            .values()
-            .any(|run| run.started_at >= self.last_failure)
-    }
-
     /// Whether the worker has drained and then announced that its process ends.
     pub(crate) fn leaves(&self) -> bool {
         self.draining && self.leaving_since.is_some()
--- a/crates/gentianlane/src/fleet/dispatch/survey.rs
+++ b/crates/gentianlane/src/fleet/dispatch/survey.rs
@@ -50,7 +50,7 @@
             available: session.is_available(),
             free: session.free(),
             removed_runs: session.removed_runs,
-            failures: session.failures,
+            failures: session.probation.failures(),
         }
     }
 
--- a/crates/gentianlane/src/fleet/dispatch/view.rs
+++ b/crates/gentianlane/src/fleet/dispatch/view.rs
@@ -157,6 +157,13 @@
     /// The number of lease renewals in a row without a valid answer.
     #[serde(rename = "silent")]
     pub unanswered: u32,
+    /// How many failed runs count against it; if any do, it takes one probe at a time.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub failures: u32,
+    /// For how long it gets no new tasks, as runs failed, stood still or were refused
+    /// there, in milliseconds.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub paused_ms: u64,
     /// The number of runs that occupy capacity there.
     pub runs: usize,
     /// Unallocated thousandths of a core.
@@ -187,6 +194,8 @@
                 pool: session.profile.pool.clone(),
                 draining: session.draining,
                 unanswered: session.unanswered,
+                failures: session.probation.failures(),
+                paused_ms: session.avoid_until.since(now).as_millis(),
                 runs: session.runs.len(),
                 free_millicores: free.millicores,
                 free_memory: free.memory_mib,
@@ -323,3 +332,8 @@
 /// The most steps that the overview lists; an operator can't make use of more
 /// than fit on a screen.
 const STEP_LIMIT: usize = 100;
+
+/// Whether a count is left out of the JSON.
+fn is_zero<T: Default + PartialEq>(count: &T) -> bool {
+    *count == T::default()
+}
