Keep a gang from workers on which it has failed while others could hold it

A gang went back to a worker that fails all its runs, as that one always has room, until its attempts were used up; the caller saw `failed`. A single task that has failed somewhere waits for other workers instead (Stage::avoids). A gang did prefer other workers, but only where these had room at the same moment.

It now goes back only if the workers on which it hasn't failed couldn't hold it even if they were free. A trial's workers were chosen with earlier failures in mind, as before.

a_gang_waits_for_workers_on_which_it_has_not_failed failed before: the job was `failed` after three runs on the failing worker, beside one that was busy for 2 s. World::breaks_gangs is new: members of simulated gangs ended each by itself, so that no test had a gang whose run failed as a whole.

--- a/crates/gentianlane/src/fleet/dispatch/candidate.rs
+++ b/crates/gentianlane/src/fleet/dispatch/candidate.rs
@@ -40,14 +40,7 @@
 
     /// How many tasks with this demand fit, up to the task limit.
     pub(super) fn max_tasks(&self, demand: &Resources) -> u32 {
-        let quotient = |have: u64, need: u64| match need {
-            0 => u64::from(u32::MAX),
-            _ => have / need,
-        };
-        let fits = quotient(self.free.millicores, demand.millicores)
-            .min(quotient(self.free.memory_mib, demand.memory_mib))
-            .min(quotient(self.free.accelerators, demand.accelerators));
-        u32::try_from(fits).unwrap_or(u32::MAX).min(self.task_limit)
+        demand.times_in(&self.free, self.task_limit)
     }
 
     /// The cost of a task with this demand here, compared field by field; the
--- a/crates/gentianlane/src/fleet/dispatch/place.rs
+++ b/crates/gentianlane/src/fleet/dispatch/place.rs
@@ -407,7 +407,7 @@
         now: Time,
         wall: Wall,
     ) {
-        let Some(stage) = self.stages.get_mut(id) else {
+        let Some(stage) = self.stages.get(id) else {
             return;
         };
         let trial = stage.suspect(0).needs_trial().then_some(0);
@@ -416,13 +416,15 @@
         let count = stage.step.count;
         let has_not_failed =
             |candidate: &Candidate| !stage.avoids(0, &candidate.worker, usize::MAX);
-        // Prefers workers on which the gang hasn't failed.
         let (untried, failed): (Vec<_>, Vec<_>) =
             candidates.into_iter().partition(has_not_failed);
         let one_rack = stage.step.one_rack;
+        // The choice of a trial's workers has weighed earlier failures.
+        let may_return = trial.is_some() || !self.has_untried_room(id);
         let chosen =
             choose_gang(untried.clone(), &demand, count, one_rack).or_else(|| {
-                choose_gang([untried, failed].concat(), &demand, count, one_rack)
+                let all = may_return.then(|| [untried, failed].concat())?;
+                choose_gang(all, &demand, count, one_rack)
             });
         let Some(chosen) = chosen else {
             return;
@@ -453,6 +455,26 @@
         }
     }
 
+    /// Whether the workers on which a gang hasn't failed could hold it if they were free.
+    fn has_untried_room(&self, id: &job::Stage) -> bool {
+        let Some(stage) = self.stages.get(id) else {
+            return false;
+        };
+        if !stage.failed_on.contains_key(&0) {
+            return true;
+        }
+        let demand = stage.step.demand();
+        let most = stage.step.max_per_worker.unwrap_or(u32::MAX);
+        let permitted = self.permitted_sessions(stage).into_iter();
+        let untried = permitted.filter(|(worker, session)| {
+            is_available(stage, session) && !stage.avoids(0, worker, usize::MAX)
+        });
+        let members =
+            untried.map(|(_, session)| demand.times_in(&session.profile.capacity, most));
+        let room = members.fold(0_u32, u32::saturating_add);
+        room >= stage.step.count
+    }
+
     /// The candidate for each member of a gang; none if a member is bound to a
     /// worker that wasn't chosen.
     fn assign_members<'a>(
--- a/crates/gentianlane/src/fleet/job.rs
+++ b/crates/gentianlane/src/fleet/job.rs
@@ -159,6 +159,15 @@
         let accelerators = self.accelerators.saturating_mul(ACCELERATOR_WEIGHT);
         self.millicores.saturating_add(accelerators)
     }
+
+    /// How many times this fits into `room`, up to `most`.
+    pub(crate) fn times_in(&self, room: &Self, most: u32) -> u32 {
+        let quotient = |have: u64, need: u64| have.checked_div(need).unwrap_or(u64::MAX);
+        let times = quotient(room.millicores, self.millicores)
+            .min(quotient(room.memory_mib, self.memory_mib))
+            .min(quotient(room.accelerators, self.accelerators));
+        u32::try_from(times).unwrap_or(u32::MAX).min(most)
+    }
 }
 
 /// The cost of an accelerator in thousandths of a core, by the rates at which
--- a/crates/gentianlane/tests/fleet/main.rs
+++ b/crates/gentianlane/tests/fleet/main.rs
@@ -12,6 +12,7 @@
 mod large;
 mod late_start;
 mod lease;
+mod probation;
 mod proof;
 mod regression;
 mod restart;
--- /dev/null
+++ b/crates/gentianlane/tests/fleet/probation.rs
@@ -0,0 +1,76 @@
+//! Tests of workers on which runs have failed: what they may still take, and for how
+//! long a doubt about them keeps work waiting.
+
+use gentianlane::fleet::job::{Phase, Spec, Task};
+use gentianlane::fleet::order::Outcome;
+
+use super::dispatch::{phase, task};
+use super::simulated_worker::job;
+use super::world::{World, plan};
+
+/// For how long a job may have nothing running beside room for it twice over, by the
+/// users' rules, in milliseconds.
+const IDLE_LIMIT_MS: u64 = 3_000;
+
+/// A job whose tasks run only on workers with a label.
+fn labelled(count: u32, millicores: u64, label: &str) -> Spec {
+    let mut spec = job(count, millicores);
+    spec.steps[0].required_label = Some(label.to_owned());
+    spec
+}
+
+/// A gang whose tasks run only on workers with a label.
+fn gang(count: u32, millicores: u64, label: &str) -> Spec {
+    let mut spec = labelled(count, millicores, label);
+    spec.steps[0].gang = true;
+    spec
+}
+
+/// The longest time from the end of a run of a task to the start of its next one, in
+/// milliseconds; to the present if there is none, unless the last run is done.
+fn longest_gap(world: &World, task: &Task) -> u64 {
+    let runs = world.observed_runs.iter().filter(|run| run.task == *task);
+    let mut free_since = None;
+    let mut longest = 0;
+    for run in runs {
+        if let Some(since) = free_since {
+            longest = longest.max(run.started_at - since);
+        }
+        free_since = run.ended.map(|(at, _)| at);
+        if matches!(run.ended, Some((_, Outcome::Done))) {
+            return longest;
+        }
+    }
+    longest.max(free_since.map_or(0, |since| world.now - since))
+}
+
+/// Asserts that a job completes without a gap in its first task's runs over the limit.
+fn check_completes(world: &mut World, id: u64, case: &str) {
+    world.run(8_000);
+    let gap = longest_gap(world, &task(id, 0));
+    let phase = phase(world, id);
+    assert_eq!(phase, Some(Phase::Completed), "{case}: no run for {gap} ms");
+    assert!(gap <= IDLE_LIMIT_MS, "{case}: no run for {gap} ms");
+}
+
+/// A world in which a gang's members end as one of them fails.
+fn world(workers: u16) -> World {
+    let mut world = World::new(workers, 1).with_plan(plan(1, false));
+    world.breaks_gangs = true;
+    world
+}
+
+/// The gang went back to the worker that fails everything, as that one had room, until
+/// its attempts were used up.
+#[test]
+fn a_gang_waits_for_workers_on_which_it_has_not_failed() {
+    let mut world = world(3);
+    world.failing.insert("w0".into());
+    world.run_time = 2_000;
+    world.submit(6, &labelled(1, 4_000, "rack-0"));
+    world.run(200);
+    let mut spread = gang(2, 2_500, "kind");
+    spread.steps[0].max_per_worker = Some(1);
+    world.submit(7, &spread);
+    check_completes(&mut world, 7, "beside a worker that fails everything");
+}
--- a/crates/gentianlane/tests/fleet/world.rs
+++ b/crates/gentianlane/tests/fleet/world.rs
@@ -234,6 +234,8 @@
     pub(crate) resets_connections: bool,
     /// How long the adviser takes to answer, in milliseconds.
     pub(crate) advice_delay: u64,
+    /// Whether a run of a gang ends as another member's fails.
+    pub(crate) breaks_gangs: bool,
     /// The prefixes of the names of workers that advice allows for no step.
     pub(crate) ineligible: Vec<&'static str>,
     /// The seed of the workers' clocks, if each process draws its own.
@@ -317,6 +319,7 @@
             crash_time: 3_000,
             resets_connections: false,
             advice_delay: 20,
+            breaks_gangs: false,
             ineligible: Vec::new(),
             clock_seed: None,
             renames: false,
@@ -543,12 +546,16 @@
 
     fn end_runs(&mut self) {
         let now = self.now;
+        let mut failed = Vec::new();
         for worker in self.workers.iter_mut().filter(|worker| worker.up) {
             let name = worker.incarnation.worker.clone();
             if self.slow.get(&name).is_some_and(|&still| now % 10 < still) {
                 worker.stall(STEP_MS);
             }
             for (task, run, outcome) in worker.advance(now) {
+                if outcome == Outcome::Failed {
+                    failed.push((task, run));
+                }
                 let open = self.observed_runs.iter_mut().rev().find(|observed| {
                     observed.task == task
                         && observed.run == run
@@ -559,6 +566,26 @@
                 }
             }
         }
+        if self.breaks_gangs {
+            for (task, run) in failed {
+                self.break_gang(&task, run);
+            }
+        }
+    }
+
+    /// Ends the other members of a gang after the failure of one.
+    fn break_gang(&mut self, failed: &Task, run: u64) {
+        let step = &self.specs[&failed.stage.job].steps[usize::from(failed.stage.step)];
+        if !step.gang {
+            return;
+        }
+        let now = self.now;
+        let active = self.workers.iter_mut().flat_map(|worker| &mut worker.runs);
+        let members = active
+            .filter(|((task, number), _)| task.stage == failed.stage && *number == run);
+        for (_, member) in members {
+            (member.ends_at, member.outcome) = (Some(now), Outcome::GangFailed);
+        }
     }
 
     fn report(&mut self) {
