Let a worker on probation take a gang as one probe

After a failure a worker took one task at a time until a run completed there (task_limit). A gang's members start together, so it found no room; and as nothing else ran there, nothing completed. Two hypotheses stood at first: this one, and that a member of the gang wasn't pending again after its `broken` end. On virtual time the log says `blocked ... pending=2 able=1` without a start after it, so all members were pending; worker_on_probation names the worker before it, and no worker_sound follows.

The members of a gang end together, so they are one probe: the worker takes as many of them as have room, and nothing else until they have ended.

--- a/crates/gentianlane/src/fleet/dispatch/place.rs
+++ b/crates/gentianlane/src/fleet/dispatch/place.rs
@@ -589,10 +589,11 @@
         Some(limit) => limit.saturating_sub(session.count_of(&stage.id)),
         None => u32::MAX,
     };
-    // A worker on probation takes one probe at a time.
     match session.probation.is_on() {
         false => limit,
-        true => limit.min(u32::from(!session.has_probe())),
+        true if session.has_probe() => 0,
+        true if stage.step.gang => limit,
+        true => limit.min(1),
     }
 }
 
--- a/crates/gentianlane/src/fleet/dispatch/probation.rs
+++ b/crates/gentianlane/src/fleet/dispatch/probation.rs
@@ -2,7 +2,8 @@
 //!
 //! A failed run may be its task's fault or its worker's. A worker that fails all that it
 //! starts always has room, so that it would draw in one task after another. After a
-//! failure it therefore takes one probe at a time, until a run completes there.
+//! failure it therefore takes one probe at a time, until a run completes there. A
+//! probe is one task or, as they end together, all members of a gang that go there.
 
 use crate::fleet::decision::{Decision, Soundness};
 use crate::fleet::dispatch::Dispatcher;
--- a/crates/gentianlane/tests/fleet/probation.rs
+++ b/crates/gentianlane/tests/fleet/probation.rs
@@ -12,6 +12,9 @@
 /// users' rules, in milliseconds.
 const IDLE_LIMIT_MS: u64 = 3_000;
 
+/// The same for a task that lasts, from its last run on.
+const LASTING_IDLE_LIMIT_MS: u64 = 9_000;
+
 /// A job whose tasks run only on workers with a label.
 fn labelled(count: u32, millicores: u64, label: &str) -> Spec {
     let mut spec = job(count, millicores);
@@ -26,6 +29,12 @@
     spec
 }
 
+/// Has the next runs of a task fail, each after some milliseconds.
+fn fail_next(world: &mut World, task: Task, runs: usize, after: u64) {
+    let failures = std::iter::repeat_n((after, Outcome::Failed), runs);
+    world.scripted_runs.insert(task, failures.collect());
+}
+
 /// The longest time from the end of a run of a task to the start of its next one, in
 /// milliseconds; to the present if there is none, unless the last run is done.
 fn longest_gap(world: &World, task: &Task) -> u64 {
@@ -44,6 +53,25 @@
     longest.max(free_since.map_or(0, |since| world.now - since))
 }
 
+/// Asserts that all tasks of a job that lasts run, and none has been without a run for
+/// longer than the limit.
+fn check_lasts(world: &mut World, id: u64, count: u32, case: &str) {
+    world.run(LASTING_IDLE_LIMIT_MS);
+    for index in 0..count {
+        let gap = longest_gap(world, &task(id, index));
+        assert!(
+            gap <= IDLE_LIMIT_MS,
+            "{case}: task {index} has no run for {gap} ms"
+        );
+        let mut runs = world.observed_runs.iter().rev();
+        let last = runs.find(|run| run.task == task(id, index));
+        assert!(
+            last.is_some_and(|run| run.ended.is_none()),
+            "{case}: task {index}"
+        );
+    }
+}
+
 /// Asserts that a job completes without a gap in its first task's runs over the limit.
 fn check_completes(world: &mut World, id: u64, case: &str) {
     world.run(8_000);
@@ -74,3 +102,40 @@
     world.submit(7, &spread);
     check_completes(&mut world, 7, "beside a worker that fails everything");
 }
+
+/// The worker took one task at a time after the failure, so that the gang never had
+/// room (review/18).
+#[test]
+fn a_gang_that_has_failed_on_its_only_workers_runs_again() {
+    // `rack-0` is the label of one of three workers, `kind` that of all.
+    for (workers, label, count, millicores) in [
+        (3, "rack-0", 2, 1_000),
+        (2, "kind", 4, 2_000),
+        (1, "kind", 4, 1_000),
+    ] {
+        for lasts in [false, true] {
+            let mut world = world(workers);
+            let mut spec = gang(count, millicores, label);
+            spec.steps[0].long_running = lasts;
+            world.submit(7, &spec);
+            world.run(200);
+            world.fail_runs(task(7, 0));
+            let case = format!("{count} on {workers} workers, lasting {lasts}");
+            match lasts {
+                false => check_completes(&mut world, 7, &case),
+                true => check_lasts(&mut world, 7, count, &case),
+            }
+        }
+    }
+}
+
+/// The gang had one run and was shown as running for good, instead of as failed.
+#[test]
+fn a_gang_that_fails_at_each_run_is_failed_after_its_attempts() {
+    let mut world = world(1);
+    fail_next(&mut world, task(7, 0), 9, 200);
+    world.submit(7, &gang(2, 1_000, "kind"));
+    world.run(8_000);
+    assert_eq!(world.starts(&task(7, 0)), 3);
+    assert_eq!(phase(&mut world, 7), Some(Phase::Failed));
+}
