End a worker's probation once a probe has lasted

A worker on probation takes one probe at a time, and its probation ended only with a completed run. A task that lasts never completes, so its worker was closed to all other work.

A run that began after the failure and has been active for a second ends the probation, as a completed one does; one that is being stopped is no probe any more.

--- a/crates/gentianlane/src/fleet/decision.rs
+++ b/crates/gentianlane/src/fleet/decision.rs
@@ -571,4 +571,7 @@
     /// It has completed.
     #[display("completed")]
     Completed,
+    /// It has been active for a while without failing.
+    #[display("lasted")]
+    Lasted,
 }
--- a/crates/gentianlane/src/fleet/dispatch/probation.rs
+++ b/crates/gentianlane/src/fleet/dispatch/probation.rs
@@ -2,16 +2,20 @@
 //!
 //! A failed run may be its task's fault or its worker's. A worker that fails all that it
 //! starts always has room, so that it would draw in one task after another. After a
-//! failure it therefore takes one probe at a time, until a run completes there. A
+//! failure it therefore takes one probe at a time, until a run shows that it is sound: one
+//! that completes, or that has lasted for [`PROBE_TIME`] and began after the failure. A
 //! probe is one task or, as they end together, all members of a gang that go there.
 
 use crate::fleet::decision::{Decision, Soundness};
 use crate::fleet::dispatch::Dispatcher;
-use crate::fleet::dispatch::session::{Run, Session};
+use crate::fleet::dispatch::session::{Run, RunState, Session};
 use crate::fleet::job::Task;
 use crate::id;
 use crate::unit::{Span, Time};
 
+/// How long a probe has to last to show that its worker is sound.
+const PROBE_TIME: Span = Span::from_millis(1_000);
+
 /// The consecutive failures, of tasks that failed nowhere else, from which on a
 /// worker pauses before the next probe.
 const PAUSE_FAILURES: u32 = 3;
@@ -61,10 +65,21 @@
 }
 
 impl Session {
-    /// Whether the worker is on probation and has a run that began since the last failure.
+    /// Whether the worker is on probation and has a probe that may still fail.
     pub(crate) fn has_probe(&self) -> bool {
-        let mut runs = self.runs.values();
-        self.probation.is_on() && runs.any(|run| self.probation.is_later(run))
+        let is_probe = |run: &Run| {
+            run.state != RunState::Stopping
+                && self.probation.is_later(run)
+                && !self.has_lasted(run, PROBE_TIME)
+        };
+        self.probation.is_on() && self.runs.values().any(is_probe)
+    }
+
+    /// Whether a run had been active for some time when the worker last answered; of a
+    /// silent worker that isn't known.
+    pub(crate) fn has_lasted(&self, run: &Run, time: Span) -> bool {
+        let ran = self.last_answer.since(run.started_at);
+        run.state == RunState::Running && self.unanswered == 0 && ran >= time
     }
 }
 
@@ -112,6 +127,19 @@
         self.end_probation(worker, Soundness::Completed);
     }
 
+    /// Ends a worker's probation if a probe has lasted there.
+    pub(super) fn note_lasting_probe(&mut self, worker: &id::Worker) {
+        let has_lasted = |session: &Session| {
+            let mut runs = session.runs.values();
+            runs.any(|run| {
+                session.probation.is_later(run) && session.has_lasted(run, PROBE_TIME)
+            })
+        };
+        if self.sessions.get(worker).is_some_and(has_lasted) {
+            self.end_probation(worker, Soundness::Lasted);
+        }
+    }
+
     fn end_probation(&mut self, worker: &id::Worker, soundness: Soundness) {
         let session = self.sessions.get_mut(worker);
         let Some(session) = session.filter(|session| session.probation.is_on()) else {
--- a/crates/gentianlane/src/fleet/dispatch/reconcile.rs
+++ b/crates/gentianlane/src/fleet/dispatch/reconcile.rs
@@ -67,6 +67,7 @@
             let read_at = Time::from_millis(status.clock);
             self.update_run(state, worker, running, read_at, now);
         }
+        self.note_lasting_probe(worker);
         self.drop_unlisted_runs(worker, status, order.sent_at, now);
         if !status.ends_cut {
             self.unconfirmed.unbind_listed(worker, order.sent_at);
--- a/crates/gentianlane/src/fleet/dispatch/trial.rs
+++ b/crates/gentianlane/src/fleet/dispatch/trial.rs
@@ -437,6 +437,5 @@
 /// Whether a run has lasted so long that it is no cause of a crash by itself; what a
 /// silent worker still runs isn't known.
 fn has_lasted(session: &Session, run: &Run) -> bool {
-    let ran = session.last_answer.since(run.started_at);
-    run.state == RunState::Running && session.unanswered == 0 && ran >= SETTLING_TIME
+    session.has_lasted(run, SETTLING_TIME)
 }
--- a/crates/gentianlane/tests/fleet/probation.rs
+++ b/crates/gentianlane/tests/fleet/probation.rs
@@ -139,3 +139,34 @@
     assert_eq!(world.starts(&task(7, 0)), 3);
     assert_eq!(phase(&mut world, 7), Some(Phase::Failed));
 }
+
+/// A job of `count` tasks that last.
+fn lasting(count: u32, millicores: u64, label: &str) -> Spec {
+    let mut spec = labelled(count, millicores, label);
+    spec.steps[0].long_running = true;
+    spec
+}
+
+/// A task that lasts never completes, so that its worker took nothing beside it after a
+/// failure, for as long as it ran (review/4, `probe`).
+#[test]
+fn a_task_that_lasts_ends_the_probation_of_its_worker() {
+    for gang_size in [1, 3] {
+        let mut world = world(3);
+        world.submit(6, &lasting(1, 500, "rack-0"));
+        world.run(200);
+        world.fail_runs(task(6, 0));
+        world.run(400);
+        assert_eq!(world.starts(&task(6, 0)), 2);
+        world.submit(7, &gang(gang_size, 500, "rack-0"));
+        let submitted = world.now;
+        check_completes(&mut world, 7, &format!("{gang_size} beside a lasting task"));
+        let mut runs = world.observed_runs.iter();
+        let first = runs.find(|run| run.task == task(7, 0));
+        let waited = first.map(|run| run.started_at - submitted);
+        assert!(
+            waited.is_some_and(|waited| waited < IDLE_LIMIT_MS),
+            "{gang_size}: {waited:?} ms"
+        );
+    }
+}
