Reserve no worker for tasks that it may not take

A reservation counted how many tasks fit into a worker's room, without a look at the limit, so that workers were kept free for tasks that could never go there.

It now counts no more tasks than the limit leaves beside those that stay. Tasks that end free their share of the limit, so they don't count against it.

a_step_reserves_no_worker_that_may_not_take_its_tasks failed before: the other job was pending after 3 s beside three workers with 6.5 of 8 cores free.

--- a/crates/gentianlane/src/fleet/dispatch/reserve.rs
+++ b/crates/gentianlane/src/fleet/dispatch/reserve.rs
@@ -162,8 +162,12 @@
                     && !reservations.workers.contains_key(*worker)
             })
             .filter_map(|(worker, session)| {
+                let wanted = wanted.min(reservable_tasks(stage, session));
                 let (available_at, tasks) =
                     self.available_at(session, &demand, wanted, now)?;
+                if tasks == 0 {
+                    return None;
+                }
                 let mut present = stage.reserved.iter();
                 let reserved = present.any(|(present, _)| present == worker);
                 let sort_key = if reserved {
@@ -286,6 +290,17 @@
     }
 }
 
+/// How many of a step's tasks a worker may have by its limit for each worker, beside those
+/// that stay there.
+fn reservable_tasks(stage: &Stage, session: &Session) -> u32 {
+    let stay = match stage.step.long_running {
+        true => session.count_of(&stage.id),
+        false => 0,
+    };
+    let most = stage.step.max_per_worker.unwrap_or(u32::MAX);
+    most.saturating_sub(stay)
+}
+
 /// The least capacity of any worker in each pool, for each resource apart.
 fn smallest_capacities<'a>(
     sessions: impl Iterator<Item = &'a Session>,
--- a/crates/gentianlane/tests/fleet/probation.rs
+++ b/crates/gentianlane/tests/fleet/probation.rs
@@ -3,6 +3,7 @@
 
 use gentianlane::fleet::job::{Phase, Spec, Task};
 use gentianlane::fleet::order::Outcome;
+use gentianlane::unit::Span;
 
 use super::dispatch::{phase, task};
 use super::simulated_worker::job;
@@ -170,3 +171,22 @@
         );
     }
 }
+
+/// A service whose tasks may run only once on each worker kept all workers reserved for
+/// those that had no place left, and every other job of the pool waited (`reserve`).
+#[test]
+fn a_step_reserves_no_worker_that_may_not_take_its_tasks() {
+    let mut world = world(4);
+    for at in 1..4 {
+        world.resize(at, 8_000);
+    }
+    world.resize(0, 2_000);
+    let mut service = lasting(16, 1_500, "kind");
+    service.steps[0].max_per_worker = Some(1);
+    service.steps[0].estimate = Span::from_secs(60);
+    world.submit(6, &service);
+    world.run(2_000);
+    world.submit(7, &labelled(2, 2_500, "kind"));
+    world.run(IDLE_LIMIT_MS);
+    assert_eq!(phase(&mut world, 7), Some(Phase::Completed));
+}
