Bound how long doubts about workers keep a task waiting

doubt.rs names these doubts in one place, with one bound: after 2 s without a run a task goes to a worker in doubt if no other has room. It is looked at in the pass over all workers, twice a second. While half of the pool or more is in use, tasks wait for their turn instead, unless they last: a worker that fails everything has room when all others are full. Renewed tickets cover paused workers if there are no others. Not overruled: a worker whose runs stand still at present, a reservation and a trial.

The overview names the workers that a step is kept from, why, and for how long.

Tests that failed before: a_pause_after_failures_keeps_no_job_waiting_for_longer_ than_allowed (8,044 ms), a_task_returns_to_a_worker_on_which_it_failed_if_no_other_ has_room and a_task_returns_to_the_worker_it_is_bound_to_though_it_failed_there (no run in 9 s).

A form that also overruled the pause of workers whose runs stand still was dropped: a run there does nothing.

--- a/crates/gentianlane-cli/src/command/fleet.rs
+++ b/crates/gentianlane-cli/src/command/fleet.rs
@@ -92,6 +92,15 @@
             step.waited_ms,
             step.slack_ms
         );
+        for worker in &step.held_workers {
+            let limit = step
+                .held_ms
+                .map_or("its turn".to_owned(), |ms| format!("{ms} ms at most"));
+            println!(
+                "          kept from {}, as {}; waits for {limit}",
+                worker.name, worker.doubt
+            );
+        }
     }
     for worker in &overview.workers {
         let state = match (worker.draining, worker.unanswered) {
--- a/crates/gentianlane/src/fleet/dispatch/answer.rs
+++ b/crates/gentianlane/src/fleet/dispatch/answer.rs
@@ -397,7 +397,7 @@
         now: Time,
     ) {
         self.log_lost_run(worker, task, run, cause, now);
-        self.release_run(worker, task, run);
+        self.release_run(worker, task, run, now);
         self.break_gang(task, now);
     }
 
@@ -441,7 +441,7 @@
             return false;
         }
         self.log_lost_run(worker, task, *run, Cause::Unsent, now);
-        self.release_run(worker, task, *run);
+        self.release_run(worker, task, *run, now);
         true
     }
 
--- a/crates/gentianlane/src/fleet/dispatch/backlog.rs
+++ b/crates/gentianlane/src/fleet/dispatch/backlog.rs
@@ -11,9 +11,9 @@
 
 /// A pool's capacity and its present use.
 #[derive(Debug, Default, Clone, Copy)]
-struct Usage {
-    capacity: Resources,
-    used: Resources,
+pub(crate) struct Usage {
+    pub(crate) capacity: Resources,
+    pub(crate) used: Resources,
 }
 
 /// What a pool has free.
@@ -93,7 +93,7 @@
     }
 
     /// Each pool's capacity and use, without silent and draining workers.
-    fn pool_usage(&self) -> IndexMap<String, Usage> {
+    pub(super) fn pool_usage(&self) -> IndexMap<String, Usage> {
         let mut usages: IndexMap<String, Usage> = IndexMap::default();
         let sessions = self.sessions.values();
         for session in sessions.filter(|session| session.is_available()) {
--- a/crates/gentianlane/src/fleet/dispatch/dispatcher.rs
+++ b/crates/gentianlane/src/fleet/dispatch/dispatcher.rs
@@ -439,7 +439,13 @@
 
     /// Frees a run's capacity and keeps its checkpoint. The task becomes pending
     /// again unless it is placed elsewhere or has completed.
-    pub(super) fn release_run(&mut self, worker: &id::Worker, task: &Task, number: u64) {
+    pub(super) fn release_run(
+        &mut self,
+        worker: &id::Worker,
+        task: &Task,
+        number: u64,
+        now: Time,
+    ) {
         let Some(session) = self.sessions.get_mut(worker) else {
             return;
         };
@@ -469,7 +475,7 @@
         // that it never starts more often than its attempts allow.
         let unlogged = self.unlogged.contains(task);
         if !placed && !unlogged && !stage.done.contains(&unit) {
-            stage.add_pending(task.index);
+            stage.add_pending(task.index, now);
         }
     }
 
--- a/crates/gentianlane/src/fleet/dispatch/event.rs
+++ b/crates/gentianlane/src/fleet/dispatch/event.rs
@@ -292,7 +292,7 @@
             stage.done.insert(unit);
             stage.pending.remove(&task.index);
         } else if !self.placements.contains_key(task) && !stage.done.contains(&unit) {
-            stage.add_pending(task.index);
+            stage.add_pending(task.index, now);
         }
     }
 
@@ -454,7 +454,7 @@
         let unit = if step.gang { 0 } else { index };
         match done(unit) {
             true => stage.done.insert(unit),
-            false => stage.pending.insert(index),
+            false => stage.pending.insert(index, now).is_none(),
         };
     }
     stage
--- a/crates/gentianlane/src/fleet/dispatch/gone.rs
+++ b/crates/gentianlane/src/fleet/dispatch/gone.rs
@@ -357,7 +357,7 @@
         let runs: Vec<(Task, u64)> = session.runs.keys().copied().collect();
         for &(task, run) in &runs {
             self.log_lost_run(worker, &task, run, cause, now);
-            self.release_run(worker, &task, run);
+            self.release_run(worker, &task, run, now);
         }
         for (task, _) in &runs {
             self.break_gang(task, now);
--- a/crates/gentianlane/src/fleet/dispatch/lease.rs
+++ b/crates/gentianlane/src/fleet/dispatch/lease.rs
@@ -243,7 +243,7 @@
         for (task, run) in runs {
             self.log_lost_run(worker, &task, run, Cause::LeaseExpired, now);
             self.add_doubt(worker, &task);
-            self.release_run(worker, &task, run);
+            self.release_run(worker, &task, run, now);
             self.break_gang(&task, now);
         }
     }
--- a/crates/gentianlane/src/fleet/dispatch/place.rs
+++ b/crates/gentianlane/src/fleet/dispatch/place.rs
@@ -12,6 +12,7 @@
 use crate::fleet::dispatch::Dispatcher;
 use crate::fleet::dispatch::candidate::{Candidate, choose_gang};
 use crate::fleet::dispatch::dispatcher::Place;
+use crate::fleet::dispatch::doubt::Doubts;
 use crate::fleet::dispatch::estimate::NOMINAL;
 use crate::fleet::dispatch::progress::Progress;
 use crate::fleet::dispatch::rank::assess_deadline;
@@ -65,16 +66,18 @@
                 self.hold_for_limit(id, &mut survey, now);
                 continue;
             }
-            let candidates = self.candidates(stage, &reservations, &survey, now);
+            let candidates =
+                self.candidates(stage, &reservations, &survey, Doubts::Count, now);
             let still_blocked =
                 candidates.is_empty() && stage.examined && stage.blocked_since.is_some();
-            if still_blocked && !survey.scope.plans && stage.reserved.is_empty() {
+            let is_partial = !survey.scope.plans && !survey.scope.full;
+            if still_blocked && is_partial && stage.reserved.is_empty() {
                 continue;
             }
-            match stage.step.gang {
-                _ if candidates.is_empty() => {}
-                true => self.place_gang(id, candidates, now, wall),
-                false => self.place_tasks(id, candidates, now, wall),
+            let pending = stage.pending.keys().copied().collect();
+            self.place_step(id, pending, candidates, Doubts::Count, now, wall);
+            if survey.scope.full {
+                self.place_overdue(id, &reservations, &mut survey, now, wall);
             }
             if self.is_held_by_limit(id) {
                 self.hold_for_limit(id, &mut survey, now);
@@ -85,6 +88,47 @@
         self.reserved_workers = reservations.into_workers();
     }
 
+    /// Places a step's `tasks` on candidates, all or none of them if it is a gang.
+    fn place_step(
+        &mut self,
+        id: &job::Stage,
+        tasks: Vec<u32>,
+        candidates: Vec<Candidate>,
+        doubts: Doubts,
+        now: Time,
+        wall: Wall,
+    ) {
+        let Some(stage) = self.stages.get(id) else {
+            return;
+        };
+        match stage.step.gang {
+            _ if candidates.is_empty() => {}
+            true => self.place_gang(id, candidates, doubts, now, wall),
+            false => self.place_tasks(id, tasks, candidates, doubts, now, wall),
+        }
+    }
+
+    /// Places the tasks of a step that no doubt about workers keeps waiting any longer.
+    fn place_overdue(
+        &mut self,
+        id: &job::Stage,
+        reservations: &Reservations,
+        survey: &mut Survey,
+        now: Time,
+        wall: Wall,
+    ) {
+        let Some(stage) = self.stages.get(id) else {
+            return;
+        };
+        let overdue = self.overdue_tasks(stage, survey, now);
+        if overdue.is_empty() {
+            return;
+        }
+        let doubts = Doubts::Overruled;
+        let candidates = self.candidates(stage, reservations, survey, doubts, now);
+        self.place_step(id, overdue, candidates, doubts, now, wall);
+    }
+
     /// Reserves workers or preempts tasks for a step that still has pending
     /// tasks after placement.
     fn handle_unplaced(
@@ -163,6 +207,7 @@
         stage: &Stage,
         reservations: &Reservations,
         survey: &Survey,
+        doubts: Doubts,
         now: Time,
     ) -> Vec<Candidate> {
         let only_changed = stage.examined && !survey.scope.full;
@@ -172,7 +217,7 @@
         let run_time = self.expected_run_time(stage);
         let candidate = |worker: &id::Worker, session: &Session| {
             let allowed = || reservations.allows(worker, run_time, now);
-            self.candidate(stage, worker, session, now)
+            self.candidate(stage, worker, session, doubts, now)
                 .filter(|_| allowed())
         };
         if only_changed {
@@ -193,17 +238,19 @@
     }
 
     /// A worker as a candidate for a step, if it can take a task of it now.
-    fn candidate(
+    pub(super) fn candidate(
         &self,
         stage: &Stage,
         worker: &id::Worker,
         session: &Session,
+        doubts: Doubts,
         now: Time,
     ) -> Option<Candidate> {
         let free = session.free();
         if !stage.step.demand().fits(&free)
             || !matches_constraints(stage, session)
-            || !session.is_usable(now)
+            || !session.is_ready(now)
+            || (doubts == Doubts::Count && Self::doubt_about(session, now).is_some())
         {
             return None;
         }
@@ -224,7 +271,7 @@
             let mut tasks = session.runs.keys().map(|(task, _)| task);
             tasks.any(|task| self.is_suspected(task))
         };
-        let task_limit = task_limit(stage, session);
+        let task_limit = task_limit(stage, session, doubts);
         let preferred_rack = stage.step.preferred_rack.as_ref();
         let is_remote = |rack| !session.profile.labels.contains(rack);
         (task_limit > 0).then(|| Candidate {
@@ -291,7 +338,9 @@
     fn place_tasks(
         &mut self,
         id: &job::Stage,
+        tasks: Vec<u32>,
         mut candidates: Vec<Candidate>,
+        doubts: Doubts,
         now: Time,
         wall: Wall,
     ) {
@@ -299,13 +348,13 @@
             return;
         };
         let demand = stage.step.demand();
-        let pending: Vec<u32> = stage.pending.iter().copied().collect();
         // Only a task that has failed somewhere avoids workers.
-        let feasible = match stage.failed_on.is_empty() {
-            true => usize::MAX,
-            false => self.feasible_count(stage),
+        let feasible = match doubts {
+            Doubts::Count if stage.failed_on.is_empty() => usize::MAX,
+            Doubts::Count => self.feasible_count(stage),
+            Doubts::Overruled => 0,
         };
-        for index in pending {
+        for index in tasks {
             if self.is_held_by_limit(id)
                 || !candidates.iter().any(|candidate| candidate.fits(&demand))
             {
@@ -374,7 +423,7 @@
         };
         !stage
             .pending
-            .iter()
+            .keys()
             .map(choice)
             .any(|choice| choice == Choice::Any)
     }
@@ -404,6 +453,7 @@
         &mut self,
         id: &job::Stage,
         mut candidates: Vec<Candidate>,
+        doubts: Doubts,
         now: Time,
         wall: Wall,
     ) {
@@ -420,7 +470,8 @@
             candidates.into_iter().partition(has_not_failed);
         let one_rack = stage.step.one_rack;
         // The choice of a trial's workers has weighed earlier failures.
-        let may_return = trial.is_some() || !self.has_untried_room(id);
+        let may_return =
+            trial.is_some() || doubts == Doubts::Overruled || !self.has_untried_room(id);
         let chosen =
             choose_gang(untried.clone(), &demand, count, one_rack).or_else(|| {
                 let all = may_return.then(|| [untried, failed].concat())?;
@@ -584,12 +635,13 @@
 }
 
 /// How many more tasks of a step a worker may take, whatever its room.
-pub(super) fn task_limit(stage: &Stage, session: &Session) -> u32 {
+pub(super) fn task_limit(stage: &Stage, session: &Session, doubts: Doubts) -> u32 {
     let limit = match stage.step.max_per_worker {
         Some(limit) => limit.saturating_sub(session.count_of(&stage.id)),
         None => u32::MAX,
     };
     match session.probation.is_on() {
+        _ if doubts == Doubts::Overruled => limit,
         false => limit,
         true if session.has_probe() => 0,
         true if stage.step.gang => limit,
--- a/crates/gentianlane/src/fleet/dispatch/probation.rs
+++ b/crates/gentianlane/src/fleet/dispatch/probation.rs
@@ -31,6 +31,8 @@
     failures: u32,
     /// When the last of them was reported.
     last_failure: Time,
+    /// No probe begins before this time.
+    paused_until: Time,
 }
 
 impl Probation {
@@ -39,6 +41,7 @@
         Self {
             failures: 0,
             last_failure: now,
+            paused_until: now,
         }
     }
 
@@ -52,6 +55,16 @@
         self.failures > 0
     }
 
+    /// Whether the worker pauses before the next probe.
+    pub(crate) fn is_paused(&self, now: Time) -> bool {
+        self.pause_left(now) > Span::ZERO
+    }
+
+    /// How long the worker pauses before the next probe.
+    pub(crate) fn pause_left(&self, now: Time) -> Span {
+        self.paused_until.since(now)
+    }
+
     /// How long the worker pauses after a failure before the next probe, if it does.
     fn pause(&self) -> Option<Span> {
         let doublings = self.failures.checked_sub(PAUSE_FAILURES)?.min(2);
@@ -110,7 +123,7 @@
         }
         let pause = session.probation.pause();
         if let Some(pause) = pause {
-            session.avoid_until = now.after(pause);
+            session.probation.paused_until = now.after(pause);
         }
         if session.probation.is_on() {
             self.effects.decisions.push(Decision::WorkerOnProbation {
--- a/crates/gentianlane/src/fleet/dispatch/reconcile.rs
+++ b/crates/gentianlane/src/fleet/dispatch/reconcile.rs
@@ -167,7 +167,7 @@
             _ => {}
         }
         if is_current {
-            self.release_run(worker, &task, ended.run);
+            self.release_run(worker, &task, ended.run, now);
         }
     }
 
--- a/crates/gentianlane/src/fleet/dispatch/session.rs
+++ b/crates/gentianlane/src/fleet/dispatch/session.rs
@@ -85,7 +85,8 @@
     pub(crate) trial: Option<Task>,
     /// Consecutive orders for which nothing listened at the worker's address.
     pub(crate) unreachable: u32,
-    /// The worker gets no new tasks before this time.
+    /// The worker gets no new tasks before this time, as it refused an order or its runs
+    /// stand still.
     pub(crate) avoid_until: Time,
     /// What the failures of runs there say about the worker.
     pub(crate) probation: Probation,
@@ -512,9 +513,15 @@
         self.draining || self.leaving_since.is_some()
     }
 
-    /// Whether the worker may get new tasks: it is reconciled, responsive, to stay
-    /// and not avoided, and the demand of all its runs is known.
+    /// Whether the worker may get new tasks, and doesn't pause after failures.
     pub(crate) fn is_usable(&self, now: Time) -> bool {
+        self.is_ready(now) && !self.probation.is_paused(now)
+    }
+
+    /// Whether the worker may get new tasks, whatever has failed there: it is
+    /// reconciled, responsive, to stay and not avoided, and the demand of all its runs is
+    /// known.
+    pub(crate) fn is_ready(&self, now: Time) -> bool {
         self.reconciled
             && self.is_available()
             && self.unreachable == 0
--- a/crates/gentianlane/src/fleet/dispatch/stage.rs
+++ b/crates/gentianlane/src/fleet/dispatch/stage.rs
@@ -1,7 +1,7 @@
 //! A step that is ready to run, with the tasks that still have to be placed.
 
 use crate::collections::{IndexMap, IndexSet};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::fleet::dispatch::crash::Suspect;
 use crate::fleet::dispatch::speed::Reference;
@@ -36,8 +36,8 @@
     pub(crate) remaining_path: Span,
     /// The work of one occurrence of the job, in core-milliseconds.
     pub(crate) work: u64,
-    /// The tasks that aren't placed on a worker.
-    pub(crate) pending: BTreeSet<u32>,
+    /// The tasks that aren't placed on a worker, each with the time since when.
+    pub(crate) pending: BTreeMap<u32, Time>,
     /// The tasks that workers have reported as completed; zero stands for a
     /// gang.
     pub(crate) done: BTreeSet<u32>,
@@ -149,7 +149,7 @@
             critical_path: Span::ZERO,
             remaining_path: Span::ZERO,
             work: 0,
-            pending: BTreeSet::new(),
+            pending: BTreeMap::new(),
             done: BTreeSet::new(),
             recovering: false,
             starts: 0,
@@ -178,8 +178,8 @@
     }
 
     /// Makes a task pending, to be examined against all workers.
-    pub(crate) fn add_pending(&mut self, index: u32) {
-        self.pending.insert(index);
+    pub(crate) fn add_pending(&mut self, index: u32, now: Time) {
+        self.pending.entry(index).or_insert(now);
         self.examined = false;
     }
 
--- a/crates/gentianlane/src/fleet/dispatch/survey.rs
+++ b/crates/gentianlane/src/fleet/dispatch/survey.rs
@@ -5,8 +5,9 @@
 //! changed workers only, unless the step itself has changed. Its cost grows
 //! with the changes and not with the whole fleet.
 
-use crate::collections::IndexSet;
+use crate::collections::{IndexMap, IndexSet};
 use crate::fleet::dispatch::Dispatcher;
+use crate::fleet::dispatch::backlog::Usage;
 use crate::fleet::dispatch::schedule::Scope;
 use crate::fleet::dispatch::session::{RunState, Session};
 use crate::fleet::job::Resources;
@@ -38,6 +39,8 @@
     /// The indexes of the workers with a run that a step of the highest priority may
     /// preempt, in ascending order; none until a step needs them.
     pub(crate) preemptible: Option<Vec<usize>>,
+    /// Each pool's capacity and use; none until a step's tasks have waited for long.
+    pub(crate) usages: Option<IndexMap<String, Usage>>,
     /// The teams for whose limit the pass has preempted tasks; one step each is enough.
     pub(crate) preempting_teams: IndexSet<id::Team>,
 }
--- a/crates/gentianlane/src/fleet/dispatch/trial.rs
+++ b/crates/gentianlane/src/fleet/dispatch/trial.rs
@@ -10,6 +10,7 @@
 use crate::fleet::crash::SETTLING_TIME;
 use crate::fleet::decision::Decision;
 use crate::fleet::dispatch::Dispatcher;
+use crate::fleet::dispatch::doubt::Doubts;
 use crate::fleet::dispatch::place::{is_available, task_limit};
 use crate::fleet::dispatch::session::{Run, RunState, Session};
 use crate::fleet::dispatch::stage::Stage;
@@ -345,7 +346,7 @@
     fn tasks_beside_settled(stage: &Stage, session: &Session) -> u32 {
         let demand = stage.step.demand();
         let mut room = Self::room_beside_settled(session);
-        let limit = task_limit(stage, session).min(stage.step.count);
+        let limit = task_limit(stage, session, Doubts::Count).min(stage.step.count);
         let mut tasks = 0;
         while tasks < limit && demand.fits(&room) {
             room = room.less(&demand);
@@ -406,7 +407,7 @@
     /// Whether all pending tasks of a step wait for a trial, or for the fate of silent
     /// workers.
     pub(super) fn waits_for_trial(&self, stage: &Stage) -> bool {
-        let mut pending = stage.pending.iter();
+        let mut pending = stage.pending.keys();
         !stage.suspects.is_empty()
             && pending.all(|&index| {
                 let suspect = stage.suspect(index);
@@ -422,7 +423,7 @@
         suspect.needs_trial() && !suspect.is_held()
     };
     let most = if stage.step.gang { 1 } else { usize::MAX };
-    let waiting = stage.pending.iter().filter(waits).take(most);
+    let waiting = stage.pending.keys().filter(waits).take(most);
     waiting.map(|&index| Task {
         stage: stage.id,
         index: stage.unit_key(index),
--- a/crates/gentianlane/src/fleet/dispatch/view.rs
+++ b/crates/gentianlane/src/fleet/dispatch/view.rs
@@ -7,12 +7,13 @@
 
 use crate::fleet::State;
 use crate::fleet::dispatch::Dispatcher;
+use crate::fleet::dispatch::doubt::Doubt;
 use crate::fleet::dispatch::rank::assess_deadline;
 use crate::fleet::dispatch::stage::Stage;
 use crate::fleet::job::Resources;
 use crate::fleet::team::Access;
 use crate::id;
-use crate::unit::Time;
+use crate::unit::{Span, Time};
 
 /// A snapshot of the leader's view.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -103,6 +104,22 @@
     /// For how long it waits for a better place at most, in milliseconds, if it does.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub better_place_ms: Option<u64>,
+    /// Workers with room that it is kept from by doubts about them, a few at most.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub held_workers: Vec<HeldWorker>,
+    /// For how long they keep it waiting at most, in milliseconds; none if it waits for
+    /// its turn in a busy pool.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub held_ms: Option<u64>,
+}
+
+/// A worker with room that a step is kept from.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeldWorker {
+    /// The name under which it registered.
+    pub name: String,
+    /// Why the step doesn't go there yet.
+    pub doubt: Doubt,
 }
 
 /// What a step's pending tasks wait for.
@@ -137,6 +154,9 @@
     /// The team that owns the job runs as much as it may.
     #[display("the team's limit")]
     TeamLimit,
+    /// The workers that have room for it are in doubt, as runs have failed there.
+    #[display("workers in doubt")]
+    Doubt,
     /// The workers that may run it are full or reserved for other steps.
     #[display("room")]
     Room,
@@ -195,7 +215,11 @@
                 draining: session.draining,
                 unanswered: session.unanswered,
                 failures: session.probation.failures(),
-                paused_ms: session.avoid_until.since(now).as_millis(),
+                paused_ms: session
+                    .probation
+                    .pause_left(now)
+                    .max(session.avoid_until.since(now))
+                    .as_millis(),
                 runs: session.runs.len(),
                 free_millicores: free.millicores,
                 free_memory: free.memory_mib,
@@ -295,6 +319,15 @@
         let stages = order.iter().filter_map(|id| self.stages.get(id));
         let step = |stage: &Stage| {
             let running = self.placements.keys().filter(|task| task.stage == stage.id);
+            let held = self.held_workers(stage, HELD_WORKER_LIMIT, now);
+            let held_ms = self
+                .hold_left(stage, now)
+                .filter(|_| !held.is_empty())
+                .map(Span::as_millis);
+            let held_workers = held.into_iter().map(|(name, doubt)| HeldWorker {
+                name: name.to_string(),
+                doubt,
+            });
             Step {
                 name: stage.id.to_string(),
                 queue: stage.queue_name.clone(),
@@ -307,6 +340,8 @@
                     .wait
                     .filter(|wait| wait.is_current)
                     .map(|wait| wait.until.since(now).as_millis()),
+                held_workers: held_workers.collect(),
+                held_ms,
             }
         };
         stages.take(STEP_LIMIT).map(step).collect()
@@ -324,6 +359,7 @@
             () if self.is_bound(stage, now) => Blocker::LateStart,
             () if self.waits_for_trial(stage) => Blocker::Trial,
             () if self.feasible_count(stage) == 0 => Blocker::Worker,
+            () if !self.held_workers(stage, 1, now).is_empty() => Blocker::Doubt,
             () => Blocker::Room,
         }
     }
@@ -333,6 +369,9 @@
 /// than fit on a screen.
 const STEP_LIMIT: usize = 100;
 
+/// The most workers that it names for a step that is kept from them.
+const HELD_WORKER_LIMIT: usize = 3;
+
 /// Whether a count is left out of the JSON.
 fn is_zero<T: Default + PartialEq>(count: &T) -> bool {
     *count == T::default()
--- a/crates/gentianlane/tests/fleet/probation.rs
+++ b/crates/gentianlane/tests/fleet/probation.rs
@@ -1,6 +1,8 @@
 //! Tests of workers on which runs have failed: what they may still take, and for how
 //! long a doubt about them keeps work waiting.
 
+use gentianlane::fleet::call::{Call, Reply};
+use gentianlane::fleet::dispatch::{Blocker, Doubt, Overview};
 use gentianlane::fleet::job::{Phase, Spec, Task};
 use gentianlane::fleet::order::Outcome;
 use gentianlane::unit::Span;
@@ -172,6 +174,67 @@
     }
 }
 
+/// Workers paused for longer the more runs failed there, and a job whose tasks failed by
+/// themselves waited for 8 s beside idle workers; another job of the label with it.
+#[test]
+fn a_pause_after_failures_keeps_no_job_waiting_for_longer_than_allowed() {
+    let mut plan = plan(1, false);
+    for queue in plan.queues.values_mut() {
+        queue.max_attempts = 7;
+    }
+    for gang_size in [1, 3] {
+        let mut world = World::new(3, 1).with_plan(plan.clone());
+        world.breaks_gangs = true;
+        fail_next(&mut world, task(7, 0), 6, 50);
+        world.submit(7, &gang(gang_size, 500, "rack-0"));
+        world.run(7_000);
+        world.submit(8, &labelled(1, 500, "rack-0"));
+        world.run(9_000);
+        for id in [7, 8] {
+            let gap = longest_gap(&world, &task(id, 0));
+            assert!(
+                gap <= IDLE_LIMIT_MS,
+                "{gang_size}, job {id}: no run for {gap} ms"
+            );
+            assert_eq!(phase(&mut world, id), Some(Phase::Completed), "job {id}");
+        }
+    }
+}
+
+/// A task kept from the workers on which it had failed, though no other had room: a
+/// service's task waited for as long as other services filled these (`avoid`).
+#[test]
+fn a_task_returns_to_a_worker_on_which_it_failed_if_no_other_has_room() {
+    let mut world = world(2);
+    world.submit(6, &lasting(1, 3_500, "kind"));
+    world.run(200);
+    world.submit(7, &lasting(1, 1_000, "kind"));
+    world.run(200);
+    world.fail_runs(task(7, 0));
+    check_lasts(&mut world, 7, 1, "one of two workers is full");
+}
+
+/// A start whose answer was lost bound the task to a worker on which it then failed, and
+/// which it kept from: it had no run for 13 s (review/15).
+#[test]
+fn a_task_returns_to_the_worker_it_is_bound_to_though_it_failed_there() {
+    let mut world = world(8);
+    world.delays.push(super::world::Delay {
+        worker: "w0".into(),
+        kind: super::world::Kind::Start,
+        millis: 20,
+    });
+    world.submit(7, &lasting(8, 3_000, "kind"));
+    world.run(3_000);
+    let bound = world
+        .observed_runs
+        .iter()
+        .find(|run| run.worker == "w0".into());
+    let bound = bound.map(|run| run.task).expect("a run on w0");
+    world.fail_runs(bound);
+    check_lasts(&mut world, 7, 8, "bound to w0");
+}
+
 /// A service whose tasks may run only once on each worker kept all workers reserved for
 /// those that had no place left, and every other job of the pool waited (`reserve`).
 #[test]
@@ -190,3 +253,37 @@
     world.run(IDLE_LIMIT_MS);
     assert_eq!(phase(&mut world, 7), Some(Phase::Completed));
 }
+
+#[test]
+fn an_operator_sees_which_workers_a_step_is_kept_from_and_for_how_long() {
+    let mut world = world(2);
+    world.submit(6, &lasting(1, 3_500, "kind"));
+    world.run(200);
+    let full = world.observed_runs[0].worker.clone();
+    world.submit(7, &lasting(1, 1_000, "kind"));
+    world.run(200);
+    world.fail_runs(task(7, 0));
+    world.run(500);
+    let ticket = world.call(Call::Overview);
+    world.run(30);
+    let Some(Reply::Overview(text)) = world.replies.get(&ticket) else {
+        panic!("the overview request got no reply");
+    };
+    let overview: Overview = serde_json::from_str(text).expect("an overview");
+    let [step] = overview.steps.as_slice() else {
+        panic!("{:?}", overview.steps);
+    };
+    assert_eq!(step.cause, Blocker::Doubt);
+    let [held] = step.held_workers.as_slice() else {
+        panic!("{:?}", step.held_workers);
+    };
+    assert_ne!(held.name, full.to_string());
+    assert_eq!(held.doubt, Doubt::FailedThere);
+    assert!(
+        step.held_ms.is_some_and(|held| held < 1_600),
+        "{:?}",
+        step.held_ms
+    );
+    let worker = overview.workers.iter().find(|it| it.name == held.name);
+    assert_eq!(worker.map(|worker| worker.failures), Some(1));
+}
