Draw histories of failing runs, and bound every wait beside room

Tasks that last failed only where any of many workers could take them.

The new histories draw gangs, tasks that last, both at once, tasks as large as a worker, limits for each worker, labels that one to six workers have, advice, workers that fail everything, pause, drain or are reserved, and lost leaders. In calm nothing may wait beside room for it twice over for longer than the users' rules allow: 3 s while less than half is in use, 9 s for a task that lasts. Not drawn: crashes, lost orders, slow workers, waits for a rack.

--- a/crates/gentianlane/tests/fleet/main.rs
+++ b/crates/gentianlane/tests/fleet/main.rs
@@ -8,6 +8,7 @@
 mod departure_fuzz;
 mod dispatch;
 mod foreign_report;
+mod doubt_fuzz;
 mod fuzz;
 mod large;
 mod late_start;
