Renew the tickets of paused workers also beside others

A task of a queue with advice waited for a full worker, while the one with room was paused: tickets were renewed for paused workers only if there was no other, so that the task had none for it once it had waited for 2 s. It started when the pause was over, up to 8 s later. Tickets are renewed for all workers that may get tasks.

--- a/crates/gentianlane/src/fleet/dispatch/ask.rs
+++ b/crates/gentianlane/src/fleet/dispatch/ask.rs
@@ -8,7 +8,6 @@
 use crate::fleet::dispatch::backlog::Room;
 use crate::fleet::dispatch::place::is_available;
 use crate::fleet::dispatch::rank::{Timeliness, assess_deadline};
-use crate::fleet::dispatch::session::Session;
 use crate::fleet::dispatch::stage::Stage;
 use crate::fleet::job;
 use crate::fleet::plan::Advice;
@@ -272,9 +271,8 @@
             .collect()
     }
 
-    /// The usable workers that advice allows for a step, or those that pause if there are
-    /// no others, if every ticket expires before a refresh could be answered; otherwise
-    /// none.
+    /// The workers that advice allows for a step and that may get tasks, if every ticket
+    /// expires before a refresh could be answered; otherwise none.
     fn expiring_workers(
         &self,
         stage: &Stage,
@@ -288,22 +286,13 @@
         if permits.values().any(|permit| permit.is_valid(soon)) {
             return Vec::new();
         }
-        let holds = |worker: &id::Worker, condition: fn(&Session, Time) -> bool| {
+        // A task that has waited for long goes to a worker that pauses, too.
+        let is_ready = |worker: &id::Worker| {
             let session = self.sessions.get(worker);
-            session.is_some_and(|session| condition(session, now))
+            session.is_some_and(|session| session.is_ready(now))
         };
-        let usable = permits
-            .keys()
-            .filter(|worker| holds(worker, Session::is_usable));
-        let usable: Vec<id::Worker> = usable.take(WORKER_LIMIT).cloned().collect();
-        if !usable.is_empty() {
-            return usable;
-        }
-        // Tasks that have waited for long go to workers that pause, too.
-        let ready = permits
-            .keys()
-            .filter(|worker| holds(worker, Session::is_ready));
-        ready.take(WORKER_LIMIT).cloned().collect()
+        let workers = permits.keys().filter(|worker| is_ready(worker));
+        workers.take(WORKER_LIMIT).cloned().collect()
     }
 
     /// Lets steps whose requests timed out ask again.
--- a/crates/gentianlane/tests/fleet/probation.rs
+++ b/crates/gentianlane/tests/fleet/probation.rs
@@ -132,6 +132,38 @@
     }
 }
 
+#[test]
+fn two_gangs_that_need_the_same_workers_on_probation_take_turns() {
+    let mut world = world(2);
+    for id in [7, 8] {
+        fail_next(&mut world, task(id, 0), 1, 200);
+        world.submit(id, &gang(2, 2_500, "kind"));
+    }
+    world.run(8_000);
+    for id in [7, 8] {
+        let gap = longest_gap(&world, &task(id, 0));
+        assert!(gap <= IDLE_LIMIT_MS, "job {id}: no run for {gap} ms");
+        assert_eq!(phase(&mut world, id), Some(Phase::Completed), "job {id}");
+    }
+}
+
+/// Of the gang's three workers one is on probation, one is reserved for a task as large as
+/// it, and one drains at first.
+#[test]
+fn a_gang_runs_again_on_a_worker_on_probation_beside_a_reserved_one() {
+    let mut world = world(3);
+    world.submit(5, &labelled(4, 500, "rack-0"));
+    world.workers[1].draining = true;
+    world.run(1_000);
+    fail_next(&mut world, task(7, 0), 1, 200);
+    let mut spread = gang(2, 2_500, "kind");
+    spread.steps[0].max_per_worker = Some(1);
+    world.submit(7, &spread);
+    world.submit(8, &labelled(1, 4_000, "rack-0"));
+    check_completes(&mut world, 7, "beside a draining worker");
+    assert_eq!(phase(&mut world, 8), Some(Phase::Completed));
+}
+
 /// The gang had one run and was shown as running for good, instead of as failed.
 #[test]
 fn a_gang_that_fails_at_each_run_is_failed_after_its_attempts() {
