Call it avoidance that keeps tasks from workers with failures

crash.rs speaks of doubts already, whether a silent worker has crashed, and the two had nothing to do with each other. Also from a reading of the whole change: a pass lists a step's pending tasks only if there are candidates, a worker that isn't on probation isn't searched for lasting probes, and has_untried_room and task_limit read more plainly.

--- a/crates/gentianlane-cli/src/command/fleet.rs
+++ b/crates/gentianlane-cli/src/command/fleet.rs
@@ -92,13 +92,13 @@
             step.waited_ms,
             step.slack_ms
         );
-        for worker in &step.held_workers {
+        for worker in &step.avoided_workers {
             let limit = step
-                .held_ms
+                .avoided_ms
                 .map_or("its turn".to_owned(), |ms| format!("{ms} ms at most"));
             println!(
-                "          kept from {}, as {}; waits for {limit}",
-                worker.name, worker.doubt
+                "          avoids {}, as {}; waits for {limit}",
+                worker.name, worker.reason
             );
         }
     }
--- a/crates/gentianlane/src/fleet/dispatch/doubt.rs
+++ b/crates/gentianlane/src/fleet/dispatch/avoidance.rs
@@ -1,12 +1,12 @@
-//! Doubts that keep work from a worker, and for how long.
+//! Workers that are avoided because runs have failed there, and for how long.
 //!
-//! A worker on which runs have failed may be unsound, or sound and the tasks at fault. A
-//! doubt makes it the last choice, and keeps tasks from it only as long as they are likely
-//! to start elsewhere: after [`HOLD_LIMIT`] without a run a task goes to a worker in
-//! doubt if no other has room, unless its pool is so busy that it waits for its turn.
-//! A task that lasts waits for no turn.
+//! Such a worker may be unsound, or sound and the tasks at fault. It is the last choice,
+//! and tasks are kept from it only as long as they are likely to start elsewhere: after
+//! [`AVOIDANCE_LIMIT`] without a run a task goes to an avoided worker if no other has
+//! room, unless its pool is busy and it waits for its turn at others. A task that
+//! lasts waits for no turn.
 //!
-//! Not doubts, and never overruled here: constraints, room, tickets, a worker that drains,
+//! Not overruled: constraints, room, tickets, a worker that drains,
 //! doesn't answer, refuses orders or whose runs stand still at present, a start that may
 //! still be carried out elsewhere, a team's limit; and a reservation or a trial, which
 //! keeps a worker for another task that waits.
@@ -23,23 +23,23 @@
 use crate::id;
 use crate::unit::{Span, Time};
 
-/// For how long doubts keep a task waiting beside room, if its pool isn't busy. By the
+/// For how long avoidance keeps a task waiting beside room, if its pool isn't busy. By the
 /// users' rules no job may have nothing running for 3 s beside room for it twice over;
 /// waiting tasks are examined against all workers twice a second.
-pub(super) const HOLD_LIMIT: Span = Span::from_millis(2_000);
+pub(super) const AVOIDANCE_LIMIT: Span = Span::from_millis(2_000);
 
-/// Whether doubts about workers count in a choice.
+/// Whether workers on which runs have failed are avoided in a choice.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Doubts {
-    Count,
-    /// The tasks have waited for [`HOLD_LIMIT`].
+pub(super) enum Caution {
+    Usual,
+    /// They aren't: the tasks have waited for [`AVOIDANCE_LIMIT`].
     Overruled,
 }
 
-/// Why a worker that could run a task is passed over for the time being.
+/// Why a worker that could run a task is avoided.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
-pub enum Doubt {
+pub enum Avoidance {
     /// Runs have failed there, and a probe is under way.
     #[display("a probe is under way")]
     Probe,
@@ -52,23 +52,23 @@
 }
 
 impl Dispatcher {
-    /// What keeps tasks from a worker that could run them otherwise.
-    pub(super) fn doubt_about(session: &Session, now: Time) -> Option<Doubt> {
+    /// Why all tasks avoid a worker at present, if they do.
+    pub(super) fn avoidance_of(session: &Session, now: Time) -> Option<Avoidance> {
         match () {
-            () if session.probation.is_paused(now) => Some(Doubt::Pause),
-            () if session.has_probe() => Some(Doubt::Probe),
+            () if session.probation.is_paused(now) => Some(Avoidance::Pause),
+            () if session.has_probe() => Some(Avoidance::Probe),
             () => None,
         }
     }
 
-    /// The pending tasks of a step that no doubt keeps waiting any longer.
+    /// The pending tasks of a step that have waited too long to avoid any worker.
     pub(super) fn overdue_tasks(
         &self,
         stage: &Stage,
         survey: &mut Survey,
         now: Time,
     ) -> Vec<u32> {
-        let is_overdue = |since: Time| now.since(since) >= HOLD_LIMIT;
+        let is_overdue = |since: Time| now.since(since) >= AVOIDANCE_LIMIT;
         let since = |since: &Time| (*since).max(stage.not_before);
         let pending = stage.pending.iter();
         let overdue: Vec<u32> = pending
@@ -85,39 +85,39 @@
         }
     }
 
-    /// The first workers with room that doubts keep from a step, at most `limit`, each
-    /// with the doubt.
-    pub(super) fn held_workers(
+    /// The first workers with room that a step avoids, at most `limit`, each with the
+    /// reason.
+    pub(super) fn avoided_workers(
         &self,
         stage: &Stage,
         limit: usize,
         now: Time,
-    ) -> Vec<(id::Worker, Doubt)> {
+    ) -> Vec<(id::Worker, Avoidance)> {
         let first = stage.pending.keys().next().copied().unwrap_or_default();
-        let doubt = |worker: &id::Worker, session: &Session| {
+        let reason = |worker: &id::Worker, session: &Session| {
             let failed_there = stage.avoids(first, worker, usize::MAX);
-            let failed_there = failed_there.then_some(Doubt::FailedThere);
-            Self::doubt_about(session, now).or(failed_there)
+            let failed_there = failed_there.then_some(Avoidance::FailedThere);
+            Self::avoidance_of(session, now).or(failed_there)
         };
         let sessions = self.permitted_sessions(stage).into_iter();
-        let held = sessions.filter_map(|(worker, session)| {
-            self.candidate(stage, worker, session, Doubts::Overruled, now)?;
-            Some((worker.clone(), doubt(worker, session)?))
+        let avoided = sessions.filter_map(|(worker, session)| {
+            self.candidate(stage, worker, session, Caution::Overruled, now)?;
+            Some((worker.clone(), reason(worker, session)?))
         });
-        held.take(limit).collect()
+        avoided.take(limit).collect()
     }
 
-    /// For how long doubts keep a step waiting at most; none if it waits for its turn.
-    pub(super) fn hold_left(&self, stage: &Stage, now: Time) -> Option<Span> {
+    /// For how long a step avoids workers at most; none if it waits for its turn.
+    pub(super) fn avoidance_left(&self, stage: &Stage, now: Time) -> Option<Span> {
         if self.waits_for_turn(stage, &mut Survey::default()) {
             return None;
         }
         let waited = stage.pending.values().map(|since| now.since(*since)).max();
-        Some(HOLD_LIMIT.saturating_sub(waited.unwrap_or_default()))
+        Some(AVOIDANCE_LIMIT.saturating_sub(waited.unwrap_or_default()))
     }
 
     /// Whether a step's tasks wait for their turn: much of their pool is in use, and
-    /// workers that aren't in doubt will have room.
+    /// others than the avoided workers will have room.
     fn waits_for_turn(&self, stage: &Stage, survey: &mut Survey) -> bool {
         !stage.step.long_running
             && !self.is_quiet(&stage.queue.pool, survey)
--- a/crates/gentianlane/src/fleet/dispatch/place.rs
+++ b/crates/gentianlane/src/fleet/dispatch/place.rs
@@ -10,9 +10,9 @@
 use crate::fleet::State;
 use crate::fleet::decision::Decision;
 use crate::fleet::dispatch::Dispatcher;
+use crate::fleet::dispatch::avoidance::Caution;
 use crate::fleet::dispatch::candidate::{Candidate, choose_gang};
 use crate::fleet::dispatch::dispatcher::Place;
-use crate::fleet::dispatch::doubt::Doubts;
 use crate::fleet::dispatch::estimate::NOMINAL;
 use crate::fleet::dispatch::progress::Progress;
 use crate::fleet::dispatch::rank::assess_deadline;
@@ -67,15 +67,17 @@
                 continue;
             }
             let candidates =
-                self.candidates(stage, &reservations, &survey, Doubts::Count, now);
+                self.candidates(stage, &reservations, &survey, Caution::Usual, now);
             let still_blocked =
                 candidates.is_empty() && stage.examined && stage.blocked_since.is_some();
             let is_partial = !survey.scope.plans && !survey.scope.full;
             if still_blocked && is_partial && stage.reserved.is_empty() {
                 continue;
             }
-            let pending = stage.pending.keys().copied().collect();
-            self.place_step(id, pending, candidates, Doubts::Count, now, wall);
+            if !candidates.is_empty() {
+                let pending = stage.pending.keys().copied().collect();
+                self.place_step(id, pending, candidates, Caution::Usual, now, wall);
+            }
             if survey.scope.full {
                 self.place_overdue(id, &reservations, &mut survey, now, wall);
             }
@@ -94,7 +96,7 @@
         id: &job::Stage,
         tasks: Vec<u32>,
         candidates: Vec<Candidate>,
-        doubts: Doubts,
+        caution: Caution,
         now: Time,
         wall: Wall,
     ) {
@@ -102,13 +104,12 @@
             return;
         };
         match stage.step.gang {
-            _ if candidates.is_empty() => {}
-            true => self.place_gang(id, candidates, doubts, now, wall),
-            false => self.place_tasks(id, tasks, candidates, doubts, now, wall),
+            true => self.place_gang(id, candidates, caution, now, wall),
+            false => self.place_tasks(id, tasks, candidates, caution, now, wall),
         }
     }
 
-    /// Places the tasks of a step that no doubt about workers keeps waiting any longer.
+    /// Places the tasks of a step that have waited too long to avoid any worker.
     fn place_overdue(
         &mut self,
         id: &job::Stage,
@@ -124,9 +125,11 @@
         if overdue.is_empty() {
             return;
         }
-        let doubts = Doubts::Overruled;
-        let candidates = self.candidates(stage, reservations, survey, doubts, now);
-        self.place_step(id, overdue, candidates, doubts, now, wall);
+        let caution = Caution::Overruled;
+        let candidates = self.candidates(stage, reservations, survey, caution, now);
+        if !candidates.is_empty() {
+            self.place_step(id, overdue, candidates, caution, now, wall);
+        }
     }
 
     /// Reserves workers or preempts tasks for a step that still has pending
@@ -207,7 +210,7 @@
         stage: &Stage,
         reservations: &Reservations,
         survey: &Survey,
-        doubts: Doubts,
+        caution: Caution,
         now: Time,
     ) -> Vec<Candidate> {
         let only_changed = stage.examined && !survey.scope.full;
@@ -217,7 +220,7 @@
         let run_time = self.expected_run_time(stage);
         let candidate = |worker: &id::Worker, session: &Session| {
             let allowed = || reservations.allows(worker, run_time, now);
-            self.candidate(stage, worker, session, doubts, now)
+            self.candidate(stage, worker, session, caution, now)
                 .filter(|_| allowed())
         };
         if only_changed {
@@ -243,14 +246,14 @@
         stage: &Stage,
         worker: &id::Worker,
         session: &Session,
-        doubts: Doubts,
+        caution: Caution,
         now: Time,
     ) -> Option<Candidate> {
         let free = session.free();
         if !stage.step.demand().fits(&free)
             || !matches_constraints(stage, session)
             || !session.is_ready(now)
-            || (doubts == Doubts::Count && Self::doubt_about(session, now).is_some())
+            || (caution == Caution::Usual && Self::avoidance_of(session, now).is_some())
         {
             return None;
         }
@@ -271,7 +274,7 @@
             let mut tasks = session.runs.keys().map(|(task, _)| task);
             tasks.any(|task| self.is_suspected(task))
         };
-        let task_limit = task_limit(stage, session, doubts);
+        let task_limit = task_limit(stage, session, caution);
         let preferred_rack = stage.step.preferred_rack.as_ref();
         let is_remote = |rack| !session.profile.labels.contains(rack);
         (task_limit > 0).then(|| Candidate {
@@ -340,7 +343,7 @@
         id: &job::Stage,
         tasks: Vec<u32>,
         mut candidates: Vec<Candidate>,
-        doubts: Doubts,
+        caution: Caution,
         now: Time,
         wall: Wall,
     ) {
@@ -349,10 +352,10 @@
         };
         let demand = stage.step.demand();
         // Only a task that has failed somewhere avoids workers.
-        let feasible = match doubts {
-            Doubts::Count if stage.failed_on.is_empty() => usize::MAX,
-            Doubts::Count => self.feasible_count(stage),
-            Doubts::Overruled => 0,
+        let feasible = match caution {
+            Caution::Usual if stage.failed_on.is_empty() => usize::MAX,
+            Caution::Usual => self.feasible_count(stage),
+            Caution::Overruled => 0,
         };
         for index in tasks {
             if self.is_held_by_limit(id)
@@ -453,7 +456,7 @@
         &mut self,
         id: &job::Stage,
         mut candidates: Vec<Candidate>,
-        doubts: Doubts,
+        caution: Caution,
         now: Time,
         wall: Wall,
     ) {
@@ -470,8 +473,9 @@
             candidates.into_iter().partition(has_not_failed);
         let one_rack = stage.step.one_rack;
         // The choice of a trial's workers has weighed earlier failures.
-        let may_return =
-            trial.is_some() || doubts == Doubts::Overruled || !self.has_untried_room(id);
+        let may_return = trial.is_some()
+            || caution == Caution::Overruled
+            || !self.has_untried_room(stage);
         let chosen =
             choose_gang(untried.clone(), &demand, count, one_rack).or_else(|| {
                 let all = may_return.then(|| [untried, failed].concat())?;
@@ -507,10 +511,7 @@
     }
 
     /// Whether the workers on which a gang hasn't failed could hold it if they were free.
-    fn has_untried_room(&self, id: &job::Stage) -> bool {
-        let Some(stage) = self.stages.get(id) else {
-            return false;
-        };
+    fn has_untried_room(&self, stage: &Stage) -> bool {
         if !stage.failed_on.contains_key(&0) {
             return true;
         }
@@ -635,17 +636,18 @@
 }
 
 /// How many more tasks of a step a worker may take, whatever its room.
-pub(super) fn task_limit(stage: &Stage, session: &Session, doubts: Doubts) -> u32 {
+pub(super) fn task_limit(stage: &Stage, session: &Session, caution: Caution) -> u32 {
     let limit = match stage.step.max_per_worker {
         Some(limit) => limit.saturating_sub(session.count_of(&stage.id)),
         None => u32::MAX,
     };
-    match session.probation.is_on() {
-        _ if doubts == Doubts::Overruled => limit,
-        false => limit,
-        true if session.has_probe() => 0,
-        true if stage.step.gang => limit,
-        true => limit.min(1),
+    if caution == Caution::Overruled || !session.probation.is_on() {
+        return limit;
+    }
+    match stage.step.gang {
+        _ if session.has_probe() => 0,
+        true => limit,
+        false => limit.min(1),
     }
 }
 
--- a/crates/gentianlane/src/fleet/dispatch/probation.rs
+++ b/crates/gentianlane/src/fleet/dispatch/probation.rs
@@ -144,9 +144,10 @@
     pub(super) fn note_lasting_probe(&mut self, worker: &id::Worker) {
         let has_lasted = |session: &Session| {
             let mut runs = session.runs.values();
-            runs.any(|run| {
-                session.probation.is_later(run) && session.has_lasted(run, PROBE_TIME)
-            })
+            session.probation.is_on()
+                && runs.any(|run| {
+                    session.probation.is_later(run) && session.has_lasted(run, PROBE_TIME)
+                })
         };
         if self.sessions.get(worker).is_some_and(has_lasted) {
             self.end_probation(worker, Soundness::Lasted);
--- a/crates/gentianlane/src/fleet/dispatch/trial.rs
+++ b/crates/gentianlane/src/fleet/dispatch/trial.rs
@@ -10,7 +10,7 @@
 use crate::fleet::crash::SETTLING_TIME;
 use crate::fleet::decision::Decision;
 use crate::fleet::dispatch::Dispatcher;
-use crate::fleet::dispatch::doubt::Doubts;
+use crate::fleet::dispatch::avoidance::Caution;
 use crate::fleet::dispatch::place::{is_available, task_limit};
 use crate::fleet::dispatch::session::{Run, RunState, Session};
 use crate::fleet::dispatch::stage::Stage;
@@ -346,7 +346,7 @@
     fn tasks_beside_settled(stage: &Stage, session: &Session) -> u32 {
         let demand = stage.step.demand();
         let mut room = Self::room_beside_settled(session);
-        let limit = task_limit(stage, session, Doubts::Count).min(stage.step.count);
+        let limit = task_limit(stage, session, Caution::Usual).min(stage.step.count);
         let mut tasks = 0;
         while tasks < limit && demand.fits(&room) {
             room = room.less(&demand);
--- a/crates/gentianlane/src/fleet/dispatch/view.rs
+++ b/crates/gentianlane/src/fleet/dispatch/view.rs
@@ -7,7 +7,7 @@
 
 use crate::fleet::State;
 use crate::fleet::dispatch::Dispatcher;
-use crate::fleet::dispatch::doubt::Doubt;
+use crate::fleet::dispatch::avoidance::Avoidance;
 use crate::fleet::dispatch::rank::assess_deadline;
 use crate::fleet::dispatch::stage::Stage;
 use crate::fleet::job::Resources;
@@ -104,22 +104,22 @@
     /// For how long it waits for a better place at most, in milliseconds, if it does.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub better_place_ms: Option<u64>,
-    /// Workers with room that it is kept from by doubts about them, a few at most.
+    /// Workers with room that it avoids, as runs have failed there; a few at most.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub held_workers: Vec<HeldWorker>,
-    /// For how long they keep it waiting at most, in milliseconds; none if it waits for
-    /// its turn in a busy pool.
+    pub avoided_workers: Vec<AvoidedWorker>,
+    /// For how long it avoids them at most, in milliseconds; none if it waits for its turn
+    /// in a busy pool.
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub held_ms: Option<u64>,
+    pub avoided_ms: Option<u64>,
 }
 
-/// A worker with room that a step is kept from.
+/// A worker with room that a step avoids.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct HeldWorker {
+pub struct AvoidedWorker {
     /// The name under which it registered.
     pub name: String,
     /// Why the step doesn't go there yet.
-    pub doubt: Doubt,
+    pub reason: Avoidance,
 }
 
 /// What a step's pending tasks wait for.
@@ -154,9 +154,9 @@
     /// The team that owns the job runs as much as it may.
     #[display("the team's limit")]
     TeamLimit,
-    /// The workers that have room for it are in doubt, as runs have failed there.
-    #[display("workers in doubt")]
-    Doubt,
+    /// The workers that have room for it are avoided, as runs have failed there.
+    #[display("avoided workers")]
+    Avoidance,
     /// The workers that may run it are full or reserved for other steps.
     #[display("room")]
     Room,
@@ -319,15 +319,16 @@
         let stages = order.iter().filter_map(|id| self.stages.get(id));
         let step = |stage: &Stage| {
             let running = self.placements.keys().filter(|task| task.stage == stage.id);
-            let held = self.held_workers(stage, HELD_WORKER_LIMIT, now);
-            let held_ms = self
-                .hold_left(stage, now)
-                .filter(|_| !held.is_empty())
+            let avoided = self.avoided_workers(stage, AVOIDED_WORKER_LIMIT, now);
+            let avoided_ms = self
+                .avoidance_left(stage, now)
+                .filter(|_| !avoided.is_empty())
                 .map(Span::as_millis);
-            let held_workers = held.into_iter().map(|(name, doubt)| HeldWorker {
-                name: name.to_string(),
-                doubt,
-            });
+            let avoided_workers =
+                avoided.into_iter().map(|(name, reason)| AvoidedWorker {
+                    name: name.to_string(),
+                    reason,
+                });
             Step {
                 name: stage.id.to_string(),
                 queue: stage.queue_name.clone(),
@@ -340,8 +341,8 @@
                     .wait
                     .filter(|wait| wait.is_current)
                     .map(|wait| wait.until.since(now).as_millis()),
-                held_workers: held_workers.collect(),
-                held_ms,
+                avoided_workers: avoided_workers.collect(),
+                avoided_ms,
             }
         };
         stages.take(STEP_LIMIT).map(step).collect()
@@ -359,7 +360,7 @@
             () if self.is_bound(stage, now) => Blocker::LateStart,
             () if self.waits_for_trial(stage) => Blocker::Trial,
             () if self.feasible_count(stage) == 0 => Blocker::Worker,
-            () if !self.held_workers(stage, 1, now).is_empty() => Blocker::Doubt,
+            () if !self.avoided_workers(stage, 1, now).is_empty() => Blocker::Avoidance,
             () => Blocker::Room,
         }
     }
@@ -369,8 +370,8 @@
 /// than fit on a screen.
 const STEP_LIMIT: usize = 100;
 
-/// The most workers that it names for a step that is kept from them.
-const HELD_WORKER_LIMIT: usize = 3;
+/// The most workers that it names as avoided by a step.
+const AVOIDED_WORKER_LIMIT: usize = 3;
 
 /// Whether a count is left out of the JSON.
 fn is_zero<T: Default + PartialEq>(count: &T) -> bool {
--- a/crates/gentianlane/tests/fleet/doubt_fuzz.rs
+++ b/crates/gentianlane/tests/fleet/avoidance_fuzz.rs
@@ -1,6 +1,6 @@
 //! Random histories with runs that fail, on few workers, for gangs, tasks that last and
 //! tasks as large as a worker: in calm none waits beside room for longer than the users'
-//! rules allow, whichever worker is in doubt, paused, reserved or draining.
+//! rules allow, whichever worker is avoided, paused, reserved or draining.
 //!
 //! No worker crashes here and no order is lost; what such faults hold up has tests of
 //! its own.
@@ -234,7 +234,7 @@
 }
 
 #[test]
-fn no_doubt_keeps_a_task_waiting_beside_room_for_longer_than_allowed() {
+fn avoided_workers_keep_no_task_waiting_beside_room_for_longer_than_allowed() {
     // With 551 and 1441 a paused worker's ticket had expired.
     for seed in (1..=60).chain([551, 1441]) {
         history(seed).unwrap_or_else(|fault| panic!("{fault}"));
@@ -244,7 +244,7 @@
 /// Runs more histories to search for new failures: `FLEET_SEEDS=61..2000`.
 #[test]
 #[ignore = "the run time depends on FLEET_SEEDS"]
-fn more_histories_with_doubts_keep_the_bound() {
+fn more_histories_with_avoided_workers_keep_the_bound() {
     let mut faults = Vec::new();
     for seed in chosen_seeds().expect("FLEET_SEEDS is a range such as 61..2000") {
         faults.extend(history(seed).err());
--- a/crates/gentianlane/tests/fleet/main.rs
+++ b/crates/gentianlane/tests/fleet/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the fleet scheduler with simulated workers in virtual time.
 
+mod avoidance_fuzz;
 mod cancel;
 mod capacity;
 mod crash;
@@ -7,7 +8,6 @@
 mod departure;
 mod departure_fuzz;
 mod dispatch;
-mod doubt_fuzz;
 mod foreign_report;
 mod fuzz;
 mod large;
--- a/crates/gentianlane/tests/fleet/probation.rs
+++ b/crates/gentianlane/tests/fleet/probation.rs
@@ -1,8 +1,8 @@
 //! Tests of workers on which runs have failed: what they may still take, and for how
-//! long a doubt about them keeps work waiting.
+//! long they are avoided.
 
 use gentianlane::fleet::call::{Call, Reply};
-use gentianlane::fleet::dispatch::{Blocker, Doubt, Overview};
+use gentianlane::fleet::dispatch::{Avoidance, Blocker, Overview};
 use gentianlane::fleet::job::{Phase, Spec, Task};
 use gentianlane::fleet::order::Outcome;
 use gentianlane::unit::Span;
@@ -302,7 +302,7 @@
 }
 
 #[test]
-fn an_operator_sees_which_workers_a_step_is_kept_from_and_for_how_long() {
+fn an_operator_sees_which_workers_a_step_avoids_and_for_how_long() {
     let mut world = world(2);
     world.submit(6, &lasting(1, 3_500, "kind"));
     world.run(200);
@@ -320,17 +320,17 @@
     let [step] = overview.steps.as_slice() else {
         panic!("{:?}", overview.steps);
     };
-    assert_eq!(step.cause, Blocker::Doubt);
-    let [held] = step.held_workers.as_slice() else {
-        panic!("{:?}", step.held_workers);
+    assert_eq!(step.cause, Blocker::Avoidance);
+    let [avoided] = step.avoided_workers.as_slice() else {
+        panic!("{:?}", step.avoided_workers);
     };
-    assert_ne!(held.name, full.to_string());
-    assert_eq!(held.doubt, Doubt::FailedThere);
+    assert_ne!(avoided.name, full.to_string());
+    assert_eq!(avoided.reason, Avoidance::FailedThere);
     assert!(
-        step.held_ms.is_some_and(|held| held < 1_600),
+        step.avoided_ms.is_some_and(|left| left < 1_600),
         "{:?}",
-        step.held_ms
+        step.avoided_ms
     );
-    let worker = overview.workers.iter().find(|it| it.name == held.name);
+    let worker = overview.workers.iter().find(|it| it.name == avoided.name);
     assert_eq!(worker.map(|worker| worker.failures), Some(1));
 }
