--- a/crates/gentianlane/src/fleet/dispatch/avoidance.rs
+++ b/crates/gentianlane/src/fleet/dispatch/avoidance.rs
@@ -4,7 +4,7 @@
 //! and tasks are kept from it only as long as they are likely to start elsewhere: after
 //! [`AVOIDANCE_LIMIT`] without a run a task goes to an avoided worker if no other has
 //! room, unless its pool is busy and it waits for its turn at others. A task that
-//! lasts waits for no turn.
+//! lasts waits for no turn. The same bound ends the wait for a better place.
 //!
 //! Not overruled: constraints, room, tickets, a worker that drains,
 //! doesn't answer, refuses orders or whose runs stand still at present, a start that may
@@ -28,11 +28,11 @@
 /// waiting tasks are examined against all workers twice a second.
 pub(super) const AVOIDANCE_LIMIT: Span = Span::from_millis(2_000);
 
-/// Whether workers on which runs have failed are avoided in a choice.
+/// Whether tasks avoid workers on which runs have failed, and wait for better places.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Caution {
     Usual,
-    /// They aren't: the tasks have waited for [`AVOIDANCE_LIMIT`].
+    /// They don't any longer, as they have waited for [`AVOIDANCE_LIMIT`].
     Overruled,
 }
 
--- a/crates/gentianlane/src/fleet/dispatch/place.rs
+++ b/crates/gentianlane/src/fleet/dispatch/place.rs
@@ -395,7 +395,8 @@
             let Some(best) = best else {
                 continue;
             };
-            if trial.is_none() && self.waits_for_place(id, best.slowdown, now) {
+            let may_wait = trial.is_none() && caution == Caution::Usual;
+            if may_wait && self.waits_for_place(id, best.slowdown, now) {
                 continue;
             }
             best.free = best.free.less(&demand);
@@ -490,7 +491,8 @@
         let mut racks = members.iter().map(|(_, candidate)| &candidate.rack);
         let first_rack = racks.next();
         let is_spread = one_rack && racks.any(|rack| Some(rack) != first_rack);
-        if trial.is_none() && is_spread && self.waits_for_rack(id, now) {
+        let may_wait = trial.is_none() && caution == Caution::Usual;
+        if may_wait && is_spread && self.waits_for_rack(id, now) {
             return;
         }
         let Some(stage) = self.stages.get_mut(id) else {
--- a/crates/gentianlane/tests/fleet/wait.rs
+++ b/crates/gentianlane/tests/fleet/wait.rs
@@ -324,6 +324,32 @@
     assert!(place_of(&world, 8).is_some_and(|worker| worker != "w2".into()));
 }
 
+/// A task that would save 20 s on its data's rack waited for 15 s beside idle workers
+/// (`rack`); with less than half in use nothing may wait beside room for 3 s.
+#[test]
+fn a_wait_beside_idle_workers_ends_within_the_users_limit() {
+    let mut world = World::new(6, 1)
+        .with_dispatch(setup(true))
+        .with_plan(plan(1, false));
+    let mut near = near_w2(1);
+    near.steps[0].estimate = Span::from_secs(12);
+    let mut filler = near.clone();
+    filler.steps[0].preferred_rack = None;
+    filler.steps[0].required_label = Some("rack-0".to_owned());
+    // As little as this leaves the rack's load low.
+    near.steps[0].resources.millicores = 1_000;
+    world.run_time = 12_000;
+    for id in [7, 8] {
+        world.submit(id, &filler);
+    }
+    world.run(2_000);
+    world.submit(9, &near);
+    world.run(1_500);
+    assert_eq!(place_of(&world, 9), None);
+    world.run(1_500);
+    assert!(place_of(&world, 9).is_some());
+}
+
 #[test]
 fn a_new_leader_counts_what_the_job_has_waited() {
     let mut world = World::new(3, 1)
