Let gangs fail in the soak

Its gangs never failed, so that it could not have met the gang that wasn't started again. The first member fails as often as that of any other short job, and breaks the others; no other draw moves.

--- a/crates/gentianlane-daemon/tests/soak/caller.rs
+++ b/crates/gentianlane-daemon/tests/soak/caller.rs
@@ -102,7 +102,7 @@
             }
             Kind::Gang => {
                 step["gang"] = true.into();
-                format!("cpu={cpu} work={work} gang={tasks}")
+                format!("cpu={cpu} work={work} gang={tasks} fails={fails}")
             }
             Kind::Lasting => {
                 step["long_running"] = true.into();
--- a/crates/gentianlane-daemon/tests/soak/worker.rs
+++ b/crates/gentianlane-daemon/tests/soak/worker.rs
@@ -56,7 +56,8 @@
     cpu: u64,
     /// None for a task that lasts.
     length: Option<Duration>,
-    /// How many of the task's runs fail, each after its length or, if it lasts, a second.
+    /// How many of the task's runs fail, each after its length or, if it lasts, a second;
+    /// of a gang only the first member's do.
     fails: u64,
     gang: usize,
     stop_at: Option<Instant>,
@@ -353,6 +354,7 @@
         let fails_after = run.length.unwrap_or(Duration::from_secs(1));
         if run.fails > 0
             && run.since.elapsed() >= fails_after
+            && !self.has_ended(run)
             && self.record.fails(&run.task, run.fails)
         {
             return Some(How::Failed);
@@ -372,6 +374,13 @@
         }
     }
 
+    /// Whether another member of a run's gang has ended.
+    fn has_ended(&self, run: &Run) -> bool {
+        let gangs = self.record.gangs();
+        let gang = gangs.get(&gang_of(run));
+        run.gang > 0 && gang.is_some_and(|gang| gang.done || gang.broken)
+    }
+
     fn end(&self, state: &mut State, index: usize, how: How, at: Duration) {
         let run = state.runs.remove(index);
         if run.gang > 0 {
@@ -464,14 +473,17 @@
             let mut words = spec.split(' ').filter_map(|word| word.split_once('='));
             words.find(|(key, _)| *key == name)?.1.parse::<u64>().ok()
         };
+        let gang = usize::try_from(word("gang").unwrap_or(0)).unwrap();
+        // Of a gang the first member fails, and breaks the others.
+        let may_fail = gang == 0 || task.ends_with(".0");
         let begun = Run {
             task: task.to_owned(),
             run,
             since: Instant::now(),
             cpu: word("cpu").unwrap_or(0),
             length: word("work").map(Duration::from_millis),
-            fails: word("fails").unwrap_or(0),
-            gang: usize::try_from(word("gang").unwrap_or(0)).unwrap(),
+            fails: word("fails").filter(|_| may_fail).unwrap_or(0),
+            gang,
             stop_at: None,
         };
         if begun.gang > 0 {
