--- a/crates/gentianlane/tests/fleet/dispatch.rs
+++ b/crates/gentianlane/tests/fleet/dispatch.rs
@@ -1082,6 +1082,16 @@
     }
 }
 
+/// What an operator sees of the fleet; none if the leader doesn't reply.
+pub(crate) fn overview(world: &mut World) -> Option<Overview> {
+    let ticket = world.call(Call::Overview);
+    world.run(30);
+    let Some(Reply::Overview(text)) = world.replies.get(&ticket) else {
+        return None;
+    };
+    serde_json::from_str(text).ok()
+}
+
 #[test]
 fn an_operator_sees_what_each_waiting_step_waits_for() {
     let mut world = World::new(1, 1).with_plan(two_queues(3));
@@ -1091,12 +1101,7 @@
     world.run(500);
     world.submit(8, &job(2, 1_000));
     world.run(200);
-    let ticket = world.call(Call::Overview);
-    world.run(30);
-    let Some(Reply::Overview(text)) = world.replies.get(&ticket) else {
-        panic!("the overview request got no reply");
-    };
-    let overview: Overview = serde_json::from_str(text).expect("an overview");
+    let overview = overview(&mut world).expect("an overview");
     let [step] = overview.steps.as_slice() else {
         panic!("{:?}", overview.steps);
     };
--- a/crates/gentianlane/tests/fleet/probation.rs
+++ b/crates/gentianlane/tests/fleet/probation.rs
@@ -1,13 +1,12 @@
 //! Tests of workers on which runs have failed: what they may still take, and for how
 //! long they are avoided.
 
-use gentianlane::fleet::call::{Call, Reply};
-use gentianlane::fleet::dispatch::{Avoidance, Blocker, Overview};
+use gentianlane::fleet::dispatch::{Avoidance, Blocker};
 use gentianlane::fleet::job::{Phase, Spec, Task};
 use gentianlane::fleet::order::Outcome;
 use gentianlane::unit::Span;
 
-use super::dispatch::{phase, task};
+use super::dispatch::{overview, phase, task};
 use super::simulated_worker::job;
 use super::world::{World, plan};
 
@@ -311,12 +310,7 @@
     world.run(200);
     world.fail_runs(task(7, 0));
     world.run(500);
-    let ticket = world.call(Call::Overview);
-    world.run(30);
-    let Some(Reply::Overview(text)) = world.replies.get(&ticket) else {
-        panic!("the overview request got no reply");
-    };
-    let overview: Overview = serde_json::from_str(text).expect("an overview");
+    let overview = overview(&mut world).expect("an overview");
     let [step] = overview.steps.as_slice() else {
         panic!("{:?}", overview.steps);
     };
