Examine steps that wait for long against avoided workers alone

The first look has just found no room at the other workers, so the second one looks at those on probation or paused. Gangs, steps of which a task has failed and those that wait for a better place are examined against all, as other rules end for them.

steps_that_fit_nowhere_are_examined_once_in_each_full_pass failed before: 64,000 pairs instead of 32,000.

--- a/crates/gentianlane/src/fleet/dispatch/place.rs
+++ b/crates/gentianlane/src/fleet/dispatch/place.rs
@@ -121,12 +121,22 @@
         let Some(stage) = self.stages.get(id) else {
             return;
         };
+        let waits = stage.wait.is_some_and(|wait| wait.is_current);
+        let is_cautious = waits || !stage.failed_on.is_empty();
+        if !is_cautious && survey.avoided.is_empty() {
+            return;
+        }
+        // The other workers have been examined for the step just now, and had no room.
+        let only_avoided = !is_cautious && !stage.step.gang;
         let overdue = self.overdue_tasks(stage, survey, now);
         if overdue.is_empty() {
             return;
         }
         let caution = Caution::Overruled;
-        let candidates = self.candidates(stage, reservations, survey, caution, now);
+        let candidates = match only_avoided {
+            true => self.avoided_candidates(stage, reservations, survey, now),
+            false => self.candidates(stage, reservations, survey, caution, now),
+        };
         if !candidates.is_empty() {
             self.place_step(id, overdue, candidates, caution, now, wall);
         }
@@ -202,6 +212,26 @@
         self.effects.decisions.push(blocked);
     }
 
+    /// The avoided workers that can take a task of a step now.
+    fn avoided_candidates(
+        &self,
+        stage: &Stage,
+        reservations: &Reservations,
+        survey: &Survey,
+        now: Time,
+    ) -> Vec<Candidate> {
+        let run_time = self.expected_run_time(stage);
+        self.effort.count_examined(survey.avoided.len());
+        let avoided = survey.avoided.iter();
+        let sessions = avoided.filter_map(|&index| self.sessions.get_index(index));
+        let candidates = sessions.filter_map(|(worker, session)| {
+            self.candidate(stage, worker, session, Caution::Overruled, now)
+        });
+        candidates
+            .filter(|candidate| reservations.allows(&candidate.worker, run_time, now))
+            .collect()
+    }
+
     /// The workers that can take a task of a step now: of those that have
     /// changed, if the others were examined before. A gang has to find room for
     /// all its members at once, so a single change calls for all workers.
--- a/crates/gentianlane/src/fleet/dispatch/survey.rs
+++ b/crates/gentianlane/src/fleet/dispatch/survey.rs
@@ -32,6 +32,8 @@
     pub(crate) changed: Vec<usize>,
     /// The most of each resource that is free on one of these workers.
     pub(crate) room: Resources,
+    /// The indexes of the workers that tasks may avoid, as runs have failed there.
+    pub(crate) avoided: Vec<usize>,
     /// What the pass has to look at.
     pub(crate) scope: Scope,
     /// The number of runs that are being stopped; zero in a pass that doesn't plan.
@@ -87,6 +89,9 @@
             if state.has_gained(&before) {
                 survey.changed.push(index);
             }
+            if session.probation.is_on() || session.probation.is_paused(now) {
+                survey.avoided.push(index);
+            }
             if state.available && !before.available {
                 available_again.push(worker.clone());
             }
--- a/crates/gentianlane/tests/fleet/probation.rs
+++ b/crates/gentianlane/tests/fleet/probation.rs
@@ -328,3 +328,25 @@
     let worker = overview.workers.iter().find(|it| it.name == avoided.name);
     assert_eq!(worker.map(|worker| worker.failures), Some(1));
 }
+
+/// A step that waits for long was examined twice against all workers, in each pass over
+/// all of them, also where no worker was avoided.
+#[test]
+fn steps_that_fit_nowhere_are_examined_once_in_each_full_pass() {
+    const STEPS: u64 = 100;
+    const WORKERS: u16 = 40;
+    let mut world = world(WORKERS);
+    for id in 0..STEPS {
+        world.submit(100 + id, &job(1, 5_000));
+    }
+    world.run(4_000);
+    world.effort = super::world::Effort::default();
+    world.run(4_000);
+    // Eight passes over all workers; those that plan examine the changed ones alone.
+    let once = 8 * STEPS * u64::from(WORKERS);
+    let examined = world.effort.examined;
+    assert!(
+        examined < once * 5 / 4,
+        "{examined} pairs, {once} at once each"
+    );
+}
